Lay out the workspace, the model and the interfaces

Cause: nothing existed. The request path, the configuration and the routing decisions are built side by side and need one vocabulary first. Change: five packages, ids, states, outcomes with one rule per refusal reason, wire messages for callers, targets and the platform, settings with a registry that checks, lists and documents them, protocols between the daemon's parts. Before: no test. Conclusion: parts can be written against these types independently.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+.PHONY: venv demo test check lint types unit
+
+VENV ?= .venv
+PYTHON ?= python3
+BIN := $(VENV)/bin
+PACKAGES := model policy client daemon standins
+SOURCES := $(foreach p,$(PACKAGES),packages/aspendrift-$(p)/src)
+EMPTY :=
+SPACE := $(EMPTY) $(EMPTY)
+export PYTHONPATH := $(subst $(SPACE),:,$(abspath $(SOURCES)))
+export PATH := $(abspath $(BIN)):$(PATH)
+
+venv: $(VENV)/.installed
+
+$(VENV)/.installed: constraints.txt requirements-dev.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -c constraints.txt -r requirements-dev.txt
+	$(BIN)/pip install --quiet -c constraints.txt --no-build-isolation --no-deps $(foreach p,$(PACKAGES),-e packages/aspendrift-$(p))
+	touch $@
+
+test: venv
+	$(MAKE) --no-print-directory check
+
+check: lint types unit
+
+lint:
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/python tools/check_imports.py
+
+types:
+	$(BIN)/mypy packages/*/src
+
+unit:
+	$(BIN)/python -m pytest
+
+demo: venv
+	$(BIN)/python -m aspendrift_standins.demo
--- /dev/null
+++ b/packages/aspendrift-client/src/aspendrift_client/__init__.py
@@ -0,0 +1,1 @@
+"""The operator command line and the caller library."""
--- /dev/null
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The serving daemon: the input and output around the decisions."""
--- /dev/null
+++ b/packages/aspendrift-model/src/aspendrift_model/settings.py
@@ -0,0 +1,76 @@
+"""The settings of a daemon: root section and file loading."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from pathlib import Path
+
+import json5
+
+from aspendrift_model.settings_base import (
+    SettingProblem,
+    SettingsError,
+    build_section,
+    setting,
+)
+from aspendrift_model.settings_http import HttpSettings
+from aspendrift_model.settings_peers import PeerSettings
+from aspendrift_model.settings_platform import PlatformSettings
+from aspendrift_model.settings_requests import RequestSettings
+from aspendrift_model.settings_routing import RoutingSettings
+
+__all__ = ["DaemonSettings", "LogLevel", "load_settings"]
+
+
+class LogLevel(Enum):
+    """Least severe level that is logged."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+
+
+@dataclass(frozen=True, slots=True)
+class DaemonSettings:
+    """Everything a daemon is told at its start."""
+
+    daemon_id: str = setting(doc="Unique name of the daemon.")
+    zone: str = setting(doc="Availability zone of the host.")
+    region: str = setting(doc="Region of the host.")
+    platform: PlatformSettings = setting(doc="The platform's services.")
+    log_level: LogLevel = setting(LogLevel.INFO, doc="Least severe level logged.")
+    ready_file: str = setting(
+        "", doc="File written with the daemon's addresses once it listens."
+    )
+    http: HttpSettings = field(default_factory=HttpSettings)
+    peers: PeerSettings = field(default_factory=PeerSettings)
+    requests: RequestSettings = field(default_factory=RequestSettings)
+    routing: RoutingSettings = field(default_factory=RoutingSettings)
+
+
+def load_settings(path: Path) -> DaemonSettings:
+    """Read and check a settings file (JSON with comments).
+
+    Raises
+    ------
+    SettingsError
+        With every problem, if the file can't be read or a value is wrong.
+    """
+    source = str(path)
+    try:
+        values = json5.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        problem = SettingProblem("", str(error), "a readable file")
+        raise SettingsError(source, (problem,)) from error
+    except ValueError as error:
+        problem = SettingProblem("", str(error), "JSON with comments")
+        raise SettingsError(source, (problem,)) from error
+    if not isinstance(values, dict):
+        problem = SettingProblem("", type(values).__name__, "an object")
+        raise SettingsError(source, (problem,))
+    problems: list[SettingProblem] = []
+    settings = build_section(DaemonSettings, values, "", problems)
+    if problems:
+        raise SettingsError(source, tuple(problems))
+    return settings
--- /dev/null
+++ b/packages/aspendrift-model/src/aspendrift_model/settings_http.py
@@ -0,0 +1,49 @@
+"""Settings of the HTTP front door: address, TLS, limits and operators."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from aspendrift_model.settings_base import setting
+
+__all__ = ["HttpSettings", "OperatorRole", "OperatorToken"]
+
+
+class OperatorRole(Enum):
+    """What an operator may do; a later role includes the earlier ones."""
+
+    READ = "read"
+    PUBLISH = "publish"
+    DRAIN = "drain"
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorToken:
+    """A bearer token of an operator, stored as its SHA-256."""
+
+    name: str = setting(doc="Name of the operator, for the audit.")
+    sha256: str = setting(doc="Hex SHA-256 of the token.")
+    roles: tuple[OperatorRole, ...] = setting(
+        (OperatorRole.READ,), doc="Roles granted."
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class HttpSettings:
+    """How callers and operators reach the daemon."""
+
+    host: str = setting("127.0.0.1", doc="Numeric address to listen on.")
+    port: int = setting(
+        0, doc="TCP port; 0 takes a free one.", minimum=0, maximum=65535
+    )
+    advertise_url: str = setting(
+        "", doc="URL given to callers; empty derives it from host and port."
+    )
+    tls_certificate_file: str = setting("", doc="PEM certificate chain.")
+    tls_key_file: str = setting("", doc="PEM private key.")
+    allow_plaintext: bool = setting(
+        False, doc="Whether to serve without TLS on an address other than loopback."
+    )
+    operators: tuple[OperatorToken, ...] = setting((), doc="Operator tokens.")
+    max_connections: int = setting(2048, doc="Open connections accepted.", minimum=1)
--- /dev/null
+++ b/packages/aspendrift-model/src/aspendrift_model/states.py
@@ -0,0 +1,146 @@
+"""Enumerations shared by the packages."""
+
+from __future__ import annotations
+
+from enum import Enum, IntEnum
+
+__all__ = [
+    "AttemptEnd",
+    "CallerAction",
+    "ItemKind",
+    "MemberState",
+    "OutcomeStatus",
+    "Priority",
+    "ProfileState",
+    "Ran",
+    "RefusalReason",
+    "StageKind",
+    "TargetKind",
+    "TargetState",
+]
+
+
+class Ran(Enum):
+    """Whether any byte of a request reached a target."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+class Priority(IntEnum):
+    """Order in which requests are served; a lower number is served first."""
+
+    URGENT = 0
+    NORMAL = 1
+    BACKGROUND = 2
+
+
+class StageKind(Enum):
+    """The work that a stage of a pipeline does."""
+
+    ENCODE = "encode"
+    RETRIEVE = "retrieve"
+    RERANK = "rerank"
+    GENERATE = "generate"
+    CALL = "call"
+
+
+class TargetKind(Enum):
+    """The protocol that a target speaks."""
+
+    ENGINE = "engine"
+    STAGE_POOL = "stage_pool"
+    SERVICE = "service"
+
+
+class TargetState(Enum):
+    """Life cycle of a target in the configuration."""
+
+    ACTIVE = "active"
+    DRAINING = "draining"
+    REMOVED = "removed"
+
+
+class ProfileState(Enum):
+    """Life cycle of a profile in the configuration."""
+
+    PUBLISHED = "published"
+    RETIRED = "retired"
+
+
+class ItemKind(Enum):
+    """Kind of a configuration item; the first part of its key."""
+
+    PROFILE = "profile"
+    TARGET = "target"
+    ACCOUNT = "account"
+
+
+class MemberState(Enum):
+    """Life cycle of a daemon as its peers see it."""
+
+    JOINING = "joining"
+    LIVE = "live"
+    SUSPECT = "suspect"
+    UNREACHABLE = "unreachable"
+    LEAVING = "leaving"
+    DEAD = "dead"
+
+
+class AttemptEnd(Enum):
+    """How one try of a stage on one target ended."""
+
+    ANSWERED = "answered"
+    REJECTED = "rejected"
+    NOT_SENT = "not_sent"
+    BROKEN = "broken"
+    TIMED_OUT = "timed_out"
+    CANCELLED = "cancelled"
+
+
+class OutcomeStatus(Enum):
+    """The three ways a request ends for its caller."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+class CallerAction(Enum):
+    """What a caller may do after a refusal or failure."""
+
+    FIX_REQUEST = "fix_request"
+    RESEND = "resend"
+    RESEND_ELSEWHERE = "resend_elsewhere"
+    ASK_OUTCOME = "ask_outcome"
+    DO_NOT_RESEND = "do_not_resend"
+
+
+class RefusalReason(Enum):
+    """Why a request was refused or failed; the stable code callers see."""
+
+    BAD_REQUEST = "bad_request"
+    TOO_LARGE = "too_large"
+    UNAUTHENTICATED = "unauthenticated"
+    FORBIDDEN = "forbidden"
+    NOT_FOUND = "not_found"
+    UNKNOWN_PROFILE = "unknown_profile"
+    REQUEST_ID_REUSED = "request_id_reused"
+    DEADLINE_UNREACHABLE = "deadline_unreachable"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    OVERLOADED = "overloaded"
+    ACCOUNT_OVER_SHARE = "account_over_share"
+    NO_TARGET = "no_target"
+    TARGET_FAILED = "target_failed"
+    RETRY_BUDGET_SPENT = "retry_budget_spent"
+    STORE_UNAVAILABLE = "store_unavailable"
+    CLAIM_RATE_EXCEEDED = "claim_rate_exceeded"
+    CLAIM_HELD = "claim_held"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    LEAVING = "leaving"
+    ISOLATED = "isolated"
+    NOT_READY = "not_ready"
+    POISON = "poison"
+    CALLER_GONE = "caller_gone"
+    INTERNAL = "internal"
--- /dev/null
+++ b/packages/aspendrift-model/src/aspendrift_model/wire_target.py
@@ -0,0 +1,174 @@
+"""Messages between daemons and targets: JSON bodies and NDJSON stream events.
+
+Routes of a target::
+
+    POST   /v1/stage                 StageCall -> StageAnswer (stage pool, service)
+    POST   /v1/generate              StageCall -> NDJSON of GeneratedToken, GeneratedEnd
+    POST   /v1/attempts/{id}/resume  ?after=N -> the rest of the same NDJSON stream
+    DELETE /v1/attempts/{id}         cancel; 204 also when unknown
+    GET    /v1/load                  LoadBody
+    GET    /v1/cache-events          ?after=SEQ -> CacheEvents
+    POST   /v1/orders                Order -> OrderAnswer, 409 OrderAnswer when fenced
+    GET    /v1/state                 EngineState
+    POST   /v1/kv/export, /v1/kv/import   KvTransfer
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import msgspec
+
+from aspendrift_model.states import StageKind
+
+__all__ = [
+    "CacheEvent",
+    "CacheEvents",
+    "EngineRole",
+    "EngineState",
+    "GeneratedEnd",
+    "GeneratedEvent",
+    "GeneratedToken",
+    "KvTransfer",
+    "LoadBody",
+    "Order",
+    "OrderAnswer",
+    "OrderKind",
+    "StageAnswer",
+    "StageCall",
+]
+
+
+class StageCall(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One attempt of one stage.
+
+    ``context`` is the JSON output of the previous stage. ``prefix_tokens`` are
+    the tokens that an earlier attempt already produced; the engine continues
+    after them and numbers its first token ``len(prefix_tokens) + 1``.
+    """
+
+    request_id: str
+    attempt_id: str
+    stage: str
+    kind: StageKind
+    input: str
+    remaining_ms: int
+    priority: int = 1
+    model: str | None = None
+    adapter: str | None = None
+    max_tokens: int = 0
+    context: msgspec.Raw = msgspec.Raw(b"null")
+    prefix_tokens: tuple[str, ...] = ()
+    prefix_key: str = ""
+
+
+class StageAnswer(msgspec.Struct, frozen=True):
+    """Answer of a stage pool or service; echoes both ids."""
+
+    request_id: str
+    attempt_id: str
+    output: msgspec.Raw
+    busy_ms: float = 0.0
+
+
+class GeneratedToken(msgspec.Struct, frozen=True, tag_field="event", tag="token"):
+    """One generated token; ``n`` counts from 1 within the whole answer."""
+
+    attempt_id: str
+    n: int
+    text: str
+
+
+class GeneratedEnd(msgspec.Struct, frozen=True, tag_field="event", tag="end"):
+    """Last event of an engine's stream, with totals over the whole answer."""
+
+    attempt_id: str
+    n_tokens: int
+    digest: str
+    busy_ms: float = 0.0
+
+
+GeneratedEvent = GeneratedToken | GeneratedEnd
+
+
+class LoadBody(msgspec.Struct, frozen=True):
+    """Load report of a target; ``age_ms`` is how old the figures are."""
+
+    active: int
+    queued: int
+    slots: int
+    age_ms: int = 0
+    busy_s: float = 0.0
+    models: tuple[str, ...] = ()
+
+
+class CacheEvent(msgspec.Struct, frozen=True):
+    """A prefix entered (``cached``) or left an engine's prefix cache."""
+
+    seq: int
+    prefix_key: str
+    cached: bool
+
+
+class CacheEvents(msgspec.Struct, frozen=True):
+    """Events after a sequence number; ``oldest`` tells whether some were lost."""
+
+    oldest: int
+    events: tuple[CacheEvent, ...]
+
+
+class EngineRole(Enum):
+    """Which phase of generation an engine serves."""
+
+    BOTH = "both"
+    PREFILL = "prefill"
+    DECODE = "decode"
+    IDLE = "idle"
+
+
+class OrderKind(Enum):
+    """Orders that an engine takes."""
+
+    LOAD_MODEL = "load_model"
+    UNLOAD_MODEL = "unload_model"
+    LOAD_ADAPTER = "load_adapter"
+    SET_ROLE = "set_role"
+
+
+class Order(msgspec.Struct, frozen=True, omit_defaults=True):
+    """An order to an engine; ``fencing`` is the lease's fencing number."""
+
+    order_id: str
+    fencing: int
+    kind: OrderKind
+    model: str | None = None
+    version: str | None = None
+    adapter: str | None = None
+    role: EngineRole | None = None
+    valid_ms: int = 2_000
+
+
+class OrderAnswer(msgspec.Struct, frozen=True):
+    """Whether an order was taken; ``highest_fencing`` seen by the engine."""
+
+    order_id: str
+    taken: bool
+    highest_fencing: int
+
+
+class EngineState(msgspec.Struct, frozen=True):
+    """What an engine holds now."""
+
+    role: EngineRole
+    models: tuple[str, ...]
+    adapters: tuple[str, ...]
+    loading: tuple[str, ...]
+    highest_fencing: int
+    cache_bytes: int = 0
+
+
+class KvTransfer(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Export or import of the KV cache of a prefix."""
+
+    prefix_key: str
+    n_bytes: int = 0
