--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: venv demo test check lint types unit
+.PHONY: venv demo test check lint types unit fault-matrix
 
 VENV ?= .venv
 PYTHON ?= python3
@@ -36,3 +36,6 @@
 
 demo: venv
 	$(BIN)/python -m aspendrift_standins.demo
+
+fault-matrix: venv
+	$(BIN)/python tools/fault_matrix.py
