--- a/packages/aspendrift-standins/src/aspendrift_standins/process.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/process.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import socket
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 from pathlib import Path
 from typing import Any, Final, TypeVar
 
@@ -22,7 +23,7 @@
 )
 from aspendrift_standins.faults import FaultSwitch, PlatformFaults, TargetFaults
 
-__all__ = ["StandIn", "command", "write_ready_file"]
+__all__ = ["StandIn", "command", "serving", "write_ready_file"]
 
 _KEEP_ALIVE_S: Final = 3_600
 _BACKLOG: Final = 4_096
@@ -76,7 +77,13 @@
 class _Server(uvicorn.Server):
     """Server that announces its port and can refuse connections for a while."""
 
-    def __init__(self, stand_in: StandIn, sock: socket.socket, ready_file: str) -> None:
+    def __init__(
+        self,
+        stand_in: StandIn,
+        sock: socket.socket,
+        ready_file: str,
+        own_signals: bool = True,
+    ) -> None:
         config = uvicorn.Config(
             stand_in,
             loop="asyncio",
@@ -94,12 +101,24 @@
         super().__init__(config)
         self._address = sock.getsockname()
         self._ready_file = ready_file
+        self._own_signals = own_signals
+        self.listening = asyncio.Event()
         self._reopening: asyncio.Task[None] | None = None
         stand_in.on_refuse(self._refuse)
 
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Handle signals only in a process of its own."""
+        if not self._own_signals:
+            yield
+            return
+        with super().capture_signals():
+            yield
+
     async def startup(self, sockets: list[socket.socket] | None = None) -> None:
         """Start to listen, then write the ready file."""
         await super().startup(sockets)
+        self.listening.set()
         host, port = self._address
         write_ready_file(
             self._ready_file, {"url": f"http://{host}:{port}", "pid": os.getpid()}
@@ -136,13 +155,30 @@
 
 async def _serve(stand_in: StandIn, port: int, ready_file: str) -> None:
     sock = _listen(port)
-    background = asyncio.create_task(stand_in.background())
-    try:
+    async with asyncio.TaskGroup() as tasks:
+        background = tasks.create_task(stand_in.background())
         await _Server(stand_in, sock, ready_file).serve([sock])
-    finally:
         background.cancel()
 
 
+@contextlib.asynccontextmanager
+async def serving(stand_in: StandIn) -> AsyncIterator[str]:
+    """Serve a stand-in within this process; yields its base URL."""
+    sock = _listen(0)
+    server = _Server(stand_in, sock, "", own_signals=False)
+    host, port = sock.getsockname()
+    async with asyncio.TaskGroup() as tasks:
+        background = tasks.create_task(stand_in.background())
+        served = tasks.create_task(server.serve([sock]))
+        await server.listening.wait()
+        try:
+            yield f"http://{host}:{port}"
+        finally:
+            server.should_exit = True
+            await served
+            background.cancel()
+
+
 def command(
     name: str,
     options_type: type[_Options],
