Run requests through the service and the callers' routes

The request engine is a state machine without I/O in the policy package; the daemon performs its actions. Requests that may not be repeated are claimed in the table before the first byte goes to a target. Every bad input gets a typed outcome.

--- /dev/null
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/claims.py
@@ -0,0 +1,417 @@
+"""Takes, ends and looks up the claims of requests that may not be repeated."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from typing import Any, Final, TypeAlias
+
+import msgspec
+
+from aspendrift_daemon.claim_writer import ClaimWriter, QueueFull
+from aspendrift_daemon.interfaces import (
+    Clock,
+    Committed,
+    Conflict,
+    PeerBus,
+    StoreUnavailable,
+    TableService,
+    TransactResult,
+    WriteUnknown,
+)
+from aspendrift_model.ids import AccountId, DaemonId, Fingerprint, RequestId
+from aspendrift_model.outcomes import Failed, Refused
+from aspendrift_model.settings_requests import RequestSettings
+from aspendrift_model.states import MemberState, OutcomeStatus, Ran, RefusalReason
+from aspendrift_model.wire_caller import OutcomeBody
+from aspendrift_model.wire_platform import Condition, Row, Write
+from aspendrift_policy.claims import (
+    ClaimJudgement,
+    ClaimRecord,
+    ClaimState,
+    Finished,
+    Free,
+    HeldElsewhere,
+    HolderGone,
+    HolderView,
+    Mine,
+    OtherContent,
+    Unreadable,
+    claim_key,
+    decode_claim,
+    encode_claim,
+    judge_claim,
+)
+
+__all__ = ["Claim", "ClaimAnswer", "Claims", "Replayed"]
+
+_MS_PER_S: Final = 1000.0
+_FIRST_POLL_S: Final = 0.03
+_MAX_POLL_S: Final = 0.5
+_FIRST_RETRY_S: Final = 0.1
+_MAX_RETRY_S: Final = 5.0
+_MAX_OVERWRITES: Final = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """A confirmed claim: the request may be dispatched under its token."""
+
+    key: str
+    version: int
+    record: ClaimRecord
+
+
+@dataclass(frozen=True, slots=True)
+class Replayed:
+    """The request has ended before, with this outcome."""
+
+    outcome: OutcomeBody
+
+
+ClaimAnswer: TypeAlias = Claim | Replayed | Refused | Failed
+
+
+class Claims:
+    """Claims of one daemon.
+
+    Parameters
+    ----------
+    process : str
+        Unique for each run of the daemon's process.
+    spawn : callable
+        Runs a coroutine in the background until it ends or the daemon stops.
+    """
+
+    def __init__(
+        self,
+        settings: RequestSettings,
+        daemon_id: DaemonId,
+        process: str,
+        clock: Clock,
+        table: TableService,
+        bus: PeerBus,
+        rng: random.Random,
+        spawn: Callable[[Coroutine[Any, Any, None]], None],
+    ) -> None:
+        self._settings = settings
+        self._daemon_id = daemon_id
+        self._process = process
+        self._clock = clock
+        self._table = table
+        self._bus = bus
+        self._rng = rng
+        self._spawn = spawn
+        self._n_tokens = 0
+        self._abandoned_tokens: set[str] = set()
+        self.n_unsettled = 0
+        self.writer = ClaimWriter(settings, clock, table, self._n_daemons)
+
+    async def take(
+        self,
+        account_id: AccountId,
+        request_id: RequestId,
+        fingerprint: Fingerprint,
+        deadline_at: float,
+    ) -> ClaimAnswer:
+        """Claim a request, or say what became of an earlier claim."""
+        if self.n_unsettled >= self._settings.max_unsettled_claims:
+            return self._store_unavailable("too many outcomes wait for the store")
+        key = claim_key(account_id, request_id)
+        version = 0
+        for _ in range(_MAX_OVERWRITES):
+            wanted = self._new_record(fingerprint)
+            written = await self._write(key, version, wanted, deadline_at)
+            if not isinstance(written, Row):
+                return written
+            judged = self._judge(written, wanted)
+            if isinstance(judged, HeldElsewhere):
+                judged = await self._await_holder(key, wanted, deadline_at)
+            if not isinstance(judged, Free):
+                return self._answer(key, wanted, judged)
+            version = judged.version
+        return self._store_unavailable("the claim changed while it was written")
+
+    async def finish(self, claim: Claim, outcome: OutcomeBody) -> bool:
+        """Store the outcome; False if that goes on in the background.
+
+        An answer waits a bounded time for the store, so that a resend finds
+        it. A failure is given to the caller at once.
+        """
+        record = msgspec.structs.replace(
+            claim.record,
+            state=ClaimState.FINISHED,
+            at_unix_ms=self._unix_ms(),
+            outcome=outcome,
+        )
+        task = asyncio.ensure_future(self._settle(claim, record))
+        self._spawn(_outlast(task))
+        if outcome.status is not OutcomeStatus.ANSWERED:
+            return False
+        wait_s = self._settings.outcome_store_wait_ms / _MS_PER_S
+        done, _ = await asyncio.wait({task}, timeout=wait_s)
+        return bool(done)
+
+    def release(self, claim: Claim) -> None:
+        """Give back a claim under which nothing reached a target.
+
+        The row stays: without it, a write that is still under way somewhere
+        could take effect.
+        """
+        self._abandoned_tokens.add(claim.record.token)
+        self._spawn(self._settle(claim, self._released(claim.record)))
+
+    async def look_up(
+        self, account_id: AccountId, request_id: RequestId
+    ) -> Replayed | Refused | Failed:
+        """Return what is recorded of a request."""
+        read = await self._table.read([claim_key(account_id, request_id)])
+        if isinstance(read, StoreUnavailable):
+            detail = "the outcome can't be read"
+            reason = RefusalReason.STORE_UNAVAILABLE
+            return Failed(reason, Ran.UNKNOWN, detail, self._retry_after_ms())
+        row = read.rows[0]
+        found = None if row.value is None else decode_claim(row.value)
+        if found is None or found.state is ClaimState.RELEASED:
+            return Failed(RefusalReason.NOT_FOUND, Ran.UNKNOWN, "no record of it")
+        if found.outcome is not None:
+            return Replayed(found.outcome)
+        if self._holder_view(found) is HolderView.GONE:
+            return _outcome_unknown(DaemonId(found.daemon_id))
+        return self._claim_held(DaemonId(found.daemon_id))
+
+    def _new_record(self, fingerprint: Fingerprint) -> ClaimRecord:
+        self._n_tokens += 1
+        return ClaimRecord(
+            fingerprint,
+            self._daemon_id,
+            self._process,
+            f"{self._process}.{self._n_tokens}",
+            ClaimState.HELD,
+            self._incarnation(),
+            self._unix_ms(),
+        )
+
+    def _released(self, record: ClaimRecord) -> ClaimRecord:
+        return msgspec.structs.replace(
+            record, state=ClaimState.RELEASED, at_unix_ms=self._unix_ms()
+        )
+
+    async def _write(
+        self, key: str, version: int, wanted: ClaimRecord, deadline_at: float
+    ) -> Claim | Refused | Row:
+        """Write a claim; a row means that another one is in its place."""
+        write = self.writer.write_claim(
+            Condition(key, version), Write(key, encode_claim(wanted))
+        )
+        task = asyncio.ensure_future(write)
+        timeout_s = min(
+            deadline_at - self._clock.monotonic(),
+            self._settings.claim_timeout_ms / _MS_PER_S,
+        )
+        try:
+            done, _ = await asyncio.wait({task}, timeout=max(0.0, timeout_s))
+        except asyncio.CancelledError:
+            self._abandon(key, version, wanted, task)
+            raise
+        if not done:
+            self._abandon(key, version, wanted, task)
+            return self._store_unavailable("the claim was not confirmed in time")
+        return self._written(key, version, wanted, task.result())
+
+    def _written(
+        self,
+        key: str,
+        version: int,
+        wanted: ClaimRecord,
+        result: TransactResult | QueueFull,
+    ) -> Claim | Refused | Row:
+        if isinstance(result, Committed):
+            return Claim(key, result.version, wanted)
+        if isinstance(result, Conflict):
+            return result.rows[0]
+        if isinstance(result, QueueFull):
+            wait_ms = int(result.wait_s * _MS_PER_S)
+            return Refused(RefusalReason.CLAIM_RATE_EXCEEDED, "", max(1, wait_ms))
+        if isinstance(result, WriteUnknown):
+            self._abandoned_tokens.add(wanted.token)
+            self._spawn(self._withdraw(key, version, wanted))
+        return self._store_unavailable(result.detail)
+
+    def _abandon(
+        self,
+        key: str,
+        version: int,
+        wanted: ClaimRecord,
+        task: asyncio.Future[TransactResult | QueueFull],
+    ) -> None:
+        """Leave a write that is under way; nothing will run under its token."""
+        self._abandoned_tokens.add(wanted.token)
+        self._spawn(self._withdraw_later(key, version, wanted, task))
+
+    async def _withdraw_later(
+        self,
+        key: str,
+        version: int,
+        wanted: ClaimRecord,
+        task: asyncio.Future[TransactResult | QueueFull],
+    ) -> None:
+        result = await task
+        if isinstance(result, Committed):
+            claim = Claim(key, result.version, wanted)
+            await self._settle(claim, self._released(wanted))
+        elif isinstance(result, WriteUnknown):
+            await self._withdraw(key, version, wanted)
+        else:
+            self._abandoned_tokens.discard(wanted.token)
+
+    async def _withdraw(self, key: str, version: int, wanted: ClaimRecord) -> None:
+        """Make sure that a write of unknown result can't hold the request.
+
+        A row that replaces the one the write was conditional on makes a late
+        effect impossible; a row that the write has made is overwritten.
+        """
+        released = encode_claim(self._released(wanted))
+        wait_s = _FIRST_RETRY_S
+        self.n_unsettled += 1
+        try:
+            while True:
+                self.writer.spend(1)
+                result = await self.writer.write_outcome(
+                    Condition(key, version), Write(key, released)
+                )
+                if isinstance(result, Committed):
+                    return
+                if isinstance(result, Conflict):
+                    row = result.rows[0]
+                    if not _holds(row, wanted):
+                        return
+                    version = row.version
+                else:
+                    wait_s = await self._back_off(wait_s)
+        finally:
+            self.n_unsettled -= 1
+            self._abandoned_tokens.discard(wanted.token)
+
+    async def _settle(self, claim: Claim, record: ClaimRecord) -> None:
+        """Write the end of a claim until it is known to be there."""
+        self.n_unsettled += 1
+        wait_s = _FIRST_RETRY_S
+        condition = Condition(claim.key, claim.version)
+        write = Write(claim.key, encode_claim(record))
+        try:
+            while True:
+                result = await self.writer.write_outcome(condition, write)
+                if isinstance(result, Committed | Conflict):
+                    return
+                wait_s = await self._back_off(wait_s)
+                self.writer.spend(1)
+        finally:
+            self.n_unsettled -= 1
+            self._abandoned_tokens.discard(record.token)
+
+    async def _back_off(self, wait_s: float) -> float:
+        await asyncio.sleep(wait_s * self._rng.uniform(0.5, 1.0))
+        return min(_MAX_RETRY_S, wait_s * 2)
+
+    async def _await_holder(
+        self, key: str, wanted: ClaimRecord, deadline_at: float
+    ) -> ClaimJudgement:
+        """Wait, for a bounded time, until another daemon ends the request."""
+        now = self._clock.monotonic()
+        held_wait_s = self._settings.claim_held_wait_ms / _MS_PER_S
+        until = min(deadline_at, now + held_wait_s)
+        poll_s = _FIRST_POLL_S
+        judged: ClaimJudgement = HeldElsewhere(DaemonId(""))
+        while (now := self._clock.monotonic()) < until:
+            pause_s = poll_s * self._rng.uniform(0.5, 1.0)
+            await asyncio.sleep(min(pause_s, until - now))
+            poll_s = min(_MAX_POLL_S, poll_s * 2)
+            read = await self._table.read([key])
+            if isinstance(read, StoreUnavailable):
+                continue
+            judged = self._judge(read.rows[0], wanted)
+            if not isinstance(judged, HeldElsewhere):
+                break
+        return judged
+
+    def _answer(
+        self, key: str, wanted: ClaimRecord, judged: ClaimJudgement
+    ) -> ClaimAnswer:
+        match judged:
+            case Mine(version):
+                return Claim(key, version, wanted)
+            case Finished(outcome):
+                return Replayed(outcome)
+            case OtherContent():
+                return Refused(RefusalReason.REQUEST_ID_REUSED)
+            case HolderGone(daemon_id):
+                return _outcome_unknown(daemon_id)
+            case HeldElsewhere(daemon_id):
+                return self._claim_held(daemon_id)
+            case Free() | Unreadable():
+                reason = RefusalReason.OUTCOME_UNKNOWN
+                return Failed(reason, Ran.UNKNOWN, "the claim can't be read")
+
+    def _judge(self, row: Row, wanted: ClaimRecord) -> ClaimJudgement:
+        found = None if row.value is None else decode_claim(row.value)
+        holder = HolderView.NOT_IN_VIEW if found is None else self._holder_view(found)
+        return judge_claim(
+            row.value, row.version, wanted, holder, self._abandoned_tokens
+        )
+
+    def _holder_view(self, found: ClaimRecord) -> HolderView:
+        if found.daemon_id == self._daemon_id:
+            is_this = found.process == self._process
+            return HolderView.IN_VIEW if is_this else HolderView.GONE
+        for host, state in self._bus.members():
+            if host.daemon_id == found.daemon_id:
+                replaced = 0 < found.incarnation < host.incarnation
+                gone = replaced or state is MemberState.DEAD
+                return HolderView.GONE if gone else HolderView.IN_VIEW
+        return HolderView.NOT_IN_VIEW
+
+    def _incarnation(self) -> int:
+        for host, _ in self._bus.members():
+            if host.daemon_id == self._daemon_id:
+                return host.incarnation
+        return 0
+
+    def _claim_held(self, daemon_id: DaemonId) -> Failed:
+        detail = f"daemon {daemon_id}" if daemon_id else ""
+        reason = RefusalReason.CLAIM_HELD
+        return Failed(reason, Ran.UNKNOWN, detail, self._retry_after_ms())
+
+    def _store_unavailable(self, detail: str) -> Refused:
+        reason = RefusalReason.STORE_UNAVAILABLE
+        return Refused(reason, detail, self._retry_after_ms())
+
+    def _retry_after_ms(self) -> int:
+        spread = self._rng.uniform(1.0, 2.0)
+        return int(self._settings.store_retry_after_ms * spread)
+
+    def _n_daemons(self) -> int:
+        gone = (MemberState.DEAD, MemberState.JOINING)
+        return sum(state not in gone for _, state in self._bus.members())
+
+    def _unix_ms(self) -> int:
+        return int(self._clock.unix() * _MS_PER_S)
+
+
+def _outcome_unknown(daemon_id: DaemonId) -> Failed:
+    reason = RefusalReason.OUTCOME_UNKNOWN
+    return Failed(reason, Ran.UNKNOWN, f"daemon {daemon_id} is gone")
+
+
+def _holds(row: Row, wanted: ClaimRecord) -> bool:
+    """Whether a row is held under the token of a claim."""
+    found = None if row.value is None else decode_claim(row.value)
+    if found is None or found.token != wanted.token:
+        return False
+    return found.state is ClaimState.HELD
+
+
+async def _outlast(task: asyncio.Future[None]) -> None:
+    await task
--- /dev/null
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/requests.py
@@ -0,0 +1,415 @@
+"""Takes requests from the front door and sees each to its one outcome."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine, Sequence
+from dataclasses import dataclass
+from typing import Any, Final
+
+import structlog
+
+from aspendrift_daemon.claims import Claim, Claims, Replayed
+from aspendrift_daemon.events import EventHub
+from aspendrift_daemon.interfaces import (
+    Clock,
+    ConfigurationSource,
+    PeerBus,
+    TableService,
+)
+from aspendrift_daemon.outcome_bodies import outcome_body
+from aspendrift_daemon.request_events import OutcomeStoreDelayed, RequestEnded
+from aspendrift_daemon.request_runs import RequestRun, RunPorts, Targets
+from aspendrift_daemon.streams import NoTokens, TokenSink
+from aspendrift_model.accounts import ClientAccount
+from aspendrift_model.digests import content_fingerprint
+from aspendrift_model.ids import (
+    AccountId,
+    DaemonId,
+    Fingerprint,
+    PrefixKey,
+    ProfileName,
+    RequestId,
+    Revision,
+    TargetId,
+)
+from aspendrift_model.outcomes import Failed, Outcome, Refused
+from aspendrift_model.profiles import Profile
+from aspendrift_model.settings_requests import RequestSettings
+from aspendrift_model.states import (
+    AttemptEnd,
+    OutcomeStatus,
+    ProfileState,
+    Ran,
+    RefusalReason,
+)
+from aspendrift_model.wire_caller import OutcomeBody, RequestBody
+from aspendrift_policy.interfaces import Dispatcher, Offer
+from aspendrift_policy.request_engine import (
+    EngineLimits,
+    RequestEngine,
+    RequestFacts,
+)
+
+__all__ = ["RequestService"]
+
+_MS_PER_S: Final = 1000.0
+_PREFIX_LENGTH: Final = 512
+_OUTCOME_RESERVE_S: Final = 0.02
+_STOP_TIMEOUT_S: Final = 5.0
+
+_logger = structlog.get_logger("aspendrift.requests")
+
+
+@dataclass(frozen=True, slots=True)
+class _Request:
+    """A request as it came in, with what was derived from it."""
+
+    run_id: RequestId
+    request_id: RequestId
+    account_id: AccountId
+    profile: Profile
+    body: RequestBody
+    fingerprint: Fingerprint
+    revision: Revision
+    arrived_at: float
+    deadline_at: float
+
+    @property
+    def key(self) -> tuple[AccountId, RequestId]:
+        """Identity of the request within the system."""
+        return self.account_id, self.request_id
+
+
+@dataclass(slots=True)
+class _OpenClaimed:
+    """A request that may not be repeated, while this daemon has it."""
+
+    fingerprint: Fingerprint
+    task: asyncio.Task[OutcomeBody]
+
+
+class RequestService:
+    """Runs requests.
+
+    Parameters
+    ----------
+    addresses : callable
+        URLs of other daemons, for callers that must go elsewhere.
+    may_serve : callable
+        Given the present time, why this daemon may not take requests, or None.
+    """
+
+    def __init__(
+        self,
+        settings: RequestSettings,
+        daemon_id: DaemonId,
+        clock: Clock,
+        table: TableService,
+        bus: PeerBus,
+        configuration: ConfigurationSource,
+        dispatcher: Dispatcher,
+        targets: Targets,
+        events: EventHub,
+        rng: random.Random,
+        addresses: Callable[[], Sequence[str]] = tuple,
+        may_serve: Callable[[float], RefusalReason | None] = lambda now: None,
+    ) -> None:
+        self._settings = settings
+        self._daemon_id = daemon_id
+        self._clock = clock
+        self._configuration = configuration
+        self._dispatcher = dispatcher
+        self._events = events
+        self._addresses = addresses
+        self._may_serve = may_serve
+        self._process = f"{daemon_id}.{int(clock.unix() * _MS_PER_S):x}"
+        self._process += f".{rng.getrandbits(32):08x}"
+        self._limits = EngineLimits(
+            settings.max_attempts_per_stage, settings.max_resumes_per_attempt
+        )
+        self._background: set[asyncio.Task[None]] = set()
+        self._open: set[asyncio.Task[OutcomeBody]] = set()
+        self._claimed_by_key: dict[tuple[AccountId, RequestId], _OpenClaimed] = {}
+        self._n_runs = 0
+        self._leaving = False
+        self.claims = Claims(
+            settings, daemon_id, self._process, clock, table, bus, rng, self._spawn
+        )
+        self._ports = RunPorts(
+            clock, dispatcher, targets, events, NoWatcher(), self._spawn
+        )
+
+    @property
+    def n_open(self) -> int:
+        """Requests that have no outcome yet."""
+        return len(self._open)
+
+    async def start(self) -> None:
+        """Start the background work."""
+        await self.claims.writer.start()
+
+    async def stop(self) -> None:
+        """End what is left, after a bounded wait for the table."""
+        self._leaving = True
+        if self._background:
+            await asyncio.wait(self._background, timeout=_STOP_TIMEOUT_S)
+        left = [*self._open, *self._background]
+        for task in left:
+            task.cancel()
+        await asyncio.gather(*left, return_exceptions=True)
+        await self.claims.writer.stop()
+
+    def begin_leaving(self) -> None:
+        """Refuse new requests; those that are open go on."""
+        self._leaving = True
+
+    async def run(
+        self,
+        account: ClientAccount,
+        body: RequestBody,
+        sink: TokenSink | None = None,
+    ) -> OutcomeBody:
+        """Run a request and return its outcome.
+
+        Cancelling this coroutine tells that the caller has gone. A request
+        that may not be repeated and was sent then goes on without a caller,
+        and its outcome is stored.
+        """
+        now = self._clock.monotonic()
+        accepted = self._accept(account, body, now)
+        if isinstance(accepted, Refused):
+            return self._body(RequestId(body.request_id), accepted)
+        if accepted.profile.contract.idempotent:
+            return await self._follow(accepted, sink or NoTokens())
+        other = self._claimed_by_key.get(accepted.key)
+        if other is not None:
+            return await self._join(accepted, other)
+        return await self._follow(accepted, sink or NoTokens())
+
+    async def look_up(
+        self, account: ClientAccount, request_id: RequestId
+    ) -> OutcomeBody:
+        """Return the recorded outcome of a request that may not be repeated."""
+        if (account.account_id, request_id) in self._claimed_by_key:
+            running = Failed(RefusalReason.CLAIM_HELD, Ran.UNKNOWN, "", 500)
+            return self._body(request_id, running)
+        found = await self.claims.look_up(account.account_id, request_id)
+        if isinstance(found, Replayed):
+            return found.outcome
+        return self._body(request_id, found)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    def _accept(
+        self, account: ClientAccount, body: RequestBody, now: float
+    ) -> _Request | Refused:
+        if self._leaving:
+            return Refused(RefusalReason.LEAVING)
+        unfit = self._may_serve(now)
+        if unfit is not None:
+            return Refused(unfit)
+        if self.n_open >= self._settings.max_open:
+            return Refused(RefusalReason.OVERLOADED, "too many open requests", 1000)
+        configuration = self._configuration.current()
+        profile = configuration.profiles_by_name.get(ProfileName(body.profile))
+        if profile is None or profile.state is not ProfileState.PUBLISHED:
+            return Refused(RefusalReason.UNKNOWN_PROFILE, body.profile)
+        deadline_ms = profile.contract.deadline_ms
+        if body.deadline_ms is not None:
+            deadline_ms = min(deadline_ms, body.deadline_ms)
+        self._n_runs += 1
+        return _Request(
+            run_id=RequestId(f"{self._process}.{self._n_runs}"),
+            request_id=RequestId(body.request_id),
+            account_id=account.account_id,
+            profile=profile,
+            body=body,
+            fingerprint=content_fingerprint(profile.name, body.input),
+            revision=configuration.revision,
+            arrived_at=now,
+            deadline_at=now + deadline_ms / _MS_PER_S,
+        )
+
+    async def _join(self, request: _Request, other: _OpenClaimed) -> OutcomeBody:
+        """Wait for the end of the same request on this daemon."""
+        if self._claim_fingerprint(request) != other.fingerprint:
+            reused = Refused(RefusalReason.REQUEST_ID_REUSED)
+            return self._body(request.request_id, reused)
+        remaining_s = request.deadline_at - self._clock.monotonic()
+        done, _ = await asyncio.wait({other.task}, timeout=max(0.0, remaining_s))
+        if done and not other.task.cancelled():
+            return other.task.result()
+        held = Failed(RefusalReason.CLAIM_HELD, Ran.UNKNOWN, "", 500)
+        return self._body(request.request_id, held)
+
+    async def _follow(self, request: _Request, sink: TokenSink) -> OutcomeBody:
+        """Run a request in a task of its own, which may outlive the caller."""
+        run = self._new_run(request, sink)
+        task = asyncio.create_task(self._run_to_end(request, run))
+        self._open.add(task)
+        task.add_done_callback(self._open.discard)
+        if not request.profile.contract.idempotent:
+            fingerprint = self._claim_fingerprint(request)
+            self._claimed_by_key[request.key] = _OpenClaimed(fingerprint, task)
+            task.add_done_callback(
+                lambda _: self._claimed_by_key.pop(request.key, None)
+            )
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            run.caller_left()
+            raise
+
+    def _new_run(self, request: _Request, sink: TokenSink) -> RequestRun:
+        idempotent = request.profile.contract.idempotent
+        facts = RequestFacts(
+            run_id=request.run_id,
+            request_id=request.request_id,
+            account_id=request.account_id,
+            profile=request.profile,
+            input=request.body.input,
+            max_tokens=_max_tokens(request),
+            deadline_at=request.deadline_at,
+            prefix_key=_prefix_key(request),
+            reserve_s=0.0 if idempotent else _OUTCOME_RESERVE_S,
+        )
+        engine = RequestEngine(facts, self._limits)
+        return RequestRun(engine, self._ports, sink, request.revision)
+
+    async def _run_to_end(self, request: _Request, run: RequestRun) -> OutcomeBody:
+        """Run a request and report its outcome, whatever happens."""
+        try:
+            body = await self._admit_and_run(request, run)
+        except asyncio.CancelledError:
+            raise
+        except Exception:
+            _logger.exception("request_error", request_id=request.request_id)
+            body = self._body(request.request_id, _internal(run.engine.ran))
+        self._report(request, body)
+        return body
+
+    async def _admit_and_run(self, request: _Request, run: RequestRun) -> OutcomeBody:
+        offer = Offer(
+            request_id=request.run_id,
+            account_id=request.account_id,
+            profile=request.profile,
+            deadline_at=request.deadline_at,
+            max_tokens=run.engine.facts.max_tokens,
+            prefix_key=run.engine.facts.prefix_key,
+        )
+        refusal = self._dispatcher.admit(offer)
+        if refusal is not None:
+            return self._body(request.request_id, refusal)
+        try:
+            if request.profile.contract.idempotent:
+                return self._run_body(request, run, await run.drive())
+            return await self._claim_and_run(request, run)
+        finally:
+            self._dispatcher.depart(request.run_id)
+
+    async def _claim_and_run(self, request: _Request, run: RequestRun) -> OutcomeBody:
+        answer = await self.claims.take(
+            request.account_id,
+            request.request_id,
+            self._claim_fingerprint(request),
+            request.deadline_at,
+        )
+        if isinstance(answer, Replayed):
+            return answer.outcome
+        if not isinstance(answer, Claim):
+            return self._body(request.request_id, answer)
+        try:
+            outcome = await run.drive()
+        except BaseException:
+            await self._end_claim(request, answer, run, _internal(run.engine.ran))
+            raise
+        return await self._end_claim(request, answer, run, outcome)
+
+    async def _end_claim(
+        self, request: _Request, claim: Claim, run: RequestRun, outcome: Outcome
+    ) -> OutcomeBody:
+        """Store an outcome, or release the claim if nothing ran."""
+        body = self._run_body(request, run, outcome)
+        if isinstance(outcome, Refused):
+            self.claims.release(claim)
+        elif not await self.claims.finish(claim, body):
+            self._events.emit(
+                OutcomeStoreDelayed(request.request_id, request.account_id)
+            )
+        return body
+
+    def _claim_fingerprint(self, request: _Request) -> Fingerprint:
+        max_tokens = request.body.max_tokens
+        return content_fingerprint(request.fingerprint, str(max_tokens))
+
+    def _run_body(
+        self, request: _Request, run: RequestRun, outcome: Outcome
+    ) -> OutcomeBody:
+        return outcome_body(
+            request.request_id,
+            outcome,
+            daemon_id=self._daemon_id,
+            revision=request.revision,
+            stages=run.timings(),
+        )
+
+    def _body(self, request_id: RequestId, outcome: Outcome) -> OutcomeBody:
+        return outcome_body(
+            request_id,
+            outcome,
+            daemon_id=self._daemon_id,
+            revision=self._configuration.current().revision,
+            addresses=self._addresses,
+        )
+
+    def _report(self, request: _Request, body: OutcomeBody) -> None:
+        now = self._clock.monotonic()
+        self._events.emit(
+            RequestEnded(
+                request_id=request.request_id,
+                account_id=request.account_id,
+                profile=request.profile.name,
+                status=body.status,
+                ran=body.ran,
+                reason=body.reason,
+                total_ms=round((now - request.arrived_at) * _MS_PER_S, 3),
+                in_time=body.status is OutcomeStatus.ANSWERED
+                and now <= request.deadline_at,
+                stages=body.stages,
+                revision=request.revision,
+            )
+        )
+
+
+class NoWatcher:
+    """Watches nothing."""
+
+    async def before_send(self, run_id: RequestId, target_id: TargetId) -> bool:
+        """Let every attempt go."""
+        return True
+
+    def after_attempt(
+        self, run_id: RequestId, target_id: TargetId, end: AttemptEnd, crashed: bool
+    ) -> None:
+        """Learn nothing."""
+
+
+def _max_tokens(request: _Request) -> int:
+    limit = max((stage.max_tokens for stage in request.profile.stages), default=0)
+    return min(limit, request.body.max_tokens or limit)
+
+
+def _prefix_key(request: _Request) -> PrefixKey:
+    prefix = request.body.input[:_PREFIX_LENGTH]
+    return PrefixKey(content_fingerprint(request.profile.name, prefix))
+
+
+def _internal(ran: Ran) -> Outcome:
+    if ran is Ran.NO:
+        return Refused(RefusalReason.INTERNAL)
+    return Failed(RefusalReason.INTERNAL, ran)
--- /dev/null
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/targets.py
@@ -0,0 +1,317 @@
+"""HTTP client of the targets: sends attempts and tells apart how they fail."""
+
+from __future__ import annotations
+
+import asyncio
+import ssl
+from collections.abc import AsyncGenerator, AsyncIterator
+from contextlib import aclosing
+from dataclasses import dataclass
+from typing import Final, TypeAlias
+from urllib.parse import quote
+
+import httpx
+import msgspec
+
+from aspendrift_daemon.interfaces import Clock
+from aspendrift_model.ids import AttemptId, TargetId
+from aspendrift_model.settings_requests import RequestSettings
+from aspendrift_model.targets import Target
+from aspendrift_model.wire_target import (
+    GeneratedEnd,
+    GeneratedEvent,
+    GeneratedToken,
+    StageAnswer,
+    StageCall,
+    StageRejection,
+)
+
+__all__ = [
+    "AttemptFailure",
+    "Broken",
+    "ForeignAnswer",
+    "NotSent",
+    "Rejected",
+    "StageAnswered",
+    "StreamItem",
+    "TargetClient",
+    "TimedOut",
+]
+
+_JSON: Final = {"content-type": "application/json"}
+_KEEPALIVE_S: Final = 2.0
+_CANCEL_TIMEOUT_S: Final = 1.0
+_PROBE_TIMEOUT_S: Final = 0.25
+_REJECTING_STATUSES: Final = frozenset({*range(400, 500), 503})
+_NEVER_SENT: Final = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+_EVENTS: Final = msgspec.json.Decoder(GeneratedEvent)
+
+
+@dataclass(frozen=True, slots=True)
+class StageAnswered:
+    """The target answered this attempt."""
+
+    output: bytes
+    busy_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class NotSent:
+    """No connection was made: no byte reached the target."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Rejected:
+    """The target refused this attempt before any work."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """The exchange broke off after a byte may have reached the target.
+
+    ``crashed`` tells that the target then refused a new connection.
+    """
+
+    detail: str
+    crashed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class TimedOut:
+    """No whole answer in time."""
+
+
+@dataclass(frozen=True, slots=True)
+class ForeignAnswer:
+    """The target answered under the id of another attempt."""
+
+    attempt_id: AttemptId
+
+
+AttemptFailure: TypeAlias = NotSent | Rejected | Broken | TimedOut | ForeignAnswer
+StreamItem: TypeAlias = GeneratedToken | GeneratedEnd | AttemptFailure
+
+
+class TargetClient:
+    """Sends attempts to targets.
+
+    Parameters
+    ----------
+    settings : RequestSettings
+        Time limits of connections and streams.
+    clock : Clock
+        Clock of the process.
+    """
+
+    def __init__(self, settings: RequestSettings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._tls = ssl.create_default_context()
+        self._clients_by_id: dict[TargetId, httpx.AsyncClient] = {}
+
+    async def call(
+        self, target: Target, call: StageCall, timeout_s: float
+    ) -> StageAnswered | AttemptFailure:
+        """Run a stage on a pool or a service."""
+        client = self._client(target)
+        body = msgspec.json.encode(call)
+        try:
+            async with asyncio.timeout(timeout_s):
+                response = await client.post("/v1/stage", content=body, headers=_JSON)
+        except TimeoutError:
+            return TimedOut()
+        except httpx.HTTPError as error:
+            return await self._transport_failure(target, error)
+        return _stage_result(call, response)
+
+    async def generate(
+        self, target: Target, call: StageCall, timeout_s: float
+    ) -> AsyncGenerator[StreamItem, None]:
+        """Generate on an engine; the last item is an end or a failure."""
+        body = msgspec.json.encode(call)
+        stream = self._stream(target, call, "/v1/generate", body, 0, timeout_s)
+        async with aclosing(stream):
+            async for item in stream:
+                yield item
+
+    async def resume(
+        self, target: Target, call: StageCall, after: int, timeout_s: float
+    ) -> AsyncGenerator[StreamItem, None]:
+        """Go on with an attempt's stream after a token number."""
+        path = f"/v1/attempts/{quote(call.attempt_id, safe='')}/resume"
+        stream = self._stream(target, call, path, b"", after, timeout_s)
+        async with aclosing(stream):
+            async for item in stream:
+                yield item
+
+    async def cancel(self, target: Target, attempt_id: AttemptId) -> bool:
+        """Cancel an attempt; False if the target did not confirm it."""
+        path = f"/v1/attempts/{quote(attempt_id, safe='')}"
+        try:
+            response = await self._client(target).delete(
+                path, timeout=_CANCEL_TIMEOUT_S
+            )
+        except httpx.HTTPError:
+            return False
+        return response.is_success
+
+    async def is_down(self, target: Target) -> bool:
+        """Whether the target refuses connections now."""
+        try:
+            await self._client(target).get("/v1/load", timeout=_PROBE_TIMEOUT_S)
+        except httpx.ConnectError:
+            return True
+        except httpx.HTTPError:
+            return False
+        return False
+
+    async def close(self) -> None:
+        """Close every connection."""
+        clients = list(self._clients_by_id.values())
+        self._clients_by_id.clear()
+        for client in clients:
+            await client.aclose()
+
+    async def forget(self, target_id: TargetId) -> None:
+        """Close the connections to a removed target."""
+        client = self._clients_by_id.pop(target_id, None)
+        if client is not None:
+            await client.aclose()
+
+    def _client(self, target: Target) -> httpx.AsyncClient:
+        client = self._clients_by_id.get(target.target_id)
+        if client is None or str(client.base_url).rstrip("/") != target.url.rstrip("/"):
+            client = self._new_client(target)
+            self._clients_by_id[target.target_id] = client
+        return client
+
+    def _new_client(self, target: Target) -> httpx.AsyncClient:
+        settings = self._settings
+        timeout = httpx.Timeout(None, connect=settings.connect_timeout_ms / 1000)
+        limits = httpx.Limits(
+            max_connections=None,
+            max_keepalive_connections=target.slots,
+            keepalive_expiry=_KEEPALIVE_S,
+        )
+        return httpx.AsyncClient(
+            base_url=target.url,
+            timeout=timeout,
+            limits=limits,
+            verify=self._tls,
+            trust_env=False,
+        )
+
+    async def _transport_failure(
+        self, target: Target, error: httpx.HTTPError
+    ) -> AttemptFailure:
+        detail = type(error).__name__
+        if isinstance(error, _NEVER_SENT):
+            return NotSent(detail)
+        return Broken(detail, await self.is_down(target))
+
+    async def _stream(
+        self,
+        target: Target,
+        call: StageCall,
+        path: str,
+        body: bytes,
+        after: int,
+        timeout_s: float,
+    ) -> AsyncGenerator[StreamItem, None]:
+        ends_at = self._clock.monotonic() + timeout_s
+        params = {"after": str(after)} if not body else None
+        try:
+            async with asyncio.timeout(timeout_s):
+                request = self._client(target).build_request(
+                    "POST", path, content=body, headers=_JSON, params=params
+                )
+                response = await self._client(target).send(request, stream=True)
+        except TimeoutError:
+            yield TimedOut()
+            return
+        except httpx.HTTPError as error:
+            yield await self._transport_failure(target, error)
+            return
+        try:
+            async for item in self._items(target, call, response, ends_at):
+                yield item
+        finally:
+            await response.aclose()
+
+    async def _items(
+        self,
+        target: Target,
+        call: StageCall,
+        response: httpx.Response,
+        ends_at: float,
+    ) -> AsyncGenerator[StreamItem, None]:
+        if response.status_code != 200:
+            yield await self._refused_stream(call, response, ends_at)
+            return
+        lines = response.aiter_lines()
+        while True:
+            item = await self._next_item(target, lines, ends_at)
+            yield item
+            if not isinstance(item, GeneratedToken):
+                return
+
+    async def _refused_stream(
+        self, call: StageCall, response: httpx.Response, ends_at: float
+    ) -> AttemptFailure:
+        try:
+            async with asyncio.timeout(ends_at - self._clock.monotonic()):
+                content = await response.aread()
+        except (TimeoutError, httpx.HTTPError):
+            return Broken(f"status {response.status_code}")
+        return _rejection(call, response.status_code, content)
+
+    async def _next_item(
+        self, target: Target, lines: AsyncIterator[str], ends_at: float
+    ) -> StreamItem:
+        remaining_s = ends_at - self._clock.monotonic()
+        stall_s = self._settings.token_stall_ms / 1000
+        try:
+            async with asyncio.timeout(min(stall_s, remaining_s)):
+                line = await anext(lines, None)
+        except TimeoutError:
+            is_late = remaining_s <= stall_s
+            return TimedOut() if is_late else Broken("the stream stalled")
+        except httpx.HTTPError as error:
+            return await self._transport_failure(target, error)
+        if line is None:
+            down = await self.is_down(target)
+            return Broken("the stream has no last event", down)
+        try:
+            return _EVENTS.decode(line)
+        except msgspec.MsgspecError:
+            return Broken("an event that can't be read")
+
+
+def _stage_result(
+    call: StageCall, response: httpx.Response
+) -> StageAnswered | AttemptFailure:
+    if response.status_code != 200:
+        return _rejection(call, response.status_code, response.content)
+    try:
+        answer = msgspec.json.decode(response.content, type=StageAnswer)
+    except msgspec.MsgspecError:
+        return Broken("an answer that can't be read")
+    if (answer.request_id, answer.attempt_id) != (call.request_id, call.attempt_id):
+        return ForeignAnswer(AttemptId(answer.attempt_id))
+    return StageAnswered(bytes(answer.output), answer.busy_ms)
+
+
+def _rejection(call: StageCall, status: int, content: bytes) -> AttemptFailure:
+    """Tell a refusal of this very attempt from an error after a byte arrived."""
+    detail = f"status {status}"
+    if status not in _REJECTING_STATUSES:
+        return Broken(detail)
+    try:
+        echo = msgspec.json.decode(content, type=StageRejection)
+    except msgspec.MsgspecError:
+        return Broken(detail)
+    return Rejected(detail) if echo.attempt_id == call.attempt_id else Broken(detail)
--- /dev/null
+++ b/packages/aspendrift-daemon/tests/request_path/conftest.py
@@ -0,0 +1,379 @@
+"""A small world of fakes at the interfaces of the request service."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+import pytest
+
+from aspendrift_daemon.clock import SystemClock
+from aspendrift_daemon.events import EventHub
+from aspendrift_daemon.interfaces import (
+    Committed,
+    Conflict,
+    NotWritten,
+    RowsRead,
+    StoreUnavailable,
+    WriteUnknown,
+)
+from aspendrift_daemon.requests import RequestService
+from aspendrift_daemon.targets import Broken, NotSent, StageAnswered, TimedOut
+from aspendrift_model.accounts import ClientAccount
+from aspendrift_model.configuration import Configuration
+from aspendrift_model.contracts import Contract
+from aspendrift_model.digests import token_digest
+from aspendrift_model.hosts import Host, Location
+from aspendrift_model.outcomes import Refused
+from aspendrift_model.profiles import Profile, Stage
+from aspendrift_model.settings_requests import RequestSettings
+from aspendrift_model.states import MemberState, RefusalReason, StageKind, TargetKind
+from aspendrift_model.targets import Target
+from aspendrift_model.wire_caller import RequestBody
+from aspendrift_model.wire_platform import Row
+from aspendrift_model.wire_target import GeneratedEnd, GeneratedToken
+from aspendrift_policy.interfaces import CandidateScore, RouteChoice, RouteReason
+
+
+class FakeTable:
+    """Table in memory whose faults a test switches on."""
+
+    def __init__(self):
+        self.rows = {}
+        self.version = 0
+        self.down = False
+        self.lose_answers = 0
+        self.late_effects = 0
+        self.hold = None
+        self.pending = []
+        self.n_transactions = 0
+
+    def row(self, key):
+        return self.rows.get(key, Row(key, 0, None))
+
+    async def read(self, keys):
+        await asyncio.sleep(0)
+        if self.down:
+            return StoreUnavailable("down")
+        return RowsRead(tuple(self.row(key) for key in keys))
+
+    async def scan(self, prefix, after="", limit=500):
+        if self.down:
+            return StoreUnavailable("down")
+        keys = sorted(k for k in self.rows if k.startswith(prefix) and k > after)
+        return RowsRead(tuple(self.rows[key] for key in keys[:limit]))
+
+    async def transact(self, conditions, writes):
+        await asyncio.sleep(0)
+        if self.hold is not None:
+            await self.hold.wait()
+        if self.down:
+            return NotWritten("down")
+        if self.late_effects:
+            self.late_effects -= 1
+            self.pending.append((conditions, writes))
+            return WriteUnknown("lost")
+        result = self.apply(conditions, writes)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            return WriteUnknown("lost")
+        return result
+
+    def apply(self, conditions, writes):
+        failed = [c.key for c in conditions if self.row(c.key).version != c.version]
+        if failed:
+            return Conflict(tuple(self.row(key) for key in failed))
+        self.version += 1
+        self.n_transactions += 1
+        for write in writes:
+            self.rows[write.key] = Row(write.key, self.version, write.value)
+        return Committed(self.version)
+
+
+class FakeBus:
+    """Peers in one process; a cut bus loses everything."""
+
+    def __init__(self, network, host):
+        self.network = network
+        self.host = host
+        self.handlers = {}
+        self.cut = False
+
+    def subscribe(self, topic, handler):
+        self.handlers.setdefault(topic, []).append(handler)
+
+    def broadcast(self, topic, payload):
+        for bus in self.network.buses:
+            if bus is not self and not (bus.cut or self.cut):
+                for handler in bus.handlers.get(topic, ()):
+                    handler(self.host.daemon_id, payload)
+
+    def send(self, daemon_id, topic, payload):
+        raise NotImplementedError
+
+    def members(self):
+        return [(bus.host, bus.state) for bus in self.network.buses]
+
+    state = MemberState.LIVE
+
+
+class FakeConfiguration:
+    def __init__(self, configuration):
+        self.configuration = configuration
+
+    def current(self):
+        return self.configuration
+
+    def on_change(self, listener):
+        pass
+
+
+@dataclass
+class FakeDispatcher:
+    """Takes the first target of the pool that is not excluded."""
+
+    targets: list
+    refusal: Any = None
+    queries: list = field(default_factory=list)
+    held: Counter = field(default_factory=Counter)
+    admitted: set = field(default_factory=set)
+
+    def admit(self, offer):
+        if self.refusal is not None:
+            return self.refusal
+        self.admitted.add(offer.request_id)
+        return None
+
+    def depart(self, request_id):
+        self.admitted.discard(request_id)
+
+    async def acquire(self, query):
+        await asyncio.sleep(0)
+        self.queries.append(query)
+        for target in self.targets:
+            if target.pool == query.stage.pool:
+                if target.target_id not in query.excluded:
+                    self.held[target.target_id] += 1
+                    scores = (CandidateScore(target.target_id, 0.0),)
+                    return RouteChoice(target, RouteReason.LEAST_LOADED, scores)
+        return Refused(RefusalReason.NO_TARGET)
+
+    def release(self, query, choice, result):
+        self.held[choice.target.target_id] -= 1
+
+
+class FakeTargets:
+    """Targets whose behaviour a test scripts.
+
+    ``scripts`` maps a target id to a list of behaviours, one per attempt; the
+    last one stays. A behaviour is an async function of the call, or None for a
+    plain answer.
+    """
+
+    def __init__(self):
+        self.scripts = {}
+        self.ran = Counter()
+        self.calls = []
+        self.cancelled = []
+        self.down = set()
+
+    def behaviour(self, target):
+        script = self.scripts.get(target.target_id, [None])
+        return script.pop(0) if len(script) > 1 else script[0]
+
+    async def call(self, target, call, timeout_s):
+        self.calls.append((target.target_id, call))
+        if target.target_id in self.down:
+            return NotSent("down")
+        behaviour = self.behaviour(target)
+        if behaviour is not None:
+            try:
+                async with asyncio.timeout(timeout_s):
+                    return await behaviour(call)
+            except TimeoutError:
+                return TimedOut()
+        self.ran[call.request_id] += 1
+        output = msgspec.json.encode(f"{call.stage}:{call.input}")
+        return StageAnswered(output, 1.0)
+
+    async def generate(self, target, call, timeout_s):
+        self.calls.append((target.target_id, call))
+        if target.target_id in self.down:
+            yield NotSent("down")
+            return
+        behaviour = self.behaviour(target)
+        if behaviour is not None:
+            async for item in behaviour(call):
+                yield item
+            return
+        async for item in tokens(call):
+            yield item
+
+    async def resume(self, target, call, after, timeout_s):
+        self.calls.append((target.target_id, ("resume", after)))
+        behaviour = self.behaviour(target)
+        if behaviour is not None:
+            async for item in behaviour(call):
+                yield item
+            return
+        async for item in tokens(call, after):
+            yield item
+
+    async def cancel(self, target, attempt_id):
+        self.cancelled.append((target.target_id, attempt_id))
+        return True
+
+
+async def tokens(call, after=None, until=None):
+    """Yield the tokens of a whole answer, which depend on the input alone."""
+    texts = [f"{call.input}-{n} " for n in range(1, call.max_tokens + 1)]
+    first = len(call.prefix_tokens) if after is None else after
+    for n, text in enumerate(texts, 1):
+        if n > first and (until is None or n <= until):
+            await asyncio.sleep(0)
+            yield GeneratedToken(call.attempt_id, n, text)
+    if until is None:
+        yield GeneratedEnd(call.attempt_id, len(texts), token_digest(texts), 2.0)
+
+
+def target(name, pool, kind=TargetKind.SERVICE):
+    return Target(name, pool, kind, "http://127.0.0.1:1", "z1", "r1")
+
+
+TARGETS = [
+    target("pool-1", "pools", TargetKind.STAGE_POOL),
+    target("pool-2", "pools", TargetKind.STAGE_POOL),
+    target("engine-1", "engines", TargetKind.ENGINE),
+    target("engine-2", "engines", TargetKind.ENGINE),
+    target("engine-3", "engines", TargetKind.ENGINE),
+    target("service-1", "services"),
+    target("service-2", "services"),
+]
+
+
+def profile(name, kinds, *, idempotent=True, deadline_ms=2000):
+    pools = {StageKind.GENERATE: "engines", StageKind.CALL: "services"}
+    stages = tuple(
+        Stage(
+            kind.value,
+            kind,
+            pools.get(kind, "pools"),
+            expected_ms=10.0,
+            max_tokens=8 if kind is StageKind.GENERATE else 0,
+        )
+        for kind in kinds
+    )
+    return Profile(name, stages, Contract(deadline_ms, idempotent=idempotent))
+
+
+K = StageKind
+PROFILES = [
+    profile("briefing", [K.ENCODE, K.RETRIEVE, K.RERANK, K.GENERATE]),
+    profile("deposit", [K.CALL], idempotent=False),
+    profile("letter", [K.ENCODE, K.GENERATE], idempotent=False),
+    profile("log", [K.CALL]),
+]
+
+
+class Network:
+    """Daemons that share a table and see each other."""
+
+    def __init__(self, n_daemons=1, settings=None):
+        self.table = FakeTable()
+        self.buses = []
+        self.targets = FakeTargets()
+        self.settings = settings or RequestSettings(
+            claim_held_wait_ms=200, outcome_store_wait_ms=50, claim_timeout_ms=300
+        )
+        self.dispatchers = []
+        self.events = []
+        self.services = []
+        self.account = ClientAccount("kaapwind", "")
+        for _ in range(n_daemons):
+            self.add_daemon()
+
+    def add_daemon(self):
+        number = len(self.services) + 1
+        host = Host(f"d{number}", 1, Location("z1", "r1"), "http://x", "tcp://x")
+        bus = FakeBus(self, host)
+        self.buses.append(bus)
+        dispatcher = FakeDispatcher(TARGETS)
+        hub = EventHub()
+        hub.connect_all(self.events.append)
+        configuration = Configuration(
+            7,
+            {each.name: each for each in PROFILES},
+            {each.target_id: each for each in TARGETS},
+            {},
+        )
+        service = RequestService(
+            self.settings,
+            host.daemon_id,
+            SystemClock(),
+            self.table,
+            bus,
+            FakeConfiguration(configuration),
+            dispatcher,
+            self.targets,
+            hub,
+            random.Random(number),
+            addresses=lambda: ("http://other",),
+        )
+        self.dispatchers.append(dispatcher)
+        self.services.append(service)
+        return service
+
+    async def __aenter__(self):
+        for service in self.services:
+            await service.start()
+        return self
+
+    async def __aexit__(self, *exc_info):
+        for service in self.services:
+            await service.stop()
+        assert all(not d.admitted for d in self.dispatchers)
+        assert all(not any(d.held.values()) for d in self.dispatchers)
+
+    def send(self, body, daemon=0, sink=None):
+        return self.services[daemon].run(self.account, body, sink)
+
+    def named(self, name):
+        return [event for event in self.events if event.name == name]
+
+
+def body(request_id="r1", profile="briefing", text="hello", **more):
+    return RequestBody(request_id, profile, text, **more)
+
+
+@dataclass
+class Toolbox:
+    """What the tests of this folder share."""
+
+    network: Callable[..., Network] = Network
+    body: Callable[..., RequestBody] = staticmethod(body)
+    tokens: Callable[..., Any] = staticmethod(tokens)
+    run: Callable[[Coroutine[Any, Any, Any]], Any] = staticmethod(asyncio.run)
+
+    @staticmethod
+    def after_run(targets: FakeTargets, result: Any) -> Callable[..., Awaitable[Any]]:
+        """Return a behaviour that runs the call and then gives a result."""
+
+        async def behaviour(call):
+            targets.ran[call.request_id] += 1
+            return result
+
+        return behaviour
+
+    @staticmethod
+    def broken(crashed: bool = False) -> Broken:
+        return Broken("cut", crashed)
+
+
+@pytest.fixture
+def box():
+    return Toolbox()
--- a/packages/aspendrift-model/src/aspendrift_model/settings_requests.py
+++ b/packages/aspendrift-model/src/aspendrift_model/settings_requests.py
@@ -16,3 +16,54 @@
     max_body_bytes: int = setting(
         524_288, unit="bytes", doc="Largest request body accepted.", minimum=1024
     )
+    max_open: int = setting(
+        4096, doc="Requests open at the same time; more are refused.", minimum=1
+    )
+    connect_timeout_ms: int = setting(
+        500, unit="ms", doc="Time to connect to a target.", minimum=1
+    )
+    token_stall_ms: int = setting(
+        2000, unit="ms", doc="Longest wait for the next token.", minimum=10
+    )
+    max_attempts_per_stage: int = setting(
+        3, doc="Attempts of a stage, the first one included.", minimum=1
+    )
+    max_resumes_per_attempt: int = setting(
+        1, doc="Times that a broken stream is resumed at its engine.", minimum=0
+    )
+    stream_buffer_tokens: int = setting(
+        64, doc="Tokens held for a slow caller before its engine waits.", minimum=1
+    )
+    claim_rows_per_s: float = setting(
+        300.0,
+        unit="rows/s",
+        doc="Rows of claims and outcomes written by all daemons together.",
+        minimum=1,
+    )
+    claim_batch_rows: int = setting(
+        64, doc="Rows written in one transaction.", minimum=1
+    )
+    claim_max_wait_ms: int = setting(
+        500, unit="ms", doc="Longest wait for a turn to write a claim.", minimum=1
+    )
+    claim_timeout_ms: int = setting(
+        1000, unit="ms", doc="Longest wait for a claim to be confirmed.", minimum=1
+    )
+    claim_held_wait_ms: int = setting(
+        1000,
+        unit="ms",
+        doc="Longest wait for the end of the same request on another daemon.",
+        minimum=0,
+    )
+    outcome_store_wait_ms: int = setting(
+        250, unit="ms", doc="Longest wait of an answer for the table.", minimum=0
+    )
+    store_retry_after_ms: int = setting(
+        500,
+        unit="ms",
+        doc="Least time that callers are told to wait for the table.",
+        minimum=1,
+    )
+    max_unsettled_claims: int = setting(
+        2000, doc="Outcomes that may wait for the table.", minimum=1
+    )
--- a/packages/aspendrift-model/src/aspendrift_model/wire_target.py
+++ b/packages/aspendrift-model/src/aspendrift_model/wire_target.py
@@ -36,6 +36,7 @@
     "OrderKind",
     "StageAnswer",
     "StageCall",
+    "StageRejection",
 ]
 
 
@@ -71,6 +72,16 @@
     busy_ms: float = 0.0
 
 
+class StageRejection(msgspec.Struct, frozen=True):
+    """Body of a 4xx or 503 that refuses an attempt before any work on it.
+
+    An error without the id of the attempt may mean that work was done.
+    """
+
+    attempt_id: str
+    detail: str = ""
+
+
 class GeneratedToken(msgspec.Struct, frozen=True, tag_field="event", tag="token"):
     """One generated token; ``n`` counts from 1 within the whole answer."""
 
