--- /dev/null
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/dispatch.py
@@ -0,0 +1,520 @@
+"""Admission, queueing and routing of the daemon, around the pure decisions."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import random
+from dataclasses import dataclass
+from typing import Final
+
+from aspendrift_daemon.events import EventHub
+from aspendrift_daemon.interfaces import Clock, ConfigurationSource, PeerBus
+from aspendrift_daemon.peer_use import PeerUse
+from aspendrift_daemon.routing_events import (
+    AdmissionRefused,
+    AttemptReleased,
+    RouteDecided,
+    RouteRefused,
+)
+from aspendrift_model.configuration import Configuration
+from aspendrift_model.hosts import Location
+from aspendrift_model.ids import AccountId, DaemonId, PoolName, RequestId, TargetId
+from aspendrift_model.outcomes import Refused, refused
+from aspendrift_model.settings_routing import RoutingSettings, RoutingStrategy
+from aspendrift_model.states import AttemptEnd, Priority, RefusalReason, TargetState
+from aspendrift_model.targets import LoadReport, Target
+from aspendrift_policy.admission import (
+    AdmissionController,
+    PoolCapacity,
+    ServiceTimes,
+    retry_after_ms,
+)
+from aspendrift_policy.affinity import CacheHints
+from aspendrift_policy.baselines import RandomLimitRouter, RoundRobinRouter
+from aspendrift_policy.fairness import FairShares, name_hash
+from aspendrift_policy.interfaces import (
+    AttemptResult,
+    Offer,
+    RouteAnswer,
+    RouteChoice,
+    RouteQuery,
+)
+from aspendrift_policy.queueing import PoolQueue, Rank, Waiting
+from aspendrift_policy.retry_budget import RetryBudgets
+from aspendrift_policy.router import Router, TargetPool, TwoChoiceRouter
+from aspendrift_policy.subsets import choose_subset
+
+__all__ = ["DaemonDispatcher"]
+
+_TICK_S: Final = 0.1
+_N_SKIPS: Final = 16
+
+
+@dataclass(slots=True)
+class _Ticket:
+    query: RouteQuery
+    answer: asyncio.Future[RouteAnswer]
+    since: float
+
+
+class _Pool:
+    """A pool's targets, its queue and the timer of the queue's next expiry."""
+
+    def __init__(self, targets: TargetPool) -> None:
+        self.targets = targets
+        self.queue: PoolQueue[_Ticket] = PoolQueue()
+        self.share = 1.0
+        self.timer: asyncio.TimerHandle | None = None
+
+    def capacity(self) -> PoolCapacity:
+        return PoolCapacity(
+            self.targets.n_open_slots(), self.share, self.targets.next_probe_at()
+        )
+
+
+class DaemonDispatcher:
+    """Dispatcher of a daemon; see `aspendrift_policy.interfaces.Dispatcher`.
+
+    Parameters
+    ----------
+    settings : RoutingSettings
+        Limits and penalties.
+    location : Location
+        Where the daemon runs.
+    clock : Clock
+        Clocks of the process.
+    configuration : ConfigurationSource
+        Targets and client accounts in force.
+    bus : PeerBus
+        Carries digests of use between daemons.
+    events : EventHub
+        Receives an event for each decision.
+    rng : random.Random
+        Source of samples and jitter.
+    daemon_id : DaemonId or None
+        This daemon, which is left out when digests are sent.
+    """
+
+    def __init__(
+        self,
+        settings: RoutingSettings,
+        location: Location,
+        clock: Clock,
+        configuration: ConfigurationSource,
+        bus: PeerBus,
+        events: EventHub,
+        rng: random.Random,
+        daemon_id: DaemonId | None = None,
+    ) -> None:
+        self._settings = settings
+        self._location = location
+        self._clock = clock
+        self._configuration = configuration
+        self._events = events
+        self._rng = rng
+        self._salt = rng.getrandbits(64)
+        self._pools_by_name: dict[PoolName, _Pool] = {}
+        self._pool_of_target: dict[TargetId, _Pool] = {}
+        self._weights: dict[int, float] = {}
+        self._times = ServiceTimes()
+        self._admission = AdmissionController(self._times)
+        self._shares = FairShares()
+        self.hints = CacheHints()
+        self._is_baseline = settings.strategy is not RoutingStrategy.ASPENDRIFT
+        self._router = self._make_router()
+        self._account_budgets: RetryBudgets[AccountId] = RetryBudgets(
+            settings.retry_share, settings.retry_floor_per_s
+        )
+        self._target_budgets: RetryBudgets[TargetId] = RetryBudgets(
+            settings.retry_share, settings.retry_floor_per_s
+        )
+        self._peers = PeerUse(
+            settings, clock, bus, self._shares, self._take_report, rng, daemon_id
+        )
+        self._ticker: asyncio.Task[None] | None = None
+        configuration.on_change(self._configured)
+        self._configured(configuration.current())
+
+    async def start(self) -> None:
+        """Start to exchange digests and to watch the queues."""
+        await self._peers.start()
+        self._ticker = asyncio.create_task(self._tick_forever())
+
+    async def stop(self) -> None:
+        """Stop the background work; waiting attempts keep their timers."""
+        await self._peers.stop()
+        if self._ticker is not None:
+            self._ticker.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._ticker
+
+    def admit(self, offer: Offer) -> Refused | None:
+        """Admit a request at the door, or say why not; call ``depart`` after it."""
+        if self._is_baseline:
+            return None
+        now = self._clock.monotonic()
+        pools: dict[PoolName, PoolCapacity] = {}
+        for stage in offer.profile.stages:
+            pool = self._pools_by_name.get(stage.pool)
+            if pool is None:
+                detail = f"stage {stage.name}: pool {stage.pool} has no target"
+                answer = refused(RefusalReason.NO_TARGET, detail)
+                return self._refused_at_door(offer, answer)
+            pools[stage.pool] = pool.capacity()
+        for stage in offer.profile.stages:
+            time = self._times.predict(offer.profile, stage, offer.max_tokens, now)
+            self._shares.pool_asked(stage.pool, time.mean_s, now)
+        dominant_s = self._admission.dominant_s(offer, pools, now)
+        self._shares.offered(offer.account_id, dominant_s, now)
+        is_over = self._shares.over_share(
+            offer.account_id, self._weights, self._peers.n_daemons(), now
+        )
+        answer_or_none = self._admission.admit(offer, pools, is_over, now, self._rng)
+        if answer_or_none is not None:
+            return self._refused_at_door(offer, answer_or_none)
+        self._shares.admitted(offer.account_id, dominant_s, now)
+        return None
+
+    def depart(self, request_id: RequestId) -> None:
+        """Forget an admitted request that has ended."""
+        self._admission.depart(request_id)
+
+    async def acquire(self, query: RouteQuery) -> RouteAnswer:
+        """Wait, within the deadline, for a slot on a target and take it."""
+        now = self._clock.monotonic()
+        pool = self._pools_by_name.get(query.stage.pool)
+        if pool is None:
+            detail = f"pool {query.stage.pool} has no target"
+            return self._refuse(query, RefusalReason.NO_TARGET, detail, now, now)
+        latest_start = self._latest_start(query, now)
+        if latest_start < now:
+            return self._refuse_late(query, now, now)
+        spent = self._draw_on_budgets(query, now)
+        if spent is not None:
+            return spent
+        if not len(pool.queue):
+            choice = self._choose(pool, query, now, now)
+            if choice is not None:
+                return choice
+        if not self._can_wait(pool, query, now):
+            return self._refuse_closed(pool, query, now, now)
+        return await self._wait(pool, query, latest_start, now)
+
+    def release(
+        self, query: RouteQuery, choice: RouteChoice, result: AttemptResult
+    ) -> None:
+        """Give the slot back and learn from the attempt; call once per choice."""
+        now = self._clock.monotonic()
+        target_id = choice.target.target_id
+        self._events.emit(
+            AttemptReleased(
+                query.request_id,
+                query.stage.name,
+                query.stage.pool,
+                target_id,
+                result.end,
+                result.held_s,
+                result.busy_s,
+            )
+        )
+        if result.end is AttemptEnd.ANSWERED:
+            self._learn(query, target_id, result, now)
+        pool = self._pool_of_target.get(target_id)
+        if pool is None:
+            return
+        candidate = pool.targets.candidates_by_id.get(target_id)
+        if candidate is not None:
+            candidate.load.ended(now)
+        pool.targets.attempt_ended(target_id, result.end, now)
+        self._serve(pool, now)
+
+    def uses(self, target_id: TargetId) -> bool:
+        """Return whether this daemon sends requests to a target."""
+        return target_id in self._pool_of_target
+
+    def load_reported(self, report: LoadReport) -> None:
+        """Take in a load report and share it with peers."""
+        now = self._clock.monotonic()
+        self._take_report(report, now)
+        self._peers.share_report(report, now)
+
+    def load_missed(self, target_id: TargetId) -> None:
+        """Take in that a target did not answer a load poll."""
+        pool = self._pool_of_target.get(target_id)
+        if pool is not None:
+            pool.targets.poll_missed(target_id, self._clock.monotonic())
+
+    def _make_router(self) -> Router:
+        if self._settings.strategy is RoutingStrategy.ROUND_ROBIN:
+            return RoundRobinRouter()
+        if self._settings.strategy is RoutingStrategy.RANDOM_LIMIT:
+            return RandomLimitRouter(self._rng)
+        return TwoChoiceRouter(self._settings, self.hints, self._rng)
+
+    def _configured(self, configuration: Configuration) -> None:
+        now = self._clock.monotonic()
+        targets_by_pool: dict[PoolName, list[Target]] = {}
+        for target in configuration.targets_by_id.values():
+            if target.state is not TargetState.REMOVED:
+                targets_by_pool.setdefault(target.pool, []).append(target)
+        for name in self._pools_by_name:
+            targets_by_pool.setdefault(name, [])
+        self._pool_of_target.clear()
+        for name, targets in targets_by_pool.items():
+            self._configure_pool(name, targets, now)
+        self._weights = {
+            name_hash(account.account_id): account.share
+            for account in configuration.accounts_by_id.values()
+        }
+
+    def _configure_pool(
+        self, name: PoolName, targets: list[Target], now: float
+    ) -> None:
+        pool = self._pools_by_name.get(name)
+        if pool is None:
+            pool = _Pool(TargetPool(self._settings, self._location, self._rng))
+            self._pools_by_name[name] = pool
+        subset = choose_subset(
+            targets, self._settings.subset_size, self._location, self._salt
+        )
+        pool.targets.configure(subset, now)
+        for target in subset:
+            self._pool_of_target[target.target_id] = pool
+        self._serve(pool, now)
+
+    def _refused_at_door(self, offer: Offer, answer: Refused) -> Refused:
+        self._events.emit(
+            AdmissionRefused(
+                offer.request_id,
+                offer.account_id,
+                answer.reason,
+                answer.detail,
+                answer.retry_after_ms,
+            )
+        )
+        return answer
+
+    def _latest_start(self, query: RouteQuery, now: float) -> float:
+        if self._is_baseline:
+            return query.deadline_at
+        time = self._times.predict(query.profile, query.stage, query.max_tokens, now)
+        latest_end = self._admission.latest_end(
+            query.request_id,
+            query.profile,
+            query.stage,
+            query.deadline_at,
+            query.max_tokens,
+            now,
+        )
+        return latest_end - max(0.0, time.mean_s - time.deviation_s)
+
+    def _draw_on_budgets(self, query: RouteQuery, now: float) -> Refused | None:
+        budget = self._account_budgets.of(query.account_id, now)
+        if not query.is_retry:
+            budget.first_attempt(now)
+            return None
+        if not budget.may_retry(now):
+            detail = f"client account {query.account_id}"
+            reason = RefusalReason.RETRY_BUDGET_SPENT
+            return self._refuse(query, reason, detail, now, now)
+        budget.take()
+        return None
+
+    def _choose(
+        self, pool: _Pool, query: RouteQuery, since: float, now: float
+    ) -> RouteChoice | None:
+        time = self._times.predict(query.profile, query.stage, query.max_tokens, now)
+        asked = self._without_spent_targets(pool, query, now)
+        choice = self._router.choose(pool.targets, asked, time.mean_s, now)
+        if choice is None:
+            return None
+        target_id = choice.target.target_id
+        pool.targets.candidates_by_id[target_id].load.sent(now)
+        budget = self._target_budgets.of(target_id, now)
+        if query.is_retry:
+            budget.take()
+        else:
+            budget.first_attempt(now)
+        choice = dataclasses.replace(choice, queued_s=now - since)
+        self._events.emit(
+            RouteDecided(
+                query.request_id,
+                query.stage.name,
+                target_id,
+                choice.reason,
+                choice.scores,
+                choice.queued_s,
+            )
+        )
+        return choice
+
+    def _without_spent_targets(
+        self, pool: _Pool, query: RouteQuery, now: float
+    ) -> RouteQuery:
+        if not query.is_retry:
+            return query
+        spent = frozenset(
+            target_id
+            for target_id in pool.targets.candidates_by_id
+            if not self._target_budgets.of(target_id, now).may_retry(now)
+        )
+        return dataclasses.replace(query, excluded=query.excluded | spent)
+
+    def _can_wait(self, pool: _Pool, query: RouteQuery, now: float) -> bool:
+        if not any(pool.targets.tiers):
+            return False
+        if self._is_baseline or self._admission.has_started(query.request_id):
+            return True
+        return pool.targets.may_serve(query, now)
+
+    async def _wait(
+        self, pool: _Pool, query: RouteQuery, latest_start: float, now: float
+    ) -> RouteAnswer:
+        loop = asyncio.get_running_loop()
+        ticket = _Ticket(query, loop.create_future(), now)
+        waiting = pool.queue.push(self._rank(query, latest_start, now), ticket, now)
+        self._serve(pool, now)
+        self._arm(pool, now)
+        try:
+            return await ticket.answer
+        except asyncio.CancelledError:
+            self._abandon(pool, waiting)
+            raise
+
+    def _rank(self, query: RouteQuery, latest_start: float, now: float) -> Rank:
+        if self._is_baseline:
+            return Rank(False, False, query.priority, 0.0, latest_start)
+        is_unstarted = not self._admission.has_started(query.request_id)
+        is_over = is_unstarted and self._shares.over_share(
+            query.account_id, self._weights, self._peers.n_daemons(), now
+        )
+        priority = query.priority if is_unstarted else Priority.URGENT
+        return Rank(is_unstarted, is_over, priority, latest_start, latest_start)
+
+    def _abandon(self, pool: _Pool, waiting: Waiting[_Ticket]) -> None:
+        pool.queue.remove(waiting)
+        answer = waiting.ticket.answer
+        if answer.cancelled() or not answer.done():
+            return
+        choice = answer.result()
+        if isinstance(choice, RouteChoice):
+            unused = AttemptResult(AttemptEnd.CANCELLED, 0.0, 0.0)
+            self.release(waiting.ticket.query, choice, unused)
+
+    def _serve(self, pool: _Pool, now: float) -> None:
+        if not len(pool.queue):
+            return
+
+        def give(ticket: _Ticket) -> bool:
+            if ticket.answer.done():
+                return True
+            choice = self._choose(pool, ticket.query, ticket.since, now)
+            if choice is not None:
+                ticket.answer.set_result(choice)
+            return choice is not None
+
+        pool.queue.serve(give, _N_SKIPS)
+
+    def _expire(self, pool: _Pool, now: float) -> None:
+        for waiting in pool.queue.expire(now):
+            ticket = waiting.ticket
+            if not ticket.answer.done():
+                answer = self._refuse_late(ticket.query, ticket.since, now)
+                ticket.answer.set_result(answer)
+
+    def _arm(self, pool: _Pool, now: float) -> None:
+        if pool.timer is not None:
+            pool.timer.cancel()
+            pool.timer = None
+        expiry = pool.queue.next_expiry()
+        if expiry is not None:
+            loop = asyncio.get_running_loop()
+            delay_s = max(0.0, expiry - now) + 0.001
+            pool.timer = loop.call_later(delay_s, self._timer_fired, pool)
+
+    def _timer_fired(self, pool: _Pool) -> None:
+        now = self._clock.monotonic()
+        pool.timer = None
+        self._expire(pool, now)
+        self._arm(pool, now)
+
+    async def _tick_forever(self) -> None:
+        while True:
+            await asyncio.sleep(_TICK_S)
+            self._tick(self._clock.monotonic())
+
+    def _tick(self, now: float) -> None:
+        n_daemons = self._peers.n_daemons()
+        for name, pool in self._pools_by_name.items():
+            pool.share = self._shares.share_of_pool(name, n_daemons, now)
+            pool.targets.refresh(pool.share, now)
+            self._serve(pool, now)
+            self._refuse_unserved(pool, now)
+
+    def _refuse_unserved(self, pool: _Pool, now: float) -> None:
+        if pool.targets.n_open_slots():
+            return
+        for waiting in pool.queue.waiting():
+            ticket = waiting.ticket
+            if ticket.answer.done() or self._can_wait(pool, ticket.query, now):
+                continue
+            pool.queue.remove(waiting)
+            answer = self._refuse_closed(pool, ticket.query, ticket.since, now)
+            ticket.answer.set_result(answer)
+
+    def _learn(
+        self,
+        query: RouteQuery,
+        target_id: TargetId,
+        result: AttemptResult,
+        now: float,
+    ) -> None:
+        args = (query.profile, query.stage, query.max_tokens)
+        predicted_s = self._times.predict(*args, now).mean_s
+        self._times.observe(*args, result.held_s, now)
+        self._admission.stage_ended(query.request_id, query.stage)
+        pool = self._pool_of_target.get(target_id)
+        if pool is None or predicted_s <= 0.0:
+            return
+        candidate = pool.targets.candidates_by_id.get(target_id)
+        if candidate is not None:
+            candidate.learn_speed(result.held_s / predicted_s)
+
+    def _take_report(self, report: LoadReport, now: float) -> None:
+        pool = self._pool_of_target.get(report.target_id)
+        if pool is not None:
+            pool.targets.reported(report, now)
+            self._serve(pool, now)
+
+    def _refuse_late(self, query: RouteQuery, since: float, now: float) -> Refused:
+        reason = RefusalReason.DEADLINE_UNREACHABLE
+        if query.deadline_at <= now:
+            reason = RefusalReason.DEADLINE_EXCEEDED
+        detail = f"stage {query.stage.name} can no longer end in time"
+        return self._refuse(query, reason, detail, since, now)
+
+    def _refuse_closed(
+        self, pool: _Pool, query: RouteQuery, since: float, now: float
+    ) -> Refused:
+        opens_at = pool.targets.next_probe_at()
+        wait_s = 1.0 if opens_at is None else max(0.0, opens_at - now)
+        detail = f"no target of pool {query.stage.pool} can take the stage"
+        return self._refuse(query, RefusalReason.NO_TARGET, detail, since, now, wait_s)
+
+    def _refuse(
+        self,
+        query: RouteQuery,
+        reason: RefusalReason,
+        detail: str,
+        since: float,
+        now: float,
+        wait_s: float = 0.0,
+    ) -> Refused:
+        self._events.emit(
+            RouteRefused(
+                query.request_id, query.stage.name, reason, detail, now - since
+            )
+        )
+        return refused(reason, detail, retry_after_ms(wait_s, self._rng))
--- /dev/null
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/peer_use.py
@@ -0,0 +1,163 @@
+"""Exchange of use digests and load reports between daemons."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Callable
+from typing import Final
+
+import msgspec
+
+from aspendrift_daemon.interfaces import Clock, PeerBus
+from aspendrift_model.ids import DaemonId, TargetId
+from aspendrift_model.settings_routing import RoutingSettings
+from aspendrift_model.states import MemberState
+from aspendrift_model.targets import LoadReport
+from aspendrift_policy.fairness import FairShares, UseDigest
+
+__all__ = ["PeerUse", "SharedLoad", "UseMessage"]
+
+TOPIC: Final = "routing.use"
+_JITTER_SHARE: Final = 0.2
+_MAX_LOADS: Final = 64
+_VERSION: Final = 1
+_COUNTED_STATES: Final = frozenset({MemberState.LIVE, MemberState.SUSPECT})
+
+ReportSink = Callable[[LoadReport, float], None]
+
+
+class SharedLoad(msgspec.Struct, frozen=True, array_like=True):
+    """A load report of a target, passed on to a peer."""
+
+    target_id: str
+    active: int
+    queued: int
+    slots: int
+    age_ms: int
+
+
+class UseMessage(msgspec.Struct, frozen=True, array_like=True):
+    """What a daemon tells a peer about its use and the loads it polled."""
+
+    version: int
+    digest: UseDigest
+    loads: tuple[SharedLoad, ...] = ()
+
+
+class PeerUse:
+    """Sends digests to a few random peers and takes in theirs.
+
+    Parameters
+    ----------
+    settings : RoutingSettings
+        Interval and fan-out.
+    clock : Clock
+        Clocks of the process.
+    bus : PeerBus
+        Carries the messages.
+    shares : FairShares
+        Source and sink of the digests.
+    take_report : callable
+        Takes in a load report that a peer polled.
+    rng : random.Random
+        Source of the choice of peers and of the jitter.
+    daemon_id : DaemonId or None
+        This daemon.
+    """
+
+    def __init__(
+        self,
+        settings: RoutingSettings,
+        clock: Clock,
+        bus: PeerBus,
+        shares: FairShares,
+        take_report: ReportSink,
+        rng: random.Random,
+        daemon_id: DaemonId | None,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._bus = bus
+        self._shares = shares
+        self._take_report = take_report
+        self._rng = rng
+        self._daemon_id = daemon_id
+        self._polled_by_id: dict[TargetId, tuple[LoadReport, float]] = {}
+        self._sender: asyncio.Task[None] | None = None
+        self._n_daemons = 1
+        bus.subscribe(TOPIC, self._received)
+
+    async def start(self) -> None:
+        """Start to send digests."""
+        self._sender = asyncio.create_task(self._send_forever())
+
+    async def stop(self) -> None:
+        """Stop to send digests."""
+        if self._sender is not None:
+            self._sender.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._sender
+
+    def n_daemons(self) -> int:
+        """Return the live daemons as of the last digest, this one included."""
+        return self._n_daemons
+
+    def share_report(self, report: LoadReport, now: float) -> None:
+        """Pass a polled report on with the next digest."""
+        self._polled_by_id[report.target_id] = (report, now)
+
+    async def _send_forever(self) -> None:
+        while True:
+            self.send(self._clock.monotonic())
+            jitter = 1.0 + _JITTER_SHARE * (2.0 * self._rng.random() - 1.0)
+            await asyncio.sleep(self._settings.digest_s * jitter)
+
+    def send(self, now: float) -> None:
+        """Send one digest to a few random peers."""
+        peers = [
+            host.daemon_id
+            for host, state in self._bus.members()
+            if state in _COUNTED_STATES and host.daemon_id != self._daemon_id
+        ]
+        self._n_daemons = len(peers) + 1
+        digest = self._shares.digest(now, {})
+        message = UseMessage(_VERSION, digest, self._take_loads(now))
+        payload = msgspec.msgpack.encode(message)
+        n_chosen = min(len(peers), self._settings.digest_fanout)
+        for peer in self._rng.sample(peers, n_chosen):
+            self._bus.send(peer, TOPIC, payload)
+
+    def _take_loads(self, now: float) -> tuple[SharedLoad, ...]:
+        reports = sorted(self._polled_by_id.values(), key=lambda each: -each[1])
+        self._polled_by_id.clear()
+        return tuple(
+            SharedLoad(
+                report.target_id,
+                report.active,
+                report.queued,
+                report.slots,
+                report.age_ms + round(1000 * (now - at)),
+            )
+            for report, at in reports[:_MAX_LOADS]
+        )
+
+    def _received(self, origin: DaemonId, payload: bytes) -> None:
+        try:
+            message = msgspec.msgpack.decode(payload, type=UseMessage)
+        except msgspec.MsgspecError:
+            return
+        if message.version != _VERSION or origin == self._daemon_id:
+            return
+        now = self._clock.monotonic()
+        self._shares.heard(origin, message.digest, now)
+        for load in message.loads:
+            report = LoadReport(
+                TargetId(load.target_id),
+                load.active,
+                load.queued,
+                load.slots,
+                load.age_ms,
+            )
+            self._take_report(report, now)
--- /dev/null
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/routing_events.py
@@ -0,0 +1,64 @@
+"""Events of routing and admission decisions."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from aspendrift_daemon.events import Event
+from aspendrift_model.ids import AccountId, PoolName, RequestId, StageName, TargetId
+from aspendrift_model.states import AttemptEnd, RefusalReason
+from aspendrift_policy.interfaces import CandidateScore, RouteReason
+
+__all__ = ["AdmissionRefused", "AttemptReleased", "RouteDecided", "RouteRefused"]
+
+
+@dataclass(frozen=True, slots=True)
+class RouteDecided(Event):
+    """A target was chosen for an attempt; times in seconds."""
+
+    name: ClassVar[str] = "route_decided"
+    request_id: RequestId
+    stage: StageName
+    target_id: TargetId
+    reason: RouteReason
+    scores: tuple[CandidateScore, ...]
+    queued_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class RouteRefused(Event):
+    """No target was given to an attempt."""
+
+    name: ClassVar[str] = "route_refused"
+    request_id: RequestId
+    stage: StageName
+    reason: RefusalReason
+    detail: str
+    queued_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionRefused(Event):
+    """A request was refused at the door."""
+
+    name: ClassVar[str] = "admission_refused"
+    request_id: RequestId
+    account_id: AccountId
+    reason: RefusalReason
+    detail: str
+    retry_after_ms: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptReleased(Event):
+    """An attempt gave its slot back; times in seconds."""
+
+    name: ClassVar[str] = "attempt_released"
+    request_id: RequestId
+    stage: StageName
+    pool: PoolName
+    target_id: TargetId
+    end: AttemptEnd
+    held_s: float
+    busy_s: float
--- /dev/null
+++ b/packages/aspendrift-daemon/tests/test_dispatch.py
@@ -0,0 +1,246 @@
+"""Tests of admission, queueing and routing of the daemon."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import replace
+
+import pytest
+
+from aspendrift_daemon.dispatch import DaemonDispatcher
+from aspendrift_daemon.events import Event, EventHub
+from aspendrift_model.configuration import Configuration
+from aspendrift_model.contracts import Contract
+from aspendrift_model.hosts import Host, Location
+from aspendrift_model.ids import (
+    AccountId,
+    AttemptId,
+    DaemonId,
+    PoolName,
+    PrefixKey,
+    ProfileName,
+    RegionName,
+    RequestId,
+    Revision,
+    StageName,
+    TargetId,
+    ZoneName,
+)
+from aspendrift_model.outcomes import Refused
+from aspendrift_model.profiles import Profile, Stage
+from aspendrift_model.settings_routing import RoutingSettings
+from aspendrift_model.states import (
+    AttemptEnd,
+    MemberState,
+    RefusalReason,
+    StageKind,
+    TargetKind,
+    TargetState,
+)
+from aspendrift_model.targets import Target
+from aspendrift_policy.interfaces import (
+    AttemptResult,
+    Offer,
+    RouteChoice,
+    RouteQuery,
+)
+
+HERE = Location(ZoneName("a"), RegionName("r"))
+ENCODE = Stage(StageName("encode"), StageKind.ENCODE, PoolName("enc"), expected_ms=50)
+SECOND = Stage(StageName("rerank"), StageKind.RERANK, PoolName("rer"), expected_ms=50)
+PROFILE = Profile(ProfileName("p"), (ENCODE, SECOND), Contract(1000))
+
+
+class StepClock:
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def unix(self) -> float:
+        return self.now
+
+
+class NoBus:
+    def subscribe(self, topic: str, handler: object) -> None:
+        pass
+
+    def broadcast(self, topic: str, payload: bytes) -> None:
+        pass
+
+    def send(self, daemon_id: DaemonId, topic: str, payload: bytes) -> None:
+        pass
+
+    def members(self) -> Sequence[tuple[Host, MemberState]]:
+        return ()
+
+
+class FixedConfiguration:
+    def __init__(self, targets: Sequence[Target]) -> None:
+        self._listeners: list[Callable[[Configuration], None]] = []
+        self.set(targets)
+
+    def set(self, targets: Sequence[Target]) -> None:
+        by_id = {target.target_id: target for target in targets}
+        self._current = Configuration(Revision(1), targets_by_id=by_id)
+        for listener in self._listeners:
+            listener(self._current)
+
+    def current(self) -> Configuration:
+        return self._current
+
+    def on_change(self, listener: Callable[[Configuration], None]) -> None:
+        self._listeners.append(listener)
+
+
+def target(name: str, pool: str = "enc", slots: int = 1) -> Target:
+    return Target(
+        TargetId(name),
+        PoolName(pool),
+        TargetKind.STAGE_POOL,
+        f"http://127.0.0.1:1/{name}",
+        HERE.zone,
+        HERE.region,
+        slots,
+    )
+
+
+class World:
+    """A dispatcher with a stepped clock and a configuration that can change."""
+
+    def __init__(self, targets: Sequence[Target]) -> None:
+        self.clock = StepClock()
+        self.configuration = FixedConfiguration(targets)
+        self.events: list[Event] = []
+        hub = EventHub()
+        hub.connect_all(self.events.append)
+        self.dispatcher = DaemonDispatcher(
+            RoutingSettings(),
+            HERE,
+            self.clock,
+            self.configuration,
+            NoBus(),
+            hub,
+            random.Random(1),
+        )
+
+    def offer(self, number: int, deadline_s: float = 1.0) -> Offer:
+        return Offer(
+            RequestId(f"r{number}"),
+            AccountId("ann"),
+            PROFILE,
+            self.clock.now + deadline_s,
+            0,
+            PrefixKey(""),
+        )
+
+    def query(self, number: int, deadline_s: float = 1.0) -> RouteQuery:
+        return RouteQuery(
+            RequestId(f"r{number}"),
+            AttemptId(f"a{number}"),
+            AccountId("ann"),
+            PROFILE,
+            ENCODE,
+            self.clock.now + deadline_s,
+            PROFILE.contract.priority,
+            PrefixKey(""),
+        )
+
+    async def acquired(self, query: RouteQuery) -> RouteChoice:
+        answer = await self.dispatcher.acquire(query)
+        assert isinstance(answer, RouteChoice)
+        return answer
+
+
+DONE = AttemptResult(AttemptEnd.ANSWERED, 0.05, 0.05)
+
+
+def test_waiting_attempt_gets_the_slot_that_is_released() -> None:
+    async def run() -> None:
+        world = World([target("t1")])
+        first, second = world.query(1), world.query(2)
+        choice = await world.acquired(first)
+        waiting = asyncio.create_task(world.dispatcher.acquire(second))
+        await asyncio.sleep(0)
+        assert not waiting.done()
+        world.dispatcher.release(first, choice, DONE)
+        assert isinstance(await waiting, RouteChoice)
+
+    asyncio.run(run())
+
+
+def test_attempt_that_can_no_longer_end_in_time_is_refused_at_once() -> None:
+    async def run() -> None:
+        world = World([target("t1")])
+        answer = await world.dispatcher.acquire(world.query(1, deadline_s=0.01))
+        assert isinstance(answer, Refused)
+        assert answer.reason is RefusalReason.DEADLINE_UNREACHABLE
+        assert answer.retry_after_ms is not None
+
+    asyncio.run(run())
+
+
+@pytest.mark.fault("target draining", "queue")
+def test_draining_target_gets_neither_new_nor_waiting_attempts() -> None:
+    async def run() -> None:
+        world = World([target("t1")])
+        choice = await world.acquired(world.query(1))
+        waiting = asyncio.create_task(world.dispatcher.acquire(world.query(2)))
+        await asyncio.sleep(0)
+        leaving = replace(target("t1"), state=TargetState.DRAINING)
+        world.configuration.set([leaving])
+        world.dispatcher.release(world.query(1), choice, DONE)
+        world.dispatcher._tick(world.clock.now)
+        answer = await waiting
+        assert isinstance(answer, Refused)
+        assert answer.reason is RefusalReason.NO_TARGET
+
+    asyncio.run(run())
+
+
+@pytest.mark.fault("caller gone", "queue")
+def test_cancelled_attempt_gives_its_slot_to_the_next() -> None:
+    async def run() -> None:
+        world = World([target("t1")])
+        first = world.query(1)
+        choice = await world.acquired(first)
+        gone = asyncio.create_task(world.dispatcher.acquire(world.query(2)))
+        patient = asyncio.create_task(world.dispatcher.acquire(world.query(3)))
+        await asyncio.sleep(0)
+        world.dispatcher.release(first, choice, DONE)
+        gone.cancel()
+        assert isinstance(await patient, RouteChoice)
+
+    asyncio.run(run())
+
+
+@pytest.mark.fault("burst", "admission")
+def test_burst_is_admitted_up_to_what_fits_into_the_deadline() -> None:
+    world = World([target("t1"), target("t2", "rer", slots=4)])
+    answers = [world.dispatcher.admit(world.offer(i)) for i in range(100)]
+    n_admitted = answers.count(None)
+    assert 10 <= n_admitted <= 20
+    late = answers[-1]
+    assert late is not None
+    assert late.reason in (RefusalReason.OVERLOADED, RefusalReason.ACCOUNT_OVER_SHARE)
+    assert late.retry_after_ms is not None
+
+
+def test_departed_requests_make_room_at_the_door() -> None:
+    world = World([target("t1"), target("t2", "rer", slots=4)])
+    for i in range(100):
+        world.dispatcher.admit(world.offer(i))
+    assert world.dispatcher.admit(world.offer(200)) is not None
+    for i in range(100):
+        world.dispatcher.depart(RequestId(f"r{i}"))
+    assert world.dispatcher.admit(world.offer(201)) is None
+
+
+def test_pool_without_target_is_refused_at_the_door() -> None:
+    world = World([target("t1")])
+    answer = world.dispatcher.admit(world.offer(1))
+    assert answer is not None
+    assert answer.reason is RefusalReason.NO_TARGET
--- /dev/null
+++ b/packages/aspendrift-policy/src/aspendrift_policy/admission.py
@@ -0,0 +1,344 @@
+"""Admission over the whole chain of stages, before any of it runs."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Final
+
+from aspendrift_model.ids import PoolName, ProfileName, RequestId, StageName
+from aspendrift_model.outcomes import Refused, refused
+from aspendrift_model.profiles import Profile, Stage
+from aspendrift_model.states import Priority, RefusalReason
+from aspendrift_policy.interfaces import Offer
+
+__all__ = [
+    "AdmissionController",
+    "PoolCapacity",
+    "Prediction",
+    "ServiceTime",
+    "ServiceTimes",
+    "retry_after_ms",
+]
+
+_LEARNING_WEIGHT: Final = 0.05
+_STALE_AFTER_S: Final = 1.0
+_STALE_HALVING_S: Final = 2.0
+_SAFETY_DEVIATIONS: Final = 1.65
+_WAIT_SHARE_BY_PRIORITY: Final = {
+    Priority.URGENT: 0.9,
+    Priority.NORMAL: 0.8,
+    Priority.BACKGROUND: 0.5,
+}
+_OVER_SHARE_FACTOR: Final = 0.5
+_RETRY_AFTER_MIN_S: Final = 0.2
+_RETRY_AFTER_MAX_S: Final = 10.0
+_RETRY_JITTER: Final = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceTime:
+    """Predicted time of a stage on a target, in seconds."""
+
+    mean_s: float
+    deviation_s: float
+
+
+class _Learned:
+    __slots__ = ("at", "mean", "n", "variance")
+
+    def __init__(self, mean: float, now: float) -> None:
+        self.mean = mean
+        self.variance = 0.0
+        self.n = 0
+        self.at = now
+
+    def observe(self, value: float, now: float) -> None:
+        self.n += 1
+        weight = max(_LEARNING_WEIGHT, 1.0 / self.n)
+        delta = value - self.mean
+        self.mean += weight * delta
+        self.variance = (1 - weight) * (self.variance + weight * delta * delta)
+        self.at = now
+
+
+class ServiceTimes:
+    """Service times learned for each stage of each profile.
+
+    Notes
+    -----
+    The time of a stage that generates is learned for each token asked for. An
+    estimate that nothing has confirmed for a while shrinks, so that a stage
+    that has recovered is tried again.
+    """
+
+    def __init__(self) -> None:
+        self._by_stage: dict[tuple[ProfileName, StageName], _Learned] = {}
+
+    def predict(
+        self, profile: Profile, stage: Stage, max_tokens: int, now: float
+    ) -> ServiceTime:
+        """Return the predicted time of a stage.
+
+        Parameters
+        ----------
+        profile, stage : Profile, Stage
+            The stage of the pipeline.
+        max_tokens : int
+            Tokens asked for; ignored by stages that generate none.
+        now : float
+            Present time in seconds.
+        """
+        learned = self._learned(profile, stage, now)
+        scale = _scale(stage, max_tokens)
+        stale_s = max(0.0, now - learned.at - _STALE_AFTER_S)
+        shrink = 0.5 ** (stale_s / _STALE_HALVING_S)
+        return ServiceTime(
+            learned.mean * scale * shrink,
+            math.sqrt(learned.variance) * scale * shrink,
+        )
+
+    def observe(
+        self, profile: Profile, stage: Stage, max_tokens: int, held_s: float, now: float
+    ) -> None:
+        """Learn from an attempt that was answered."""
+        learned = self._learned(profile, stage, now)
+        learned.observe(held_s / _scale(stage, max_tokens), now)
+
+    def _learned(self, profile: Profile, stage: Stage, now: float) -> _Learned:
+        key = (profile.name, stage.name)
+        learned = self._by_stage.get(key)
+        if learned is None:
+            expected_s = stage.expected_ms / 1000.0 / _scale(stage, stage.max_tokens)
+            learned = self._by_stage[key] = _Learned(expected_s, now)
+        return learned
+
+
+def _scale(stage: Stage, max_tokens: int) -> float:
+    return float(max(1, max_tokens)) if stage.max_tokens > 0 else 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class PoolCapacity:
+    """What a pool gives this daemon.
+
+    Parameters
+    ----------
+    slots : float
+        Slots of open targets, all daemons together.
+    share : float
+        This daemon's part of the demand.
+    opens_at : float or None
+        When a pool without open targets may be probed next.
+    """
+
+    slots: float
+    share: float
+    opens_at: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Prediction:
+    """Predicted course of a request over its remaining stages, in seconds."""
+
+    wait_s: float
+    service_s: float
+    deviation_s: float
+    slowest_pool: PoolName | None
+
+
+@dataclass(slots=True)
+class _Admitted:
+    offer: Offer
+    work_by_stage: dict[StageName, float]
+
+
+class AdmissionController:
+    """Admits the requests whose whole chain fits into their deadline.
+
+    The work that admitted requests still need is kept for each pool. A new
+    request waits at a pool until the part of it that is ahead has been served
+    by this daemon's share of the slots, so the time of later stages is
+    reserved before an earlier stage starts.
+    """
+
+    def __init__(self, times: ServiceTimes) -> None:
+        self._times = times
+        self._admitted_by_id: dict[RequestId, _Admitted] = {}
+        self._work_by_pool: dict[PoolName, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._admitted_by_id)
+
+    def predict(
+        self, offer: Offer, pools: Mapping[PoolName, PoolCapacity], now: float
+    ) -> Prediction:
+        """Predict the course of a request that would be admitted now."""
+        elapsed = wait = service = variance = slowest_s = 0.0
+        slowest: PoolName | None = None
+        for stage in offer.profile.stages:
+            time = self._times.predict(offer.profile, stage, offer.max_tokens, now)
+            capacity = pools[stage.pool]
+            slots = max(capacity.slots * capacity.share, 1e-3)
+            ahead_s = self._work_by_pool.get(stage.pool, 0.0) / slots
+            stage_wait = max(0.0, ahead_s - time.mean_s - elapsed)
+            if stage_wait > slowest_s:
+                slowest, slowest_s = stage.pool, stage_wait
+            wait += stage_wait
+            service += time.mean_s
+            variance += time.deviation_s**2
+            elapsed = wait + service
+        return Prediction(wait, service, math.sqrt(variance), slowest)
+
+    def admit(
+        self,
+        offer: Offer,
+        pools: Mapping[PoolName, PoolCapacity],
+        over_share: bool,
+        now: float,
+        rng: random.Random,
+    ) -> Refused | None:
+        """Admit a request, or say why not.
+
+        Parameters
+        ----------
+        offer : Offer
+            The request.
+        pools : mapping of PoolName to PoolCapacity
+            Every pool of the profile.
+        over_share : bool
+            Whether the client account is over its fair share.
+        now : float
+            Present time in seconds.
+        rng : random.Random
+            Source of the jitter in the time to come back.
+        """
+        closed = _closed_pool(offer, pools, now, rng)
+        if closed is not None:
+            return closed
+        prediction = self.predict(offer, pools, now)
+        safety_s = _SAFETY_DEVIATIONS * prediction.deviation_s
+        slack_s = offer.deadline_at - now - prediction.service_s - safety_s
+        if slack_s < 0.0:
+            return _too_late(prediction, slack_s, rng)
+        wait_limit_s = _WAIT_SHARE_BY_PRIORITY[offer.profile.contract.priority]
+        wait_limit_s *= slack_s * (_OVER_SHARE_FACTOR if over_share else 1.0)
+        if prediction.wait_s > wait_limit_s:
+            excess_s = prediction.wait_s - wait_limit_s
+            return _too_full(prediction, excess_s, over_share, rng)
+        self._add(offer, now)
+        return None
+
+    def dominant_s(
+        self, offer: Offer, pools: Mapping[PoolName, PoolCapacity], now: float
+    ) -> float:
+        """Return the largest part of a pool's capacity that a request uses."""
+        return max(
+            self._times.predict(offer.profile, stage, offer.max_tokens, now).mean_s
+            / max(pools[stage.pool].slots, 1.0)
+            for stage in offer.profile.stages
+        )
+
+    def stage_ended(self, request_id: RequestId, stage: Stage) -> None:
+        """Release the work reserved for a stage that was answered."""
+        admitted = self._admitted_by_id.get(request_id)
+        if admitted is None:
+            return
+        work_s = admitted.work_by_stage.pop(stage.name, 0.0)
+        self._take(stage.pool, work_s)
+
+    def depart(self, request_id: RequestId) -> None:
+        """Release everything reserved for a request; harmless when unknown."""
+        admitted = self._admitted_by_id.pop(request_id, None)
+        if admitted is None:
+            return
+        for stage in admitted.offer.profile.stages:
+            self._take(stage.pool, admitted.work_by_stage.pop(stage.name, 0.0))
+
+    def has_started(self, request_id: RequestId) -> bool:
+        """Return whether a stage of a request was answered already."""
+        admitted = self._admitted_by_id.get(request_id)
+        if admitted is None:
+            return False
+        return len(admitted.work_by_stage) < len(admitted.offer.profile.stages)
+
+    def latest_end(
+        self,
+        request_id: RequestId,
+        profile: Profile,
+        stage: Stage,
+        deadline_at: float,
+        max_tokens: int,
+        now: float,
+    ) -> float:
+        """Return when a stage must end so that the later stages still fit.
+
+        ``deadline_at`` is the bound that the caller gave; the earlier of the two
+        is returned.
+        """
+        admitted = self._admitted_by_id.get(request_id)
+        if admitted is None:
+            return deadline_at
+        reserve_s = 0.0
+        for later in reversed(profile.stages):
+            if later.name == stage.name:
+                break
+            time = self._times.predict(profile, later, max_tokens, now)
+            reserve_s += time.mean_s
+        return min(deadline_at, admitted.offer.deadline_at - reserve_s)
+
+    def _add(self, offer: Offer, now: float) -> None:
+        work_by_stage: dict[StageName, float] = {}
+        for stage in offer.profile.stages:
+            time = self._times.predict(offer.profile, stage, offer.max_tokens, now)
+            work_by_stage[stage.name] = time.mean_s
+            held = self._work_by_pool.get(stage.pool, 0.0)
+            self._work_by_pool[stage.pool] = held + time.mean_s
+        self._admitted_by_id[offer.request_id] = _Admitted(offer, work_by_stage)
+
+    def _take(self, pool: PoolName, work_s: float) -> None:
+        left = self._work_by_pool.get(pool, 0.0) - work_s
+        self._work_by_pool[pool] = max(0.0, left)
+
+
+def _closed_pool(
+    offer: Offer,
+    pools: Mapping[PoolName, PoolCapacity],
+    now: float,
+    rng: random.Random,
+) -> Refused | None:
+    for stage in offer.profile.stages:
+        capacity = pools[stage.pool]
+        if capacity.slots > 0:
+            continue
+        if capacity.opens_at is not None and capacity.opens_at <= now:
+            continue
+        opens_in_s = 1.0 if capacity.opens_at is None else capacity.opens_at - now
+        detail = f"stage {stage.name}: no target of pool {stage.pool} is open"
+        return refused(RefusalReason.NO_TARGET, detail, retry_after_ms(opens_in_s, rng))
+    return None
+
+
+def _too_late(prediction: Prediction, slack_s: float, rng: random.Random) -> Refused:
+    detail = f"the stages take {-slack_s:.3f} s more than the deadline leaves"
+    return refused(
+        RefusalReason.DEADLINE_UNREACHABLE, detail, retry_after_ms(-slack_s, rng)
+    )
+
+
+def _too_full(
+    prediction: Prediction, excess_s: float, over_share: bool, rng: random.Random
+) -> Refused:
+    reason = RefusalReason.OVERLOADED
+    if over_share:
+        reason = RefusalReason.ACCOUNT_OVER_SHARE
+    detail = f"predicted wait {prediction.wait_s:.3f} s, pool {prediction.slowest_pool}"
+    return refused(reason, detail, retry_after_ms(excess_s, rng))
+
+
+def retry_after_ms(wait_s: float, rng: random.Random) -> int:
+    """Return when to come back, in milliseconds, spread by jitter."""
+    base_s = min(_RETRY_AFTER_MAX_S, max(_RETRY_AFTER_MIN_S, wait_s))
+    return round(1000 * base_s * (1.0 + _RETRY_JITTER * rng.random()))
--- /dev/null
+++ b/packages/aspendrift-policy/src/aspendrift_policy/fairness.py
@@ -0,0 +1,219 @@
+"""Fair shares of client accounts and daemons, from own use and peers' digests."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from typing import Final
+
+import msgspec
+import xxhash
+
+from aspendrift_model.ids import AccountId, DaemonId, PoolName
+from aspendrift_policy.load_estimate import DecayedRate
+
+__all__ = ["AccountDemand", "FairShares", "UseDigest", "fair_level", "name_hash"]
+
+_WINDOW_S: Final = 3.0
+_DIGEST_MAX_AGE_S: Final = 6.0
+_MAX_ACCOUNTS_IN_DIGEST: Final = 16
+_MAX_ACCOUNTS: Final = 4096
+_IDLE_PER_S: Final = 1e-4
+_PRIOR_SHARE: Final = 0.1
+_LEVEL_MAX_AGE_S: Final = 0.1
+_OFFERED: Final = "offered"
+_ADMITTED: Final = "admitted"
+
+
+def name_hash(name: str) -> int:
+    """Return a 32-bit hash of a name, for digests."""
+    return xxhash.xxh32_intdigest(name.encode())
+
+
+class AccountDemand(msgspec.Struct, frozen=True, array_like=True):
+    """Dominant shares that an account asked for and was admitted with, per second.
+
+    The dominant share of a request is the largest part of any one pool's
+    capacity that it uses, so accounts with different pipelines compare.
+    """
+
+    account: int
+    offered: float
+    admitted: float
+
+
+class UseDigest(msgspec.Struct, frozen=True, array_like=True):
+    """What one daemon tells its peers: its heaviest accounts and its pools.
+
+    Names travel as 32-bit hashes. Accounts beyond the heaviest are summed, so
+    the size does not grow with the number of accounts.
+    """
+
+    accounts: tuple[AccountDemand, ...]
+    offered_rest: float
+    demand_by_pool: dict[int, float]
+    arrivals_by_profile: dict[int, float] = {}
+
+
+class _Account:
+    __slots__ = ("admitted", "offered")
+
+    def __init__(self) -> None:
+        self.offered = DecayedRate(_WINDOW_S)
+        self.admitted = DecayedRate(_WINDOW_S)
+
+
+def fair_level(
+    demands: Mapping[int, float], weights: Mapping[int, float], capacity: float
+) -> float:
+    """Return the level of max-min fair shares by weight.
+
+    An account that asks for less than its weight times the level gets all it
+    asks for; the rest is divided among the others.
+
+    Parameters
+    ----------
+    demands : mapping of int to float
+        Demand of each account.
+    weights : mapping of int to float
+        Weight of each account; 1 when absent.
+    capacity : float
+        What there is to share, in the unit of the demands.
+    """
+    order = sorted(demands, key=lambda key: demands[key] / weights.get(key, 1.0))
+    left = capacity
+    weight_left = sum(weights.get(key, 1.0) for key in order)
+    for key in order:
+        weight = weights.get(key, 1.0)
+        level = left / weight_left
+        if demands[key] / weight > level:
+            return level
+        left -= demands[key]
+        weight_left -= weight
+    return math.inf
+
+
+class FairShares:
+    """Use of accounts and pools by this daemon and its peers."""
+
+    def __init__(self) -> None:
+        self._accounts_by_hash: dict[int, _Account] = {}
+        self._pool_demand: dict[int, DecayedRate] = {}
+        self._digests_by_peer: dict[DaemonId, tuple[float, UseDigest]] = {}
+        self._level = math.inf
+        self._level_at = -math.inf
+        self._admitted: dict[int, float] = {}
+
+    def offered(self, account_id: AccountId, dominant_s: float, now: float) -> None:
+        """Count a request that an account asks for, by its dominant share."""
+        self._account(account_id).offered.add(dominant_s, now)
+
+    def admitted(self, account_id: AccountId, dominant_s: float, now: float) -> None:
+        """Count a request that was admitted, by its dominant share."""
+        self._account(account_id).admitted.add(dominant_s, now)
+
+    def pool_asked(self, pool: PoolName, work_s: float, now: float) -> None:
+        """Count work asked of a pool, admitted or not, in slot-seconds."""
+        rate = self._pool_demand.setdefault(name_hash(pool), DecayedRate(_WINDOW_S))
+        rate.add(work_s, now)
+
+    def digest(self, now: float, arrivals: Mapping[int, float]) -> UseDigest:
+        """Return what to tell the peers now."""
+        demands = [
+            AccountDemand(
+                key,
+                round(account.offered.per_s(now), 5),
+                round(account.admitted.per_s(now), 5),
+            )
+            for key, account in self._accounts_by_hash.items()
+        ]
+        demands.sort(key=lambda demand: demand.offered, reverse=True)
+        heaviest = tuple(demands[:_MAX_ACCOUNTS_IN_DIGEST])
+        rest = sum(demand.offered for demand in demands[_MAX_ACCOUNTS_IN_DIGEST:])
+        pools = {
+            key: round(rate.per_s(now), 3) for key, rate in self._pool_demand.items()
+        }
+        return UseDigest(heaviest, round(rest, 5), pools, dict(arrivals))
+
+    def heard(self, peer: DaemonId, digest: UseDigest, now: float) -> None:
+        """Take in the digest of a peer."""
+        self._digests_by_peer[peer] = (now, digest)
+
+    def recent_digests(self, now: float) -> list[UseDigest]:
+        """Return the digests that are recent, and forget the others."""
+        oldest = now - _DIGEST_MAX_AGE_S
+        for peer in [p for p, (at, _) in self._digests_by_peer.items() if at < oldest]:
+            del self._digests_by_peer[peer]
+        return [digest for _, digest in self._digests_by_peer.values()]
+
+    def share_of_pool(self, pool: PoolName, n_daemons: int, now: float) -> float:
+        """Return this daemon's part of the demand for a pool, from 0 to 1.
+
+        Notes
+        -----
+        Every daemon sees the surge of the hour at the same moment, so the parts
+        move little while the demand itself jumps. Digests of a sample of the
+        peers stand for all of them.
+        """
+        if n_daemons <= 1:
+            return 1.0
+        key = name_hash(pool)
+        rate = self._pool_demand.get(key)
+        own = 0.0 if rate is None else rate.per_s(now)
+        heard = [
+            digest.demand_by_pool.get(key, 0.0) for digest in self.recent_digests(now)
+        ]
+        if not heard:
+            return 1.0 / n_daemons
+        total = own + sum(heard) / len(heard) * (n_daemons - 1)
+        prior = _PRIOR_SHARE * max(total, _IDLE_PER_S) / n_daemons
+        return (own + prior) / (total + prior * n_daemons)
+
+    def over_share(
+        self,
+        account_id: AccountId,
+        weights: Mapping[int, float],
+        n_daemons: int,
+        now: float,
+    ) -> bool:
+        """Return whether an account has been admitted with more than its share.
+
+        Parameters
+        ----------
+        account_id : AccountId
+            The account.
+        weights : mapping of int to float
+            Weight of each account by ``name_hash``.
+        n_daemons : int
+            Live daemons, this one included.
+        """
+        if now - self._level_at >= _LEVEL_MAX_AGE_S:
+            offered = self._system_use(_OFFERED, n_daemons, now)
+            self._level = fair_level(offered, weights, 1.0)
+            self._admitted = self._system_use(_ADMITTED, n_daemons, now)
+            self._level_at = now
+        key = name_hash(account_id)
+        return self._admitted.get(key, 0.0) > self._level * weights.get(key, 1.0)
+
+    def _system_use(self, field: str, n_daemons: int, now: float) -> dict[int, float]:
+        use: dict[int, float] = {
+            key: getattr(account, field).per_s(now)
+            for key, account in self._accounts_by_hash.items()
+        }
+        digests = self.recent_digests(now)
+        scale = (n_daemons - 1) / len(digests) if digests else 0.0
+        for digest in digests:
+            for demand in digest.accounts:
+                heard: float = getattr(demand, field)
+                use[demand.account] = use.get(demand.account, 0.0) + heard * scale
+        return use
+
+    def _account(self, account_id: AccountId) -> _Account:
+        key = name_hash(account_id)
+        account = self._accounts_by_hash.get(key)
+        if account is None:
+            if len(self._accounts_by_hash) >= _MAX_ACCOUNTS:
+                oldest = next(iter(self._accounts_by_hash))
+                del self._accounts_by_hash[oldest]
+            account = self._accounts_by_hash[key] = _Account()
+        return account
--- /dev/null
+++ b/packages/aspendrift-policy/src/aspendrift_policy/outliers.py
@@ -0,0 +1,135 @@
+"""Outlier ejection: which targets are open, ejected or being probed."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from enum import Enum
+from typing import Final
+
+from aspendrift_model.states import AttemptEnd
+
+__all__ = ["EjectionRules", "HealthState", "TargetHealth"]
+
+_FAILURES: Final = frozenset(
+    {AttemptEnd.NOT_SENT, AttemptEnd.BROKEN, AttemptEnd.TIMED_OUT, AttemptEnd.REJECTED}
+)
+_JITTER_SHARE: Final = 0.2
+_MISSED_POLLS_UNREACHABLE: Final = 3
+_SLOW_START_FLOOR: Final = 0.2
+
+
+class HealthState(Enum):
+    """Whether a target may be chosen."""
+
+    OPEN = "open"
+    EJECTED = "ejected"
+    PROBING = "probing"
+
+
+@dataclass(frozen=True, slots=True)
+class EjectionRules:
+    """When targets are ejected and for how long; times in seconds."""
+
+    failures_to_eject: int
+    ejection_s: float
+    max_ejection_s: float
+    slow_start_s: float
+
+
+class TargetHealth:
+    """Health of one target, from attempts and load polls.
+
+    Parameters
+    ----------
+    rules : EjectionRules
+        Thresholds and times.
+    opened_at : float
+        When the target was added; minus infinity skips the slow start.
+    """
+
+    __slots__ = (
+        "_missed_polls",
+        "_n_ejections",
+        "_n_failures",
+        "_opened_at",
+        "_rules",
+        "ejected_until",
+        "state",
+    )
+
+    def __init__(self, rules: EjectionRules, opened_at: float) -> None:
+        self._rules = rules
+        self._opened_at = opened_at
+        self._n_failures = 0
+        self._n_ejections = 0
+        self._missed_polls = 0
+        self.state = HealthState.OPEN
+        self.ejected_until = 0.0
+
+    @property
+    def is_unreachable(self) -> bool:
+        """Whether the target stopped to answer load polls."""
+        return self._missed_polls >= _MISSED_POLLS_UNREACHABLE
+
+    def attempt_ended(
+        self, end: AttemptEnd, now: float, rng: random.Random, may_eject: bool
+    ) -> None:
+        """Learn from an attempt; ``may_eject`` is whether the cap leaves room."""
+        if end is AttemptEnd.ANSWERED:
+            self._succeeded(now)
+        elif end in _FAILURES:
+            self._failed(now, rng, may_eject or self.is_unreachable)
+        elif self.state is HealthState.PROBING:
+            self.state = HealthState.EJECTED
+
+    def poll_answered(self) -> None:
+        """Learn that the target answered a load poll."""
+        self._missed_polls = 0
+
+    def poll_missed(self, now: float, rng: random.Random) -> None:
+        """Learn that the target did not answer a load poll."""
+        self._missed_polls += 1
+        if self.is_unreachable and self.state is HealthState.OPEN:
+            self._eject(now, rng)
+
+    def may_probe(self, now: float) -> bool:
+        """Return whether an ejected target is due for one probing request."""
+        due = self.state is HealthState.EJECTED and now >= self.ejected_until
+        return due and not self.is_unreachable
+
+    def probe_sent(self) -> None:
+        """Mark that the one probing request is on its way."""
+        self.state = HealthState.PROBING
+
+    def ramp(self, now: float) -> float:
+        """Return the share of its slots to use now, in slow start below 1."""
+        window_s = self._rules.slow_start_s
+        elapsed_s = now - self._opened_at
+        if elapsed_s >= window_s:
+            return 1.0
+        return max(_SLOW_START_FLOOR, elapsed_s / window_s)
+
+    def _succeeded(self, now: float) -> None:
+        self._n_failures = 0
+        if self.state is HealthState.OPEN:
+            return
+        self.state = HealthState.OPEN
+        self._opened_at = now
+
+    def _failed(self, now: float, rng: random.Random, may_eject: bool) -> None:
+        self._n_failures += 1
+        if self.state is HealthState.PROBING:
+            self._eject(now, rng)
+        elif self.state is HealthState.OPEN and may_eject:
+            if self._n_failures >= self._rules.failures_to_eject:
+                self._eject(now, rng)
+
+    def _eject(self, now: float, rng: random.Random) -> None:
+        rules = self._rules
+        if now - self._opened_at > rules.max_ejection_s:
+            self._n_ejections = 0
+        for_s = min(rules.max_ejection_s, rules.ejection_s * 2**self._n_ejections)
+        self._n_ejections = min(self._n_ejections + 1, 16)
+        self.state = HealthState.EJECTED
+        self.ejected_until = now + for_s * rng.uniform(1 - _JITTER_SHARE, 1.0)
--- /dev/null
+++ b/packages/aspendrift-policy/src/aspendrift_policy/queueing.py
@@ -0,0 +1,125 @@
+"""Queue of one pool: attempts that wait for a slot, bounded in time."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Generic, TypeVar
+
+from aspendrift_model.states import Priority
+
+__all__ = ["PoolQueue", "Rank", "Waiting"]
+
+_T = TypeVar("_T")
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Rank:
+    """Order of service; the smaller is served first.
+
+    Started requests go before unstarted ones, so what has been spent on them
+    is not lost. Within each, an account within its fair share goes before one
+    over it, then by priority, then by urgency; ``latest_start`` bounds the wait.
+    """
+
+    is_unstarted: bool
+    is_over_share: bool
+    priority: Priority
+    urgency: float
+    latest_start: float
+
+
+@dataclass(slots=True, order=True)
+class Waiting(Generic[_T]):
+    """One attempt in the queue; ``ticket`` belongs to the caller."""
+
+    rank: Rank
+    number: int
+    ticket: _T = field(compare=False)
+    since: float = field(compare=False)
+    is_done: bool = field(default=False, compare=False)
+
+
+class PoolQueue(Generic[_T]):
+    """Attempts of one pool in order of rank, each with a latest start."""
+
+    def __init__(self) -> None:
+        self._by_rank: list[Waiting[_T]] = []
+        self._by_latest: list[tuple[float, int, Waiting[_T]]] = []
+        self._n_pushed = 0
+        self._n_waiting = 0
+
+    def __len__(self) -> int:
+        return self._n_waiting
+
+    def push(self, rank: Rank, ticket: _T, now: float) -> Waiting[_T]:
+        """Add an attempt."""
+        self._n_pushed += 1
+        waiting = Waiting(rank, self._n_pushed, ticket, now)
+        heapq.heappush(self._by_rank, waiting)
+        entry = (rank.latest_start, self._n_pushed, waiting)
+        heapq.heappush(self._by_latest, entry)
+        self._n_waiting += 1
+        return waiting
+
+    def remove(self, waiting: Waiting[_T]) -> None:
+        """Take out an attempt whose caller has gone; harmless when it is out."""
+        if waiting.is_done:
+            return
+        waiting.is_done = True
+        self._n_waiting -= 1
+
+    def waiting(self) -> list[Waiting[_T]]:
+        """Return the attempts that wait, in no particular order."""
+        return [waiting for waiting in self._by_rank if not waiting.is_done]
+
+    def expire(self, now: float) -> list[Waiting[_T]]:
+        """Take out and return the attempts whose latest start has passed."""
+        expired: list[Waiting[_T]] = []
+        while self._by_latest:
+            latest_start, _, waiting = self._by_latest[0]
+            if not waiting.is_done:
+                if latest_start >= now:
+                    break
+                self.remove(waiting)
+                expired.append(waiting)
+            heapq.heappop(self._by_latest)
+        return expired
+
+    def next_expiry(self) -> float | None:
+        """Return the earliest latest start, or None when the queue is empty."""
+        while self._by_latest and self._by_latest[0][2].is_done:
+            heapq.heappop(self._by_latest)
+        return self._by_latest[0][0] if self._by_latest else None
+
+    def serve(self, offer: Callable[[_T], bool], n_skips: int) -> int:
+        """Offer slots to attempts in order of rank.
+
+        Parameters
+        ----------
+        offer : callable
+            Tries to give a slot to a ticket and returns whether it did.
+        n_skips : int
+            Attempts that may be passed over, because none of the free targets
+            suits them, before the queue gives up.
+
+        Returns
+        -------
+        int
+            Number of attempts served.
+        """
+        passed: list[Waiting[_T]] = []
+        n_served = 0
+        while self._by_rank and len(passed) <= n_skips:
+            waiting = heapq.heappop(self._by_rank)
+            if waiting.is_done:
+                continue
+            if offer(waiting.ticket):
+                self.remove(waiting)
+                n_served += 1
+            else:
+                passed.append(waiting)
+        for waiting in passed:
+            heapq.heappush(self._by_rank, waiting)
+        return n_served
--- /dev/null
+++ b/packages/aspendrift-policy/src/aspendrift_policy/retry_budget.py
@@ -0,0 +1,83 @@
+"""Retry budgets: retries as a share of first attempts."""
+
+from __future__ import annotations
+
+import random
+from collections import OrderedDict
+from typing import Final, Generic, TypeVar
+
+__all__ = ["RetryBudget", "RetryBudgets", "backoff_s"]
+
+_K = TypeVar("_K")
+_BURST: Final = 10.0
+_MAX_KEYS: Final = 4096
+_BACKOFF_BASE_S: Final = 0.02
+_BACKOFF_MAX_S: Final = 1.0
+
+
+class RetryBudget:
+    """Token bucket that first attempts and time fill and retries empty.
+
+    Parameters
+    ----------
+    share : float
+        Tokens for each first attempt.
+    floor_per_s : float
+        Tokens for each second.
+    now : float
+        Present time in seconds.
+    """
+
+    __slots__ = ("_at", "_floor_per_s", "_share", "_tokens")
+
+    def __init__(self, share: float, floor_per_s: float, now: float) -> None:
+        self._share = share
+        self._floor_per_s = floor_per_s
+        self._tokens = _BURST / 2
+        self._at = now
+
+    def first_attempt(self, now: float) -> None:
+        """Add what a first attempt earns."""
+        self._fill(now)
+        self._tokens = min(_BURST, self._tokens + self._share)
+
+    def may_retry(self, now: float) -> bool:
+        """Return whether a retry is allowed now, without taking it."""
+        self._fill(now)
+        return self._tokens >= 1.0
+
+    def take(self) -> None:
+        """Take one retry."""
+        self._tokens -= 1.0
+
+    def _fill(self, now: float) -> None:
+        earned = max(0.0, now - self._at) * self._floor_per_s
+        self._at = now
+        self._tokens = min(_BURST, self._tokens + earned)
+
+
+class RetryBudgets(Generic[_K]):
+    """Budgets by key; the key used longest ago is forgotten first."""
+
+    def __init__(self, share: float, floor_per_s: float) -> None:
+        self._share = share
+        self._floor_per_s = floor_per_s
+        self._budgets_by_key: OrderedDict[_K, RetryBudget] = OrderedDict()
+
+    def of(self, key: _K, now: float) -> RetryBudget:
+        """Return the budget of a key."""
+        budget = self._budgets_by_key.get(key)
+        if budget is None:
+            budget = RetryBudget(self._share, self._floor_per_s, now)
+            self._budgets_by_key[key] = budget
+            if len(self._budgets_by_key) > _MAX_KEYS:
+                self._budgets_by_key.popitem(last=False)
+        else:
+            self._budgets_by_key.move_to_end(key)
+        return budget
+
+
+def backoff_s(n_earlier: int, rng: random.Random) -> float:
+    """Return the wait before a retry, exponential with full jitter, in seconds."""
+    ceiling = min(_BACKOFF_MAX_S, _BACKOFF_BASE_S * 2 ** min(n_earlier, 16))
+    return rng.uniform(0.0, ceiling)
--- /dev/null
+++ b/packages/aspendrift-policy/src/aspendrift_policy/router.py
@@ -0,0 +1,417 @@
+"""Choice of a target for one attempt of one stage."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from typing import Final, Protocol
+
+from aspendrift_model.hosts import Location
+from aspendrift_model.ids import ModelName, TargetId
+from aspendrift_model.settings_routing import RoutingSettings
+from aspendrift_model.states import AttemptEnd, StageKind, TargetKind, TargetState
+from aspendrift_model.targets import LoadReport, Target
+from aspendrift_policy.affinity import CacheHints, target_hash, top_targets
+from aspendrift_policy.interfaces import (
+    CandidateScore,
+    RouteChoice,
+    RouteQuery,
+    RouteReason,
+)
+from aspendrift_policy.load_estimate import TargetLoad
+from aspendrift_policy.outliers import EjectionRules, HealthState, TargetHealth
+
+__all__ = ["Candidate", "Router", "TargetPool", "TwoChoiceRouter"]
+
+_N_CHOICES: Final = 2
+_N_TRIES: Final = 6
+_N_AFFINE: Final = 2
+_AFFINITY_GAIN_SHARE: Final = 0.3
+_SLOWNESS_WEIGHT: Final = 0.1
+_MIN_SLOWNESS: Final = 0.2
+
+
+class Candidate:
+    """One target of a pool as this daemon sees it.
+
+    ``allowance`` is how many requests this daemon may have there; it is kept
+    as a plain number because it is read for many candidates in each choice.
+    """
+
+    __slots__ = (
+        "allowance",
+        "distance",
+        "hash",
+        "health",
+        "is_leaving",
+        "load",
+        "models",
+        "rounding",
+        "slowness",
+        "target",
+    )
+
+    def __init__(
+        self, target: Target, distance: int, health: TargetHealth, rounding: float
+    ) -> None:
+        self.target = target
+        self.distance = distance
+        self.health = health
+        self.rounding = rounding
+        self.hash = target_hash(target.target_id)
+        self.load = TargetLoad(target.slots)
+        self.models = frozenset(target.models)
+        self.slowness = 1.0
+        self.is_leaving = target.state is not TargetState.ACTIVE
+        self.allowance = 0
+
+    def is_open(self) -> bool:
+        """Return whether new requests may be sent here, slots aside."""
+        return not self.is_leaving and self.health.state is HealthState.OPEN
+
+    def has_room(self) -> bool:
+        """Return whether a slot is free for this daemon."""
+        return self.load.own_active < self.allowance and self.is_open()
+
+    def runs(self, model: ModelName | None) -> bool:
+        """Return whether the target can run a model."""
+        if model is None or self.target.kind is not TargetKind.ENGINE:
+            return True
+        return not self.models or model in self.models
+
+    def learn_speed(self, ratio: float) -> None:
+        """Learn from an attempt's time, relative to what was predicted."""
+        self.slowness += _SLOWNESS_WEIGHT * (ratio - self.slowness)
+        self.slowness = max(_MIN_SLOWNESS, self.slowness)
+
+    def score(self, service_s: float, penalties: Sequence[float]) -> float:
+        """Return the estimated wait in seconds; lower is better."""
+        load = self.load
+        waiting = (load.others + load.own_active + 1.0) / load.slots
+        return waiting * service_s * self.slowness + penalties[self.distance]
+
+
+class TargetPool:
+    """The targets of one pool that this daemon uses.
+
+    Parameters
+    ----------
+    settings : RoutingSettings
+        Limits and penalties.
+    location : Location
+        Where this daemon runs.
+    rng : random.Random
+        Source of the rounding and the jitter.
+    """
+
+    def __init__(
+        self, settings: RoutingSettings, location: Location, rng: random.Random
+    ) -> None:
+        self._settings = settings
+        self._location = location
+        self._rng = rng
+        self._rules = EjectionRules(
+            settings.failures_to_eject,
+            settings.ejection_s,
+            settings.max_ejection_s,
+            settings.slow_start_s,
+        )
+        self._share = 1.0
+        self._is_filled = False
+        self.n_ejected = 0
+        self.candidates_by_id: dict[TargetId, Candidate] = {}
+        self.tiers: tuple[list[Candidate], list[Candidate], list[Candidate]]
+        self.tiers = ([], [], [])
+
+    def __len__(self) -> int:
+        return len(self.candidates_by_id)
+
+    def configure(self, targets: Iterable[Target], now: float) -> None:
+        """Take in the pool's targets of a newer configuration."""
+        kept: dict[TargetId, Candidate] = {}
+        for target in targets:
+            known = self.candidates_by_id.get(target.target_id)
+            if known is None or known.target.url != target.url:
+                known = self._new_candidate(target, now)
+            known.target = target
+            known.is_leaving = target.state is not TargetState.ACTIVE
+            kept[target.target_id] = known
+        self.candidates_by_id = kept
+        self._is_filled = True
+        self._sort_into_tiers()
+        self._count_ejected()
+        self.refresh(self._share, now)
+
+    def refresh(self, share: float, now: float) -> None:
+        """Set every allowance from this daemon's part of the demand."""
+        self._share = share
+        for candidate in self.candidates_by_id.values():
+            self._refresh_one(candidate, now)
+
+    def reported(self, report: LoadReport, now: float) -> None:
+        """Take in a load report."""
+        candidate = self.candidates_by_id.get(report.target_id)
+        if candidate is None:
+            return
+        candidate.health.poll_answered()
+        candidate.load.reported(report, now)
+        if report.models:
+            candidate.models = frozenset(report.models)
+        self._refresh_one(candidate, now)
+
+    def poll_missed(self, target_id: TargetId, now: float) -> None:
+        """Take in that a target did not answer a load poll."""
+        candidate = self.candidates_by_id.get(target_id)
+        if candidate is not None:
+            candidate.health.poll_missed(now, self._rng)
+            self._count_ejected()
+
+    def attempt_ended(self, target_id: TargetId, end: AttemptEnd, now: float) -> None:
+        """Learn a target's health from an attempt."""
+        candidate = self.candidates_by_id.get(target_id)
+        if candidate is None:
+            return
+        candidate.health.attempt_ended(end, now, self._rng, self._may_eject())
+        self._count_ejected()
+        self._refresh_one(candidate, now)
+
+    def n_open_slots(self) -> int:
+        """Return the slots of the targets that take new requests."""
+        return sum(c.load.slots for c in self.candidates_by_id.values() if c.is_open())
+
+    def may_serve(self, query: RouteQuery, now: float) -> bool:
+        """Return whether any target could take the query now or once it has room."""
+        return any(
+            candidate.runs(query.stage.model)
+            and candidate.target.target_id not in query.excluded
+            and not candidate.is_leaving
+            and (candidate.is_open() or candidate.health.may_probe(now))
+            for candidate in self.candidates_by_id.values()
+        )
+
+    def next_probe_at(self) -> float | None:
+        """Return when the next ejected target may be probed, None without one."""
+        times = [
+            candidate.health.ejected_until
+            for candidate in self.candidates_by_id.values()
+            if not candidate.is_leaving
+            and not candidate.is_open()
+            and not candidate.health.is_unreachable
+        ]
+        return min(times) if times else None
+
+    def due_probe(self, query: RouteQuery, now: float) -> Candidate | None:
+        """Return an ejected target that is due for a probing request."""
+        if query.is_retry:
+            return None
+        if not query.profile.contract.idempotent and self.n_open_slots():
+            return None
+        if not self.n_ejected:
+            return None
+        for candidate in self.candidates_by_id.values():
+            if (
+                candidate.health.state is HealthState.EJECTED
+                and not candidate.is_leaving
+                and candidate.health.may_probe(now)
+                and candidate.target.target_id not in query.excluded
+                and candidate.runs(query.stage.model)
+            ):
+                return candidate
+        return None
+
+    def mean_load(self) -> float:
+        """Return the mean of outstanding requests per slot."""
+        candidates = self.candidates_by_id.values()
+        slots = sum(candidate.load.slots for candidate in candidates)
+        outstanding = sum(candidate.load.outstanding for candidate in candidates)
+        return outstanding / slots if slots else 0.0
+
+    def _new_candidate(self, target: Target, now: float) -> Candidate:
+        opened_at = now if self._is_filled else -math.inf
+        distance = 2
+        if target.zone == self._location.zone:
+            distance = 0
+        elif target.region == self._location.region:
+            distance = 1
+        health = TargetHealth(self._rules, opened_at)
+        return Candidate(target, distance, health, self._rng.random())
+
+    def _sort_into_tiers(self) -> None:
+        self.tiers = ([], [], [])
+        for candidate in self.candidates_by_id.values():
+            if not candidate.is_leaving:
+                self.tiers[candidate.distance].append(candidate)
+
+    def _refresh_one(self, candidate: Candidate, now: float) -> None:
+        share = self._share * candidate.health.ramp(now)
+        candidate.allowance = candidate.load.allowance(share, candidate.rounding)
+        if len(self.candidates_by_id) == 1:
+            candidate.allowance = max(1, candidate.allowance)
+
+    def _count_ejected(self) -> None:
+        self.n_ejected = sum(
+            1
+            for candidate in self.candidates_by_id.values()
+            if not candidate.is_leaving and not candidate.is_open()
+        )
+
+    def _may_eject(self) -> bool:
+        n_active = sum(len(tier) for tier in self.tiers)
+        return self.n_ejected + 1 <= self._settings.max_ejected_share * n_active
+
+
+class Router(Protocol):
+    """Chooses among the targets of a pool that have room."""
+
+    def choose(
+        self, pool: TargetPool, query: RouteQuery, service_s: float, now: float
+    ) -> RouteChoice | None:
+        """Return a choice, or None when no target that suits has room."""
+
+
+@dataclass(slots=True)
+class TwoChoiceRouter:
+    """Power of two choices with zone preference and prefix affinity.
+
+    Parameters
+    ----------
+    settings : RoutingSettings
+        Penalties and the load bound of affinity.
+    hints : CacheHints
+        Prefixes that engines said they hold.
+    rng : random.Random
+        Source of the samples.
+    """
+
+    settings: RoutingSettings
+    hints: CacheHints
+    rng: random.Random
+
+    def choose(
+        self, pool: TargetPool, query: RouteQuery, service_s: float, now: float
+    ) -> RouteChoice | None:
+        """Return a choice, or None when no target that suits has room.
+
+        Parameters
+        ----------
+        pool : TargetPool
+            Targets to choose from.
+        query : RouteQuery
+            The attempt.
+        service_s : float
+            Predicted service time in seconds.
+        now : float
+            Present time in seconds.
+        """
+        probe = pool.due_probe(query, now)
+        if probe is not None:
+            probe.health.probe_sent()
+            return RouteChoice(probe.target, RouteReason.PROBE, ())
+        if query.avoid_sharing:
+            return self._emptiest(pool, query, service_s)
+        sample = self._sample(pool, query)
+        if not sample:
+            return None
+        penalties = self._penalties()
+        scored = sorted(
+            ((c.score(service_s, penalties), i, c) for i, c in enumerate(sample)),
+        )
+        scores = tuple(
+            CandidateScore(candidate.target.target_id, score)
+            for score, _, candidate in scored
+        )
+        affine = self._affine(pool, query)
+        if affine is not None:
+            score = affine.score(service_s, penalties)
+            if score <= scored[0][0] + _AFFINITY_GAIN_SHARE * service_s:
+                shown = (CandidateScore(affine.target.target_id, score), *scores)
+                return RouteChoice(affine.target, RouteReason.PREFIX_AFFINITY, shown)
+        best = scored[0][2]
+        return RouteChoice(best.target, _reason(best, sample), scores)
+
+    def _penalties(self) -> tuple[float, float, float]:
+        settings = self.settings
+        return (0.0, settings.cross_zone_penalty_s, settings.cross_region_penalty_s)
+
+    def _sample(self, pool: TargetPool, query: RouteQuery) -> list[Candidate]:
+        near = self._sample_tier(pool.tiers[0], query)
+        near += self._sample_tier(pool.tiers[1], query)
+        return near or self._sample_tier(pool.tiers[2], query)
+
+    def _sample_tier(
+        self, tier: Sequence[Candidate], query: RouteQuery
+    ) -> list[Candidate]:
+        n_tier = len(tier)
+        if n_tier <= _N_CHOICES:
+            return [c for c in tier if _suits(c, query)]
+        found: list[Candidate] = []
+        for _ in range(_N_TRIES):
+            candidate = tier[int(self.rng.random() * n_tier)]
+            if _suits(candidate, query) and candidate not in found:
+                found.append(candidate)
+                if len(found) == _N_CHOICES:
+                    return found
+        if found:
+            return found
+        start = int(self.rng.random() * n_tier)
+        for i in range(n_tier):
+            candidate = tier[(start + i) % n_tier]
+            if _suits(candidate, query):
+                return [candidate]
+        return []
+
+    def _affine(self, pool: TargetPool, query: RouteQuery) -> Candidate | None:
+        if not query.prefix_key or query.stage.kind is not StageKind.GENERATE:
+            return None
+        bound = self.settings.affinity_load_bound
+        for candidate in self._holders(pool, query):
+            load = candidate.load
+            is_light = load.outstanding <= bound * pool.mean_load() * load.slots + 1.0
+            if is_light and _suits(candidate, query):
+                return candidate
+        return None
+
+    def _holders(self, pool: TargetPool, query: RouteQuery) -> list[Candidate]:
+        by_id = pool.candidates_by_id
+        hinted = [
+            by_id[target_id]
+            for target_id in self.hints.holders(query.prefix_key)
+            if target_id in by_id
+        ]
+        if hinted:
+            return hinted
+        near = pool.tiers[0] or pool.tiers[1] or pool.tiers[2]
+        if not near:
+            return []
+        hashes = [candidate.hash for candidate in near]
+        return [near[i] for i in top_targets(query.prefix_key, hashes, _N_AFFINE)]
+
+    def _emptiest(
+        self, pool: TargetPool, query: RouteQuery, service_s: float
+    ) -> RouteChoice | None:
+        suiting = [c for c in pool.candidates_by_id.values() if _suits(c, query)]
+        if not suiting:
+            return None
+        best = min(suiting, key=lambda candidate: candidate.load.outstanding)
+        score = CandidateScore(
+            best.target.target_id, best.score(service_s, self._penalties())
+        )
+        return RouteChoice(best.target, RouteReason.ISOLATION, (score,))
+
+
+def _suits(candidate: Candidate, query: RouteQuery) -> bool:
+    return (
+        candidate.has_room()
+        and candidate.runs(query.stage.model)
+        and candidate.target.target_id not in query.excluded
+    )
+
+
+def _reason(best: Candidate, sample: Sequence[Candidate]) -> RouteReason:
+    if len(sample) == 1:
+        return RouteReason.ONLY_CANDIDATE
+    if best.distance == 0 and any(c.distance > 0 for c in sample):
+        return RouteReason.SAME_ZONE
+    return RouteReason.LEAST_LOADED
