Predict waits from the work that runs and the work that waits

Cause: a fluid estimate that took off one whole service time admitted a few requests too many to a slow stage when they all start together, and a daemon with a small share of the demand never got the last free slots of an idle target.

Change: admission keeps how long the running part of a pool's work has run; the share of the free slots is rounded anew for each report. Tests of the routing policies.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/dispatch.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/dispatch.py
@@ -211,6 +211,8 @@
         self._events.emit(
             AttemptReleased(
                 query.request_id,
+                query.account_id,
+                query.profile.name,
                 query.stage.name,
                 query.stage.pool,
                 target_id,
@@ -221,6 +223,8 @@
         )
         if result.end is AttemptEnd.ANSWERED:
             self._learn(query, target_id, result, now)
+        else:
+            self._admission.stage_stopped(query.request_id, query.stage)
         pool = self._pool_of_target.get(target_id)
         if pool is None:
             return
@@ -332,6 +336,7 @@
             return None
         target_id = choice.target.target_id
         pool.targets.candidates_by_id[target_id].load.sent(now)
+        self._admission.stage_started(query.request_id, query.stage, now)
         budget = self._target_budgets.of(target_id, now)
         if query.is_retry:
             budget.take()
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/routing_events.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/routing_events.py
@@ -6,7 +6,14 @@
 from typing import ClassVar
 
 from aspendrift_daemon.events import Event
-from aspendrift_model.ids import AccountId, PoolName, RequestId, StageName, TargetId
+from aspendrift_model.ids import (
+    AccountId,
+    PoolName,
+    ProfileName,
+    RequestId,
+    StageName,
+    TargetId,
+)
 from aspendrift_model.states import AttemptEnd, RefusalReason
 from aspendrift_policy.interfaces import CandidateScore, RouteReason
 
@@ -56,6 +63,8 @@
 
     name: ClassVar[str] = "attempt_released"
     request_id: RequestId
+    account_id: AccountId
+    profile: ProfileName
     stage: StageName
     pool: PoolName
     target_id: TargetId
--- a/packages/aspendrift-policy/src/aspendrift_policy/admission.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/admission.py
@@ -36,6 +36,7 @@
 _RETRY_AFTER_MIN_S: Final = 0.2
 _RETRY_AFTER_MAX_S: Final = 10.0
 _RETRY_JITTER: Final = 1.0
+_MIN_SLOTS: Final = 1e-3
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,7 +118,9 @@
 
 
 def _scale(stage: Stage, max_tokens: int) -> float:
-    return float(max(1, max_tokens)) if stage.max_tokens > 0 else 1.0
+    if stage.max_tokens <= 0:
+        return 1.0
+    return float(max(1, min(max_tokens, stage.max_tokens)))
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,6 +156,43 @@
 class _Admitted:
     offer: Offer
     work_by_stage: dict[StageName, float]
+    started_by_stage: dict[StageName, float]
+
+
+class _PoolWork:
+    """Work that admitted requests still need from one pool."""
+
+    __slots__ = ("n_requests", "n_running", "running_s", "started_sum", "work_s")
+
+    def __init__(self) -> None:
+        self.n_requests = 0
+        self.work_s = 0.0
+        self.n_running = 0
+        self.running_s = 0.0
+        self.started_sum = 0.0
+
+    def left_s(self, now: float) -> float:
+        """Return the slot-seconds left, less what has been served already."""
+        served_s = self.n_running * now - self.started_sum
+        return max(0.0, self.work_s - min(served_s, self.running_s))
+
+    def add(self, work_s: float) -> None:
+        self.n_requests += 1
+        self.work_s += work_s
+
+    def remove(self, work_s: float) -> None:
+        self.n_requests -= 1
+        self.work_s = max(0.0, self.work_s - work_s)
+
+    def start(self, work_s: float, at: float) -> None:
+        self.n_running += 1
+        self.running_s += work_s
+        self.started_sum += at
+
+    def stop(self, work_s: float, started_at: float) -> None:
+        self.n_running -= 1
+        self.running_s = max(0.0, self.running_s - work_s)
+        self.started_sum = self.started_sum - started_at if self.n_running else 0.0
 
 
 class AdmissionController:
@@ -167,7 +207,7 @@
     def __init__(self, times: ServiceTimes) -> None:
         self._times = times
         self._admitted_by_id: dict[RequestId, _Admitted] = {}
-        self._work_by_pool: dict[PoolName, float] = {}
+        self._work_by_pool: dict[PoolName, _PoolWork] = {}
 
     def __len__(self) -> int:
         return len(self._admitted_by_id)
@@ -180,10 +220,8 @@
         slowest: PoolName | None = None
         for stage in offer.profile.stages:
             time = self._times.predict(offer.profile, stage, offer.max_tokens, now)
-            capacity = pools[stage.pool]
-            slots = max(capacity.slots * capacity.share, 1e-3)
-            ahead_s = self._work_by_pool.get(stage.pool, 0.0) / slots
-            stage_wait = max(0.0, ahead_s - time.mean_s - elapsed)
+            ahead_s = self._ahead_s(stage.pool, pools[stage.pool], now)
+            stage_wait = max(0.0, ahead_s - elapsed)
             if stage_wait > slowest_s:
                 slowest, slowest_s = stage.pool, stage_wait
             wait += stage_wait
@@ -241,13 +279,27 @@
             for stage in offer.profile.stages
         )
 
+    def stage_started(self, request_id: RequestId, stage: Stage, now: float) -> None:
+        """Note that an attempt of a stage took a slot."""
+        admitted = self._admitted_by_id.get(request_id)
+        if admitted is None or stage.name in admitted.started_by_stage:
+            return
+        work_s = admitted.work_by_stage.get(stage.name)
+        if work_s is not None:
+            admitted.started_by_stage[stage.name] = now
+            self._work_by_pool[stage.pool].start(work_s, now)
+
+    def stage_stopped(self, request_id: RequestId, stage: Stage) -> None:
+        """Note that an attempt of a stage gave its slot back without an answer."""
+        admitted = self._admitted_by_id.get(request_id)
+        if admitted is not None:
+            self._stop(admitted, stage)
+
     def stage_ended(self, request_id: RequestId, stage: Stage) -> None:
         """Release the work reserved for a stage that was answered."""
         admitted = self._admitted_by_id.get(request_id)
-        if admitted is None:
-            return
-        work_s = admitted.work_by_stage.pop(stage.name, 0.0)
-        self._take(stage.pool, work_s)
+        if admitted is not None:
+            self._remove(admitted, stage)
 
     def depart(self, request_id: RequestId) -> None:
         """Release everything reserved for a request; harmless when unknown."""
@@ -255,7 +307,7 @@
         if admitted is None:
             return
         for stage in admitted.offer.profile.stages:
-            self._take(stage.pool, admitted.work_by_stage.pop(stage.name, 0.0))
+            self._remove(admitted, stage)
 
     def has_started(self, request_id: RequestId) -> bool:
         """Return whether a stage of a request was answered already."""
@@ -289,18 +341,32 @@
             reserve_s += time.mean_s
         return min(deadline_at, admitted.offer.deadline_at - reserve_s)
 
+    def _ahead_s(self, pool: PoolName, capacity: PoolCapacity, now: float) -> float:
+        work = self._work_by_pool.get(pool)
+        slots = max(capacity.slots * capacity.share, _MIN_SLOTS)
+        if work is None or work.n_requests < slots:
+            return 0.0
+        return work.left_s(now) / slots
+
     def _add(self, offer: Offer, now: float) -> None:
         work_by_stage: dict[StageName, float] = {}
         for stage in offer.profile.stages:
             time = self._times.predict(offer.profile, stage, offer.max_tokens, now)
             work_by_stage[stage.name] = time.mean_s
-            held = self._work_by_pool.get(stage.pool, 0.0)
-            self._work_by_pool[stage.pool] = held + time.mean_s
-        self._admitted_by_id[offer.request_id] = _Admitted(offer, work_by_stage)
-
-    def _take(self, pool: PoolName, work_s: float) -> None:
-        left = self._work_by_pool.get(pool, 0.0) - work_s
-        self._work_by_pool[pool] = max(0.0, left)
+            self._work_by_pool.setdefault(stage.pool, _PoolWork()).add(time.mean_s)
+        self._admitted_by_id[offer.request_id] = _Admitted(offer, work_by_stage, {})
+
+    def _stop(self, admitted: _Admitted, stage: Stage) -> None:
+        started_at = admitted.started_by_stage.pop(stage.name, None)
+        if started_at is not None:
+            work_s = admitted.work_by_stage[stage.name]
+            self._work_by_pool[stage.pool].stop(work_s, started_at)
+
+    def _remove(self, admitted: _Admitted, stage: Stage) -> None:
+        self._stop(admitted, stage)
+        work_s = admitted.work_by_stage.pop(stage.name, None)
+        if work_s is not None:
+            self._work_by_pool[stage.pool].remove(work_s)
 
 
 def _closed_pool(
--- a/packages/aspendrift-policy/src/aspendrift_policy/load_estimate.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/load_estimate.py
@@ -108,7 +108,7 @@
         if report.slots > 0:
             self.slots = report.slots
 
-    def allowance(self, share: float, rounding: float) -> int:
+    def allowance(self, share: float, rounding: float, lent_rounding: float) -> int:
         """Return how many requests this daemon may have at the target.
 
         Parameters
@@ -118,6 +118,9 @@
         rounding : float
             Fixed number in [0, 1) that differs between daemons, so that the
             fractions of all daemons add up.
+        lent_rounding : float
+            The same for the free slots, drawn anew for each report, so that a
+            daemon is not kept from the last free slot for good.
 
         Notes
         -----
@@ -130,7 +133,7 @@
             return math.floor(entitled + rounding)
         free = self.slots - self._reported
         lent = self._own_at_report + free * share
-        return math.floor(max(entitled, lent) + rounding)
+        return max(math.floor(entitled + rounding), math.floor(lent + lent_rounding))
 
     def _remember(self, now: float) -> None:
         history = self._history
--- a/packages/aspendrift-policy/src/aspendrift_policy/router.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/router.py
@@ -46,6 +46,7 @@
         "hash",
         "health",
         "is_leaving",
+        "lent_rounding",
         "load",
         "models",
         "rounding",
@@ -60,6 +61,7 @@
         self.distance = distance
         self.health = health
         self.rounding = rounding
+        self.lent_rounding = rounding
         self.hash = target_hash(target.target_id)
         self.load = TargetLoad(target.slots)
         self.models = frozenset(target.models)
@@ -157,6 +159,7 @@
             return
         candidate.health.poll_answered()
         candidate.load.reported(report, now)
+        candidate.lent_rounding = self._rng.random()
         if report.models:
             candidate.models = frozenset(report.models)
         self._refresh_one(candidate, now)
@@ -246,7 +249,9 @@
 
     def _refresh_one(self, candidate: Candidate, now: float) -> None:
         share = self._share * candidate.health.ramp(now)
-        candidate.allowance = candidate.load.allowance(share, candidate.rounding)
+        candidate.allowance = candidate.load.allowance(
+            share, candidate.rounding, candidate.lent_rounding
+        )
         if len(self.candidates_by_id) == 1:
             candidate.allowance = max(1, candidate.allowance)
 
--- /dev/null
+++ b/packages/aspendrift-policy/tests/test_admission.py
@@ -0,0 +1,130 @@
+"""Tests of admission over the chain of stages."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Mapping
+
+import pytest
+
+from aspendrift_model.contracts import Contract
+from aspendrift_model.ids import (
+    AccountId,
+    PoolName,
+    PrefixKey,
+    ProfileName,
+    RequestId,
+    StageName,
+)
+from aspendrift_model.outcomes import Refused
+from aspendrift_model.profiles import Profile, Stage
+from aspendrift_model.states import Priority, RefusalReason, StageKind
+from aspendrift_policy.admission import AdmissionController, PoolCapacity, ServiceTimes
+from aspendrift_policy.interfaces import Offer
+
+ENCODE = Stage(StageName("encode"), StageKind.ENCODE, PoolName("enc"), expected_ms=20)
+GENERATE = Stage(
+    StageName("generate"), StageKind.GENERATE, PoolName("eng"), expected_ms=400
+)
+POOLS = {
+    ENCODE.pool: PoolCapacity(8, 1.0),
+    GENERATE.pool: PoolCapacity(4, 1.0),
+}
+
+
+def profile(priority: Priority = Priority.NORMAL) -> Profile:
+    return Profile(ProfileName("p"), (ENCODE, GENERATE), Contract(2000, priority))
+
+
+class Door:
+    def __init__(self) -> None:
+        self.times = ServiceTimes()
+        self.controller = AdmissionController(self.times)
+        self.rng = random.Random(5)
+        self.n_offers = 0
+
+    def offer(
+        self,
+        now: float = 0.0,
+        deadline_s: float = 2.0,
+        over_share: bool = False,
+        priority: Priority = Priority.NORMAL,
+        pools: Mapping[PoolName, PoolCapacity] = POOLS,
+    ) -> Refused | None:
+        self.n_offers += 1
+        offer = Offer(
+            RequestId(f"r{self.n_offers}"),
+            AccountId("ann"),
+            profile(priority),
+            now + deadline_s,
+            0,
+            PrefixKey(""),
+        )
+        return self.controller.admit(offer, pools, over_share, now, self.rng)
+
+    def n_admitted(self, n_offers: int, **options: object) -> int:
+        return sum(self.offer(**options) is None for _ in range(n_offers))  # type: ignore[arg-type]
+
+
+def test_later_stage_bounds_admission_while_the_first_is_idle() -> None:
+    door = Door()
+    n_admitted = door.n_admitted(200)
+    assert 4 * 2.0 / 0.4 * 0.6 <= n_admitted <= 4 * 2.0 / 0.4
+
+
+def test_chain_longer_than_the_deadline_is_refused_with_a_time_to_come_back() -> None:
+    answer = Door().offer(deadline_s=0.3)
+    assert answer is not None
+    assert answer.reason is RefusalReason.DEADLINE_UNREACHABLE
+    assert answer.retry_after_ms is not None
+
+
+@pytest.mark.fault("stage slow", "admission")
+def test_slow_stage_admits_less_and_recovers() -> None:
+    door = Door()
+    for _ in range(100):
+        door.times.observe(profile(), GENERATE, 0, 1.2, now=0.0)
+    slow = door.n_admitted(200)
+    assert slow < 6
+    later = Door()
+    later.times = door.times
+    later.controller = AdmissionController(door.times)
+    assert later.n_admitted(200, now=20.0) > 3 * max(slow, 1)
+
+
+def test_small_share_of_the_demand_admits_a_small_share() -> None:
+    quarter = {
+        ENCODE.pool: PoolCapacity(8, 0.25),
+        GENERATE.pool: PoolCapacity(4, 0.25),
+    }
+    n_quarter = Door().n_admitted(200, pools=quarter)
+    n_whole = Door().n_admitted(200)
+    assert n_whole / 5 <= n_quarter <= n_whole / 3
+
+
+def test_priorities_and_shares_leave_room_for_those_before_them() -> None:
+    door = Door()
+    door.n_admitted(200, over_share=True)
+    assert door.n_admitted(200) > 0
+    assert door.n_admitted(200, priority=Priority.BACKGROUND) == 0
+    assert door.n_admitted(200, priority=Priority.URGENT) > 0
+
+
+@pytest.mark.fault("stage down", "admission")
+def test_closed_pool_is_refused_until_it_may_be_probed() -> None:
+    closed = {**POOLS, GENERATE.pool: PoolCapacity(0, 1.0, opens_at=1.0)}
+    door = Door()
+    answer = door.offer(pools=closed)
+    assert answer is not None
+    assert answer.reason is RefusalReason.NO_TARGET
+    assert door.n_admitted(20, now=1.0, pools=closed) == 1
+
+
+def test_stage_that_ended_gives_back_its_work_once() -> None:
+    door = Door()
+    n_first = door.n_admitted(200)
+    for i in range(1, 201):
+        door.controller.stage_ended(RequestId(f"r{i}"), GENERATE)
+        door.controller.depart(RequestId(f"r{i}"))
+        door.controller.depart(RequestId(f"r{i}"))
+    assert door.n_admitted(200) == n_first
--- /dev/null
+++ b/packages/aspendrift-policy/tests/test_load_estimate.py
@@ -0,0 +1,60 @@
+"""Tests of load estimates from lagging reports."""
+
+from __future__ import annotations
+
+import pytest
+
+from aspendrift_model.ids import TargetId
+from aspendrift_model.targets import LoadReport
+from aspendrift_policy.load_estimate import DecayedRate, TargetLoad
+
+
+def report(active: int, age_ms: int = 0, queued: int = 0) -> LoadReport:
+    return LoadReport(TargetId("t"), active, queued, 8, age_ms)
+
+
+@pytest.mark.fault("load report late", "estimate")
+def test_part_of_the_others_is_taken_at_the_time_of_the_report() -> None:
+    load = TargetLoad(8)
+    load.sent(1.0)
+    load.sent(5.0)
+    load.sent(5.1)
+    load.reported(report(4, age_ms=2000), 5.5)
+    assert load.others == 3
+    assert load.outstanding == 6
+
+
+@pytest.mark.fault("load report late", "estimate")
+def test_report_that_describes_an_earlier_time_is_ignored() -> None:
+    load = TargetLoad(8)
+    load.reported(report(5), 5.0)
+    load.reported(report(1, age_ms=2000), 5.5)
+    assert load.others == 5
+
+
+def test_own_request_that_ended_no_longer_counts() -> None:
+    load = TargetLoad(8)
+    load.sent(1.0)
+    load.reported(report(1), 2.0)
+    load.ended(2.5)
+    assert load.outstanding == 0
+
+
+def test_full_target_leaves_a_daemon_its_share_only() -> None:
+    load = TargetLoad(8)
+    load.reported(report(8, queued=4), 1.0)
+    assert load.allowance(0.25, 0.0, 0.0) == 2
+    load.reported(report(0), 2.0)
+    assert load.allowance(0.25, 0.0, 0.0) == 2
+    load.sent(2.5)
+    load.sent(2.5)
+    load.reported(report(2), 3.0)
+    assert load.allowance(0.25, 0.0, 0.0) == 3
+
+
+def test_rate_approaches_what_is_added() -> None:
+    rate = DecayedRate(3.0)
+    for step in range(300):
+        rate.add(0.5, step / 10)
+    assert rate.per_s(30.0) == pytest.approx(5.0, rel=0.05)
+    assert rate.per_s(60.0) < 0.01
