--- /dev/null
+++ b/packages/aspendrift-client/src/aspendrift_client/context.py
@@ -0,0 +1,73 @@
+"""What every command of the client shares: addresses, token, TLS and output."""
+
+from __future__ import annotations
+
+import ssl
+from dataclasses import dataclass, field
+
+import click
+import httpx
+
+from aspendrift_client.errors import ConfigurationMissing
+from aspendrift_client.output import OutputWriter
+
+__all__ = ["ClientContext", "pass_client_context"]
+
+
+@dataclass(frozen=True, slots=True)
+class ClientContext:
+    """The global options of ``aspendrift``; the ``obj`` of click's context.
+
+    Parameters
+    ----------
+    addresses : tuple of str
+        Base URLs of daemons to start from, in order of preference.
+    token : str
+        Bearer token of a client account or an operator; empty sends none.
+    ca_file : str
+        PEM file with the certificate authorities to trust; empty uses the
+        system's.
+    timeout_s : float
+        Time to wait for one answer, in seconds.
+    """
+
+    addresses: tuple[str, ...] = ()
+    token: str = field(default="", repr=False)
+    ca_file: str = ""
+    timeout_s: float = 10.0
+    output: OutputWriter = OutputWriter()
+
+    def require_addresses(self) -> tuple[str, ...]:
+        """Return the addresses.
+
+        Raises
+        ------
+        ConfigurationMissing
+            If none was given.
+        """
+        if not self.addresses:
+            raise ConfigurationMissing(
+                "no daemon is known: give --address URL or set ASPENDRIFT_ADDRESS"
+            )
+        return self.addresses
+
+    def headers(self) -> dict[str, str]:
+        """Return the headers of each HTTP request."""
+        return {"authorization": f"Bearer {self.token}"} if self.token else {}
+
+    def tls_context(self) -> ssl.SSLContext:
+        """Return the trust settings for ``https`` addresses."""
+        return ssl.create_default_context(cafile=self.ca_file or None)
+
+    def http_client(self, base_url: str = "") -> httpx.AsyncClient:
+        """Return an HTTP client with the token, trust and time limit applied."""
+        return httpx.AsyncClient(
+            base_url=base_url,
+            headers=self.headers(),
+            verify=self.tls_context(),
+            timeout=self.timeout_s,
+            trust_env=False,
+        )
+
+
+pass_client_context = click.make_pass_decorator(ClientContext)
--- /dev/null
+++ b/packages/aspendrift-client/src/aspendrift_client/exchange.py
@@ -0,0 +1,153 @@
+"""One HTTP exchange with one daemon, checked for wholeness."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import httpx
+import msgspec
+
+from aspendrift_client.resend import Broken, NotSent, Reply
+from aspendrift_model.digests import TokenDigest
+from aspendrift_model.states import OutcomeStatus
+from aspendrift_model.wire_caller import (
+    AddressAnswer,
+    EndEvent,
+    OutcomeBody,
+    RequestBody,
+    StreamEvent,
+    TokenEvent,
+)
+
+__all__ = ["TokenSink", "ask_outcome", "fetch_addresses", "send_request"]
+
+_JSON = {"content-type": "application/json"}
+_STREAM_TYPE = "application/x-ndjson"
+_NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+_EVENTS: msgspec.json.Decoder[StreamEvent] = msgspec.json.Decoder(StreamEvent)
+_OUTCOMES = msgspec.json.Decoder(OutcomeBody)
+_ADDRESSES = msgspec.json.Decoder(AddressAnswer)
+
+
+class TokenSink(Protocol):
+    """Receives the tokens of a streamed answer."""
+
+    def token(self, n: int, text: str) -> None:
+        """Take token number ``n``."""
+
+    def restart(self) -> None:
+        """Drop the tokens taken so far; the answer begins anew."""
+
+
+class _CheckedStream:
+    """Checks the numbering, count and digest of a stream."""
+
+    def __init__(self, sink: TokenSink | None) -> None:
+        self._sink = sink
+        self._digest = TokenDigest()
+        self._texts: list[str] = []
+
+    def take(self, event: StreamEvent) -> Reply | None:
+        """Take an event; return the reply if the stream ends with it."""
+        if isinstance(event, EndEvent):
+            return self._end(event.outcome)
+        return self._token(event)
+
+    def _token(self, event: TokenEvent) -> Reply | None:
+        if event.n != self._digest.n_tokens + 1:
+            return Broken(f"token {event.n} after token {self._digest.n_tokens}")
+        self._digest.add(event.text)
+        self._texts.append(event.text)
+        if self._sink is not None:
+            self._sink.token(event.n, event.text)
+        return None
+
+    def _end(self, outcome: OutcomeBody) -> Reply:
+        if outcome.status is not OutcomeStatus.ANSWERED:
+            return outcome
+        if outcome.n_tokens != self._digest.n_tokens:
+            return Broken(f"{self._digest.n_tokens} of {outcome.n_tokens} tokens")
+        if outcome.digest != self._digest.hexdigest():
+            return Broken("the digest of the tokens differs")
+        if outcome.output is None:
+            return msgspec.structs.replace(outcome, output="".join(self._texts))
+        return outcome
+
+
+async def send_request(
+    client: httpx.AsyncClient,
+    url: str,
+    body: RequestBody,
+    sink: TokenSink | None,
+    timeout_s: float,
+) -> Reply:
+    """Send a request to a daemon and return its outcome."""
+    try:
+        async with client.stream(
+            "POST",
+            f"{url}/v1/requests",
+            content=msgspec.json.encode(body),
+            headers=_JSON,
+            timeout=httpx.Timeout(timeout_s, connect=min(timeout_s, 2.0)),
+        ) as response:
+            if response.headers.get("content-type", "").startswith(_STREAM_TYPE):
+                return await _read_stream(response, _CheckedStream(sink))
+            return _outcome(await response.aread(), body.request_id)
+    except _NOT_SENT as error:
+        return NotSent(type(error).__name__)
+    except httpx.HTTPError as error:
+        return Broken(type(error).__name__)
+
+
+async def ask_outcome(
+    client: httpx.AsyncClient, url: str, request_id: str, timeout_s: float
+) -> Reply:
+    """Ask a daemon for the outcome of an earlier request.
+
+    A refusal to answer the question says nothing about the request itself, so
+    any status but 200 counts as no answer.
+    """
+    try:
+        response = await client.get(
+            f"{url}/v1/requests/{request_id}", timeout=timeout_s
+        )
+    except httpx.HTTPError as error:
+        return Broken(type(error).__name__)
+    if response.status_code != 200:
+        return Broken(f"the outcome is not known here ({response.status_code})")
+    return _outcome(response.content, request_id)
+
+
+async def fetch_addresses(
+    client: httpx.AsyncClient, url: str, timeout_s: float
+) -> AddressAnswer | None:
+    """Ask a daemon which addresses to use; None if it gives no valid answer."""
+    try:
+        response = await client.get(f"{url}/v1/addresses", timeout=timeout_s)
+        return _ADDRESSES.decode(response.content)
+    except (httpx.HTTPError, msgspec.MsgspecError):
+        return None
+
+
+async def _read_stream(response: httpx.Response, stream: _CheckedStream) -> Reply:
+    async for line in response.aiter_lines():
+        if not line:
+            continue
+        try:
+            event = _EVENTS.decode(line)
+        except msgspec.MsgspecError:
+            return Broken("an event that can't be read")
+        reply = stream.take(event)
+        if reply is not None:
+            return reply
+    return Broken("the stream has no last event")
+
+
+def _outcome(content: bytes, request_id: str) -> Reply:
+    try:
+        outcome = _OUTCOMES.decode(content)
+    except msgspec.MsgspecError:
+        return Broken("an outcome that can't be read")
+    if outcome.request_id not in (request_id, ""):
+        return Broken("the outcome of another request")
+    return outcome
--- /dev/null
+++ b/packages/aspendrift-client/src/aspendrift_client/run_async.py
@@ -0,0 +1,30 @@
+"""Running a coroutine from a command, with failures turned into exit codes."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from collections.abc import Coroutine
+from typing import Any, NoReturn, TypeVar
+
+import click
+
+from aspendrift_client.errors import ClientError
+
+__all__ = ["fail", "run"]
+
+_T = TypeVar("_T")
+
+
+def run(work: Coroutine[Any, Any, _T]) -> _T:
+    """Run a coroutine to its end; a client error ends the command."""
+    try:
+        return asyncio.run(work)
+    except ClientError as error:
+        fail(error)
+
+
+def fail(error: ClientError) -> NoReturn:
+    """Print an error and exit with its code."""
+    click.echo(f"error: {error}", err=True)
+    sys.exit(int(error.exit_code))
