--- a/packages/aspendrift-client/src/aspendrift_client/output.py
+++ b/packages/aspendrift-client/src/aspendrift_client/output.py
@@ -28,7 +28,9 @@
     lines += [[_cell(value) for value in row] for row in rows]
     widths = [max(len(line[i]) for line in lines) for i in range(len(columns))]
     padded = (
-        _COLUMN_GAP.join(cell.ljust(width) for cell, width in zip(line, widths, strict=True))
+        _COLUMN_GAP.join(
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        )
         for line in lines
     )
     return "\n".join(line.rstrip() for line in padded)
--- /dev/null
+++ b/packages/aspendrift-client/tests/test_caller.py
@@ -0,0 +1,205 @@
+"""Tests of the caller library against scripted daemons."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import httpx
+import msgspec
+import pytest
+
+from aspendrift_client.caller import Call, Caller, CallResult, NoOutcome
+from aspendrift_model.digests import token_digest
+from aspendrift_model.outcomes import REFUSAL_RULES
+from aspendrift_model.states import OutcomeStatus, Ran, RefusalReason
+from aspendrift_model.wire_caller import (
+    Address,
+    AddressAnswer,
+    EndEvent,
+    OutcomeBody,
+    RequestBody,
+    StreamEvent,
+    TokenEvent,
+)
+
+Handler = Callable[[httpx.Request], httpx.Response]
+URLS = ("http://one", "http://two")
+ANSWERED = OutcomeBody("r", OutcomeStatus.ANSWERED, Ran.YES, output="yes")
+
+
+@dataclass
+class Daemons:
+    """Scripted answers to the sends and questions of one caller."""
+
+    on_send: list[Handler]
+    on_ask: list[Handler] = field(default_factory=list)
+    sent: list[RequestBody] = field(default_factory=list)
+    hosts: list[str] = field(default_factory=list)
+    n_asked: int = 0
+
+    def answer(self, request: httpx.Request) -> httpx.Response:
+        if request.url.path == "/v1/addresses":
+            addresses = tuple(Address(url, url, "a") for url in URLS)
+            return json_response(200, AddressAnswer(addresses, 60.0))
+        if request.method == "GET":
+            self.n_asked += 1
+            return self.on_ask.pop(0)(request)
+        self.sent.append(msgspec.json.decode(request.content, type=RequestBody))
+        self.hosts.append(request.url.host)
+        return self.on_send.pop(0)(request)
+
+    def send(self, call: Call, sink: Tokens | None = None) -> CallResult:
+        return asyncio.run(self._send(call, sink))
+
+    async def _send(self, call: Call, sink: Tokens | None) -> CallResult:
+        transport = httpx.MockTransport(self.answer)
+        async with httpx.AsyncClient(transport=transport) as client:
+            caller = Caller(URLS, client, random.Random(7))
+            return await caller.send(call, sink)
+
+
+@dataclass
+class Tokens:
+    """Collects the tokens of a stream."""
+
+    texts: list[str] = field(default_factory=list)
+
+    def token(self, n: int, text: str) -> None:
+        self.texts.append(text)
+
+    def restart(self) -> None:
+        self.texts.clear()
+
+
+def json_response(status: int, body: msgspec.Struct) -> httpx.Response:
+    headers = {"content-type": "application/json"}
+    return httpx.Response(status, content=msgspec.json.encode(body), headers=headers)
+
+
+def answer(request: httpx.Request) -> httpx.Response:
+    return json_response(200, ANSWERED)
+
+
+def reset(request: httpx.Request) -> httpx.Response:
+    raise httpx.ReadError("reset")
+
+
+def unconnected(request: httpx.Request) -> httpx.Response:
+    raise httpx.ConnectError("refused")
+
+
+def refusal(reason: RefusalReason, ran: Ran = Ran.NO) -> Handler:
+    rule = REFUSAL_RULES[reason]
+    status = OutcomeStatus.REFUSED if ran is Ran.NO else OutcomeStatus.FAILED
+    body = OutcomeBody("r", status, ran, reason=reason, action=rule.action)
+    return lambda request: json_response(rule.http_status, body)
+
+
+def stream(*events: StreamEvent) -> Handler:
+    content = b"".join(msgspec.json.encode(event) + b"\n" for event in events)
+    headers = {"content-type": "application/x-ndjson"}
+    return lambda request: httpx.Response(200, content=content, headers=headers)
+
+
+def end(texts: list[str]) -> EndEvent:
+    digest = token_digest(texts)
+    outcome = msgspec.structs.replace(
+        ANSWERED, output=None, n_tokens=len(texts), digest=digest
+    )
+    return EndEvent(outcome)
+
+
+TOKENS = [TokenEvent(1, "a"), TokenEvent(2, "b")]
+END = end(["a", "b"])
+
+
+def test_refused_connection_goes_to_the_other_daemon() -> None:
+    daemons = Daemons([unconnected, answer])
+    result = daemons.send(Call("r", "p", "x"))
+    assert result.answered
+    assert result.n_sends == 2
+    assert len(set(daemons.hosts)) == 2
+
+
+def test_refusal_that_did_not_run_is_sent_again_with_the_same_id() -> None:
+    daemons = Daemons([refusal(RefusalReason.LEAVING), answer])
+    assert daemons.send(Call("r", "p", "x")).answered
+    assert [body.request_id for body in daemons.sent] == ["r", "r"]
+    assert len(set(daemons.hosts)) == 2
+
+
+def test_broken_call_is_asked_for_and_never_sent_twice() -> None:
+    daemons = Daemons([reset], on_ask=[reset, answer])
+    result = daemons.send(Call("r", "p", "x"))
+    assert result.answered
+    assert len(daemons.sent) == 1
+    assert daemons.n_asked == 2
+
+
+def test_refused_question_does_not_mean_not_run() -> None:
+    leaving = refusal(RefusalReason.LEAVING)
+    daemons = Daemons([reset], on_ask=[leaving] * 50)
+    result = daemons.send(Call("r", "p", "x", deadline_ms=300))
+    assert isinstance(result.outcome, NoOutcome)
+    assert result.outcome.ran is Ran.UNKNOWN
+    assert len(daemons.sent) == 1
+
+
+def test_later_refusal_does_not_undo_an_earlier_send() -> None:
+    daemons = Daemons([reset, refusal(RefusalReason.BAD_REQUEST)])
+    result = daemons.send(Call("r", "p", "x", idempotent=True))
+    assert isinstance(result.outcome, OutcomeBody)
+    assert result.outcome.ran is Ran.UNKNOWN
+
+
+def test_no_daemon_reached_means_not_run() -> None:
+    daemons = Daemons([unconnected] * 50)
+    result = daemons.send(Call("r", "p", "x", deadline_ms=300))
+    assert result.outcome == NoOutcome(Ran.NO, "ConnectError")
+
+
+def test_deadline_shrinks_with_each_send() -> None:
+    daemons = Daemons([refusal(RefusalReason.OVERLOADED), answer])
+    daemons.send(Call("r", "p", "x", deadline_ms=5000))
+    first, second = (body.deadline_ms for body in daemons.sent)
+    assert first is not None and second is not None
+    assert second < first <= 5000
+
+
+def test_whole_stream_is_joined() -> None:
+    sink = Tokens()
+    result = Daemons([stream(*TOKENS, END)]).send(
+        Call("r", "p", "x", stream=True), sink
+    )
+    assert isinstance(result.outcome, OutcomeBody)
+    assert result.outcome.output == "ab"
+    assert sink.texts == ["a", "b"]
+
+
+@pytest.mark.parametrize(
+    "events",
+    [
+        TOKENS,
+        [TOKENS[0], END],
+        [TOKENS[1], END],
+        [TOKENS[0], TOKENS[0], END],
+        [TokenEvent(1, "a"), TokenEvent(2, "c"), END],
+    ],
+    ids=["no end", "one lost", "gap", "repeated", "changed"],
+)
+def test_faulty_stream_never_looks_whole(events: list[StreamEvent]) -> None:
+    sink = Tokens()
+    daemons = Daemons([stream(*events), stream(*TOKENS, END)])
+    call = Call("r", "p", "x", stream=True, idempotent=True)
+    assert daemons.send(call, sink).n_sends == 2
+    assert sink.texts == ["a", "b"]
+
+
+def test_outcome_of_another_request_is_not_used() -> None:
+    other = msgspec.structs.replace(ANSWERED, request_id="other")
+    daemons = Daemons([lambda request: json_response(200, other), answer])
+    result = daemons.send(Call("r", "p", "x", idempotent=True))
+    assert result.outcome == ANSWERED
--- /dev/null
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/limits.py
@@ -0,0 +1,211 @@
+"""Limits on what one client can hold: connections, headers, bodies and time."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, ClassVar, Final
+
+import h11
+import msgspec
+from litestar.enums import ScopeType
+from uvicorn.protocols.http.h11_impl import H11Protocol
+
+from aspendrift_model.outcomes import REFUSAL_RULES
+from aspendrift_model.settings_http import HttpSettings
+from aspendrift_model.states import OutcomeStatus, Ran, RefusalReason
+from aspendrift_model.wire_caller import OutcomeBody
+
+if TYPE_CHECKING:
+    from litestar.types import ASGIApp, Message, Receive, Scope, Send
+
+__all__ = ["BodyLimits", "ConnectionLimits", "limited_protocol"]
+
+_MAX_BUFFERED_BYTES: Final = 16 * 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionLimits:
+    """Limits on connections and on what comes before a body.
+
+    Parameters
+    ----------
+    max_connections : int
+        Open connections; one more is closed at once.
+    header_timeout_s : float
+        Time from a connection or the end of an answer's first bytes to a whole
+        header, in seconds.
+    """
+
+    max_connections: int
+    header_timeout_s: float
+
+    @classmethod
+    def from_settings(cls, settings: HttpSettings) -> ConnectionLimits:
+        """Return the limits that the settings ask for."""
+        return cls(settings.max_connections, settings.header_timeout_s)
+
+
+class _LimitedProtocol(H11Protocol):
+    """uvicorn's HTTP/1.1 protocol, bounded in connections and header time."""
+
+    limits: ClassVar[ConnectionLimits]
+    _header_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
+        """Accept the connection unless too many are open."""
+        super().connection_made(transport)
+        if len(self.connections) > self.limits.max_connections:
+            transport.abort()
+            return
+        self._start_timer()
+
+    def data_received(self, data: bytes) -> None:
+        """Pass data on; a header begun must end in time."""
+        if self._header_timer is None and self.conn.their_state is h11.IDLE:
+            self._start_timer()
+        super().data_received(data)
+        if self.conn.their_state is not h11.IDLE:
+            self._stop_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Forget the connection."""
+        self._stop_timer()
+        super().connection_lost(exc)
+
+    def _start_timer(self) -> None:
+        delay = self.limits.header_timeout_s
+        self._header_timer = self.loop.call_later(delay, self.transport.abort)
+
+    def _stop_timer(self) -> None:
+        if self._header_timer is not None:
+            self._header_timer.cancel()
+            self._header_timer = None
+
+
+def limited_protocol(limits: ConnectionLimits) -> type[asyncio.Protocol]:
+    """Return a protocol class for uvicorn's ``http`` option."""
+    return type("LimitedProtocol", (_LimitedProtocol,), {"limits": limits})
+
+
+class _BodyTooLarge(Exception):
+    """More body bytes than allowed have come."""
+
+
+class _BuffersFull(Exception):
+    """The bodies that are not whole yet take too much memory."""
+
+
+class BodyLimits:
+    """ASGI middleware that bounds the size and the time of a request's body.
+
+    A body over its limit is refused before any handler has decoded it. Time
+    spent by the daemon itself does not count.
+
+    Parameters
+    ----------
+    app : ASGIApp
+        The application behind it.
+    max_body_bytes : int
+        Largest body, in bytes.
+    body_timeout_s : float
+        Time for the whole body, in seconds.
+    max_buffered_bytes : int
+        Bytes of all bodies that are not whole yet.
+    """
+
+    def __init__(
+        self,
+        app: ASGIApp,
+        max_body_bytes: int,
+        body_timeout_s: float,
+        max_buffered_bytes: int = _MAX_BUFFERED_BYTES,
+    ) -> None:
+        self._app = app
+        self._max_body_bytes = max_body_bytes
+        self._body_timeout_s = body_timeout_s
+        self._max_buffered_bytes = max_buffered_bytes
+        self._n_buffered_bytes = 0
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Read the body within the limits, then call the application."""
+        if scope["type"] != ScopeType.HTTP:
+            await self._app(scope, receive, send)
+            return
+        try:
+            async with asyncio.timeout(self._body_timeout_s):
+                body = await self._read_body(scope, receive)
+        except _BodyTooLarge:
+            await _refuse(send, RefusalReason.TOO_LARGE)
+        except _BuffersFull:
+            await _refuse(send, RefusalReason.OVERLOADED, "too many bodies at once")
+        except TimeoutError:
+            await _refuse(send, RefusalReason.BAD_REQUEST, "the body came too slowly")
+        else:
+            if body is not None:
+                await self._app(scope, _Replay(body, receive), send)
+
+    async def _read_body(self, scope: Scope, receive: Receive) -> bytes | None:
+        if _declared_length(scope) > self._max_body_bytes:
+            raise _BodyTooLarge
+        body = bytearray()
+        try:
+            while True:
+                message: Any = await receive()
+                if message["type"] == "http.disconnect":
+                    return None
+                self._append(body, message.get("body", b""))
+                if not message.get("more_body", False):
+                    return bytes(body)
+        finally:
+            self._n_buffered_bytes -= len(body)
+
+    def _append(self, body: bytearray, chunk: bytes) -> None:
+        if len(body) + len(chunk) > self._max_body_bytes:
+            raise _BodyTooLarge
+        if self._n_buffered_bytes + len(chunk) > self._max_buffered_bytes:
+            raise _BuffersFull
+        body += chunk
+        self._n_buffered_bytes += len(chunk)
+
+
+class _Replay:
+    """Gives a body that was read already, then what the server sends."""
+
+    def __init__(self, body: bytes, receive: Receive) -> None:
+        self._body: bytes | None = body
+        self._receive = receive
+
+    async def __call__(self) -> Any:
+        if self._body is None:
+            return await self._receive()
+        body, self._body = self._body, None
+        return {"type": "http.request", "body": body, "more_body": False}
+
+
+def _declared_length(scope: Scope) -> int:
+    for name, value in scope.get("headers", ()):
+        if name == b"content-length" and value.isdigit():
+            return int(value)
+    return 0
+
+
+async def _refuse(send: Send, reason: RefusalReason, detail: str = "") -> None:
+    rule = REFUSAL_RULES[reason]
+    outcome = OutcomeBody(
+        request_id="",
+        status=OutcomeStatus.REFUSED,
+        ran=Ran.NO,
+        reason=reason,
+        sentence=rule.sentence,
+        detail=detail,
+        action=rule.action,
+    )
+    start: Message = {
+        "type": "http.response.start",
+        "status": rule.http_status,
+        "headers": [(b"content-type", b"application/json"), (b"connection", b"close")],
+    }
+    await send(start)
+    body: Any = {"type": "http.response.body", "body": msgspec.json.encode(outcome)}
+    await send(body)
--- /dev/null
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/metrics.py
@@ -0,0 +1,156 @@
+"""OpenTelemetry metrics, read by the Prometheus pull reader on ``/metrics``.
+
+Each event becomes a counter with its enumerations as labels, and a histogram
+for each of its fields that is a duration. A reader pulls; no thread exports.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable, Iterable
+from enum import Enum
+from typing import Any, Final
+
+from litestar import Response, get
+from litestar.handlers import HTTPRouteHandler
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions, Counter, Histogram, Observation
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
+from prometheus_client import CollectorRegistry
+from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
+
+from aspendrift_daemon.events import Event, EventHub
+
+__all__ = ["Metrics", "metrics_handler"]
+
+_PREFIX: Final = "aspendrift"
+_TEXT_LABELS: Final = ("profile", "stage")
+_MS_PER_S: Final = 1000.0
+_BUCKETS_S: Final = (
+    0.001,
+    0.0025,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    6.0,
+    15.0,
+    60.0,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Plan:
+    """How one type of event is measured."""
+
+    counter: Counter
+    labels: tuple[str, ...]
+    durations: tuple[tuple[str, Histogram, float], ...]
+
+
+class Metrics:
+    """The instruments of one daemon."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        reader = PrometheusMetricReader(registry=self._registry)
+        buckets = ExplicitBucketHistogramAggregation(_BUCKETS_S)
+        views = [View(instrument_name="*.duration", aggregation=buckets)]
+        provider = MeterProvider([reader], views=views, shutdown_on_exit=False)
+        self._provider = provider
+        self._meter = provider.get_meter(_PREFIX)
+        self._plans_by_type: dict[type[Event], _Plan] = {}
+
+    def connect(self, hub: EventHub) -> None:
+        """Measure every event of a hub."""
+        hub.connect_all(self.record)
+
+    def record(self, event: Event) -> None:
+        """Count an event and record its durations."""
+        plan = self._plans_by_type.get(type(event))
+        if plan is None:
+            plan = self._plan(event)
+            self._plans_by_type[type(event)] = plan
+        attributes = _attributes(event, plan.labels)
+        plan.counter.add(1, attributes)
+        for name, histogram, factor in plan.durations:
+            value = getattr(event, name)
+            if value is not None:
+                histogram.record(value * factor, attributes)
+
+    def gauge(
+        self, name: str, unit: str, doc: str, read: Callable[[], float | int]
+    ) -> None:
+        """Show a value that is read whenever the metrics are pulled."""
+
+        def observe(options: CallbackOptions) -> Iterable[Observation]:
+            return (Observation(read()),)
+
+        self._meter.create_observable_gauge(
+            f"{_PREFIX}.{name}", callbacks=[observe], unit=unit, description=doc
+        )
+
+    def exposition(self) -> bytes:
+        """Return every metric in the Prometheus text format."""
+        return generate_latest(self._registry)
+
+    def close(self) -> None:
+        """Shut the instruments down."""
+        self._provider.shutdown()
+
+    def _plan(self, event: Event) -> _Plan:
+        fields = dataclasses.fields(event)
+        name = f"{_PREFIX}.{event.name}"
+        counter = self._meter.create_counter(name, description=_summary(type(event)))
+        labels = tuple(f.name for f in fields if _is_label(event, f.name))
+        durations = tuple(
+            (f.name, self._histogram(name, f.name), _factor(f.name))
+            for f in fields
+            if _is_duration(f.name)
+        )
+        return _Plan(counter, labels, durations)
+
+    def _histogram(self, prefix: str, field: str) -> Histogram:
+        stem = field.rpartition("_")[0]
+        return self._meter.create_histogram(f"{prefix}.{stem}.duration", unit="s")
+
+
+def metrics_handler(metrics: Metrics) -> HTTPRouteHandler:
+    """Return the handler of ``/metrics``."""
+
+    @get("/metrics", include_in_schema=False)
+    async def show_metrics() -> Response[bytes]:
+        return Response(metrics.exposition(), media_type=CONTENT_TYPE_LATEST)
+
+    return show_metrics
+
+
+def _is_label(event: Event, name: str) -> bool:
+    value = getattr(event, name)
+    return isinstance(value, Enum | bool) or name in _TEXT_LABELS
+
+
+def _is_duration(name: str) -> bool:
+    return name.endswith(("_ms", "_s"))
+
+
+def _factor(name: str) -> float:
+    return 1.0 / _MS_PER_S if name.endswith("_ms") else 1.0
+
+
+def _attributes(event: Event, labels: tuple[str, ...]) -> dict[str, str]:
+    return {name: _label(getattr(event, name)) for name in labels}
+
+
+def _label(value: Any) -> str:
+    return str(value.value if isinstance(value, Enum) else value)
+
+
+def _summary(kind: type[Event]) -> str:
+    return (kind.__doc__ or kind.__name__).strip().splitlines()[0]
--- a/packages/aspendrift-model/src/aspendrift_model/settings_http.py
+++ b/packages/aspendrift-model/src/aspendrift_model/settings_http.py
@@ -47,3 +47,18 @@
     )
     operators: tuple[OperatorToken, ...] = setting((), doc="Operator tokens.")
     max_connections: int = setting(2048, doc="Open connections accepted.", minimum=1)
+    max_header_bytes: int = setting(
+        16_384, unit="bytes", doc="Largest request header.", minimum=1024
+    )
+    header_timeout_s: float = setting(
+        10.0, unit="s", doc="Time for a whole request header.", minimum=0.1
+    )
+    body_timeout_s: float = setting(
+        10.0, unit="s", doc="Time for a whole request body.", minimum=0.1
+    )
+    rotation_check_s: float = setting(
+        5.0,
+        unit="s",
+        doc="Time between looks for replaced certificates and token files.",
+        minimum=0.1,
+    )
