--- /dev/null
+++ b/packages/aspendrift-daemon/tests/test_limits.py
@@ -0,0 +1,131 @@
+"""Tests of the limits on slow, large and many clients, on a real server."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+import pytest
+import uvicorn
+
+from aspendrift_daemon.limits import BodyLimits, ConnectionLimits, limited_protocol
+
+MAX_BODY = 1000
+HEAD = b"POST / HTTP/1.1\r\nhost: a\r\n"
+Client = Callable[[int], Awaitable[bytes]]
+
+
+async def echo(scope: Any, receive: Any, send: Any) -> None:
+    """Answer with the length of the body."""
+    message = await receive()
+    await send({"type": "http.response.start", "status": 200, "headers": []})
+    length = str(len(message["body"])).encode()
+    await send({"type": "http.response.body", "body": length})
+
+
+@contextlib.asynccontextmanager
+async def running_server(
+    *, max_connections: int = 8, timeout_s: float = 0.2, max_buffered: int = 10_000
+) -> AsyncIterator[int]:
+    limits = ConnectionLimits(max_connections, header_timeout_s=timeout_s)
+    app: Any = BodyLimits(echo, MAX_BODY, timeout_s, max_buffered)
+    config = uvicorn.Config(
+        app,
+        host="127.0.0.1",
+        port=0,
+        lifespan="off",
+        loop="asyncio",
+        http=limited_protocol(limits),
+        log_config=None,
+        h11_max_incomplete_event_size=2048,
+    )
+    server = uvicorn.Server(config)
+    serving = asyncio.create_task(server.serve())
+    while not server.started:  # noqa: ASYNC110
+        await asyncio.sleep(0.005)
+    yield server.servers[0].sockets[0].getsockname()[1]
+    server.should_exit = True
+    await serving
+
+
+async def exchange(port: int, *parts: bytes) -> bytes:
+    """Send parts, leave the connection open, and return what comes back."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    for part in parts:
+        writer.write(part)
+        await writer.drain()
+    try:
+        return await reader.read()
+    except ConnectionResetError:
+        return b""
+    finally:
+        writer.close()
+
+
+def run(client: Client, **limits: Any) -> bytes:
+    async def main() -> bytes:
+        async with running_server(**limits) as port:
+            return await client(port)
+
+    return asyncio.run(main())
+
+
+def test_body_within_limits_passes() -> None:
+    request = HEAD + b"connection: close\r\ncontent-length: 1000\r\n\r\n"
+    answer = run(lambda port: exchange(port, request, b"x" * 600, b"x" * 400))
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert b"\r\n1000\r\n" in answer
+
+
+@pytest.mark.parametrize(
+    "request_bytes",
+    [
+        HEAD + b"content-length: 1001\r\n\r\n",
+        HEAD + b"transfer-encoding: chunked\r\n\r\n3e9\r\n" + b"x" * 1001,
+    ],
+    ids=["declared", "chunked"],
+)
+def test_oversized_body_is_a_typed_refusal(request_bytes: bytes) -> None:
+    answer = run(lambda port: exchange(port, request_bytes))
+    assert answer.startswith(b"HTTP/1.1 413")
+    assert b'"reason":"too_large"' in answer
+    assert b'"ran":"no"' in answer
+
+
+def test_slow_body_is_a_typed_refusal() -> None:
+    request = HEAD + b"content-length: 10\r\n\r\nxx"
+    assert b'"ran":"no"' in run(lambda port: exchange(port, request))
+
+
+@pytest.mark.parametrize(
+    "sent", [b"", b"POST / HT", HEAD], ids=["none", "line", "head"]
+)
+def test_slow_header_is_cut_off(sent: bytes) -> None:
+    assert run(lambda port: exchange(port, sent)) == b""
+
+
+def test_oversized_header_is_refused() -> None:
+    request = HEAD + b"a: " + b"x" * 4096
+    assert run(lambda port: exchange(port, request)).startswith(b"HTTP/1.1 400")
+
+
+def test_connection_over_the_limit_is_closed() -> None:
+    async def crowd(port: int) -> bytes:
+        held = [await asyncio.open_connection("127.0.0.1", port) for _ in range(2)]
+        extra = await exchange(port, HEAD + b"content-length: 0\r\n\r\n")
+        for _, writer in held:
+            writer.close()
+        return extra
+
+    assert run(crowd, max_connections=2, timeout_s=30.0) == b""
+
+
+def test_unfinished_bodies_share_one_bound() -> None:
+    async def crowd(port: int) -> bytes:
+        begun = HEAD + b"content-length: 900\r\n\r\n" + b"x" * 800
+        answers = await asyncio.gather(*(exchange(port, begun) for _ in range(3)))
+        return b"\n".join(answers)
+
+    assert b'"reason":"overloaded"' in run(crowd, max_buffered=2000)
--- a/packages/aspendrift-model/src/aspendrift_model/settings_base.py
+++ b/packages/aspendrift-model/src/aspendrift_model/settings_base.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import json
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
@@ -233,8 +234,27 @@
                 meta.doc,
             )
         )
+        listed += _list_items(hint, where)
     return listed
 
 
+def _list_items(hint: Any, path: str) -> list[SettingInfo]:
+    """Return the settings of each item, if the setting is a list of objects."""
+    if get_origin(hint) is not tuple:
+        return []
+    item = get_args(hint)[0]
+    if not (dataclasses.is_dataclass(item) and isinstance(item, type)):
+        return []
+    return list_settings(item, f"{path}[]")
+
+
 def _shown(value: Any) -> str:
-    return repr(value.value if isinstance(value, Enum) else value)
+    return json.dumps(_plain(value))
+
+
+def _plain(value: Any) -> Any:
+    if isinstance(value, Enum):
+        return value.value
+    if isinstance(value, tuple):
+        return [_plain(each) for each in value]
+    return value
