Label metrics by the declared type of a field

Cause: an event whose reason is absent the first time lost that label for good. Change: read the labels from type hints; a test that failed before.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/metrics.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/metrics.py
@@ -9,7 +9,7 @@
 import dataclasses
 from collections.abc import Callable, Iterable
 from enum import Enum
-from typing import Any, Final
+from typing import Any, Final, get_args, get_type_hints
 
 from litestar import Response, get
 from litestar.handlers import HTTPRouteHandler
@@ -105,14 +105,15 @@
         self._provider.shutdown()
 
     def _plan(self, event: Event) -> _Plan:
-        fields = dataclasses.fields(event)
-        name = f"{_PREFIX}.{event.name}"
-        counter = self._meter.create_counter(name, description=_summary(type(event)))
-        labels = tuple(f.name for f in fields if _is_label(event, f.name))
+        hints = get_type_hints(type(event))
+        names = [field.name for field in dataclasses.fields(event)]
+        prefix = f"{_PREFIX}.{event.name}"
+        counter = self._meter.create_counter(prefix, description=_summary(type(event)))
+        labels = tuple(name for name in names if _is_label(name, hints[name]))
         durations = tuple(
-            (f.name, self._histogram(name, f.name), _factor(f.name))
-            for f in fields
-            if _is_duration(f.name)
+            (name, self._histogram(prefix, name), _factor(name))
+            for name in names
+            if _is_duration(name)
         )
         return _Plan(counter, labels, durations)
 
@@ -131,9 +132,13 @@
     return show_metrics
 
 
-def _is_label(event: Event, name: str) -> bool:
-    value = getattr(event, name)
-    return isinstance(value, Enum | bool) or name in _TEXT_LABELS
+def _is_label(name: str, hint: Any) -> bool:
+    options = get_args(hint) or (hint,)
+    enumerated = any(
+        isinstance(option, type) and issubclass(option, Enum | bool)
+        for option in options
+    )
+    return enumerated or name in _TEXT_LABELS
 
 
 def _is_duration(name: str) -> bool:
@@ -149,6 +154,8 @@
 
 
 def _label(value: Any) -> str:
+    if value is None:
+        return ""
     return str(value.value if isinstance(value, Enum) else value)
 
 
--- a/packages/aspendrift-daemon/tests/test_metrics.py
+++ b/packages/aspendrift-daemon/tests/test_metrics.py
@@ -18,7 +18,7 @@
 
     name: ClassVar[str] = "refusal"
     request_id: str
-    reason: RefusalReason
+    reason: RefusalReason | None
     waited_ms: float
 
 
@@ -40,6 +40,14 @@
     assert "r0" not in text
 
 
+def test_label_is_kept_when_the_first_event_lacks_it(metrics: Metrics) -> None:
+    metrics.record(Refusal("r", None, 1.0))
+    metrics.record(Refusal("r", RefusalReason.POISON, 1.0))
+    text = metrics.exposition().decode()
+    assert 'reason=""' in text
+    assert 'reason="poison"' in text
+
+
 def test_duration_is_a_histogram_in_seconds(metrics: Metrics) -> None:
     metrics.record(Refusal("r", RefusalReason.OVERLOADED, 20.0))
     text = metrics.exposition().decode()
