--- /dev/null
+++ b/tools/check_docs.py
@@ -0,0 +1,181 @@
+"""Check the pages: links, commands, the generated page and the two tables.
+
+Each line that begins with ``$`` in a console block is a command. Ours are parsed
+against the command tree; those that only read (``--help``, ``check``,
+``settings``) are run, and the lines shown below them have to be in the output.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import io
+import re
+import shlex
+import sys
+import tomllib
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Final
+
+import check_imports
+import click
+import generate_settings_page
+from click.testing import CliRunner
+
+import aspendrift_client.cli
+import aspendrift_daemon.cli
+
+ROOT: Final = Path(__file__).resolve().parent.parent
+BLOCK: Final = re.compile(r"^```console\n(.*?)^```", re.MULTILINE | re.DOTALL)
+LINK: Final = re.compile(r"\]\(([^)#\s]+)(?:#[^)]*)?\)")
+TABLE_ROW: Final = re.compile(r"^\| `aspendrift-(\w+)` \|.*\| (.*) \|$", re.MULTILINE)
+TREES: Final = {
+    "aspendrift": aspendrift_client.cli.command,
+    "aspendriftd": aspendrift_daemon.cli.command,
+}
+ELISION: Final = "…"
+
+
+@dataclass(slots=True)
+class ShownCommand:
+    """A command in a page, with the output shown below it."""
+
+    words: list[str]
+    shown: list[str] = field(default_factory=list)
+
+
+def pages() -> list[Path]:
+    """Return the pages that are checked."""
+    return [ROOT / "README.md", *sorted((ROOT / "docs").rglob("*.md"))]
+
+
+def shown_commands(text: str) -> Iterator[ShownCommand]:
+    """Yield the commands in the console blocks of a page."""
+    for block in BLOCK.findall(text):
+        current: ShownCommand | None = None
+        for line in block.replace("\\\n", "").splitlines():
+            if line.startswith("$ "):
+                if current is not None:
+                    yield current
+                current = ShownCommand(shlex.split(line[2:], comments=True))
+            elif current is not None and line.strip():
+                current.shown.append(line)
+        if current is not None:
+            yield current
+
+
+def broken_links(page: Path, text: str) -> Iterator[str]:
+    """Yield the relative links that lead nowhere."""
+    for link in LINK.findall(text):
+        if "://" not in link and not (page.parent / link).exists():
+            yield f"link to {link} leads nowhere"
+
+
+def parse(group: click.Command, name: str, words: list[str]) -> None:
+    """Parse the words of a command as click would, without running it."""
+    context = group.make_context(name, list(words))
+    while isinstance(context.command, click.Group):
+        remaining = [*context._protected_args, *context.args]
+        found, child, rest = context.command.resolve_command(context, remaining)
+        if child is None:
+            raise click.UsageError("no such command")
+        context = child.make_context(found, rest, parent=context)
+
+
+def command_problem(command: ShownCommand) -> str | None:
+    """Return what is wrong with a command, or None."""
+    name, *words = command.words
+    if name == "make":
+        targets = re.findall(r"^([\w-]+):", (ROOT / "Makefile").read_text(), re.M)
+        unknown = set(words) - set(targets)
+        return f"no make target {', '.join(unknown)}" if unknown else None
+    if name not in TREES:
+        return None
+    try:
+        with contextlib.redirect_stdout(io.StringIO()):
+            parse(TREES[name], name, words)
+    except click.exceptions.Exit:
+        pass
+    except click.ClickException as error:
+        return error.format_message()
+    return run_problem(command) if is_harmless(command) else None
+
+
+def is_harmless(command: ShownCommand) -> bool:
+    """Return whether a command only reads files of the repository."""
+    name, *words = command.words
+    if words[-1:] == ["--help"] or words[:1] == ["completion"]:
+        return True
+    reads_example = words[:1] == ["check"] and words[-1].startswith("examples/")
+    return name == "aspendriftd" and (reads_example or words[:1] == ["settings"])
+
+
+def run_problem(command: ShownCommand) -> str | None:
+    """Run a command and return what differs from the page, or None."""
+    name, *words = command.words
+    result = CliRunner().invoke(TREES[name], words, prog_name=name)
+    if result.exit_code != 0:
+        return f"exit code {result.exit_code}"
+    output = {line.rstrip() for line in result.output.splitlines()}
+    missing = [
+        s for s in command.shown if ELISION not in s and s.rstrip() not in output
+    ]
+    return f"does not print {missing[0]!r}" if missing else None
+
+
+def package_table_problems() -> Iterator[str]:
+    """Yield the rows of the package table that disagree with the import check."""
+    text = (ROOT / "docs" / "ARCHITECTURE.md").read_text()
+    rows = dict(TABLE_ROW.findall(text))
+    for package, allowed in check_imports.ALLOWED.items():
+        expected = ", ".join(f"`{name}`" for name in sorted(allowed)) or "-"
+        if rows.get(package) != expected:
+            yield f"package table: {package} may import {expected}"
+
+
+def dependency_problems() -> Iterator[str]:
+    """Yield the declared dependencies without a line in the page."""
+    text = (ROOT / "docs" / "DEPENDENCIES.md").read_text()
+    for path in sorted((ROOT / "packages").glob("*/pyproject.toml")):
+        for name in tomllib.loads(path.read_text())["project"]["dependencies"]:
+            if not name.startswith("aspendrift-") and name not in text:
+                yield f"docs/DEPENDENCIES.md: no line for {name}"
+
+
+def unlisted_pages() -> Iterator[str]:
+    """Yield the pages that the index does not list."""
+    index = ROOT / "docs" / "index.md"
+    listed = {
+        (index.parent / link).resolve() for link in LINK.findall(index.read_text())
+    }
+    for page in pages():
+        if page != index and page not in listed:
+            yield f"docs/index.md does not list {page.relative_to(ROOT)}"
+
+
+def page_problems(page: Path) -> Iterator[str]:
+    """Yield what is wrong in one page."""
+    text = page.read_text()
+    name = page.relative_to(ROOT)
+    for problem in broken_links(page, text):
+        yield f"{name}: {problem}"
+    for command in shown_commands(text):
+        problem = command_problem(command)
+        if problem is not None:
+            yield f"{name}: `{shlex.join(command.words)}`: {problem}"
+
+
+def main() -> int:
+    """Print every problem and return the exit code."""
+    problems = [problem for page in pages() for problem in page_problems(page)]
+    problems += [*package_table_problems(), *dependency_problems(), *unlisted_pages()]
+    for problem in problems:
+        print(problem, file=sys.stderr)
+    stale = generate_settings_page.main()
+    return 1 if problems else stale
+
+
+if __name__ == "__main__":
+    sys.argv.append("--check")
+    sys.exit(main())
