Resend a call that no daemon has a record of

Cause: a daemon that died before the claim left its caller with an unknown outcome although a resend under the same id is safe. Change: a separate decision after asking; refusals of the question are told from outcomes by their empty request id.

--- a/packages/aspendrift-client/src/aspendrift_client/caller.py
+++ b/packages/aspendrift-client/src/aspendrift_client/caller.py
@@ -19,7 +19,14 @@
     fetch_addresses,
     send_request,
 )
-from aspendrift_client.resend import Broken, NextStep, NotSent, Reply, next_step
+from aspendrift_client.resend import (
+    Broken,
+    NextStep,
+    NotSent,
+    Reply,
+    next_step,
+    next_step_after_asking,
+)
 from aspendrift_model.states import OutcomeStatus, Ran
 from aspendrift_model.wire_caller import AddressAnswer, OutcomeBody, RequestBody
 
@@ -156,9 +163,10 @@
         while step is not NextStep.FINISH:
             if step is NextStep.ASK_OUTCOME:
                 reply = await self._ask_once(progress)
+                step = next_step_after_asking(reply)
             else:
                 reply = await self._send_once(progress)
-            step = next_step(reply, idempotent=call.idempotent)
+                step = next_step(reply, idempotent=call.idempotent)
             if step is not NextStep.FINISH and not await self._wait(progress, reply):
                 break
         return _result(progress, reply)
@@ -209,7 +217,7 @@
         remaining_s = max(_MIN_SEND_S, progress.deadline_at - self._monotonic())
         request_id = progress.call.request_id
         reply = await ask_outcome(self._client, url, request_id, remaining_s)
-        if isinstance(reply, OutcomeBody):
+        if isinstance(reply, OutcomeBody) and reply.ran is not Ran.UNKNOWN:
             progress.ran = reply.ran
         self._learn(progress, url, reply)
         return reply
--- a/packages/aspendrift-client/src/aspendrift_client/exchange.py
+++ b/packages/aspendrift-client/src/aspendrift_client/exchange.py
@@ -104,8 +104,8 @@
 ) -> Reply:
     """Ask a daemon for the outcome of an earlier request.
 
-    A refusal to answer the question says nothing about the request itself, so
-    any status but 200 counts as no answer.
+    A refusal to answer the question names no request id. It says nothing about
+    the request itself and counts as no answer.
     """
     try:
         response = await client.get(
@@ -113,9 +113,10 @@
         )
     except httpx.HTTPError as error:
         return Broken(type(error).__name__)
-    if response.status_code != 200:
-        return Broken(f"the outcome is not known here ({response.status_code})")
-    return _outcome(response.content, request_id)
+    reply = _outcome(response.content, request_id)
+    if isinstance(reply, OutcomeBody) and not reply.request_id:
+        return Broken(f"the question was refused: {response.status_code}")
+    return reply
 
 
 async def fetch_addresses(
--- a/packages/aspendrift-client/src/aspendrift_client/resend.py
+++ b/packages/aspendrift-client/src/aspendrift_client/resend.py
@@ -9,7 +9,14 @@
 from aspendrift_model.states import CallerAction, OutcomeStatus, Ran, RefusalReason
 from aspendrift_model.wire_caller import OutcomeBody
 
-__all__ = ["Broken", "NextStep", "NotSent", "Reply", "next_step"]
+__all__ = [
+    "Broken",
+    "NextStep",
+    "NotSent",
+    "Reply",
+    "next_step",
+    "next_step_after_asking",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,3 +83,20 @@
     if reply.reason is RefusalReason.OUTCOME_UNKNOWN and not idempotent:
         return NextStep.FINISH
     return NextStep.RESEND_ELSEWHERE if idempotent else NextStep.ASK_OUTCOME
+
+
+def next_step_after_asking(reply: Reply) -> NextStep:
+    """Decide what to do after asking for the outcome of a call.
+
+    Without a record of the call, it is sent again under the same request id:
+    whichever of the two sends is recorded first is the only one that runs.
+    """
+    if not isinstance(reply, OutcomeBody):
+        return NextStep.ASK_OUTCOME
+    if reply.reason is RefusalReason.NOT_FOUND:
+        return NextStep.RESEND_ELSEWHERE
+    if reply.ran is not Ran.UNKNOWN:
+        return next_step(reply, idempotent=False)
+    if reply.reason is RefusalReason.OUTCOME_UNKNOWN:
+        return NextStep.FINISH
+    return NextStep.ASK_OUTCOME
