--- /dev/null
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/configuration.py
@@ -0,0 +1,424 @@
+"""The configuration in force at this daemon: loading, publishing and spreading."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine, Sequence
+from dataclasses import dataclass
+from typing import ClassVar, Final
+
+import msgspec
+
+from aspendrift_daemon.configuration_table import (
+    ChangeOutcome,
+    ChangeRecorded,
+    ConfigurationTable,
+)
+from aspendrift_daemon.events import Event, EventHub
+from aspendrift_daemon.interfaces import (
+    Clock,
+    PeerBus,
+    StoreUnavailable,
+    TableService,
+)
+from aspendrift_model.configuration import Configuration
+from aspendrift_model.hosts import Host
+from aspendrift_model.ids import DaemonId, Revision
+from aspendrift_model.settings_peers import PeerSettings
+from aspendrift_model.states import MemberState, RefusalReason
+from aspendrift_model.wire_operator import ChangeRequest
+from aspendrift_model.wire_peer import (
+    ChangePush,
+    ChangeRecord,
+    Changes,
+    ChangesPull,
+    ConfigurationMessage,
+    Held,
+    HeldQuery,
+    RevisionDigest,
+    Snapshot,
+    SnapshotPull,
+)
+from aspendrift_policy.configuration_log import ConfigurationLog
+from aspendrift_policy.freshness import Freshness
+from aspendrift_policy.held_revisions import HeldRevisions, Progress
+from aspendrift_policy.spread import head_read_delay_s
+
+__all__ = [
+    "ConfigurationApplied",
+    "ConfigurationDiverged",
+    "ConfigurationKeeper",
+    "HeadReadFailed",
+]
+
+CONFIGURATION_TOPIC: Final = "c"
+_MAX_CHANGES: Final = 128
+_ACCEPT_TIMEOUT_S: Final = 5.0
+_ACCEPT_POLL_S: Final = 0.02
+_PULL_INTERVAL_S: Final = 0.25
+_REPAIR_INTERVAL_S: Final = 0.5
+_MAX_REPAIRS: Final = 64
+_WATCH_S: Final = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationApplied(Event):
+    """A newer revision came into force at this daemon."""
+
+    name: ClassVar[str] = "configuration_applied"
+    revision: int
+    n_changes: int
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationDiverged(Event):
+    """A peer holds other content at the same revision; the table is read again."""
+
+    name: ClassVar[str] = "configuration_diverged"
+    daemon_id: DaemonId
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class HeadReadFailed(Event):
+    """The head revision could not be read from the table."""
+
+    name: ClassVar[str] = "head_read_failed"
+    detail: str
+
+
+class ConfigurationKeeper:
+    """Holds the configuration, keeps it new, and publishes changes.
+
+    Parameters
+    ----------
+    table : TableService
+        Where revisions are kept.
+    bus : PeerBus
+        The other daemons.
+    rng : random.Random
+        Chooses peers and jitters reads.
+    daemon_id : DaemonId
+        This daemon.
+    """
+
+    def __init__(
+        self,
+        table: TableService,
+        bus: PeerBus,
+        clock: Clock,
+        events: EventHub,
+        rng: random.Random,
+        settings: PeerSettings,
+        daemon_id: DaemonId,
+    ) -> None:
+        self.table = ConfigurationTable(table, clock, rng)
+        self._bus = bus
+        self._clock = clock
+        self._events = events
+        self._rng = rng
+        self._settings = settings
+        self._daemon_id = daemon_id
+        self._log = ConfigurationLog()
+        self._freshness = Freshness(daemon_id, settings.freshness_limit_s)
+        self._held = HeldRevisions()
+        self._current = Configuration()
+        self._listeners: list[Callable[[Configuration], None]] = []
+        self._is_loaded = False
+        self._is_leaving = False
+        self._pulled_at = -_PULL_INTERVAL_S
+        self._watched_until = 0.0
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(ConfigurationMessage)
+        self._tasks: set[asyncio.Task[None]] = set()
+        bus.subscribe(CONFIGURATION_TOPIC, self._on_message)
+
+    async def start(self) -> None:
+        """Load from the table if it answers, and keep up from then on."""
+        await self._load_from_table()
+        self._run(self._read_head_forever())
+        self._run(self._repair_forever())
+
+    async def stop(self) -> None:
+        """Stop all tasks."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def current(self) -> Configuration:
+        """Return the configuration in force."""
+        return self._current
+
+    @property
+    def log(self) -> ConfigurationLog:
+        """The items in force and the newest changes."""
+        return self._log
+
+    def on_change(self, listener: Callable[[Configuration], None]) -> None:
+        """Call a listener after each newer revision is applied."""
+        self._listeners.append(listener)
+
+    def begin_leaving(self) -> None:
+        """Take no new work from now on."""
+        self._is_leaving = True
+
+    def may_serve(self, now: float) -> RefusalReason | None:
+        """Return why new work is refused, or None if it may be taken."""
+        if self._is_leaving:
+            return RefusalReason.LEAVING
+        if not self._is_loaded:
+            return RefusalReason.NOT_READY
+        return self._freshness.refusal(self._log.revision, self._member_ids(), now)
+
+    def fresh_at(self, now: float) -> float | None:
+        """Return until when nothing accepted can be missing here."""
+        return self._freshness.fresh_at(self._log.revision, self._member_ids(), now)
+
+    def head_read_at(self) -> float | None:
+        """Return when the newest known read of the head was made."""
+        head = self._freshness.head
+        return None if head is None else head.at
+
+    async def publish(
+        self, change: ChangeRequest, operator: str = "local"
+    ) -> ChangeOutcome:
+        """Record a change and spread it.
+
+        Returns
+        -------
+        ChangeOutcome
+            ``ChangeRecorded`` once the table holds it; :meth:`progress` tells
+            whether it is accepted and in force.
+        """
+        outcome = await self.table.publish(change, operator)
+        if isinstance(outcome, ChangeRecorded):
+            if outcome.record is not None:
+                self._take([outcome.record], self._daemon_id)
+            if self._log.revision < outcome.revision:
+                await self._catch_up(outcome.revision)
+            self.watch()
+            await self._wait_accepted(outcome.revision)
+        return outcome
+
+    def progress(self, revision: int) -> Progress:
+        """Return how far a revision has come in this daemon's view."""
+        hosts = [host for host, _ in self._bus.members()]
+        for host in hosts:
+            if host.daemon_id == self._daemon_id:
+                self._held.note(host, self._log.revision)
+        return self._held.progress(revision, hosts)
+
+    def held_by(self, host: Host) -> int | None:
+        """Return the revision that a daemon is known to hold."""
+        return self._held.revision_of(host)
+
+    def watch(self) -> None:
+        """For a while, ask the daemons that have not confirmed the newest revision."""
+        self._watched_until = self._clock.monotonic() + _WATCH_S
+
+    def digest(self, now: float) -> RevisionDigest:
+        """Return what to tell a peer."""
+        log = self._log
+        ids = self._member_ids()
+        return self._freshness.digest(log.revision, log.content_hash, ids, now)
+
+    def learned(
+        self,
+        daemon_id: DaemonId,
+        digest: RevisionDigest,
+        as_of: float | None,
+        views_agree: bool,
+        now: float,
+    ) -> None:
+        """Take in a peer's digest; ``as_of`` is None if it was not asked for."""
+        self._note_held(daemon_id, digest.revision)
+        if as_of is not None:
+            ids = self._member_ids() if views_agree else ()
+            self._freshness.learned(daemon_id, digest, as_of, ids, self._log.revision)
+        if digest.revision > self._log.revision or not self._is_loaded:
+            self._pull_from(daemon_id, now)
+        elif digest.revision == self._log.revision:
+            self._compare(daemon_id, digest)
+
+    def is_serving(self, now: float) -> bool:
+        """Return whether this daemon takes new work."""
+        return self.may_serve(now) is None
+
+    def _run(self, coroutine: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _member_ids(self) -> list[DaemonId]:
+        return [host.daemon_id for host, _ in self._bus.members()]
+
+    async def _load_from_table(self) -> bool:
+        asked_at = self._clock.monotonic()
+        snapshot = await self.table.load()
+        if isinstance(snapshot, StoreUnavailable):
+            self._events.emit(HeadReadFailed(snapshot.detail))
+            return False
+        self._load(snapshot)
+        self._freshness.head_was(snapshot.revision, asked_at, self._log.revision)
+        return True
+
+    async def _read_head_forever(self) -> None:
+        while True:
+            n_daemons = len(self._bus.members())
+            rate = self._settings.head_reads_per_s
+            await asyncio.sleep(head_read_delay_s(n_daemons, rate, self._rng))
+            if self._is_loaded:
+                await self._read_head()
+            else:
+                await self._load_from_table()
+
+    async def _read_head(self) -> None:
+        asked_at = self._clock.monotonic()
+        revision = await self.table.head()
+        if isinstance(revision, StoreUnavailable):
+            self._events.emit(HeadReadFailed(revision.detail))
+            return
+        self._freshness.head_was(revision, asked_at, self._log.revision)
+        if revision > self._log.revision:
+            await self._catch_up(revision)
+
+    async def _catch_up(self, revision: int) -> None:
+        """Read the revisions up to a known one from the table."""
+        while self._log.revision < revision:
+            before = self._log.revision
+            changes = await self.table.changes_after(before, revision)
+            if isinstance(changes, StoreUnavailable):
+                return
+            self._take(changes, self._daemon_id)
+            if self._log.revision == before:
+                return
+
+    async def _wait_accepted(self, revision: int) -> None:
+        until = self._clock.monotonic() + _ACCEPT_TIMEOUT_S
+        while self._clock.monotonic() < until:
+            if self.progress(revision).is_accepted:
+                return
+            await asyncio.sleep(_ACCEPT_POLL_S)
+
+    async def _repair_forever(self) -> None:
+        while True:
+            await asyncio.sleep(_REPAIR_INTERVAL_S * self._rng.uniform(0.75, 1.25))
+            if self._clock.monotonic() < self._watched_until:
+                self._ask_unconfirmed()
+
+    def _ask_unconfirmed(self) -> None:
+        progress = self.progress(self._log.revision)
+        missing = list(progress.unconfirmed)
+        self._rng.shuffle(missing)
+        for daemon_id in missing[:_MAX_REPAIRS]:
+            self._send(daemon_id, HeldQuery(self._log.revision))
+
+    def _on_message(self, origin: DaemonId, payload: bytes) -> None:
+        try:
+            message = self._decoder.decode(payload)
+        except msgspec.MsgspecError:
+            return
+        if isinstance(message, ChangePush):
+            self._take([message.change], DaemonId(message.confirm_to))
+        elif isinstance(message, Changes):
+            self._take(message.changes, None)
+        elif isinstance(message, Held):
+            self._note_held(origin, message.revision)
+        elif isinstance(message, Snapshot):
+            self._on_snapshot(message)
+        else:
+            self._answer(origin, message)
+
+    def _answer(
+        self, origin: DaemonId, message: HeldQuery | ChangesPull | SnapshotPull
+    ) -> None:
+        if isinstance(message, HeldQuery):
+            self._send(origin, Held(self._log.revision, self._log.content_hash))
+            if message.revision > self._log.revision:
+                self._pull_from(origin, self._clock.monotonic())
+        elif not self._is_loaded:
+            return
+        elif isinstance(message, SnapshotPull):
+            self._send(origin, self._log.snapshot())
+        else:
+            changes = self._log.changes_after(message.after, _MAX_CHANGES)
+            if changes:
+                self._send(origin, Changes(changes))
+            elif message.after < self._log.revision:
+                self._send(origin, self._log.snapshot())
+
+    def _on_snapshot(self, snapshot: Snapshot) -> None:
+        if not self._is_loaded or snapshot.revision > self._log.revision:
+            self._load(snapshot)
+
+    def _take(
+        self, changes: Sequence[ChangeRecord], confirm_to: DaemonId | None
+    ) -> None:
+        """Apply changes; forward and confirm those that came by push or table."""
+        if not self._is_loaded:
+            return
+        applied = self._log.offer(changes)
+        if not applied:
+            return
+        self._applied(len(applied))
+        if confirm_to is None:
+            return
+        for change in applied:
+            self._push(change, confirm_to)
+        self._confirm(confirm_to)
+
+    def _push(self, change: ChangeRecord, confirm_to: DaemonId) -> None:
+        message = self._encoder.encode(ChangePush(change, confirm_to))
+        peers = [host.daemon_id for host, state in self._bus.members() if _hears(state)]
+        others = [each for each in peers if each not in (self._daemon_id, confirm_to)]
+        count = min(self._settings.push_fanout, len(others))
+        for daemon_id in self._rng.sample(others, count):
+            self._bus.send(daemon_id, CONFIGURATION_TOPIC, message)
+
+    def _confirm(self, confirm_to: DaemonId) -> None:
+        if confirm_to != self._daemon_id:
+            held = Held(self._log.revision, self._log.content_hash)
+            self._send(confirm_to, held)
+
+    def _applied(self, n_changes: int) -> None:
+        self._freshness.held(self._log.revision)
+        self._current = self._log.configuration()
+        self._events.emit(ConfigurationApplied(self._log.revision, n_changes))
+        for listener in self._listeners:
+            listener(self._current)
+
+    def _load(self, snapshot: Snapshot) -> None:
+        if not self._log.load(snapshot):
+            return
+        self._is_loaded = True
+        self._applied(len(snapshot.items))
+
+    def _pull_from(self, daemon_id: DaemonId, now: float) -> None:
+        if now - self._pulled_at < _PULL_INTERVAL_S:
+            return
+        self._pulled_at = now
+        if self._is_loaded:
+            self._send(daemon_id, ChangesPull(self._log.revision))
+        else:
+            self._send(daemon_id, SnapshotPull())
+
+    def _compare(self, daemon_id: DaemonId, digest: RevisionDigest) -> None:
+        if digest.content_hash != self._log.content_hash:
+            event = ConfigurationDiverged(daemon_id, Revision(digest.revision))
+            self._events.emit(event)
+
+    def _note_held(self, daemon_id: DaemonId, revision: int) -> None:
+        for host, _ in self._bus.members():
+            if host.daemon_id == daemon_id:
+                self._held.note(host, revision)
+                return
+
+    def _send(self, daemon_id: DaemonId, message: ConfigurationMessage) -> None:
+        payload = self._encoder.encode(message)
+        self._bus.send(daemon_id, CONFIGURATION_TOPIC, payload)
+
+
+def _hears(state: MemberState) -> bool:
+    return state not in (MemberState.DEAD, MemberState.UNREACHABLE)
--- /dev/null
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/membership.py
@@ -0,0 +1,305 @@
+"""Keeps the view of the other daemons: probes, gossip and the platform's list."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Coroutine, Sequence
+from dataclasses import dataclass
+from typing import ClassVar, Final, Protocol
+from urllib.parse import urlsplit
+
+import msgspec
+
+from aspendrift_daemon.events import Event, EventHub
+from aspendrift_daemon.interfaces import Clock, MembershipList, StoreUnavailable
+from aspendrift_daemon.peers import PeerLink
+from aspendrift_model.ids import DaemonId
+from aspendrift_model.settings_peers import PeerSettings
+from aspendrift_model.states import MemberState
+from aspendrift_model.wire_peer import (
+    Ack,
+    BucketHashes,
+    Gossip,
+    MemberMessage,
+    MemberUpdate,
+    Probe,
+    ProbeRequest,
+    RevisionDigest,
+    ViewRecords,
+)
+from aspendrift_policy.failure_detection import (
+    AskHelpers,
+    ProbeAction,
+    ProbeMember,
+    Prober,
+    ProbeTimes,
+)
+from aspendrift_policy.listed_hosts import ListedHosts
+
+__all__ = ["DigestExchange", "MemberChanged", "MembershipKeeper"]
+
+MEMBER_TOPIC: Final = "m"
+_TICK_S: Final = 0.1
+_MAX_UPDATES: Final = 8
+_MIN_SYNC_S: Final = 1.0
+_KEEP_DEAD_S: Final = 60.0
+_REFUSAL_CHECK_S: Final = 1.0
+_HOUSEKEEPING_S: Final = 5.0
+
+
+class DigestExchange(Protocol):
+    """What travels on probes besides membership."""
+
+    def digest(self, now: float) -> RevisionDigest:
+        """Return what to tell a peer."""
+
+    def learned(
+        self,
+        daemon_id: DaemonId,
+        digest: RevisionDigest,
+        as_of: float | None,
+        views_agree: bool,
+        now: float,
+    ) -> None:
+        """Take in a peer's digest; ``as_of`` is None if it was not asked for."""
+
+    def is_serving(self, now: float) -> bool:
+        """Return whether this daemon takes new work."""
+
+
+@dataclass(frozen=True, slots=True)
+class MemberChanged(Event):
+    """The state of a member changed in this daemon's view."""
+
+    name: ClassVar[str] = "member_changed"
+    daemon_id: DaemonId
+    incarnation: int
+    state: MemberState
+
+
+class MembershipKeeper:
+    """Runs the failure detector and the exchange of views.
+
+    Parameters
+    ----------
+    link : PeerLink
+        Carries the messages and holds the view.
+    listing : MembershipList or None
+        The platform's lagging list.
+    digests : DigestExchange
+        Source and sink of the configuration digests on probes.
+    """
+
+    def __init__(
+        self,
+        link: PeerLink,
+        listing: MembershipList | None,
+        settings: PeerSettings,
+        clock: Clock,
+        events: EventHub,
+        rng: random.Random,
+        digests: DigestExchange,
+    ) -> None:
+        self._link = link
+        self._view = link.view
+        self._listing = listing
+        self._settings = settings
+        self._clock = clock
+        self._events = events
+        self._rng = rng
+        self._digests = digests
+        self._listed = ListedHosts()
+        times = ProbeTimes(
+            settings.probe_interval_s, settings.probe_timeout_s, settings.suspicion_s
+        )
+        self._prober = Prober(times)
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(MemberMessage)
+        self._synced_at = -_MIN_SYNC_S
+        self._housekept_at = 0.0
+        self._acknowledged: set[DaemonId] = set()
+        self._known_states: dict[DaemonId, tuple[int, MemberState]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        link.subscribe(MEMBER_TOPIC, self._on_message)
+
+    async def start(self) -> None:
+        """Start probing and reading the platform's list; the link has started."""
+        self._run(self._tick_forever())
+        if self._listing is not None:
+            self._run(self._read_list_forever())
+
+    async def stop(self) -> None:
+        """Stop all tasks."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def begin_leaving(self) -> None:
+        """Tell the other daemons that this one takes no new work and will stop."""
+        now = self._clock.monotonic()
+        self._view.leave(now)
+        own = self._view.update_of(self._view.own)
+        records = self._encoder.encode(ViewRecords((own,)))
+        self._link.broadcast(MEMBER_TOPIC, records)
+
+    def step(self, now: float) -> None:
+        """Do what is due; called by the tick task and by tests."""
+        own = self._view.own.host
+        serving = self._digests.is_serving(now)
+        self._view.heard(own.daemon_id, own.incarnation, serving, now)
+        for action in self._prober.tick(self._view, now, self._rng):
+            self._act(action, now)
+        if now - self._housekept_at > _HOUSEKEEPING_S:
+            self._housekept_at = now
+            self._view.forget_dead(now, _KEEP_DEAD_S)
+            self._link.add_seeds()
+            self._link.close_idle(now)
+        self._report_changes()
+
+    def _run(self, coroutine: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _tick_forever(self) -> None:
+        while True:
+            self.step(self._clock.monotonic())
+            await asyncio.sleep(_TICK_S)
+
+    async def _read_list_forever(self) -> None:
+        assert self._listing is not None
+        while True:
+            hosts = await self._listing.hosts()
+            if not isinstance(hosts, StoreUnavailable):
+                self._listed.update(hosts, self._view, self._clock.monotonic())
+            delay_s = self._settings.list_interval_s * self._rng.uniform(0.75, 1.25)
+            await asyncio.sleep(delay_s)
+
+    def _act(self, action: ProbeAction, now: float) -> None:
+        if isinstance(action, ProbeMember):
+            gossip = self._gossip(now, self._introduction(action.daemon_id))
+            self._send(action.daemon_id, Probe(action.sequence, gossip))
+        elif isinstance(action, AskHelpers):
+            request = ProbeRequest(action.sequence, action.daemon_id)
+            for helper_id in action.helper_ids:
+                self._send(helper_id, request)
+        else:
+            self._acknowledged.discard(action.daemon_id)
+            self._run(self._check_refusal(action.daemon_id))
+
+    async def _check_refusal(self, daemon_id: DaemonId) -> None:
+        """Declare a member dead if its address refuses a connection."""
+        member = self._view.members_by_id.get(daemon_id)
+        if member is None:
+            return
+        address = urlsplit(member.host.peer_endpoint)
+        try:
+            async with asyncio.timeout(_REFUSAL_CHECK_S):
+                _, writer = await asyncio.open_connection(
+                    address.hostname, address.port
+                )
+        except ConnectionRefusedError:
+            self._refused(daemon_id, member.host.incarnation)
+        except (OSError, ValueError):
+            return
+        else:
+            writer.close()
+
+    def _refused(self, daemon_id: DaemonId, incarnation: int) -> None:
+        member = self._view.members_by_id.get(daemon_id)
+        if member is not None and member.host.incarnation == incarnation:
+            self._view.judge(daemon_id, MemberState.DEAD, self._clock.monotonic())
+
+    def _on_message(self, origin: DaemonId, payload: bytes) -> None:
+        try:
+            message = self._decoder.decode(payload)
+        except msgspec.MsgspecError:
+            return
+        now = self._clock.monotonic()
+        if isinstance(message, Probe):
+            self._on_probe(origin, message, now)
+        elif isinstance(message, Ack):
+            self._on_ack(origin, message, now)
+        elif isinstance(message, ProbeRequest):
+            self._on_probe_request(origin, message, now)
+        elif isinstance(message, BucketHashes):
+            differing = self._view.differing(message.hashes)
+            self._send(origin, ViewRecords(differing))
+        else:
+            self._apply(message.updates, now)
+
+    def _on_probe(self, origin: DaemonId, probe: Probe, now: float) -> None:
+        self._take_gossip(origin, probe.gossip, None, now)
+        about_origin = self._accusation(origin)
+        self._send(origin, Ack(probe.sequence, self._gossip(now, about_origin)))
+
+    def _on_ack(self, origin: DaemonId, ack: Ack, now: float) -> None:
+        probe = self._prober.acknowledged(ack.sequence)
+        if probe is None:
+            return
+        if probe.requester is not None:
+            self._send(probe.requester, Ack(probe.requester_sequence))
+        if ack.gossip is not None:
+            self._acknowledged.add(origin)
+            self._take_gossip(origin, ack.gossip, probe.sent_at, now)
+
+    def _on_probe_request(
+        self, origin: DaemonId, request: ProbeRequest, now: float
+    ) -> None:
+        daemon_id = DaemonId(request.daemon_id)
+        action = self._prober.help_probe(daemon_id, origin, request.sequence, now)
+        self._act(action, now)
+
+    def _take_gossip(
+        self, origin: DaemonId, gossip: Gossip, as_of: float | None, now: float
+    ) -> None:
+        self._apply(gossip.updates, now)
+        member = self._view.members_by_id.get(origin)
+        if member is not None:
+            self._view.heard(origin, member.host.incarnation, gossip.serving, now)
+        views_agree = gossip.view_hash == self._view.view_hash
+        if not views_agree and now - self._synced_at >= _MIN_SYNC_S:
+            self._synced_at = now
+            self._send(origin, BucketHashes(self._view.bucket_hashes))
+        self._digests.learned(origin, gossip.digest, as_of, views_agree, now)
+
+    def _gossip(self, now: float, first: tuple[MemberUpdate, ...]) -> Gossip:
+        updates = first + self._view.next_updates(_MAX_UPDATES)
+        return Gossip(
+            self._view.view_hash,
+            self._digests.digest(now),
+            self._digests.is_serving(now),
+            updates,
+        )
+
+    def _introduction(self, daemon_id: DaemonId) -> tuple[MemberUpdate, ...]:
+        """Return this daemon's own record for a peer that may not know it."""
+        if daemon_id in self._acknowledged:
+            return ()
+        return (self._view.update_of(self._view.own),)
+
+    def _accusation(self, daemon_id: DaemonId) -> tuple[MemberUpdate, ...]:
+        """Return what is held against a member that is evidently alive."""
+        member = self._view.members_by_id.get(daemon_id)
+        if member is None or member.state in (MemberState.JOINING, MemberState.LIVE):
+            return ()
+        return (self._view.update_of(member),)
+
+    def _apply(self, updates: Sequence[MemberUpdate], now: float) -> None:
+        for update in updates:
+            self._view.apply(update, now)
+
+    def _send(self, daemon_id: DaemonId, message: MemberMessage) -> None:
+        self._link.send(daemon_id, MEMBER_TOPIC, self._encoder.encode(message))
+
+    def _report_changes(self) -> None:
+        members = self._view.members_by_id
+        for daemon_id, member in members.items():
+            state = (int(member.host.incarnation), member.state)
+            if self._known_states.get(daemon_id) != state:
+                self._known_states[daemon_id] = state
+                self._events.emit(MemberChanged(daemon_id, *state))
+        for daemon_id in [each for each in self._known_states if each not in members]:
+            del self._known_states[daemon_id]
--- /dev/null
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/peers.py
@@ -0,0 +1,372 @@
+"""The peer link: messages between daemons over pyzmq.
+
+One PULL socket receives; one PUSH socket for each peer that was written to
+lately sends. A full queue drops the message: every protocol above repairs loss.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+from enum import Enum
+from pathlib import Path
+from typing import ClassVar, Final, Protocol
+
+import msgspec
+import zmq
+import zmq.asyncio
+import zmq.auth.asyncio
+
+from aspendrift_daemon.events import Event, EventHub
+from aspendrift_daemon.interfaces import Clock, MessageHandler, Topic
+from aspendrift_model.hosts import Host, Location
+from aspendrift_model.ids import DaemonId, Incarnation, RegionName, ZoneName
+from aspendrift_model.settings_peers import PeerSettings
+from aspendrift_model.states import MemberState
+from aspendrift_model.wire_peer import PEER_PROTOCOL_VERSION, Envelope
+from aspendrift_policy.membership import MemberView
+from aspendrift_policy.spread import SeenMessages, push_peers
+
+__all__ = [
+    "LinkCounters",
+    "LinkDirection",
+    "LinkFilter",
+    "PeerLink",
+    "PeerMessageRejected",
+    "PeerRejection",
+]
+
+_MAX_MESSAGE_BYTES: Final = 64 * 1024 * 1024
+_CONNECT_TIMEOUT_MS: Final = 2_000
+_RECONNECT_MS: Final = 200
+_RECONNECT_MAX_MS: Final = 2_000
+_UNACKNOWLEDGED_MS: Final = 5_000
+_BACKLOG: Final = 512
+_MAX_DRAINED: Final = 64
+
+
+class LinkDirection(Enum):
+    """Direction of a message, for a link filter."""
+
+    IN = "in"
+    OUT = "out"
+
+
+class LinkFilter(Protocol):
+    """Test hook that drops messages."""
+
+    def passes(self, direction: LinkDirection, peer: DaemonId) -> bool:
+        """Return whether a message may pass."""
+
+
+class PeerRejection(Enum):
+    """Why a message from a peer was dropped."""
+
+    MALFORMED = "malformed"
+    VERSION = "version"
+    OLD_INCARNATION = "old_incarnation"
+
+
+@dataclass(frozen=True, slots=True)
+class PeerMessageRejected(Event):
+    """A message from a peer was dropped."""
+
+    name: ClassVar[str] = "peer_message_rejected"
+    origin: str
+    reason: PeerRejection
+
+
+@dataclass(slots=True)
+class LinkCounters:
+    """Messages and bytes since the start; bytes are payload on the socket."""
+
+    n_sent: int = 0
+    n_received: int = 0
+    n_dropped: int = 0
+    bytes_sent: int = 0
+    bytes_received: int = 0
+
+
+@dataclass(slots=True)
+class _OutLink:
+    socket: zmq.Socket[bytes]
+    endpoint: str
+    used_at: float
+
+
+class _AllowedKeys:
+    """Accepts the CURVE keys of the settings."""
+
+    def __init__(self, keys: Sequence[str]) -> None:
+        self._keys = frozenset(key.encode() for key in keys)
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Return whether a client key may connect."""
+        return key in self._keys
+
+
+class PeerLink:
+    """Messages between daemons, best effort, and the view of who they are.
+
+    Parameters
+    ----------
+    settings : PeerSettings
+        Endpoint, keys, seeds and bounds.
+    host : Host
+        This daemon; its ``peer_endpoint`` is replaced by the bound one.
+    rng : random.Random
+        Chooses the peers that a message is forwarded to.
+    link_filter : LinkFilter or None
+        Test hook that drops messages.
+    """
+
+    def __init__(
+        self,
+        settings: PeerSettings,
+        host: Host,
+        clock: Clock,
+        events: EventHub,
+        rng: random.Random,
+        link_filter: LinkFilter | None = None,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._events = events
+        self._rng = rng
+        self._filter = link_filter
+        self._handlers_by_topic: dict[Topic, list[MessageHandler]] = {}
+        self._out_by_id: dict[DaemonId, _OutLink] = {}
+        self._seen = SeenMessages()
+        self._spread_sequence = 0
+        self._decoder = msgspec.msgpack.Decoder(Envelope)
+        self._encoder = msgspec.msgpack.Encoder()
+        self._secret_key = b""
+        self._context: zmq.asyncio.Context | None = None
+        self._receiving: asyncio.Task[None] | None = None
+        self._authenticator: zmq.auth.asyncio.AsyncioAuthenticator | None = None
+        self._in: zmq.asyncio.Socket | None = None
+        self.counters = LinkCounters()
+        self.view = MemberView(host, clock.monotonic())
+
+    @property
+    def host(self) -> Host:
+        """The daemon itself as its peers reach it."""
+        return self.view.own.host
+
+    @property
+    def endpoint(self) -> str:
+        """Endpoint that peers connect to; known after :meth:`start`."""
+        return self.host.peer_endpoint
+
+    async def start(self) -> None:
+        """Bind, add the seeds to the view and receive."""
+        self._context = zmq.asyncio.Context()
+        self._load_key()
+        self._in = self._context.socket(zmq.PULL)
+        self._in.setsockopt(zmq.MAXMSGSIZE, _MAX_MESSAGE_BYTES)
+        self._in.setsockopt(zmq.BACKLOG, _BACKLOG)
+        self._in.setsockopt(zmq.LINGER, 0)
+        if self._secret_key:
+            self._authenticate(self._in)
+        self._in.bind(self._settings.bind)
+        bound = self._in.getsockopt_string(zmq.LAST_ENDPOINT).rstrip("\0")
+        self._set_endpoint(self._settings.advertise_endpoint or bound)
+        self.add_seeds()
+        self._receiving = asyncio.create_task(self._receive())
+
+    async def stop(self) -> None:
+        """Close every socket; messages not yet sent are dropped."""
+        if self._receiving is not None:
+            self._receiving.cancel()
+            await asyncio.gather(self._receiving, return_exceptions=True)
+        if self._authenticator is not None:
+            self._authenticator.stop()
+        for link in self._out_by_id.values():
+            link.socket.close(linger=0)
+        self._out_by_id.clear()
+        if self._in is not None:
+            self._in.close(linger=0)
+        if self._context is not None:
+            self._context.term()
+
+    def add_seeds(self) -> None:
+        """Put the seeds of the settings into the view."""
+        now = self._clock.monotonic()
+        unknown = Location(ZoneName(""), RegionName(""))
+        for seed in self._settings.seeds:
+            daemon_id = DaemonId(seed.daemon_id)
+            host = Host(daemon_id, Incarnation(0), unknown, "", seed.endpoint, seed.key)
+            self.view.add_seed(host, now)
+
+    def subscribe(self, topic: Topic, handler: MessageHandler) -> None:
+        """Call a handler with the origin and payload of each message of a topic."""
+        self._handlers_by_topic.setdefault(topic, []).append(handler)
+
+    def broadcast(self, topic: Topic, payload: bytes) -> None:
+        """Push a payload to every daemon in view, each at most once, best effort."""
+        self._spread_sequence += 1
+        envelope = self._envelope(topic, payload, self._spread_sequence)
+        self._forward(envelope)
+
+    def send(self, daemon_id: DaemonId, topic: Topic, payload: bytes) -> None:
+        """Send a payload to one daemon, best effort."""
+        envelope = self._envelope(topic, payload, 0)
+        self._transmit(daemon_id, self._encoder.encode(envelope))
+
+    def members(self) -> Sequence[tuple[Host, MemberState]]:
+        """Return every known daemon that is not dead, this one included."""
+        return [(member.host, member.state) for member in self.view.members()]
+
+    def close_idle(self, now: float) -> None:
+        """Close links that were not written to for a while."""
+        for daemon_id, link in list(self._out_by_id.items()):
+            if now - link.used_at > self._settings.idle_link_s:
+                link.socket.close(linger=0)
+                del self._out_by_id[daemon_id]
+
+    def _envelope(self, topic: Topic, payload: bytes, sequence: int) -> Envelope:
+        own = self.host
+        return Envelope(
+            PEER_PROTOCOL_VERSION,
+            own.daemon_id,
+            own.incarnation,
+            topic,
+            payload,
+            sequence,
+        )
+
+    def _forward(self, envelope: Envelope, sender: str = "") -> None:
+        encoded = self._encoder.encode(envelope)
+        excluded = (envelope.origin, sender)
+        for peer in push_peers(
+            self.view, self._settings.push_fanout, self._rng, excluded
+        ):
+            self._transmit(peer, encoded)
+
+    def _transmit(self, daemon_id: DaemonId, encoded: bytes) -> None:
+        member = self.view.members_by_id.get(daemon_id)
+        if member is None or daemon_id == self.view.own_id:
+            return
+        if self._filter and not self._filter.passes(LinkDirection.OUT, daemon_id):
+            return
+        link = self._out_link(member.host)
+        if link is None:
+            return
+        try:
+            link.socket.send(encoded, zmq.NOBLOCK)
+        except zmq.Again:
+            self.counters.n_dropped += 1
+            return
+        self.counters.n_sent += 1
+        self.counters.bytes_sent += len(encoded)
+
+    def _out_link(self, host: Host) -> _OutLink | None:
+        now = self._clock.monotonic()
+        link = self._out_by_id.get(host.daemon_id)
+        if link is not None and link.endpoint == host.peer_endpoint:
+            link.used_at = now
+            return link
+        if link is not None:
+            link.socket.close(linger=0)
+            del self._out_by_id[host.daemon_id]
+        if self._context is None:
+            return None
+        socket = self._connect(host)
+        if socket is None:
+            return None
+        link = _OutLink(socket, host.peer_endpoint, now)
+        self._out_by_id[host.daemon_id] = link
+        return link
+
+    def _connect(self, host: Host) -> zmq.Socket[bytes] | None:
+        assert self._context is not None
+        plain: zmq.Context[zmq.Socket[bytes]] = zmq.Context.shadow(
+            self._context.underlying
+        )
+        socket = plain.socket(zmq.PUSH)
+        socket.setsockopt(zmq.LINGER, 0)
+        socket.setsockopt(zmq.SNDHWM, self._settings.max_queued)
+        socket.setsockopt(zmq.CONNECT_TIMEOUT, _CONNECT_TIMEOUT_MS)
+        socket.setsockopt(zmq.RECONNECT_IVL, _RECONNECT_MS)
+        socket.setsockopt(zmq.RECONNECT_IVL_MAX, _RECONNECT_MAX_MS)
+        socket.setsockopt(zmq.TCP_MAXRT, _UNACKNOWLEDGED_MS)
+        try:
+            if self._secret_key:
+                socket.curve_secretkey = self._secret_key
+                socket.curve_publickey = zmq.curve_public(self._secret_key)
+                socket.curve_serverkey = host.peer_key.encode()
+            socket.connect(host.peer_endpoint)
+        except zmq.ZMQError:
+            socket.close(linger=0)
+            return None
+        return socket
+
+    def _load_key(self) -> None:
+        if self._settings.secret_key_file:
+            text = Path(self._settings.secret_key_file).read_text(encoding="ascii")
+            self._secret_key = text.strip().encode()
+
+    def _authenticate(self, socket: zmq.asyncio.Socket) -> None:
+        authenticator = zmq.auth.asyncio.AsyncioAuthenticator(self._context)
+        authenticator.start()
+        allowed = _AllowedKeys(self._settings.allowed_keys)
+        authenticator.configure_curve_callback("*", allowed)
+        self._authenticator = authenticator
+        socket.curve_secretkey = self._secret_key
+        socket.curve_publickey = zmq.curve_public(self._secret_key)
+        socket.curve_server = True
+
+    def _set_endpoint(self, endpoint: str) -> None:
+        key = zmq.curve_public(self._secret_key).decode() if self._secret_key else ""
+        host = replace(self.host, peer_endpoint=endpoint, peer_key=key)
+        self.view.set_own_host(host, self._clock.monotonic())
+
+    async def _receive(self) -> None:
+        assert self._in is not None
+        n_drained = 0
+        while True:
+            encoded = await self._in.recv()
+            self._take(encoded)
+            n_drained += 1
+            if n_drained >= _MAX_DRAINED:
+                n_drained = 0
+                await asyncio.sleep(0)
+
+    def _take(self, encoded: bytes) -> None:
+        self.counters.n_received += 1
+        self.counters.bytes_received += len(encoded)
+        try:
+            envelope = self._decoder.decode(encoded)
+        except msgspec.MsgspecError:
+            self._reject("", PeerRejection.MALFORMED)
+            return
+        origin = DaemonId(envelope.origin)
+        if self._filter and not self._filter.passes(LinkDirection.IN, origin):
+            return
+        if envelope.version != PEER_PROTOCOL_VERSION:
+            self._reject(origin, PeerRejection.VERSION)
+        elif self._is_old(envelope):
+            self._reject(origin, PeerRejection.OLD_INCARNATION)
+        elif not envelope.spread_sequence:
+            self._deliver(envelope)
+        elif self._is_news(envelope):
+            self._forward(envelope)
+            self._deliver(envelope)
+
+    def _is_old(self, envelope: Envelope) -> bool:
+        known = self.view.members_by_id.get(DaemonId(envelope.origin))
+        return known is not None and envelope.incarnation < known.host.incarnation
+
+    def _is_news(self, envelope: Envelope) -> bool:
+        return envelope.origin != self.view.own_id and self._seen.is_new(
+            envelope.origin, envelope.incarnation, envelope.spread_sequence
+        )
+
+    def _deliver(self, envelope: Envelope) -> None:
+        for handler in self._handlers_by_topic.get(envelope.topic, ()):
+            handler(DaemonId(envelope.origin), envelope.payload)
+
+    def _reject(self, origin: str, reason: PeerRejection) -> None:
+        self._events.emit(PeerMessageRejected(origin, reason))
--- /dev/null
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/target_survey.py
@@ -0,0 +1,98 @@
+"""Counts the work in flight on a target across all daemons."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+from typing import Final
+
+import msgspec
+
+from aspendrift_daemon.interfaces import PeerBus
+from aspendrift_model.ids import DaemonId, TargetId
+from aspendrift_model.wire_operator import InFlightBody
+from aspendrift_model.wire_peer import InFlightCount, InFlightMessage, InFlightQuery
+
+__all__ = ["TargetSurvey"]
+
+IN_FLIGHT_TOPIC: Final = "f"
+_WAIT_S: Final = 1.0
+
+
+class _Survey:
+    """Answers to one question, and who still owes one."""
+
+    def __init__(self, counts: dict[str, int], asked: set[str]) -> None:
+        self.counts = counts
+        self._asked = asked
+        self._complete = asyncio.Event()
+
+    @property
+    def unanswered(self) -> list[str]:
+        return sorted(self._asked - self.counts.keys())
+
+    def add(self, daemon_id: str, count: int) -> None:
+        self.counts[daemon_id] = count
+        if not self.unanswered:
+            self._complete.set()
+
+    async def wait(self) -> None:
+        if not self.unanswered:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_WAIT_S):
+                await self._complete.wait()
+
+
+class TargetSurvey:
+    """Asks every daemon in view how much it has in flight on a target.
+
+    Parameters
+    ----------
+    count : callable
+        Attempts in flight on a target at this daemon.
+    """
+
+    def __init__(
+        self,
+        bus: PeerBus,
+        daemon_id: DaemonId,
+        count: Callable[[TargetId], int],
+    ) -> None:
+        self._bus = bus
+        self._daemon_id = daemon_id
+        self._count = count
+        self._sequence = 0
+        self._surveys_by_sequence: dict[int, _Survey] = {}
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(InFlightMessage)
+        bus.subscribe(IN_FLIGHT_TOPIC, self._on_message)
+
+    async def in_flight(self, target_id: TargetId) -> InFlightBody:
+        """Return the count of each daemon, and the daemons that did not answer."""
+        self._sequence += 1
+        sequence = self._sequence
+        asked = {str(host.daemon_id) for host, _ in self._bus.members()}
+        survey = _Survey({str(self._daemon_id): self._count(target_id)}, asked)
+        self._surveys_by_sequence[sequence] = survey
+        query = self._encoder.encode(InFlightQuery(sequence, target_id))
+        for daemon_id in survey.unanswered:
+            self._bus.send(DaemonId(daemon_id), IN_FLIGHT_TOPIC, query)
+        try:
+            await survey.wait()
+        finally:
+            del self._surveys_by_sequence[sequence]
+        return InFlightBody(target_id, survey.counts, tuple(survey.unanswered))
+
+    def _on_message(self, origin: DaemonId, payload: bytes) -> None:
+        try:
+            message = self._decoder.decode(payload)
+        except msgspec.MsgspecError:
+            return
+        if isinstance(message, InFlightQuery):
+            count = self._count(TargetId(message.target_id))
+            answer = self._encoder.encode(InFlightCount(message.sequence, count))
+            self._bus.send(origin, IN_FLIGHT_TOPIC, answer)
+        elif message.sequence in self._surveys_by_sequence:
+            self._surveys_by_sequence[message.sequence].add(origin, message.count)
--- /dev/null
+++ b/packages/aspendrift-policy/src/aspendrift_policy/listed_hosts.py
@@ -0,0 +1,66 @@
+"""The platform's list of hosts as a hint about members."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Final
+
+from aspendrift_model.hosts import Host, Location
+from aspendrift_model.ids import DaemonId, Incarnation, RegionName, ZoneName
+from aspendrift_model.states import MemberState
+from aspendrift_model.wire_platform import HostEntry
+from aspendrift_policy.membership import MemberView
+
+__all__ = ["ListedHosts"]
+
+_GONE_AFTER_S: Final = 60.0
+
+
+class ListedHosts:
+    """Adds listed hosts to a view, and drops silent ones that left the list.
+
+    The list lags, so a host that is absent from it counts as gone only after it
+    was listed before, is silent as well, and stays absent for a while.
+    """
+
+    def __init__(self) -> None:
+        self._listed: set[DaemonId] = set()
+        self._absent_since_by_id: dict[DaemonId, float] = {}
+
+    def update(
+        self, entries: Iterable[HostEntry], view: MemberView, now: float
+    ) -> None:
+        """Take in a reading of the list."""
+        listed = {DaemonId(entry.daemon_id): entry for entry in entries}
+        for entry in listed.values():
+            if not entry.leaving:
+                view.add_seed(_host(entry), now)
+        for daemon_id in self._listed - listed.keys():
+            self._absent_since_by_id.setdefault(daemon_id, now)
+        for daemon_id in listed:
+            self._absent_since_by_id.pop(daemon_id, None)
+        self._listed |= listed.keys()
+        self._bury(view, now)
+
+    def _bury(self, view: MemberView, now: float) -> None:
+        for daemon_id, since in list(self._absent_since_by_id.items()):
+            member = view.members_by_id.get(daemon_id)
+            if member is None:
+                del self._absent_since_by_id[daemon_id]
+                self._listed.discard(daemon_id)
+                continue
+            is_silent = member.state in (MemberState.UNREACHABLE, MemberState.LEAVING)
+            if is_silent and now - since > _GONE_AFTER_S:
+                view.judge(daemon_id, MemberState.DEAD, now)
+
+
+def _host(entry: HostEntry) -> Host:
+    location = Location(ZoneName(entry.zone), RegionName(entry.region))
+    return Host(
+        DaemonId(entry.daemon_id),
+        Incarnation(0),
+        location,
+        entry.url,
+        entry.peer_endpoint,
+        entry.peer_key,
+    )
--- /dev/null
+++ b/packages/aspendrift-policy/src/aspendrift_policy/membership.py
@@ -0,0 +1,328 @@
+"""The view that a daemon has of the others, and how updates change it.
+
+An update carries an incarnation and a refutation. The higher pair wins; at the
+same pair the more severe state wins. A member overrules what is said of it by
+raising its refutation; a restart raises the incarnation. Silence never makes a
+member dead, so a cut region stays in the view as unreachable.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, replace
+from typing import Final
+
+import xxhash
+
+from aspendrift_model.hosts import Host, Location
+from aspendrift_model.ids import DaemonId, Incarnation, RegionName, ZoneName
+from aspendrift_model.states import MemberState
+from aspendrift_model.wire_peer import HostRecord, MemberUpdate
+
+__all__ = ["N_BUCKETS", "Member", "MemberView", "host_of", "host_record"]
+
+N_BUCKETS: Final = 16
+_SENDS_PER_DOUBLING: Final = 3
+_MASK_64: Final = (1 << 64) - 1
+_SEVERITY: Final = {
+    MemberState.JOINING: 0,
+    MemberState.LIVE: 1,
+    MemberState.SUSPECT: 2,
+    MemberState.UNREACHABLE: 3,
+    MemberState.LEAVING: 4,
+    MemberState.DEAD: 5,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One daemon as another one sees it.
+
+    Parameters
+    ----------
+    refutation : int
+        Raised by the member to overrule what others say of its incarnation.
+    changed_at : float
+        When the state last changed, on the monotonic clock, in seconds.
+    is_serving : bool
+        Whether the member last said that it takes new work.
+    """
+
+    host: Host
+    state: MemberState
+    refutation: int = 0
+    changed_at: float = 0.0
+    is_serving: bool = True
+
+    @property
+    def order(self) -> tuple[int, int, int]:
+        """Precedence of what is known over other reports of the same daemon."""
+        return (self.host.incarnation, self.refutation, _SEVERITY[self.state])
+
+
+def host_record(host: Host) -> HostRecord:
+    """Return the wire form of a host."""
+    place = host.location
+    return HostRecord(
+        place.zone, place.region, host.url, host.peer_endpoint, host.peer_key
+    )
+
+
+def host_of(daemon_id: str, incarnation: int, record: HostRecord) -> Host:
+    """Return the host that a wire record describes."""
+    location = Location(ZoneName(record.zone), RegionName(record.region))
+    return Host(
+        DaemonId(daemon_id),
+        Incarnation(incarnation),
+        location,
+        record.url,
+        record.peer_endpoint,
+        record.peer_key,
+    )
+
+
+class MemberView:
+    """Every daemon that one daemon knows, itself included.
+
+    Parameters
+    ----------
+    own : Host
+        The daemon that holds the view.
+    now : float
+        Present time on the monotonic clock, in seconds.
+    """
+
+    def __init__(self, own: Host, now: float) -> None:
+        self.own_id = own.daemon_id
+        self.members_by_id: dict[DaemonId, Member] = {
+            own.daemon_id: Member(own, MemberState.LIVE, changed_at=now)
+        }
+        self._buckets = [0] * N_BUCKETS
+        self._in_order: list[Member] | None = None
+        self._sends_left_by_id: dict[DaemonId, int] = {}
+        self._toggle_hash(self.own)
+
+    @property
+    def own(self) -> Member:
+        """The daemon that holds the view."""
+        return self.members_by_id[self.own_id]
+
+    @property
+    def view_hash(self) -> int:
+        """Hash over members, incarnations and refutations; equal views agree."""
+        value = 0
+        for index, bucket in enumerate(self._buckets):
+            value ^= (bucket * (2 * index + 1)) & _MASK_64
+        return value
+
+    @property
+    def bucket_hashes(self) -> tuple[int, ...]:
+        """Hash of each bucket of the view."""
+        return tuple(self._buckets)
+
+    def members(self) -> Sequence[Member]:
+        """Return every member but the dead, in order of daemon id."""
+        if self._in_order is None:
+            ids = sorted(self.members_by_id)
+            found = [self.members_by_id[daemon_id] for daemon_id in ids]
+            self._in_order = [
+                member for member in found if member.state is not MemberState.DEAD
+            ]
+        return self._in_order
+
+    def peers(self) -> list[Member]:
+        """Return every other member but the dead."""
+        return [member for member in self.members() if not self._is_own(member)]
+
+    def reachable_peers(self) -> list[Member]:
+        """Return other members that are neither unreachable nor dead."""
+        peers = self.peers()
+        return [each for each in peers if each.state is not MemberState.UNREACHABLE]
+
+    def set_own_host(self, host: Host, now: float) -> None:
+        """Set where this daemon is reached, once its sockets are bound."""
+        self._store(replace(self.own, host=host, changed_at=now))
+        self.spread(self.own_id)
+
+    def add_seed(self, host: Host, now: float) -> None:
+        """Add a daemon known from settings or the platform's list, not yet heard."""
+        known = self.members_by_id.get(host.daemon_id)
+        if known is None:
+            self._store(Member(host, MemberState.JOINING, changed_at=now))
+
+    def apply(self, update: MemberUpdate, now: float) -> bool:
+        """Take in an update; return whether it changed the view."""
+        daemon_id = DaemonId(update.daemon_id)
+        if daemon_id == self.own_id:
+            return self._refute(update, now)
+        known = self.members_by_id.get(daemon_id)
+        if known is None and update.state is MemberState.DEAD:
+            return False
+        member = self._merged(known, update, now)
+        if member is None or (known is not None and known.order >= member.order):
+            return False
+        self._store(member)
+        self.spread(daemon_id)
+        return True
+
+    def heard(
+        self, daemon_id: DaemonId, incarnation: int, serving: bool, now: float
+    ) -> bool:
+        """Note a message straight from a member; return whether its state changed.
+
+        Hearing from a member clears a local suspicion, but what others have been
+        told is overruled only by the member's own refutation.
+        """
+        known = self.members_by_id.get(daemon_id)
+        if known is None or known.host.incarnation != incarnation:
+            return False
+        if not _is_met(known):
+            return False
+        if known.state is MemberState.JOINING:
+            self._store(replace(known, state=MemberState.LIVE, changed_at=now))
+            self.spread(daemon_id)
+            return True
+        if known.is_serving != serving:
+            self.members_by_id[daemon_id] = replace(known, is_serving=serving)
+            self._in_order = None
+        return False
+
+    def judge(self, daemon_id: DaemonId, state: MemberState, now: float) -> bool:
+        """Set a more severe state for a member from this daemon's own evidence."""
+        known = self.members_by_id.get(daemon_id)
+        if known is None or _SEVERITY[state] <= _SEVERITY[known.state]:
+            return False
+        self._store(replace(known, state=state, changed_at=now))
+        self.spread(daemon_id)
+        return True
+
+    def leave(self, now: float) -> None:
+        """Announce that this daemon is leaving."""
+        own = replace(
+            self.own,
+            state=MemberState.LEAVING,
+            refutation=self.own.refutation + 1,
+            changed_at=now,
+        )
+        self._store(own)
+        self.spread(self.own_id)
+
+    def forget_dead(self, now: float, keep_s: float) -> None:
+        """Drop members that have been dead for a while."""
+        for daemon_id, member in list(self.members_by_id.items()):
+            old = now - member.changed_at > keep_s
+            if member.state is MemberState.DEAD and old:
+                self._toggle_hash(member)
+                del self.members_by_id[daemon_id]
+                self._in_order = None
+
+    def spread(self, daemon_id: DaemonId) -> None:
+        """Put what is known of a member on the next messages."""
+        doublings = math.log2(len(self.members_by_id) + 1)
+        self._sends_left_by_id[daemon_id] = math.ceil(_SENDS_PER_DOUBLING * doublings)
+
+    def next_updates(self, limit: int) -> tuple[MemberUpdate, ...]:
+        """Return the updates for one message, those sent least first."""
+        by_left = sorted(self._sends_left_by_id.items(), key=lambda item: -item[1])
+        chosen = [daemon_id for daemon_id, _ in by_left[:limit]]
+        for daemon_id in chosen:
+            self._sends_left_by_id[daemon_id] -= 1
+            if self._sends_left_by_id[daemon_id] <= 0:
+                del self._sends_left_by_id[daemon_id]
+        known = [self.members_by_id.get(daemon_id) for daemon_id in chosen]
+        return tuple(
+            self.update_of(member) for member in known if member and _is_met(member)
+        )
+
+    def update_of(self, member: Member) -> MemberUpdate:
+        """Return the full update for a member."""
+        host = member.host
+        record = host_record(host)
+        return MemberUpdate(
+            host.daemon_id, host.incarnation, member.refutation, member.state, record
+        )
+
+    def differing(self, hashes: Sequence[int]) -> tuple[MemberUpdate, ...]:
+        """Return the members of each bucket whose hash differs from the given one."""
+        wanted = {
+            index
+            for index, (ours, theirs) in enumerate(
+                zip(self._buckets, hashes, strict=False)
+            )
+            if ours != theirs
+        }
+        members = self.members_by_id.values()
+        return tuple(
+            self.update_of(member)
+            for member in members
+            if _is_met(member) and _bucket(member.host.daemon_id) in wanted
+        )
+
+    def sample(
+        self, count: int, rng: random.Random, excluded: Iterable[DaemonId] = ()
+    ) -> list[Member]:
+        """Return random reachable peers."""
+        left_out = frozenset(excluded)
+        pool = [
+            each
+            for each in self.reachable_peers()
+            if each.host.daemon_id not in left_out
+        ]
+        return rng.sample(pool, min(count, len(pool)))
+
+    def _is_own(self, member: Member) -> bool:
+        return member.host.daemon_id == self.own_id
+
+    def _refute(self, update: MemberUpdate, now: float) -> bool:
+        own = self.own
+        if update.incarnation != own.host.incarnation:
+            return False
+        if update.refutation < own.refutation:
+            return False
+        if _SEVERITY[update.state] <= _SEVERITY[own.state]:
+            return False
+        refutation = update.refutation + 1
+        self._store(replace(own, refutation=refutation, changed_at=now))
+        self.spread(self.own_id)
+        return True
+
+    def _merged(
+        self, known: Member | None, update: MemberUpdate, now: float
+    ) -> Member | None:
+        if update.host is not None:
+            host = host_of(update.daemon_id, update.incarnation, update.host)
+        elif known is not None and known.host.incarnation == update.incarnation:
+            host = known.host
+        else:
+            return None
+        return Member(host, update.state, update.refutation, now)
+
+    def _store(self, member: Member) -> None:
+        known = self.members_by_id.get(member.host.daemon_id)
+        if known is not None:
+            self._toggle_hash(known)
+        self.members_by_id[member.host.daemon_id] = member
+        self._in_order = None
+        self._toggle_hash(member)
+
+    def _toggle_hash(self, member: Member) -> None:
+        if _is_met(member) and member.state is not MemberState.DEAD:
+            self._buckets[_bucket(member.host.daemon_id)] ^= _member_hash(member)
+
+
+def _bucket(daemon_id: DaemonId) -> int:
+    return xxhash.xxh3_64_intdigest(daemon_id.encode()) % N_BUCKETS
+
+
+def _is_met(member: Member) -> bool:
+    """Return whether the incarnation is known, not just a name in a list."""
+    return member.host.incarnation > 0
+
+
+def _member_hash(member: Member) -> int:
+    host = member.host
+    mark = "leaving" if member.state is MemberState.LEAVING else ""
+    text = f"{host.daemon_id}/{host.incarnation}/{member.refutation}/{mark}"
+    return xxhash.xxh3_64_intdigest(text.encode())
