Start stand-ins and daemons as a fleet of processes

Cause: the demo and the measurements need whole systems of real processes that can be killed, paused and restarted, and that never outlive their run. Change: Fleet, with ready files, signals by process id, restarts at the same address and a stop of everything on every way out.

--- /dev/null
+++ b/packages/aspendrift-standins/src/aspendrift_standins/child.py
@@ -0,0 +1,153 @@
+"""One child process of a fleet: start, readiness, signals and end."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import sys
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Final
+
+from aspendrift_standins.errors import NotReady, ProcessEnded
+
+__all__ = ["Child", "ChildCommand"]
+
+_POLL_S: Final = 0.02
+_READY_TIMEOUT_S: Final = 30.0
+_LOG_TAIL_CHARS: Final = 2_000
+
+
+@dataclass(frozen=True, slots=True)
+class ChildCommand:
+    """How to start a process.
+
+    Parameters
+    ----------
+    name : str
+        Unique name within the fleet.
+    module : str
+        Python module to run.
+    arguments : sequence of str
+        Arguments after the module.
+    ready_file : Path
+        File that the process writes once it is ready.
+    log_file : Path
+        File that takes its output.
+    """
+
+    name: str
+    module: str
+    arguments: Sequence[str]
+    ready_file: Path
+    log_file: Path
+
+
+class Child:
+    """A process started from a command, possibly several times."""
+
+    def __init__(self, command: ChildCommand) -> None:
+        self.command = command
+        self.ready: dict[str, Any] = {}
+        self.paused = False
+        self._process: asyncio.subprocess.Process | None = None
+
+    @property
+    def url(self) -> str:
+        """Base URL, from the ready file."""
+        return str(self.ready["url"])
+
+    @property
+    def pid(self) -> int:
+        """Process id of the last start; 0 before the first."""
+        return 0 if self._process is None else self._process.pid
+
+    @property
+    def running(self) -> bool:
+        """Whether the process has been started and has not ended."""
+        return self._process is not None and self._process.returncode is None
+
+    @property
+    def exit_code(self) -> int | None:
+        """Exit code of the last start, None while it runs."""
+        return None if self._process is None else self._process.returncode
+
+    async def start(self) -> None:
+        """Start the process; it is ready only after :meth:`wait_ready`."""
+        self.command.ready_file.unlink(missing_ok=True)
+        self.paused = False
+        environment = os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)}
+        with self.command.log_file.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                self.command.module,
+                *self.command.arguments,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env=environment,
+            )
+
+    async def wait_ready(self) -> None:
+        """Wait for the ready file.
+
+        Raises
+        ------
+        ProcessEnded, NotReady
+            If the process ends first, or takes too long.
+        """
+        name = self.command.name
+        until = time.monotonic() + _READY_TIMEOUT_S
+        while not self.command.ready_file.exists():
+            if not self.running:
+                raise ProcessEnded(name, self.exit_code or 0, self.log_tail())
+            if time.monotonic() >= until:
+                raise NotReady(name, _READY_TIMEOUT_S, self.log_tail())
+            await asyncio.sleep(_POLL_S)
+        self.ready = json.loads(self.command.ready_file.read_text())
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal, unless the process has ended."""
+        if self._process is None or not self.running:
+            return
+        with contextlib.suppress(ProcessLookupError):
+            self._process.send_signal(number)
+        if number is signal.SIGSTOP:
+            self.paused = True
+        elif number is signal.SIGCONT:
+            self.paused = False
+
+    async def wait_ended(self, timeout_s: float) -> bool:
+        """Wait for the end; return False if it doesn't come in time."""
+        if self._process is None:
+            return True
+        try:
+            await asyncio.wait_for(self._process.wait(), timeout_s)
+        except TimeoutError:
+            return False
+        return True
+
+    async def stop(self, grace_s: float) -> None:
+        """Ask the process to end, and kill it after a while."""
+        if not self.running:
+            return
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGTERM)
+        if not await self.wait_ended(grace_s):
+            self.signal(signal.SIGKILL)
+            await self.wait_ended(grace_s)
+
+    def log_text(self) -> str:
+        """Return what the process has written."""
+        path = self.command.log_file
+        return path.read_text(errors="replace") if path.exists() else ""
+
+    def log_tail(self) -> str:
+        """Return the end of what the process has written."""
+        return self.log_text()[-_LOG_TAIL_CHARS:]
--- a/packages/aspendrift-standins/src/aspendrift_standins/engine.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/engine.py
@@ -21,7 +21,7 @@
 from aspendrift_standins.faults import TargetFaults
 from aspendrift_standins.process import StandIn, command
 from aspendrift_standins.runs import RunEvent, RunKind, RunLog
-from aspendrift_standins.target_base import CRASH_EXIT_CODE, FOREIGN_ATTEMPT
+from aspendrift_standins.target_base import CRASH_EXIT_CODE, FOREIGN_ATTEMPT, rejection
 
 __all__ = ["EngineStandIn", "main"]
 
@@ -101,10 +101,12 @@
         self._note(RunKind.ARRIVED, call)
         if self.faults.draw(faults.fail_share):
             await exchange.reply(500, {"detail": "failed"})
+        elif self.faults.draw(faults.reject_share):
+            await exchange.reply(503, rejection(call, "busy"))
         elif self.faults.draw(faults.hang_share):
             await exchange.gone()
         elif not self.core.serves(call, time.monotonic()):
-            await exchange.reply(409, {"detail": "model not loaded"})
+            await exchange.reply(409, rejection(call, "model not loaded"))
         else:
             self._crash_if_told(call, faults)
             self._note(RunKind.RAN, call)
--- /dev/null
+++ b/packages/aspendrift-standins/src/aspendrift_standins/errors.py
@@ -0,0 +1,34 @@
+"""Errors of the stand-ins and of the tools that drive them."""
+
+from __future__ import annotations
+
+__all__ = ["FleetError", "NotReady", "ProcessEnded", "UnknownProcess"]
+
+
+class FleetError(Exception):
+    """A process of a fleet that isn't as expected."""
+
+
+class ProcessEnded(FleetError):
+    """A process ended before it was ready."""
+
+    def __init__(self, name: str, code: int, log_tail: str) -> None:
+        super().__init__(f"{name} ended with {code} before it was ready:\n{log_tail}")
+        self.name = name
+        self.code = code
+
+
+class NotReady(FleetError):
+    """A process that didn't write its ready file in time."""
+
+    def __init__(self, name: str, waited_s: float, log_tail: str) -> None:
+        super().__init__(f"{name} was not ready after {waited_s:g} s:\n{log_tail}")
+        self.name = name
+
+
+class UnknownProcess(FleetError):
+    """A name that no process of the fleet has."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__(name)
+        self.name = name
--- a/packages/aspendrift-standins/src/aspendrift_standins/faults.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/faults.py
@@ -59,7 +59,9 @@
     slow_factor : float
         Multiplies service times.
     fail_share : float
-        Answered with 500 before any work.
+        Answered with 500 before any work, without saying so.
+    reject_share : float
+        Answered with 503 that says that no work was done.
     hang_share : float
         Never answered and not worked on.
     drop_share : float
@@ -82,6 +84,7 @@
     refuse_s: float = 0.0
     slow_factor: float = 1.0
     fail_share: float = 0.0
+    reject_share: float = 0.0
     hang_share: float = 0.0
     drop_share: float = 0.0
     drop_after_tokens: int = 2
--- /dev/null
+++ b/packages/aspendrift-standins/src/aspendrift_standins/fleet.py
@@ -0,0 +1,324 @@
+"""Starts stand-ins and daemons as processes, and stops all that it started."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import hashlib
+import json
+import random
+import shutil
+import signal
+import socket
+import tempfile
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from types import TracebackType
+from typing import Any, Final
+
+import httpx
+
+from aspendrift_standins.child import Child, ChildCommand
+from aspendrift_standins.errors import UnknownProcess
+
+__all__ = [
+    "OPERATOR_TOKEN",
+    "DaemonSpec",
+    "Fleet",
+    "StandInSpec",
+    "free_ports",
+    "merged",
+]
+
+OPERATOR_TOKEN: Final = "fleet-operator"
+_DAEMON_MODULE: Final = "aspendrift_daemon.cli"
+_N_SEEDS: Final = 3
+_STOP_GRACE_S: Final = 5.0
+_START_BATCH: Final = 12
+_FIRST_PORT: Final = 10_240
+_LAST_PORT: Final = 32_000
+
+
+@dataclass(frozen=True, slots=True)
+class StandInSpec:
+    """One stand-in process.
+
+    Parameters
+    ----------
+    name : str
+        Unique name within the fleet.
+    kind : str
+        Module within this package, such as ``table`` or ``engine``.
+    options, faults : mapping
+        The fields of its options and faults that differ from the defaults.
+    """
+
+    name: str
+    kind: str
+    options: Mapping[str, Any] = field(default_factory=dict)
+    faults: Mapping[str, Any] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class DaemonSpec:
+    """One daemon process.
+
+    Parameters
+    ----------
+    overlay : mapping
+        Settings that differ from those that the fleet writes, merged in depth.
+    """
+
+    daemon_id: str
+    zone: str = "zone-1"
+    region: str = "region-1"
+    overlay: Mapping[str, Any] = field(default_factory=dict)
+
+
+class Fleet:
+    """Processes on loopback, as an asynchronous context manager.
+
+    Parameters
+    ----------
+    directory : Path or None
+        Directory for settings, logs and run records, which is kept; None takes
+        a temporary one, which is removed.
+    """
+
+    def __init__(self, directory: Path | None = None) -> None:
+        self._directory = directory
+        self._kept = directory is not None
+        self._children_by_name: dict[str, Child] = {}
+        self._daemon_ids: list[str] = []
+        self._client = httpx.AsyncClient(timeout=5.0, trust_env=False)
+
+    async def __aenter__(self) -> Fleet:
+        if self._directory is None:
+            self._directory = Path(tempfile.mkdtemp(prefix="aspendrift-fleet-"))
+        self._directory.mkdir(parents=True, exist_ok=True)
+        self._stop_on_sigterm()
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self._client.aclose()
+        children = self._children_by_name.values()
+        await asyncio.gather(*(child.stop(_STOP_GRACE_S) for child in children))
+        asyncio.get_running_loop().remove_signal_handler(signal.SIGTERM)
+        if not self._kept:
+            shutil.rmtree(self.directory, ignore_errors=True)
+
+    @property
+    def directory(self) -> Path:
+        """Directory of settings, logs and run records."""
+        assert self._directory is not None
+        return self._directory
+
+    @property
+    def daemon_ids(self) -> tuple[str, ...]:
+        """Ids of the daemons started, in order."""
+        return tuple(self._daemon_ids)
+
+    def child(self, name: str) -> Child:
+        """Return a process by name.
+
+        Raises
+        ------
+        UnknownProcess
+            If there is none.
+        """
+        try:
+            return self._children_by_name[name]
+        except KeyError:
+            raise UnknownProcess(name) from None
+
+    def url(self, name: str) -> str:
+        """Return the base URL of a process."""
+        return self.child(name).url
+
+    def urls(self, names: Iterable[str]) -> list[str]:
+        """Return the base URLs of processes."""
+        return [self.url(name) for name in names]
+
+    def runs_file(self, name: str) -> Path:
+        """Return the path for the run record of a target."""
+        return self.directory / f"{name}.runs"
+
+    async def start_stand_ins(self, specs: Sequence[StandInSpec]) -> None:
+        """Start stand-ins and wait until they are ready."""
+        ports = free_ports(len(specs))
+        await self._start_all(
+            self._stand_in_command(spec, port)
+            for spec, port in zip(specs, ports, strict=True)
+        )
+
+    async def start_daemons(
+        self, specs: Sequence[DaemonSpec], platform: Mapping[str, str]
+    ) -> None:
+        """Start daemons that know each other as seeds.
+
+        Parameters
+        ----------
+        platform : mapping
+            The ``platform`` section of their settings.
+        """
+        ports = free_ports(len(specs))
+        endpoints_by_id = {
+            spec.daemon_id: f"tcp://127.0.0.1:{port}"
+            for spec, port in zip(specs, ports, strict=True)
+        }
+        self._daemon_ids += [spec.daemon_id for spec in specs]
+        await self._start_all(
+            self._daemon_command(spec, endpoints_by_id, platform) for spec in specs
+        )
+
+    async def restart(self, name: str) -> None:
+        """Start a process that has ended, with the same command, and wait for it."""
+        child = self.child(name)
+        await child.start()
+        await child.wait_ready()
+
+    def kill(self, name: str) -> None:
+        """End a process at once, as a lost host would."""
+        self.child(name).signal(signal.SIGKILL)
+
+    def pause(self, name: str) -> None:
+        """Stop a process from running without ending it."""
+        self.child(name).signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Let a paused process run on."""
+        self.child(name).signal(signal.SIGCONT)
+
+    def terminate(self, name: str) -> None:
+        """Ask a process to shut down gracefully."""
+        self.child(name).signal(signal.SIGTERM)
+
+    async def switch_faults(self, name: str, **fields: Any) -> None:
+        """Change the faults of a stand-in."""
+        response = await self._client.post(f"{self.url(name)}/faults", json=fields)
+        response.raise_for_status()
+
+    async def get_json(self, name: str, path: str) -> Any:
+        """Return the JSON answer of a process to a GET."""
+        response = await self._client.get(f"{self.url(name)}{path}")
+        response.raise_for_status()
+        return response.json()
+
+    async def _start_all(self, commands: Iterable[ChildCommand]) -> None:
+        children = [Child(command) for command in commands]
+        for first in range(0, len(children), _START_BATCH):
+            batch = children[first : first + _START_BATCH]
+            for child in batch:
+                self._children_by_name[child.command.name] = child
+                await child.start()
+            await asyncio.gather(*(child.wait_ready() for child in batch))
+
+    def _stand_in_command(self, spec: StandInSpec, port: int) -> ChildCommand:
+        ready_file = self.directory / f"{spec.name}.ready"
+        arguments = [
+            f"--port={port}",
+            f"--ready-file={ready_file}",
+            f"--options={json.dumps(dict(spec.options))}",
+            f"--faults={json.dumps(dict(spec.faults))}",
+        ]
+        module = f"aspendrift_standins.{spec.kind}"
+        return self._command(spec.name, module, arguments, ready_file)
+
+    def _daemon_command(
+        self,
+        spec: DaemonSpec,
+        endpoints_by_id: Mapping[str, str],
+        platform: Mapping[str, str],
+    ) -> ChildCommand:
+        ready_file = self.directory / f"{spec.daemon_id}.ready"
+        own = endpoints_by_id[spec.daemon_id]
+        others = [
+            {"daemon_id": daemon_id, "endpoint": endpoint}
+            for daemon_id, endpoint in _after(endpoints_by_id, spec.daemon_id)
+        ]
+        settings = {
+            "daemon_id": spec.daemon_id,
+            "zone": spec.zone,
+            "region": spec.region,
+            "platform": dict(platform),
+            "ready_file": str(ready_file),
+            "http": {"operators": [_operator()]},
+            "peers": {"bind": own, "seeds": others[:_N_SEEDS]},
+        }
+        path = self.directory / f"{spec.daemon_id}.json"
+        path.write_text(json.dumps(merged(settings, spec.overlay), indent=2))
+        return self._command(
+            spec.daemon_id, _DAEMON_MODULE, ["run", str(path)], ready_file
+        )
+
+    def _command(
+        self, name: str, module: str, arguments: Sequence[str], ready_file: Path
+    ) -> ChildCommand:
+        log_file = self.directory / f"{name}.log"
+        return ChildCommand(name, module, arguments, ready_file, log_file)
+
+    def _stop_on_sigterm(self) -> None:
+        task = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        if task is not None:
+            with contextlib.suppress(RuntimeError, ValueError):
+                loop.add_signal_handler(signal.SIGTERM, task.cancel)
+
+
+def free_ports(n_ports: int) -> list[int]:
+    """Return loopback TCP ports that were free a moment ago.
+
+    They lie below the range from which the system takes the ports of outgoing
+    connections, so that a process can be restarted at its port.
+    """
+    draw = random.SystemRandom()
+    ports: list[int] = []
+    while len(ports) < n_ports:
+        port = draw.randrange(_FIRST_PORT, _LAST_PORT)
+        if port not in ports and _is_free(port):
+            ports.append(port)
+    return ports
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
+def merged(base: Mapping[str, Any], overlay: Mapping[str, Any]) -> dict[str, Any]:
+    """Return a nested mapping with the values of another put over it."""
+    result = dict(base)
+    for key, value in overlay.items():
+        known = result.get(key)
+        if isinstance(known, Mapping) and isinstance(value, Mapping):
+            result[key] = merged(known, value)
+        else:
+            result[key] = value
+    return result
+
+
+def _after(endpoints_by_id: Mapping[str, str], daemon_id: str) -> list[tuple[str, str]]:
+    """Return the other daemons, beginning after one, so that seeds spread."""
+    items = list(endpoints_by_id.items())
+    index = list(endpoints_by_id).index(daemon_id)
+    return items[index + 1 :] + items[:index]
+
+
+def _operator() -> dict[str, Any]:
+    digest = hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()
+    return {
+        "name": "fleet",
+        "sha256": digest,
+        "roles": ["read", "publish", "drain"],
+    }
--- a/packages/aspendrift-standins/src/aspendrift_standins/target_base.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/target_base.py
@@ -18,13 +18,24 @@
 from aspendrift_standins.runs import RunEvent, RunKind, RunLog
 from aspendrift_standins.slots import SlotQueue
 
-__all__ = ["CRASH_EXIT_CODE", "FOREIGN_ATTEMPT", "PoolOptions", "StageTarget"]
+__all__ = [
+    "CRASH_EXIT_CODE",
+    "FOREIGN_ATTEMPT",
+    "PoolOptions",
+    "StageTarget",
+    "rejection",
+]
 
 CRASH_EXIT_CODE: Final = 70
 FOREIGN_ATTEMPT: Final = "attempt-of-another-request"
 _LATE_S: Final = 0.2
 
 
+def rejection(call: StageCall, detail: str) -> dict[str, str]:
+    """Return the body that refuses an attempt before any work on it."""
+    return {"attempt_id": call.attempt_id, "detail": detail}
+
+
 class PoolOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Capacity of a stage pool or service.
 
@@ -84,6 +95,9 @@
         if self.faults.draw(faults.fail_share):
             await exchange.reply(500, {"detail": "failed"})
             return
+        if self.faults.draw(faults.reject_share):
+            await exchange.reply(503, rejection(call, "busy"))
+            return
         if self.faults.draw(faults.hang_share):
             await exchange.gone()
             return
