--- /dev/null
+++ b/packages/aspendrift-policy/src/aspendrift_policy/placement.py
@@ -0,0 +1,276 @@
+"""Which engine of a pool holds which models, and the orders that lead there."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from enum import Enum
+
+from aspendrift_model.ids import ModelName, TargetId
+from aspendrift_model.states import TargetState
+from aspendrift_model.targets import Target
+from aspendrift_model.wire_target import EngineRole, EngineState, OrderKind
+
+__all__ = [
+    "EnginePlan",
+    "ModelDemand",
+    "PlacementRules",
+    "PlannedOrder",
+    "PlacementReason",
+    "next_orders",
+    "plan_pool",
+]
+
+
+class PlacementReason(Enum):
+    """Why an engine has its role and models."""
+
+    DEMAND = "demand"
+    FORECAST = "forecast"
+    MIN_REPLICA = "min_replica"
+    LEARNING = "learning"
+    RELEASED = "released"
+    DRAINING = "draining"
+    UNREPORTED = "unreported"
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementRules:
+    """Bounds of a placement.
+
+    Parameters
+    ----------
+    headroom : float
+        Capacity planned for, relative to the demand.
+    min_replicas : int
+        Engines that hold each model whatever the demand.
+    models_per_engine : int
+        Models that one engine may hold.
+    max_loads : int
+        Models that may be loading in the pool at the same time.
+    """
+
+    headroom: float = 1.3
+    min_replicas: int = 2
+    models_per_engine: int = 2
+    max_loads: int = 2
+
+
+@dataclass(frozen=True, slots=True)
+class ModelDemand:
+    """Slots that a model needs.
+
+    Parameters
+    ----------
+    current : float
+        Slots busy now.
+    expected : float or None
+        Highest number expected soon; None when nothing was learned yet.
+    """
+
+    model: ModelName
+    current: float
+    expected: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class EnginePlan:
+    """What one engine should hold, and why."""
+
+    target_id: TargetId
+    role: EngineRole
+    models: tuple[ModelName, ...]
+    reasons_by_model: Mapping[ModelName, PlacementReason]
+    reason: PlacementReason
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedOrder:
+    """One order that leads from what an engine holds to its plan."""
+
+    target_id: TargetId
+    kind: OrderKind
+    model: ModelName | None = None
+    role: EngineRole | None = None
+
+
+def plan_pool(
+    targets: Sequence[Target],
+    states_by_id: Mapping[TargetId, EngineState],
+    demands: Sequence[ModelDemand],
+    rules: PlacementRules,
+) -> dict[TargetId, EnginePlan]:
+    """Return the plan of each engine of a pool.
+
+    Parameters
+    ----------
+    targets : sequence of Target
+        Engines of the pool; those that drain get no new model.
+    states_by_id : mapping of TargetId to EngineState
+        What engines reported; the others are left as they are.
+    demands : sequence of ModelDemand
+        Every model in use.
+    rules : PlacementRules
+        Bounds.
+
+    Notes
+    -----
+    Models with the most demand are placed first. An engine that holds a model
+    keeps it before another has to load it, and the replicas of a model are
+    spread over the availability zones. A model without any learned demand keeps
+    what it has.
+    """
+    engines = [
+        target
+        for target in targets
+        if target.state is TargetState.ACTIVE and target.target_id in states_by_id
+    ]
+    assigned: dict[TargetId, dict[ModelName, PlacementReason]] = {
+        target.target_id: {} for target in engines
+    }
+    for demand in sorted(demands, key=lambda each: (-_slots(each), each.model)):
+        _place(demand, engines, states_by_id, assigned, rules)
+    return {
+        target.target_id: _engine_plan(target, states_by_id, assigned)
+        for target in targets
+    }
+
+
+def next_orders(
+    plans: Mapping[TargetId, EnginePlan],
+    states_by_id: Mapping[TargetId, EngineState],
+    rules: PlacementRules,
+) -> list[PlannedOrder]:
+    """Return the orders to send now.
+
+    Loads come before unloads, and no model is unloaded while another replica
+    that the plan counts on is still missing, so capacity never dips.
+    """
+    orders: list[PlannedOrder] = []
+    n_loading = sum(len(state.loading) for state in states_by_id.values())
+    n_missing: Counter[ModelName] = Counter()
+    for target_id, plan in plans.items():
+        state = states_by_id.get(target_id)
+        if state is None or plan.reason is PlacementReason.DRAINING:
+            continue
+        if plan.role is not EngineRole.IDLE and state.role is EngineRole.IDLE:
+            orders.append(
+                PlannedOrder(target_id, OrderKind.SET_ROLE, role=EngineRole.BOTH)
+            )
+        for model in plan.models:
+            if model in state.models:
+                continue
+            n_missing[model] += 1
+            if model not in state.loading and n_loading < rules.max_loads:
+                n_loading += 1
+                orders.append(PlannedOrder(target_id, OrderKind.LOAD_MODEL, model))
+    return orders + _releases(plans, states_by_id, n_missing)
+
+
+def _releases(
+    plans: Mapping[TargetId, EnginePlan],
+    states_by_id: Mapping[TargetId, EngineState],
+    n_missing: Counter[ModelName],
+) -> list[PlannedOrder]:
+    orders: list[PlannedOrder] = []
+    for target_id, plan in plans.items():
+        state = states_by_id.get(target_id)
+        if state is None or plan.reason is PlacementReason.DRAINING:
+            continue
+        extra = [ModelName(m) for m in state.models if m not in plan.models]
+        held = [model for model in extra if n_missing[model]]
+        orders += [
+            PlannedOrder(target_id, OrderKind.UNLOAD_MODEL, model)
+            for model in extra
+            if model not in held
+        ]
+        goes_idle = plan.role is EngineRole.IDLE and state.role is not EngineRole.IDLE
+        if goes_idle and not held:
+            orders.append(
+                PlannedOrder(target_id, OrderKind.SET_ROLE, role=EngineRole.IDLE)
+            )
+    return orders
+
+
+def _slots(demand: ModelDemand) -> float:
+    return max(demand.current, demand.expected or 0.0)
+
+
+def _place(
+    demand: ModelDemand,
+    engines: Sequence[Target],
+    states_by_id: Mapping[TargetId, EngineState],
+    assigned: Mapping[TargetId, dict[ModelName, PlacementReason]],
+    rules: PlacementRules,
+) -> None:
+    holders = {
+        target.target_id
+        for target in engines
+        if demand.model in states_by_id[target.target_id].models
+        or demand.model in states_by_id[target.target_id].loading
+    }
+    needed_slots = _slots(demand) * rules.headroom
+    n_replicas, slots = 0, 0.0
+    n_by_zone: Counter[str] = Counter()
+    left = [t for t in engines if len(assigned[t.target_id]) < rules.models_per_engine]
+    while left:
+        reason = _reason(demand, n_replicas, slots, needed_slots, rules)
+        best = min(left, key=lambda t: _preference(t, holders, assigned, n_by_zone))
+        if reason is None and demand.expected is None and best.target_id in holders:
+            reason = PlacementReason.LEARNING
+        if reason is None:
+            return
+        left.remove(best)
+        assigned[best.target_id][demand.model] = reason
+        n_by_zone[best.zone] += 1
+        n_replicas += 1
+        slots += best.slots / len(assigned[best.target_id])
+
+
+def _reason(
+    demand: ModelDemand,
+    n_replicas: int,
+    slots: float,
+    needed_slots: float,
+    rules: PlacementRules,
+) -> PlacementReason | None:
+    if n_replicas < rules.min_replicas:
+        return PlacementReason.MIN_REPLICA
+    if slots >= needed_slots:
+        return None
+    is_expected = (demand.expected or 0.0) > demand.current
+    return PlacementReason.FORECAST if is_expected else PlacementReason.DEMAND
+
+
+def _preference(
+    target: Target,
+    holders: set[TargetId],
+    assigned: Mapping[TargetId, dict[ModelName, PlacementReason]],
+    n_by_zone: Counter[str],
+) -> tuple[bool, int, int, str]:
+    target_id = target.target_id
+    is_missing = target_id not in holders
+    return is_missing, n_by_zone[target.zone], len(assigned[target_id]), target_id
+
+
+def _engine_plan(
+    target: Target,
+    states_by_id: Mapping[TargetId, EngineState],
+    assigned: Mapping[TargetId, dict[ModelName, PlacementReason]],
+) -> EnginePlan:
+    target_id = target.target_id
+    state = states_by_id.get(target_id)
+    if state is None:
+        return EnginePlan(
+            target_id, EngineRole.BOTH, (), {}, PlacementReason.UNREPORTED
+        )
+    held = tuple(ModelName(model) for model in state.models)
+    if target.state is not TargetState.ACTIVE:
+        return EnginePlan(target_id, state.role, held, {}, PlacementReason.DRAINING)
+    reasons = assigned[target_id]
+    if not reasons:
+        role = EngineRole.IDLE
+        return EnginePlan(target_id, role, (), {}, PlacementReason.RELEASED)
+    main_reason = next(iter(reasons.values()))
+    return EnginePlan(target_id, EngineRole.BOTH, tuple(reasons), reasons, main_reason)
