Answer deeply nested JSON and infinite numbers with typed errors

Cause: property tests found that deep nesting ends settings loading and the caller library with RecursionError, and that infinite settings were accepted.

--- a/packages/aspendrift-client/src/aspendrift_client/context.py
+++ b/packages/aspendrift-client/src/aspendrift_client/context.py
@@ -69,5 +69,14 @@
             trust_env=False,
         )
 
+    def blocking_client(self) -> httpx.Client:
+        """Return a blocking HTTP client with the trust and time limit applied."""
+        return httpx.Client(
+            headers=self.headers(),
+            verify=self.tls_context(),
+            timeout=self.timeout_s,
+            trust_env=False,
+        )
+
 
 pass_client_context = click.make_pass_decorator(ClientContext)
--- a/packages/aspendrift-model/src/aspendrift_model/settings.py
+++ b/packages/aspendrift-model/src/aspendrift_model/settings.py
@@ -63,7 +63,7 @@
     except OSError as error:
         problem = SettingProblem("", str(error), "a readable file")
         raise SettingsError(source, (problem,)) from error
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         problem = SettingProblem("", str(error), "JSON with comments")
         raise SettingsError(source, (problem,)) from error
     if not isinstance(values, dict):
--- a/packages/aspendrift-model/src/aspendrift_model/settings_base.py
+++ b/packages/aspendrift-model/src/aspendrift_model/settings_base.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import json
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
@@ -107,7 +108,7 @@
 
 
 def _scalar(hint: Any, value: Any) -> Any:
-    if hint is float and type(value) in (int, float):
+    if hint is float and type(value) in (int, float) and math.isfinite(value):
         return float(value)
     if hint in (int, bool, str) and type(value) is hint:
         return value
