Assemble the daemon and shut it down gracefully

Cause: the parts had no process to run in. Change: app.py wires them, http_server.py holds uvicorn with limits and TLS, leaving.py gives the phases of a shutdown: serve until address answers that name the daemon have expired, then finish what is open, then exit; a second signal or the bound cuts and names the requests that were cut.

--- /dev/null
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/app.py
@@ -0,0 +1,312 @@
+"""Assembles a daemon from its parts, runs it and shuts it down."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import signal
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, ClassVar, Final, Protocol
+
+import httpx
+import msgspec
+
+from aspendrift_daemon.address_routes import AddressBook, address_routes
+from aspendrift_daemon.authentication import AccountAuthenticator
+from aspendrift_daemon.clock import SystemClock
+from aspendrift_daemon.configuration import ConfigurationKeeper
+from aspendrift_daemon.dispatch import DaemonDispatcher
+from aspendrift_daemon.events import Event, EventHub
+from aspendrift_daemon.front_door import caller_routes
+from aspendrift_daemon.health_routes import UnreadyReason, health_handlers
+from aspendrift_daemon.http_server import HttpServer, listen
+from aspendrift_daemon.interfaces import MembershipList
+from aspendrift_daemon.load_poller import LoadPoller
+from aspendrift_daemon.logs import connect_event_log
+from aspendrift_daemon.membership import MembershipKeeper
+from aspendrift_daemon.metrics import Metrics, metrics_handler
+from aspendrift_daemon.operator_access import OperatorAccess
+from aspendrift_daemon.operator_answers import OperatorAnswers
+from aspendrift_daemon.operator_routes import OperatorContext, operator_routes
+from aspendrift_daemon.peers import PeerLink
+from aspendrift_daemon.platform_clients import (
+    membership_list,
+    platform_client,
+)
+from aspendrift_daemon.platform_http import HttpTableService
+from aspendrift_daemon.requests import RequestService
+from aspendrift_daemon.target_survey import TargetSurvey
+from aspendrift_daemon.targets import TargetClient
+from aspendrift_model.hosts import Host, Location
+from aspendrift_model.ids import DaemonId, Incarnation, RegionName, ZoneName
+from aspendrift_model.settings import DaemonSettings
+from aspendrift_model.states import RefusalReason
+from aspendrift_policy.leaving import LeavePhase, LeaveProcedure, LeaveTimes
+
+__all__ = ["Daemon", "DaemonReady", "LeavePhaseChanged", "RequestsCut", "serve"]
+
+_MS_PER_S: Final = 1000
+_LEAVE_POLL_S: Final = 0.05
+_UNREADY_BY_REASON: Final = {
+    RefusalReason.LEAVING: UnreadyReason.LEAVING,
+    RefusalReason.ISOLATED: UnreadyReason.ISOLATED,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class DaemonReady(Event):
+    """The daemon accepts connections."""
+
+    name: ClassVar[str] = "daemon_ready"
+    daemon_id: DaemonId
+    url: str
+    peer_endpoint: str
+
+
+@dataclass(frozen=True, slots=True)
+class LeavePhaseChanged(Event):
+    """A shutdown moved on."""
+
+    name: ClassVar[str] = "leave_phase_changed"
+    phase: LeavePhase
+    n_open: int
+
+
+@dataclass(frozen=True, slots=True)
+class RequestsCut(Event):
+    """A shutdown ended before these requests did."""
+
+    name: ClassVar[str] = "requests_cut"
+    request_ids: tuple[str, ...]
+
+
+class ReadyFile(msgspec.Struct, frozen=True):
+    """Content of the ready file."""
+
+    daemon_id: str
+    url: str
+    peer_endpoint: str
+    pid: int
+
+
+class Part(Protocol):
+    """A part of the daemon with background work."""
+
+    async def start(self) -> Any:
+        """Begin the background work."""
+
+    async def stop(self) -> Any:
+        """End the background work."""
+
+
+class Daemon:
+    """One daemon with all its parts.
+
+    Parameters
+    ----------
+    settings : DaemonSettings
+        Checked settings.
+    events : EventHub
+        Receives every event of every part.
+    rng : random.Random
+        Source of jitter and samples.
+    """
+
+    def __init__(
+        self, settings: DaemonSettings, events: EventHub, rng: random.Random
+    ) -> None:
+        self.settings = settings
+        self.events = events
+        self.clock = SystemClock()
+        self.metrics = Metrics()
+        self.metrics.connect(events)
+        self._socket = listen(settings.http.host, settings.http.port)
+        self.host = self._make_host()
+        self._table_client = platform_client(
+            settings.platform, settings.platform.table_url
+        )
+        table = HttpTableService(self._table_client)
+        daemon_id = self.host.daemon_id
+        peers = settings.peers
+        self.link = PeerLink(peers, self.host, self.clock, events, rng)
+        self.keeper = ConfigurationKeeper(
+            table, self.link, self.clock, events, rng, peers, daemon_id
+        )
+        listing: MembershipList | None = membership_list(settings.platform)
+        self.membership = MembershipKeeper(
+            self.link, listing, peers, self.clock, events, rng, self.keeper
+        )
+        self.dispatcher = DaemonDispatcher(
+            settings.routing,
+            self.host.location,
+            self.clock,
+            self.keeper,
+            self.link,
+            events,
+            rng,
+            daemon_id,
+        )
+        self.poller = LoadPoller(
+            settings.routing,
+            self.clock,
+            self.keeper,
+            httpx.AsyncClient,
+            self.dispatcher,
+            rng,
+        )
+        self.book = AddressBook(self.link, peers, rng)
+        self.targets = TargetClient(settings.requests, self.clock)
+        self.requests = RequestService(
+            settings.requests,
+            daemon_id,
+            self.clock,
+            table,
+            self.link,
+            self.keeper,
+            self.dispatcher,
+            self.targets,
+            events,
+            rng,
+            self.book.urls,
+            self.keeper.may_serve,
+        )
+        self.server = self._make_server()
+        times = LeaveTimes(
+            peers.address_keep_s, settings.leaving.margin_s, settings.leaving.bound_s
+        )
+        self.leave = LeaveProcedure(times)
+        self.metrics.gauge(
+            "requests.open", "1", "Requests without an outcome", self._n_open
+        )
+
+    def _parts(self) -> tuple[Part, ...]:
+        return (
+            self.link,
+            self.keeper,
+            self.membership,
+            self.dispatcher,
+            self.poller,
+            self.requests,
+            self.server,
+        )
+
+    def _n_open(self) -> int:
+        return self.requests.n_open
+
+    def _make_host(self) -> Host:
+        settings = self.settings
+        port = self._socket.getsockname()[1]
+        scheme = "https" if settings.http.tls_certificate_file else "http"
+        shown = settings.http.host
+        shown = f"[{shown}]" if ":" in shown else shown
+        return Host(
+            DaemonId(settings.daemon_id),
+            Incarnation(int(self.clock.unix() * _MS_PER_S)),
+            Location(ZoneName(settings.zone), RegionName(settings.region)),
+            settings.http.advertise_url or f"{scheme}://{shown}:{port}",
+            settings.peers.bind,
+        )
+
+    def _make_server(self) -> HttpServer:
+        answers = OperatorAnswers(self.keeper, self.link, self.clock)
+        survey = TargetSurvey(
+            self.link, self.host.daemon_id, self.dispatcher.n_in_flight
+        )
+        context = OperatorContext(
+            self.keeper,
+            answers,
+            survey,
+            OperatorAccess(self.settings.http),
+            self.events,
+        )
+        authenticator = AccountAuthenticator(self.keeper)
+        routes = [
+            *caller_routes(self.requests, authenticator, self.settings.requests),
+            *address_routes(self.book),
+            *operator_routes(context),
+            *health_handlers(self._unready),
+            metrics_handler(self.metrics),
+        ]
+        return HttpServer(
+            self.settings.http,
+            self._socket,
+            routes,
+            self.events,
+            self.settings.requests.max_body_bytes,
+        )
+
+    def _unready(self) -> tuple[UnreadyReason, ...]:
+        reason = self.keeper.may_serve(self.clock.monotonic())
+        if reason is None:
+            return ()
+        return (_UNREADY_BY_REASON.get(reason, UnreadyReason.NO_CONFIGURATION),)
+
+    async def start(self) -> None:
+        """Start every part, then say that the daemon is ready."""
+        for part in self._parts():
+            await part.start()
+        host = self.link.host
+        ready = ReadyFile(host.daemon_id, host.url, host.peer_endpoint, os.getpid())
+        self._write_ready_file(ready)
+        self.events.emit(DaemonReady(host.daemon_id, host.url, host.peer_endpoint))
+
+    async def stop(self) -> None:
+        """Stop every part, in reverse order."""
+        for part in reversed(self._parts()):
+            await part.stop()
+        await self.targets.close()
+        await self._table_client.aclose()
+        self.metrics.close()
+
+    def signalled(self) -> None:
+        """Begin to leave; a second call leaves at once."""
+        now = self.clock.monotonic()
+        if self.leave.phase is not LeavePhase.SERVING:
+            self.leave.cut()
+            return
+        self.leave.announce(now)
+        self.membership.begin_leaving()
+        self.events.emit(LeavePhaseChanged(self.leave.phase, self._n_open()))
+
+    async def run_until_left(self) -> None:
+        """Return when a shutdown that was signalled has come to its end."""
+        phase = self.leave.phase
+        while phase is not LeavePhase.EXITED:
+            await asyncio.sleep(_LEAVE_POLL_S)
+            now = self.clock.monotonic()
+            reached = self.leave.step(self._n_open(), now)
+            if reached is phase:
+                continue
+            phase = reached
+            self.events.emit(LeavePhaseChanged(phase, self._n_open()))
+            if phase is LeavePhase.DRAINING:
+                self.keeper.begin_leaving()
+                self.requests.begin_leaving()
+        self.requests.begin_leaving()
+        if self._n_open():
+            self.events.emit(RequestsCut(self.requests.open_ids()))
+
+    def _write_ready_file(self, ready: ReadyFile) -> None:
+        if not self.settings.ready_file:
+            return
+        path = Path(self.settings.ready_file)
+        partial = path.with_name(path.name + ".partial")
+        partial.write_bytes(msgspec.json.encode(ready))
+        partial.replace(path)
+
+
+async def serve(settings: DaemonSettings) -> None:
+    """Run a daemon until SIGTERM or SIGINT and the end of its requests."""
+    events = EventHub()
+    connect_event_log(events)
+    daemon = Daemon(settings, events, random.Random())
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, daemon.signalled)
+    await daemon.start()
+    try:
+        await daemon.run_until_left()
+    finally:
+        await daemon.stop()
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/dispatch.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/dispatch.py
@@ -238,6 +238,14 @@
         """Return whether this daemon sends requests to a target."""
         return target_id in self._pool_of_target
 
+    def n_in_flight(self, target_id: TargetId) -> int:
+        """Return how many attempts of this daemon hold a slot on a target."""
+        pool = self._pool_of_target.get(target_id)
+        if pool is None:
+            return 0
+        candidate = pool.targets.candidates_by_id.get(target_id)
+        return 0 if candidate is None else candidate.load.own_active
+
     def load_reported(self, report: LoadReport) -> None:
         """Take in a load report and share it with peers."""
         now = self._clock.monotonic()
--- /dev/null
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/http_server.py
@@ -0,0 +1,157 @@
+"""The HTTP server of the daemon: socket, application, limits and TLS."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import ClassVar, Final
+
+import uvicorn
+from litestar import Litestar
+from litestar.handlers import HTTPRouteHandler
+from litestar.openapi import OpenAPIConfig
+
+from aspendrift_daemon.events import Event, EventHub
+from aspendrift_daemon.front_door import exception_handlers
+from aspendrift_daemon.limits import (
+    BodyLimits,
+    ConnectionLimits,
+    limited_protocol,
+)
+from aspendrift_daemon.tls import (
+    CertificateInvalid,
+    CertificateReloaded,
+    ReloadResult,
+    ServerTls,
+    watch_certificate,
+)
+from aspendrift_model.settings_http import HttpSettings
+
+__all__ = ["CertificateChanged", "HttpServer", "listen"]
+
+_BACKLOG: Final = 2048
+_CLOSE_TIMEOUT_S: Final = 2
+
+
+@dataclass(frozen=True, slots=True)
+class CertificateChanged(Event):
+    """The certificate files changed; ``problem`` tells why they can't be used."""
+
+    name: ClassVar[str] = "certificate_changed"
+    problem: str
+
+
+class _Server(uvicorn.Server):
+    """uvicorn's server without signal handlers; the daemon has its own."""
+
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self.is_up = asyncio.Event()
+
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Start to accept connections, and tell."""
+        await super().startup(sockets)
+        self.is_up.set()
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Leave the signals alone."""
+        yield
+
+
+def listen(host: str, port: int) -> socket.socket:
+    """Return a bound socket; port 0 takes a free one."""
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((host, port))
+    sock.listen(_BACKLOG)
+    sock.setblocking(False)
+    return sock
+
+
+class HttpServer:
+    """Serves the routes on one socket.
+
+    Parameters
+    ----------
+    sock : socket.socket
+        Socket from :func:`listen`.
+    max_body_bytes : int
+        Largest request body.
+    """
+
+    def __init__(
+        self,
+        settings: HttpSettings,
+        sock: socket.socket,
+        routes: Sequence[HTTPRouteHandler],
+        events: EventHub,
+        max_body_bytes: int,
+    ) -> None:
+        self._settings = settings
+        self._socket = sock
+        self._events = events
+        self._tls = _server_tls(settings)
+        app = Litestar(
+            list(routes),
+            exception_handlers=exception_handlers(),
+            openapi_config=OpenAPIConfig(title="aspendrift", version="1"),
+            logging_config=None,
+            debug=False,
+        )
+        config = uvicorn.Config(
+            BodyLimits(app, max_body_bytes, settings.body_timeout_s),
+            loop="asyncio",
+            http=limited_protocol(ConnectionLimits.from_settings(settings)),
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            h11_max_incomplete_event_size=settings.max_header_bytes,
+            timeout_graceful_shutdown=_CLOSE_TIMEOUT_S,
+        )
+        config.load()
+        if self._tls is not None:
+            config.ssl = self._tls.context
+        self._server = _Server(config)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Accept connections; returns once the server does."""
+        serving = asyncio.create_task(self._server.serve([self._socket]))
+        self._tasks.append(serving)
+        await self._server.is_up.wait()
+        if self._tls is not None:
+            watch = watch_certificate(
+                self._tls, self._settings.rotation_check_s, self._report
+            )
+            self._tasks.append(asyncio.create_task(watch))
+
+    async def stop(self) -> None:
+        """Close the socket and the connections that are idle."""
+        self._server.should_exit = True
+        if self._tasks:
+            await asyncio.gather(self._tasks[0], return_exceptions=True)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _report(self, result: ReloadResult) -> None:
+        if isinstance(result, CertificateInvalid):
+            self._events.emit(CertificateChanged(result.detail))
+        elif isinstance(result, CertificateReloaded):
+            self._events.emit(CertificateChanged(""))
+
+
+def _server_tls(settings: HttpSettings) -> ServerTls | None:
+    if not settings.tls_certificate_file:
+        return None
+    tls = ServerTls(Path(settings.tls_certificate_file), Path(settings.tls_key_file))
+    tls.reload()
+    return tls
--- /dev/null
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/platform_clients.py
@@ -0,0 +1,55 @@
+"""HTTP clients of the platform's services, made from the settings."""
+
+from __future__ import annotations
+
+import ssl
+from collections.abc import Generator
+from pathlib import Path
+
+import httpx
+
+from aspendrift_daemon.interfaces import MembershipList
+from aspendrift_daemon.platform_http import HttpMembershipList
+from aspendrift_model.settings_platform import PlatformSettings
+
+__all__ = ["membership_list", "platform_client"]
+
+
+class _FileToken(httpx.Auth):
+    """Bearer token that is read from its file for each request.
+
+    The file may be replaced at any time, so no copy is kept.
+    """
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+
+    def auth_flow(
+        self, request: httpx.Request
+    ) -> Generator[httpx.Request, httpx.Response, None]:
+        """Add the token that the file holds now."""
+        token = self._path.read_text(encoding="utf-8").strip()
+        request.headers["authorization"] = f"Bearer {token}"
+        yield request
+
+
+def platform_client(settings: PlatformSettings, base_url: str) -> httpx.AsyncClient:
+    """Return a client for one of the platform's services."""
+    verify: ssl.SSLContext | bool = True
+    if settings.ca_file:
+        verify = ssl.create_default_context(cafile=settings.ca_file)
+    auth = _FileToken(Path(settings.token_file)) if settings.token_file else None
+    return httpx.AsyncClient(
+        base_url=base_url,
+        timeout=settings.timeout_s,
+        verify=verify,
+        auth=auth,
+        trust_env=False,
+    )
+
+
+def membership_list(settings: PlatformSettings) -> MembershipList | None:
+    """Return the platform's membership list, or None without one."""
+    if not settings.membership_url:
+        return None
+    return HttpMembershipList(platform_client(settings, settings.membership_url))
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/requests.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/requests.py
@@ -146,6 +146,10 @@
         """Requests that have no outcome yet."""
         return len(self._open)
 
+    def open_ids(self) -> tuple[str, ...]:
+        """Return the ids of the requests that have no outcome yet."""
+        return tuple(task.get_name() for task in self._open)
+
     async def start(self) -> None:
         """Start the background work."""
         await self.claims.writer.start()
@@ -250,7 +254,8 @@
     async def _follow(self, request: _Request, sink: TokenSink) -> OutcomeBody:
         """Run a request in a task of its own, which may outlive the caller."""
         run = self._new_run(request, sink)
-        task = asyncio.create_task(self._run_to_end(request, run))
+        work = self._run_to_end(request, run)
+        task = asyncio.create_task(work, name=request.request_id)
         self._open.add(task)
         task.add_done_callback(self._open.discard)
         if not request.profile.contract.idempotent:
--- a/packages/aspendrift-model/src/aspendrift_model/settings.py
+++ b/packages/aspendrift-model/src/aspendrift_model/settings.py
@@ -15,6 +15,7 @@
     setting,
 )
 from aspendrift_model.settings_http import HttpSettings
+from aspendrift_model.settings_leaving import LeavingSettings
 from aspendrift_model.settings_peers import PeerSettings
 from aspendrift_model.settings_platform import PlatformSettings
 from aspendrift_model.settings_requests import RequestSettings
@@ -47,6 +48,7 @@
     peers: PeerSettings = field(default_factory=PeerSettings)
     requests: RequestSettings = field(default_factory=RequestSettings)
     routing: RoutingSettings = field(default_factory=RoutingSettings)
+    leaving: LeavingSettings = field(default_factory=LeavingSettings)
 
 
 def load_settings(path: Path) -> DaemonSettings:
--- /dev/null
+++ b/packages/aspendrift-model/src/aspendrift_model/settings_leaving.py
@@ -0,0 +1,27 @@
+"""Settings of a graceful shutdown."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from aspendrift_model.settings_base import setting
+
+__all__ = ["LeavingSettings"]
+
+
+@dataclass(frozen=True, slots=True)
+class LeavingSettings:
+    """How a daemon shuts down."""
+
+    margin_s: float = setting(
+        1.0,
+        unit="s",
+        doc="Time for the announcement to reach the other daemons.",
+        minimum=0.0,
+    )
+    bound_s: float = setting(
+        60.0,
+        unit="s",
+        doc="Longest time from the announcement to the exit.",
+        minimum=0.1,
+    )
--- /dev/null
+++ b/packages/aspendrift-policy/tests/test_leaving.py
@@ -0,0 +1,57 @@
+"""Tests of the phases of a shutdown."""
+
+from __future__ import annotations
+
+import pytest
+
+from aspendrift_policy.leaving import LeavePhase, LeaveProcedure, LeaveTimes
+
+TIMES = LeaveTimes(keep_s=10.0, margin_s=1.0, bound_s=30.0)
+
+
+@pytest.fixture
+def leave() -> LeaveProcedure:
+    procedure = LeaveProcedure(TIMES)
+    procedure.announce(100.0)
+    return procedure
+
+
+@pytest.mark.fault("daemon leaving", "leave announced")
+def test_new_requests_are_served_until_address_answers_expire(
+    leave: LeaveProcedure,
+) -> None:
+    assert leave.step(0, 100.0) is LeavePhase.ANNOUNCED
+    assert leave.step(0, 110.9) is LeavePhase.ANNOUNCED
+
+
+@pytest.mark.fault("daemon leaving", "leave draining")
+def test_open_requests_hold_the_exit(leave: LeaveProcedure) -> None:
+    assert leave.step(2, 111.0) is LeavePhase.DRAINING
+    assert leave.step(1, 115.0) is LeavePhase.DRAINING
+    assert leave.step(0, 116.0) is LeavePhase.EXITED
+
+
+@pytest.mark.fault("daemon leaving", "leave exited")
+def test_nothing_reopens_after_the_exit(leave: LeaveProcedure) -> None:
+    leave.step(0, 111.0)
+    leave.announce(112.0)
+    assert leave.step(3, 112.0) is LeavePhase.EXITED
+
+
+def test_bound_ends_a_shutdown_that_hangs(leave: LeaveProcedure) -> None:
+    assert leave.step(1, 129.9) is LeavePhase.DRAINING
+    assert leave.step(1, 130.0) is LeavePhase.EXITED
+
+
+def test_second_announcement_does_not_restart_the_times(leave: LeaveProcedure) -> None:
+    leave.announce(109.0)
+    assert leave.step(0, 111.0) is LeavePhase.EXITED
+
+
+def test_cut_exits_at_once(leave: LeaveProcedure) -> None:
+    leave.cut()
+    assert leave.step(5, 100.1) is LeavePhase.EXITED
+
+
+def test_serving_daemon_stays() -> None:
+    assert LeaveProcedure(TIMES).step(0, 1e9) is LeavePhase.SERVING
