Give the operator's commands the shared options and output

Cause: the commands had their own exit codes and JSON option beside those of the command line. Change: they take the shared client context, writer and error classes. Conclusion: one set of exit codes.

--- a/packages/aspendrift-client/src/aspendrift_client/command_support.py
+++ b/packages/aspendrift-client/src/aspendrift_client/command_support.py
@@ -1,21 +1,25 @@
-"""What the operator's commands share: exit codes, options and output."""
+"""What the operator's commands share: the daemons' API, options and output."""
 
 from __future__ import annotations
 
 import functools
-import json
 from collections.abc import Callable
+from datetime import UTC, datetime
 from typing import Any, Final, NoReturn, TypeVar
 
 import click
+import httpx
 import msgspec
 
+from aspendrift_client.context import ClientContext
+from aspendrift_client.errors import ClientError, ExitCode
 from aspendrift_client.operator_api import (
-    CallRefused,
     NoDaemonAnswered,
     OperatorApi,
     new_change_id,
 )
+from aspendrift_client.output import OutputWriter
+from aspendrift_client.run_async import fail
 from aspendrift_model.states import ItemKind
 from aspendrift_model.wire_operator import (
     ChangeAnswer,
@@ -26,38 +30,58 @@
 )
 
 __all__ = [
+    "ChangeConflict",
+    "ChangeFailed",
     "ChangeOptions",
-    "CommandFailed",
-    "ExitCode",
+    "ChangeOutcomeUnknown",
+    "ChangeRefused",
     "change_options",
     "make_change",
+    "output",
+    "pass_api",
     "seen_revision",
     "show_changes",
-    "show_failures",
     "show_json",
 ]
 
 _F = TypeVar("_F", bound=Callable[..., Any])
 _DEFAULT_WAIT_S: Final = 30.0
+_CALL_TIMEOUT_S: Final = 20.0
+_CHANGE_COLUMNS: Final = (
+    "revision",
+    "kind",
+    "name",
+    "operator",
+    "time",
+    "replaces",
+    "change_id",
+    "note",
+)
 _RECORDED: Final = frozenset(
     {ChangeStatus.RECORDED, ChangeStatus.ACCEPTED, ChangeStatus.IN_FORCE}
 )
 
 
-class ExitCode:
-    """Exit codes of the commands."""
+class ChangeFailed(ClientError):
+    """A change is recorded but not in force everywhere within the time given."""
+
+
+class ChangeRefused(ClientError):
+    """A change was not made."""
+
+    exit_code = ExitCode.REFUSED
+
 
-    REFUSED: Final = 1
-    UNKNOWN: Final = 3
-    NOT_IN_FORCE: Final = 4
+class ChangeConflict(ClientError):
+    """Another operator changed the item first."""
 
+    exit_code = ExitCode.CONFLICT
 
-class CommandFailed(click.ClickException):
-    """A failed command with its exit code."""
 
-    def __init__(self, message: str, exit_code: int = ExitCode.REFUSED) -> None:
-        super().__init__(message)
-        self.exit_code = exit_code  # type: ignore[misc]
+class ChangeOutcomeUnknown(ClientError):
+    """A change may or may not have been made."""
+
+    exit_code = ExitCode.UNKNOWN
 
 
 class ChangeOptions(msgspec.Struct, frozen=True):
@@ -70,18 +94,22 @@
     timeout_s: float
 
 
-def show_failures(command: _F) -> _F:
-    """Turn the failures of a call into a message and an exit code."""
+def pass_api(command: _F) -> _F:
+    """Give a command the API as its first argument; its errors become exit codes."""
 
+    @click.pass_obj
     @functools.wraps(command)
-    def wrapped(*args: Any, **values: Any) -> Any:
+    def wrapped(context: ClientContext, *args: Any, **values: Any) -> Any:
         try:
-            return command(*args, **values)
-        except CallRefused as refusal:
-            raise CommandFailed(f"refused: {refusal}") from refusal
-        except NoDaemonAnswered as failure:
-            message = f"no daemon answered: {failure}"
-            raise CommandFailed(message, ExitCode.UNKNOWN) from failure
+            urls = context.require_addresses()
+            trust = context.tls_context()
+            with httpx.Client(
+                verify=trust, timeout=_CALL_TIMEOUT_S, trust_env=False
+            ) as client:
+                api = OperatorApi(urls, context.token, client)
+                return command(api, *args, **values)
+        except ClientError as error:
+            fail(error)
 
     return wrapped  # type: ignore[return-value]
 
@@ -139,26 +167,27 @@
     if answer.status is ChangeStatus.UNKNOWN:
         _fail_unknown(options.change_id, answer.detail)
     if answer.status not in _RECORDED:
-        raise CommandFailed(_sentence(answer))
+        _fail_refused(answer)
     if options.wait and answer.status is not ChangeStatus.IN_FORCE:
         answer = api.wait_in_force(options.change_id, options.timeout_s, _show_answer)
         if answer.status is not ChangeStatus.IN_FORCE:
-            raise CommandFailed(_sentence(answer), ExitCode.NOT_IN_FORCE)
+            raise ChangeFailed("not in force everywhere in time")
+
+
+def output() -> OutputWriter:
+    """Return the writer that the global options chose."""
+    context = click.get_current_context().find_object(ClientContext)
+    return OutputWriter() if context is None else context.output
 
 
 def show_json(body: msgspec.Struct) -> None:
     """Print a body as indented JSON."""
-    click.echo(json.dumps(msgspec.to_builtins(_plain(body)), indent=2))
+    click.echo(msgspec.json.format(msgspec.json.encode(body), indent=2).decode())
 
 
 def show_changes(changes: ChangeList) -> None:
-    """Print one line for each change."""
-    for change in changes.changes:
-        click.echo(_change_line(change))
-
-
-def _plain(body: msgspec.Struct) -> Any:
-    return msgspec.json.decode(msgspec.json.encode(body))
+    """Print one row for each change."""
+    output().write_rows(_CHANGE_COLUMNS, [_change_row(c) for c in changes.changes])
 
 
 def _show_answer(answer: ChangeAnswer) -> None:
@@ -173,20 +202,37 @@
     if answer.unconfirmed:
         text += f", not confirmed: {', '.join(answer.unconfirmed)}"
     if answer.other is not None:
-        text += f"; it was changed by {_change_line(answer.other)}"
+        text += f"; the item was changed by {_change_line(answer.other)}"
     return f"{text}; {answer.detail}" if answer.detail else text
 
 
+def _change_row(change: ChangeBody) -> tuple[object, ...]:
+    at = datetime.fromtimestamp(change.at_unix_s, UTC).isoformat(timespec="seconds")
+    return (
+        change.revision,
+        change.kind.value,
+        change.name,
+        change.operator,
+        at,
+        change.previous_revision,
+        change.change_id,
+        change.note,
+    )
+
+
 def _change_line(change: ChangeBody) -> str:
     item = f"{change.kind.value}/{change.name}"
-    removed = " removed" if bytes(change.body) == b"null" else ""
     note = f" ({change.note})" if change.note else ""
-    when = f"at {change.at_unix_s:.3f}"
-    return (
-        f"revision {change.revision} {item}{removed} by {change.operator} {when}{note}"
-    )
+    return f"{change.operator}: {item} revision {change.revision}{note}"
+
+
+def _fail_refused(answer: ChangeAnswer) -> NoReturn:
+    if answer.status is ChangeStatus.CONFLICT:
+        raise ChangeConflict("the item was changed since you saw it")
+    raise ChangeRefused("the change was not made")
 
 
 def _fail_unknown(change_id: str, detail: str) -> NoReturn:
-    message = f"outcome unknown: {detail}; ask with: aspendrift change show {change_id}"
-    raise CommandFailed(message, ExitCode.UNKNOWN)
+    raise ChangeOutcomeUnknown(
+        f"outcome unknown: {detail}; ask with: aspendrift change show {change_id}"
+    )
--- a/packages/aspendrift-client/src/aspendrift_client/commands_configuration.py
+++ b/packages/aspendrift-client/src/aspendrift_client/commands_configuration.py
@@ -13,14 +13,15 @@
 
 from aspendrift_client.command_support import (
     ChangeOptions,
-    CommandFailed,
     change_options,
     make_change,
+    output,
+    pass_api,
     seen_revision,
     show_changes,
-    show_failures,
     show_json,
 )
+from aspendrift_client.errors import InvalidInput, RefusedByDaemon
 from aspendrift_client.operator_api import OperatorApi
 from aspendrift_model.states import ItemKind, ProfileState, TargetState
 from aspendrift_model.wire_operator import ItemBody
@@ -42,9 +43,8 @@
 
 @profile.command("publish")
 @click.argument("file", type=click.File("rb"))
+@pass_api
 @change_options
-@click.pass_obj
-@show_failures
 def publish_profile(api: OperatorApi, file: Any, options: ChangeOptions) -> None:
     """Publish a new profile from a JSON FILE."""
     body = _read_object(file)
@@ -54,9 +54,8 @@
 
 @profile.command("revise")
 @click.argument("file", type=click.File("rb"))
+@pass_api
 @change_options
-@click.pass_obj
-@show_failures
 def revise_profile(api: OperatorApi, file: Any, options: ChangeOptions) -> None:
     """Replace a profile by the one in a JSON FILE."""
     body = _read_object(file)
@@ -67,9 +66,8 @@
 
 @profile.command("retire")
 @click.argument("name")
+@pass_api
 @change_options
-@click.pass_obj
-@show_failures
 def retire_profile(api: OperatorApi, name: str, options: ChangeOptions) -> None:
     """Retire a profile: requests that name it are refused."""
     item = _require(api, ItemKind.PROFILE, name)
@@ -81,15 +79,14 @@
 @click.argument("name")
 @click.argument("first", type=int)
 @click.argument("second", type=int)
-@click.pass_obj
-@show_failures
+@pass_api
 def diff_profile(api: OperatorApi, name: str, first: int, second: int) -> None:
     """Show how a profile changed between two of its revisions."""
     history = api.item_history(ItemKind.PROFILE, name)
     bodies = {change.revision: bytes(change.body) for change in history.changes}
     missing = [str(each) for each in (first, second) if each not in bodies]
     if missing:
-        raise CommandFailed(f"the profile has no revision {', '.join(missing)}")
+        raise RefusedByDaemon(f"the profile has no revision {', '.join(missing)}")
     lines = difflib.unified_diff(
         _lines(bodies[first]),
         _lines(bodies[second]),
@@ -108,9 +105,8 @@
 
 @target.command("add")
 @click.argument("file", type=click.File("rb"))
+@pass_api
 @change_options
-@click.pass_obj
-@show_failures
 def add_target(api: OperatorApi, file: Any, options: ChangeOptions) -> None:
     """Add a target, or set one anew, from a JSON FILE."""
     body = _read_object(file)
@@ -121,9 +117,8 @@
 
 @target.command("drain")
 @click.argument("name")
+@pass_api
 @change_options
-@click.pass_obj
-@show_failures
 def drain_target(api: OperatorApi, name: str, options: ChangeOptions) -> None:
     """Give a target no new work; what it runs is finished."""
     item = _require(api, ItemKind.TARGET, name)
@@ -133,9 +128,8 @@
 
 @target.command("remove")
 @click.argument("name")
+@pass_api
 @change_options
-@click.pass_obj
-@show_failures
 def remove_target(api: OperatorApi, name: str, options: ChangeOptions) -> None:
     """Remove a target that was drained."""
     seen = seen_revision(api, ItemKind.TARGET, name, options)
@@ -144,8 +138,7 @@
 
 @target.command("show")
 @click.argument("name")
-@click.pass_obj
-@show_failures
+@pass_api
 def show_target(api: OperatorApi, name: str) -> None:
     """Show a target and what is still in flight on it."""
     show_json(_require(api, ItemKind.TARGET, name))
@@ -161,9 +154,8 @@
 @click.argument("name")
 @click.option("--share", default=1.0, help="Weight of the account's fair share.")
 @click.option("--token-sha256", default="", help="Hex SHA-256 of the token.")
+@pass_api
 @change_options
-@click.pass_obj
-@show_failures
 def add_account(
     api: OperatorApi,
     name: str,
@@ -186,9 +178,8 @@
 @account.command("share")
 @click.argument("name")
 @click.argument("share", type=float)
+@pass_api
 @change_options
-@click.pass_obj
-@show_failures
 def share_account(
     api: OperatorApi, name: str, share: float, options: ChangeOptions
 ) -> None:
@@ -200,9 +191,8 @@
 
 @account.command("remove")
 @click.argument("name")
+@pass_api
 @change_options
-@click.pass_obj
-@show_failures
 def remove_account(api: OperatorApi, name: str, options: ChangeOptions) -> None:
     """Remove a client account."""
     seen = seen_revision(api, ItemKind.ACCOUNT, name, options)
@@ -216,8 +206,7 @@
 
 @change.command("show")
 @click.argument("change_id")
-@click.pass_obj
-@show_failures
+@pass_api
 def show_change(api: OperatorApi, change_id: str) -> None:
     """Show what became of a change."""
     show_json(api.find_change(change_id))
@@ -225,8 +214,7 @@
 
 @change.command("abandon")
 @click.argument("change_id")
-@click.pass_obj
-@show_failures
+@pass_api
 def abandon_change(api: OperatorApi, change_id: str) -> None:
     """Make sure that a change never takes effect, unless it already has."""
     show_json(api.abandon_change(change_id))
@@ -235,8 +223,7 @@
 @change.command("list")
 @click.option("--after", default=0, help="Revision to start after.")
 @click.option("--limit", default=100, help="Number of changes.")
-@click.pass_obj
-@show_failures
+@pass_api
 def list_changes(api: OperatorApi, after: int, limit: int) -> None:
     """List who changed what, oldest first."""
     show_changes(api.list_changes(after, limit))
@@ -246,18 +233,18 @@
     """Add the commands that every kind of item has."""
 
     @group.command("list")
-    @click.pass_obj
-    @show_failures
+    @pass_api
     def list_items(api: OperatorApi) -> None:
         """List the items in force."""
-        for item in api.list_items(kind).items:
-            state = json.loads(bytes(item.body)).get("state", "")
-            click.echo(f"{item.name} revision {item.revision} {state}".rstrip())
+        rows = [
+            (item.name, item.revision, json.loads(bytes(item.body)).get("state"))
+            for item in api.list_items(kind).items
+        ]
+        output().write_rows(("name", "revision", "state"), rows)
 
     @group.command("history")
     @click.argument("name")
-    @click.pass_obj
-    @show_failures
+    @pass_api
     def item_history(api: OperatorApi, name: str) -> None:
         """List the changes of an item, oldest first."""
         show_changes(api.item_history(kind, name))
@@ -266,8 +253,7 @@
 
         @group.command("show")
         @click.argument("name")
-        @click.pass_obj
-        @show_failures
+        @pass_api
         def show_item(api: OperatorApi, name: str) -> None:
             """Show an item in force."""
             show_json(_require(api, kind, name))
@@ -277,7 +263,7 @@
     try:
         body = msgspec.json.decode(file.read(), type=dict[str, Any])
     except msgspec.MsgspecError as error:
-        raise CommandFailed(f"the file is not a JSON object: {error}") from error
+        raise InvalidInput(f"the file is not a JSON object: {error}") from error
     return body
 
 
@@ -285,7 +271,7 @@
     field = _NAME_FIELDS[kind]
     name = body.get(field)
     if not isinstance(name, str):
-        raise CommandFailed(f"the file has no {field!r}")
+        raise InvalidInput(f"the file has no {field!r}")
     return name
 
 
@@ -303,7 +289,7 @@
 def _require(api: OperatorApi, kind: ItemKind, name: str) -> ItemBody:
     item = api.find_item(kind, name)
     if item is None:
-        raise CommandFailed(f"there is no {kind.value} {name!r} in force")
+        raise RefusedByDaemon(f"there is no {kind.value} {name!r} in force")
     return item
 
 
--- a/packages/aspendrift-client/src/aspendrift_client/commands_status.py
+++ b/packages/aspendrift-client/src/aspendrift_client/commands_status.py
@@ -2,28 +2,34 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 import click
 
-from aspendrift_client.command_support import show_failures, show_json
+from aspendrift_client.command_support import output, pass_api
 from aspendrift_client.operator_api import OperatorApi
 from aspendrift_model.wire_operator import DaemonStatus, StatusBody
 
 __all__ = ["COMMANDS"]
 
+_COLUMNS: Final = (
+    "daemon",
+    "state",
+    "region",
+    "zone",
+    "revision",
+    "confirmed",
+    "serving",
+)
+
 
-@click.command()
-@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
-@click.pass_obj
-@show_failures
-def status(api: OperatorApi, as_json: bool) -> None:
+@click.command("status")
+@pass_api
+def status_command(api: OperatorApi) -> None:
     """Show the daemons, the revision each holds, and who has not confirmed."""
     body = api.status()
-    if as_json:
-        show_json(body)
-        return
-    click.echo(_summary(body))
-    for daemon in body.daemons:
-        click.echo(_line(daemon, body.revision))
+    click.echo(_summary(body), err=True)
+    output().write_rows(_COLUMNS, [_row(each, body.revision) for each in body.daemons])
 
 
 def _summary(body: StatusBody) -> str:
@@ -31,18 +37,24 @@
     serving = (
         "serving" if body.refusal is None else f"not serving: {body.refusal.value}"
     )
-    text = f"{body.daemon_id}: revision {body.revision}, fresh {fresh}, {serving}"
     missing = ", ".join(body.unconfirmed) or "none"
-    return f"{text}\nnot confirmed: {missing}"
+    return (
+        f"seen from {body.daemon_id}: revision {body.revision}, fresh {fresh},"
+        f" {serving}; not confirmed: {missing}"
+    )
 
 
-def _line(daemon: DaemonStatus, newest: int) -> str:
-    held = "?" if daemon.revision is None else str(daemon.revision)
-    behind = "" if daemon.revision == newest else " (behind)"
-    serving = "" if daemon.serving is not False else " not serving"
-    place = f"{daemon.region}/{daemon.zone}"
-    state = daemon.state.value
-    return f"  {daemon.daemon_id} {state}{serving} {place} revision {held}{behind}"
+def _row(daemon: DaemonStatus, newest: int) -> tuple[object, ...]:
+    confirmed = daemon.revision is not None and daemon.revision >= newest
+    return (
+        daemon.daemon_id,
+        daemon.state,
+        daemon.region,
+        daemon.zone,
+        daemon.revision,
+        "yes" if confirmed else "no",
+        "no" if daemon.serving is False else "yes",
+    )
 
 
-COMMANDS: tuple[click.Command, ...] = (status,)
+COMMANDS: tuple[click.Command, ...] = (status_command,)
--- a/packages/aspendrift-client/src/aspendrift_client/operator_api.py
+++ b/packages/aspendrift-client/src/aspendrift_client/operator_api.py
@@ -10,6 +10,7 @@
 import httpx
 import msgspec
 
+from aspendrift_client.errors import RefusedByDaemon, Unreached
 from aspendrift_model.ids import ChangeId
 from aspendrift_model.states import ItemKind, RefusalReason
 from aspendrift_model.wire_operator import (
@@ -30,19 +31,19 @@
 _T = TypeVar("_T")
 
 
-class NoDaemonAnswered(Exception):
+class NoDaemonAnswered(Unreached):
     """No daemon answered; a change that was sent may have been made."""
 
     def __init__(self, failures: Sequence[str]) -> None:
-        super().__init__("; ".join(failures))
+        super().__init__("no daemon answered: " + "; ".join(failures))
         self.failures = tuple(failures)
 
 
-class CallRefused(Exception):
+class CallRefused(RefusedByDaemon):
     """A daemon refused a call."""
 
     def __init__(self, reason: RefusalReason, detail: str) -> None:
-        super().__init__(f"{reason.value} {detail}".strip())
+        super().__init__(f"refused: {reason.value} {detail}".strip())
         self.reason = reason
         self.detail = detail
 
