Test the configuration's life under faults in virtual time

Cause: orders of events decide whether a change is lost or moves back. Change: a few daemons' parts over a fake table and network on a loop whose time jumps; a refused connection is looked for by the link, so that tests give it.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/configuration.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/configuration.py
@@ -24,7 +24,7 @@
 )
 from aspendrift_model.configuration import Configuration
 from aspendrift_model.hosts import Host
-from aspendrift_model.ids import DaemonId, Revision
+from aspendrift_model.ids import DaemonId
 from aspendrift_model.settings_peers import PeerSettings
 from aspendrift_model.states import MemberState, RefusalReason
 from aspendrift_model.wire_operator import ChangeRequest
@@ -136,7 +136,7 @@
 
     async def start(self) -> None:
         """Load from the table if it answers, and keep up from then on."""
-        await self._load_from_table()
+        await self.load_from_table()
         self._run(self._read_head_forever())
         self._run(self._repair_forever())
 
@@ -254,7 +254,8 @@
     def _member_ids(self) -> list[DaemonId]:
         return [host.daemon_id for host, _ in self._bus.members()]
 
-    async def _load_from_table(self) -> bool:
+    async def load_from_table(self) -> bool:
+        """Read every item from the table; return False if it does not answer."""
         asked_at = self._clock.monotonic()
         snapshot = await self.table.load()
         if isinstance(snapshot, StoreUnavailable):
@@ -270,11 +271,12 @@
             rate = self._settings.head_reads_per_s
             await asyncio.sleep(head_read_delay_s(n_daemons, rate, self._rng))
             if self._is_loaded:
-                await self._read_head()
+                await self.read_head()
             else:
-                await self._load_from_table()
+                await self.load_from_table()
 
-    async def _read_head(self) -> None:
+    async def read_head(self) -> None:
+        """Read the head revision, and the changes that are missing here."""
         asked_at = self._clock.monotonic()
         revision = await self.table.head()
         if isinstance(revision, StoreUnavailable):
@@ -406,7 +408,7 @@
 
     def _compare(self, daemon_id: DaemonId, digest: RevisionDigest) -> None:
         if digest.content_hash != self._log.content_hash:
-            event = ConfigurationDiverged(daemon_id, Revision(digest.revision))
+            event = ConfigurationDiverged(daemon_id, digest.revision)
             self._events.emit(event)
 
     def _note_held(self, daemon_id: DaemonId, revision: int) -> None:
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/membership.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/membership.py
@@ -7,7 +7,6 @@
 from collections.abc import Coroutine, Sequence
 from dataclasses import dataclass
 from typing import ClassVar, Final, Protocol
-from urllib.parse import urlsplit
 
 import msgspec
 
@@ -44,7 +43,6 @@
 _MAX_UPDATES: Final = 8
 _MIN_SYNC_S: Final = 1.0
 _KEEP_DEAD_S: Final = 60.0
-_REFUSAL_CHECK_S: Final = 1.0
 _HOUSEKEEPING_S: Final = 5.0
 
 
@@ -192,20 +190,8 @@
     async def _check_refusal(self, daemon_id: DaemonId) -> None:
         """Declare a member dead if its address refuses a connection."""
         member = self._view.members_by_id.get(daemon_id)
-        if member is None:
-            return
-        address = urlsplit(member.host.peer_endpoint)
-        try:
-            async with asyncio.timeout(_REFUSAL_CHECK_S):
-                _, writer = await asyncio.open_connection(
-                    address.hostname, address.port
-                )
-        except ConnectionRefusedError:
+        if member is not None and await self._link.is_refused(member.host):
             self._refused(daemon_id, member.host.incarnation)
-        except (OSError, ValueError):
-            return
-        else:
-            writer.close()
 
     def _refused(self, daemon_id: DaemonId, incarnation: int) -> None:
         member = self._view.members_by_id.get(daemon_id)
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/peers.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/peers.py
@@ -13,6 +13,7 @@
 from enum import Enum
 from pathlib import Path
 from typing import ClassVar, Final, Protocol
+from urllib.parse import urlsplit
 
 import msgspec
 import zmq
@@ -43,6 +44,7 @@
 _RECONNECT_MS: Final = 200
 _RECONNECT_MAX_MS: Final = 2_000
 _UNACKNOWLEDGED_MS: Final = 5_000
+_REFUSAL_CHECK_S: Final = 1.0
 _BACKLOG: Final = 512
 _MAX_DRAINED: Final = 64
 
@@ -219,6 +221,24 @@
         """Return every known daemon that is not dead, this one included."""
         return [(member.host, member.state) for member in self.view.members()]
 
+    async def is_refused(self, host: Host) -> bool:
+        """Return whether a daemon's address refuses a connection.
+
+        Silence, an unreachable network and a timeout are no refusal.
+        """
+        address = urlsplit(host.peer_endpoint)
+        try:
+            async with asyncio.timeout(_REFUSAL_CHECK_S):
+                _, writer = await asyncio.open_connection(
+                    address.hostname, address.port
+                )
+        except ConnectionRefusedError:
+            return True
+        except (OSError, ValueError):
+            return False
+        writer.close()
+        return False
+
     def close_idle(self, now: float) -> None:
         """Close links that were not written to for a while."""
         for daemon_id, link in list(self._out_by_id.items()):
--- /dev/null
+++ b/packages/aspendrift-daemon/tests/configuration/test_configuration.py
@@ -0,0 +1,282 @@
+"""Tests of publishing, spreading and keeping the configuration."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from aspendrift_daemon.configuration_table import (
+    ChangeNotWritten,
+    ChangeRecorded,
+    ChangeUnknown,
+)
+from aspendrift_model.states import RefusalReason
+from aspendrift_policy.configuration_rows import ItemConflict
+
+NAMES = [f"d{i}" for i in range(7)]
+
+
+async def settled(world: Any, n: int = 7) -> None:
+    await world.start(*NAMES[:n])
+    await world.until(lambda: world.all_met() and world.all_serve(), 20)
+
+
+def assert_never_back(world: Any) -> None:
+    for daemon in world.daemons.values():
+        assert daemon.revisions == sorted(daemon.revisions)
+
+
+def test_change_is_in_force_everywhere(world: Any) -> None:
+    async def scenario() -> None:
+        await settled(world)
+        outcome = await world.daemons["d3"].keeper.publish(world.change("c1"))
+        assert isinstance(outcome, ChangeRecorded)
+        await world.until(lambda: world.all_hold(1), 2)
+        keeper = world.daemons["d3"].keeper
+        await world.until(lambda: keeper.progress(1).is_in_force, 2)
+        assert keeper.current().accounts_by_id["x"].share == 1.0
+
+    world.run(scenario())
+
+
+@pytest.mark.fault("operators racing", "change submitted", "change written")
+def test_racing_operators_get_one_winner_and_one_conflict(world: Any) -> None:
+    async def scenario() -> None:
+        await settled(world)
+        outcomes = await asyncio.gather(
+            world.daemons["d0"].keeper.publish(world.change("c1", share=2.0), "ann"),
+            world.daemons["d5"].keeper.publish(world.change("c2", share=3.0), "ben"),
+        )
+        kinds = {type(outcome) for outcome in outcomes}
+        assert kinds == {ChangeRecorded, ItemConflict}
+        lost = next(each for each in outcomes if isinstance(each, ItemConflict))
+        won = next(each for each in outcomes if isinstance(each, ChangeRecorded))
+        assert lost.other.revision == won.revision
+        assert lost.other.operator in ("ann", "ben")
+        await world.until(lambda: world.all_hold(1), 5)
+
+    world.run(scenario())
+
+
+@pytest.mark.fault("operators racing", "change spreading", "change in force")
+def test_racing_changes_of_different_items_both_last(world: Any) -> None:
+    async def scenario() -> None:
+        await settled(world)
+        changes = [world.change(f"c{i}", name=f"x{i}") for i in range(7)]
+        outcomes = await asyncio.gather(
+            *(
+                world.daemons[name].keeper.publish(change)
+                for name, change in zip(NAMES, changes, strict=True)
+            )
+        )
+        assert sorted(each.revision for each in outcomes) == list(range(1, 8))
+        await world.until(lambda: world.all_hold(7), 7)
+        for daemon in world.daemons.values():
+            assert len(daemon.keeper.current().accounts_by_id) == 7
+        assert_never_back(world)
+
+    world.run(scenario())
+
+
+@pytest.mark.fault("store answer lost", "change submitted", "change written")
+def test_change_whose_answer_is_lost_is_found_by_its_id(world: Any) -> None:
+    async def scenario() -> None:
+        await settled(world)
+        world.table.loses_answers = True
+        keeper = world.daemons["d1"].keeper
+        first = await keeper.publish(world.change("c1"))
+        again = await world.daemons["d4"].keeper.publish(world.change("c1"))
+        assert [first.revision, again.revision] == [1, 1]
+        await world.until(lambda: world.all_hold(1), 5)
+
+    world.run(scenario())
+
+
+@pytest.mark.fault("store answer lost", "change spreading", "change in force")
+@pytest.mark.fault("store down", "change written", "change spreading")
+def test_lost_answer_and_outage_are_reported_as_unknown(world: Any) -> None:
+    async def scenario() -> None:
+        await settled(world)
+        table, keeper = world.table, world.daemons["d1"].keeper
+        table.loses_answers = True
+        publishing = asyncio.create_task(keeper.publish(world.change("c1")))
+        await world.until(lambda: table.version == 1, 5)
+        table.is_down = True
+        outcome = await publishing
+        assert isinstance(outcome, ChangeUnknown)
+        assert outcome.change_id == "c1"
+        table.is_down = table.loses_answers = False
+        found = await world.daemons["d2"].keeper.table.find("c1")
+        assert found == ChangeRecorded(1)
+        await world.until(lambda: world.all_hold(1), 7)
+
+    world.run(scenario())
+
+
+@pytest.mark.fault("store down", "change submitted", "change in force")
+def test_outage_refuses_changes_and_keeps_those_in_force(world: Any) -> None:
+    async def scenario() -> None:
+        await settled(world)
+        await world.daemons["d1"].keeper.publish(world.change("c1"))
+        await world.until(lambda: world.all_hold(1), 5)
+        world.table.is_down = True
+        outcome = await world.daemons["d1"].keeper.publish(world.change("c2", "y"))
+        assert isinstance(outcome, ChangeNotWritten)
+        await asyncio.sleep(120)
+        assert world.all_hold(1)
+        assert world.all_serve()
+
+    world.run(scenario())
+
+
+@pytest.mark.fault(
+    "store slow", "change submitted", "change written", "change spreading"
+)
+def test_slow_store_delays_a_change_and_loses_none(world: Any) -> None:
+    async def scenario() -> None:
+        await settled(world)
+        world.table.delay_s = 1.5
+        outcome = await world.daemons["d1"].keeper.publish(world.change("c1"))
+        assert isinstance(outcome, ChangeRecorded)
+        await world.until(lambda: world.all_hold(1), 7)
+
+    world.run(scenario())
+
+
+@pytest.mark.fault("daemon killed", "change written", "change spreading")
+def test_change_of_a_killed_daemon_comes_from_the_table(world: Any) -> None:
+    async def scenario() -> None:
+        await settled(world)
+        world.passes = lambda origin, to: origin != "d1"
+        publishing = asyncio.create_task(
+            world.daemons["d1"].keeper.publish(world.change("c1"))
+        )
+        await world.until(lambda: world.table.version == 1, 5)
+        publishing.cancel()
+        await world.kill("d1")
+        await world.until(lambda: world.all_hold(1), 7)
+
+    world.run(scenario())
+
+
+@pytest.mark.fault("peer link lossy", "change spreading", "change in force")
+def test_lossy_links_delay_but_do_not_stop_the_spread(world: Any) -> None:
+    async def scenario() -> None:
+        world.passes = lambda origin, to: world.rng.random() > 0.3
+        await world.start(*NAMES)
+        await world.until(world.all_met, 60)
+        for i in range(5):
+            await world.daemons["d1"].keeper.publish(world.change(f"c{i}", f"x{i}"))
+            await world.until(lambda r=i + 1: world.all_hold(r), 7)
+        assert_never_back(world)
+
+    world.run(scenario())
+
+
+@pytest.mark.fault("peer link one-way", "change spreading", "change in force")
+@pytest.mark.fault("peer link cut", "change spreading", "change in force")
+@pytest.mark.parametrize(
+    "cut", [{("d6", "*")}, {("*", "d6")}, {("d6", "*"), ("*", "d6")}]
+)
+def test_daemon_with_a_broken_link_gets_changes_from_the_table(
+    world: Any, cut: set[tuple[str, str]]
+) -> None:
+    async def scenario() -> None:
+        await settled(world)
+        world.passes = lambda origin, to: not cut & {(origin, "*"), ("*", to)}
+        await world.daemons["d1"].keeper.publish(world.change("c1"))
+        await world.until(lambda: world.all_hold(1), 7)
+        assert world.daemons["d6"].refusal(world.now()) is None
+
+    world.run(scenario())
+
+
+@pytest.mark.fault("region cut", "change submitted", "change spreading")
+def test_cut_minority_without_store_stops_and_then_catches_up(world: Any) -> None:
+    async def scenario() -> None:
+        await settled(world)
+        minority = {"d5", "d6"}
+        world.passes = lambda a, b: (a in minority) == (b in minority)
+        for name in minority:
+            keeper = world.daemons[name].keeper
+            keeper.table._table = _unreachable(world)
+        outcome = await world.daemons["d1"].keeper.publish(world.change("c1"))
+        assert isinstance(outcome, ChangeRecorded)
+        assert world.daemons["d1"].keeper.progress(1).is_accepted
+        assert not world.daemons["d1"].keeper.progress(1).is_in_force
+        await asyncio.sleep(10)
+        for name, daemon in world.daemons.items():
+            expected = RefusalReason.ISOLATED if name in minority else None
+            assert daemon.refusal(world.now()) is expected
+        world.passes = lambda a, b: True
+        await world.until(lambda: world.all_hold(1) and world.all_serve(), 10)
+        assert_never_back(world)
+
+    world.run(scenario())
+
+
+@pytest.mark.fault("region cut", "change in force")
+@pytest.mark.fault("store down", "daemon joined")
+def test_region_cut_and_outage_at_once_leave_the_majority_serving(world: Any) -> None:
+    async def scenario() -> None:
+        await settled(world)
+        minority = {"d5", "d6"}
+        world.table.is_down = True
+        world.passes = lambda a, b: (a in minority) == (b in minority)
+        await asyncio.sleep(60)
+        for name, daemon in world.daemons.items():
+            expected = RefusalReason.ISOLATED if name in minority else None
+            assert daemon.refusal(world.now()) is expected
+
+    world.run(scenario())
+
+
+@pytest.mark.fault("store down", "daemon starting")
+@pytest.mark.fault("daemon killed", "change in force", "daemon starting")
+def test_restart_in_an_outage_takes_the_configuration_from_peers(world: Any) -> None:
+    async def scenario() -> None:
+        await settled(world)
+        for i in range(3):
+            await world.daemons["d1"].keeper.publish(world.change(f"c{i}", f"x{i}"))
+        await world.until(lambda: world.all_hold(3), 5)
+        world.table.is_down = True
+        for name in ("d0", "d3", "d6"):
+            await world.kill(name)
+        await world.start("d0", "d3", "d6")
+        assert world.daemons["d0"].refusal(world.now()) is RefusalReason.NOT_READY
+        await world.until(lambda: world.all_hold(3) and world.all_serve(), 20)
+        assert_never_back(world)
+
+    world.run(scenario())
+
+
+def test_head_reads_stay_within_their_bound(world: Any) -> None:
+    async def scenario() -> None:
+        await settled(world)
+        before = world.table.n_reads
+        await asyncio.sleep(100)
+        n_reads = world.table.n_reads - before
+        assert n_reads <= 100 * world.settings.head_reads_per_s
+        assert n_reads <= 100 * len(NAMES) * 1.25
+
+    world.run(scenario())
+
+
+def test_abandoned_change_never_takes_effect(world: Any) -> None:
+    async def scenario() -> None:
+        await settled(world, 3)
+        keeper = world.daemons["d0"].keeper
+        await keeper.table.abandon("c1")
+        outcome = await keeper.publish(world.change("c1"))
+        assert not isinstance(outcome, ChangeRecorded)
+        assert world.all_hold(0)
+
+    world.run(scenario())
+
+
+def _unreachable(world: Any) -> Any:
+    table = type(world.table)()
+    table.is_down = True
+    return table
