Send open-loop load and check every answer

Cause: latencies counted from the actual send time hide the waits of an overloaded sender, and an unchecked answer may be cut or belong to another.

--- /dev/null
+++ b/packages/aspendrift-standins/src/aspendrift_standins/load.py
@@ -0,0 +1,190 @@
+"""Open-loop load sender: sends a plan in time and checks every answer."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from typing import Final
+
+import httpx
+
+from aspendrift_client.caller import Call, Caller, CallResult
+from aspendrift_model.wire_caller import OutcomeBody
+from aspendrift_standins.expected import AnswerFault, answer_fault, expected_answer
+from aspendrift_standins.load_plan import LoadPlan, PlannedRequest, planned
+
+__all__ = ["LoadSender", "RequestRecord", "TokenTimes"]
+
+_MAX_CONNECTIONS: Final = 2_000
+_MAX_IDLE_CONNECTIONS: Final = 200
+
+
+@dataclass(slots=True)
+class TokenTimes:
+    """Tokens of a stream as they arrive, and when they did."""
+
+    texts: list[str] = field(default_factory=list)
+    arrived_at: list[float] = field(default_factory=list)
+
+    def token(self, n: int, text: str) -> None:
+        """Take token number ``n``."""
+        self.texts.append(text)
+        self.arrived_at.append(time.monotonic())
+
+    def restart(self) -> None:
+        """Drop the tokens taken so far; the answer begins anew."""
+        self.texts.clear()
+        self.arrived_at.clear()
+
+
+@dataclass(frozen=True, slots=True)
+class RequestRecord:
+    """How one request of a plan went.
+
+    Parameters
+    ----------
+    result : CallResult or None
+        None if its caller went away.
+    fault : AnswerFault or None
+        What is wrong with the answer, if it was answered.
+    latency_s : float
+        Time from the intended send time to the outcome, in seconds.
+    first_token_s : float or None
+        Time to the first streamed token.
+    token_gaps_s : tuple of float
+        Times between streamed tokens.
+    resent : CallResult or None
+        Result of the same request sent again.
+    resent_fault : AnswerFault or None
+        What is wrong with the answer to that.
+    """
+
+    request: PlannedRequest
+    result: CallResult | None
+    fault: AnswerFault | None
+    latency_s: float
+    first_token_s: float | None = None
+    token_gaps_s: tuple[float, ...] = ()
+    resent: CallResult | None = None
+    resent_fault: AnswerFault | None = None
+
+    @property
+    def attained(self) -> bool:
+        """Whether the whole answer came within the deadline."""
+        answered = self.result is not None and self.result.answered
+        in_time = self.latency_s <= self.request.profile.deadline_ms / 1e3
+        return answered and self.fault is None and in_time
+
+
+class LoadSender:
+    """Sends requests at their intended times, whatever the answers do.
+
+    Parameters
+    ----------
+    seeds : sequence of str
+        Base URLs of daemons to ask for addresses.
+    on_record : callable
+        Takes the record of each request as it ends.
+    """
+
+    def __init__(
+        self, seeds: Sequence[str], on_record: Callable[[RequestRecord], None]
+    ) -> None:
+        self._seeds = tuple(seeds)
+        self._on_record = on_record
+
+    async def run(self, plan: LoadPlan) -> None:
+        """Send a plan; return when every request has ended."""
+        async with contextlib.AsyncExitStack() as stack:
+            callers_by_account = {
+                account.account_id: await self._caller(stack, account.token, i, plan)
+                for i, account in enumerate(plan.accounts)
+            }
+            started_at = time.monotonic()
+            async with asyncio.TaskGroup() as tasks:
+                for request in planned(plan):
+                    send_at = started_at + request.at_s
+                    delay_s = send_at - time.monotonic()
+                    await asyncio.sleep(max(0.0, delay_s))
+                    caller = callers_by_account[request.account.account_id]
+                    tasks.create_task(self._send(caller, request, send_at))
+
+    async def _caller(
+        self, stack: contextlib.AsyncExitStack, token: str, index: int, plan: LoadPlan
+    ) -> Caller:
+        limits = httpx.Limits(
+            max_connections=_MAX_CONNECTIONS,
+            max_keepalive_connections=_MAX_IDLE_CONNECTIONS,
+        )
+        client = httpx.AsyncClient(
+            headers={"authorization": f"Bearer {token}"},
+            limits=limits,
+            trust_env=False,
+        )
+        await stack.enter_async_context(client)
+        rng = random.Random(plan.seed * 1_000 + index)
+        return Caller(self._seeds, client, rng)
+
+    async def _send(
+        self, caller: Caller, request: PlannedRequest, send_at: float
+    ) -> None:
+        sink = TokenTimes()
+        result = await _send_or_abandon(caller, request, sink)
+        ended_at = time.monotonic()
+        resent, resent_fault = None, None
+        if request.resend and result is not None:
+            again = TokenTimes()
+            resent = await caller.send(_call(request), again)
+            resent_fault = _fault(request, resent, again)
+        times = sink.arrived_at
+        gaps = (late - early for early, late in zip(times, times[1:], strict=False))
+        record = RequestRecord(
+            request,
+            result,
+            _fault(request, result, sink),
+            ended_at - send_at,
+            times[0] - send_at if times else None,
+            tuple(gaps),
+            resent,
+            resent_fault,
+        )
+        self._on_record(record)
+
+
+async def _send_or_abandon(
+    caller: Caller, request: PlannedRequest, sink: TokenTimes
+) -> CallResult | None:
+    if request.abandon_after_s is None:
+        return await caller.send(_call(request), sink)
+    try:
+        async with asyncio.timeout(request.abandon_after_s):
+            return await caller.send(_call(request), sink)
+    except TimeoutError:
+        return None
+
+
+def _call(request: PlannedRequest) -> Call:
+    return Call(
+        request.request_id,
+        request.profile.name,
+        request.input,
+        deadline_ms=request.profile.deadline_ms,
+        stream=request.stream,
+        idempotent=request.profile.idempotent,
+    )
+
+
+def _fault(
+    request: PlannedRequest, result: CallResult | None, sink: TokenTimes
+) -> AnswerFault | None:
+    if result is None or not result.answered:
+        return None
+    outcome = result.outcome
+    assert isinstance(outcome, OutcomeBody)
+    stages = request.profile.stages
+    expected = expected_answer(request.request_id, request.input, stages)
+    return answer_fault(expected, outcome, sink.texts or None)
