--- a/packages/aspendrift-standins/src/aspendrift_standins/fleet.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/fleet.py
@@ -84,11 +84,16 @@
     directory : Path or None
         Directory for settings, logs and run records, which is kept; None takes
         a temporary one, which is removed.
+    stop_grace_s : float
+        Time that a process has to end by itself when the fleet stops, in seconds.
     """
 
-    def __init__(self, directory: Path | None = None) -> None:
+    def __init__(
+        self, directory: Path | None = None, stop_grace_s: float = _STOP_GRACE_S
+    ) -> None:
         self._directory = directory
         self._kept = directory is not None
+        self._stop_grace_s = stop_grace_s
         self._children_by_name: dict[str, Child] = {}
         self._daemon_ids: list[str] = []
         self._client = httpx.AsyncClient(timeout=5.0, trust_env=False)
@@ -108,7 +113,7 @@
     ) -> None:
         await self._client.aclose()
         children = self._children_by_name.values()
-        await asyncio.gather(*(child.stop(_STOP_GRACE_S) for child in children))
+        await asyncio.gather(*(child.stop(self._stop_grace_s) for child in children))
         asyncio.get_running_loop().remove_signal_handler(signal.SIGTERM)
         if not self._kept:
             shutil.rmtree(self.directory, ignore_errors=True)
@@ -167,14 +172,16 @@
         platform : mapping
             The ``platform`` section of their settings.
         """
-        ports = free_ports(len(specs))
+        ports = free_ports(2 * len(specs))
+        http_ports, peer_ports = ports[: len(specs)], ports[len(specs) :]
         endpoints_by_id = {
             spec.daemon_id: f"tcp://127.0.0.1:{port}"
-            for spec, port in zip(specs, ports, strict=True)
+            for spec, port in zip(specs, peer_ports, strict=True)
         }
         self._daemon_ids += [spec.daemon_id for spec in specs]
         await self._start_all(
-            self._daemon_command(spec, endpoints_by_id, platform) for spec in specs
+            self._daemon_command(spec, port, endpoints_by_id, platform)
+            for spec, port in zip(specs, http_ports, strict=True)
         )
 
     async def restart(self, name: str) -> None:
@@ -233,6 +240,7 @@
     def _daemon_command(
         self,
         spec: DaemonSpec,
+        http_port: int,
         endpoints_by_id: Mapping[str, str],
         platform: Mapping[str, str],
     ) -> ChildCommand:
@@ -248,7 +256,7 @@
             "region": spec.region,
             "platform": dict(platform),
             "ready_file": str(ready_file),
-            "http": {"operators": [_operator()]},
+            "http": {"port": http_port, "operators": [_operator()]},
             "peers": {"bind": own, "seeds": others[:_N_SEEDS]},
         }
         path = self.directory / f"{spec.daemon_id}.json"
--- a/packages/aspendrift-standins/src/aspendrift_standins/table.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/table.py
@@ -37,13 +37,14 @@
 
 
 class TableCounts(msgspec.Struct):
-    """What the service has done so far."""
+    """What the service has done so far; a prefix ends at the first slash."""
 
     transactions: int = 0
     rows_written: int = 0
     conflicts: int = 0
     reads: int = 0
     over_rate: int = 0
+    rows_written_by_prefix: dict[str, int] = {}
 
 
 class Table:
@@ -75,6 +76,9 @@
         self._version += 1
         for write in transaction.writes:
             self._write(write.key, write.value)
+            prefix = write.key.partition("/")[0]
+            by_prefix = self.counts.rows_written_by_prefix
+            by_prefix[prefix] = by_prefix.get(prefix, 0) + 1
         self.counts.transactions += 1
         self.counts.rows_written += len(transaction.writes)
         return TransactionDone(self._version)
