Contain poison requests and test claims under faults

Contents in flight on a crashed target become suspects, are tried again one at a time, and are convicted when they alone are common to two crashes. Claims are tested in virtual time against lost, late and refused writes, dead and paused holders and resends elsewhere.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/claim_writer.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/claim_writer.py
@@ -25,6 +25,7 @@
 _BURST_S: Final = 1.0
 _ROWS_PER_CLAIM: Final = 2
 _MAX_IN_FLIGHT: Final = 4
+_STOP_TIMEOUT_S: Final = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,7 +87,11 @@
         if self._loop is not None:
             self._loop.cancel()
             await asyncio.gather(self._loop, return_exceptions=True)
-        await asyncio.gather(*self._commits, return_exceptions=True)
+        commits = list(self._commits)
+        if commits:
+            _, late = await asyncio.wait(commits, timeout=_STOP_TIMEOUT_S)
+            for commit in late:
+                commit.cancel()
         for pending in (*self._claims, *self._outcomes):
             _settle(pending, NotWritten("the daemon stops"))
 
@@ -97,7 +102,7 @@
         now = self.clock.monotonic()
         n_rows = (len(self._claims) + 1) * _ROWS_PER_CLAIM
         wait_s = self._shared_budget().wait_s(n_rows, now)
-        if wait_s > self.settings.claim_max_wait_ms / 1000:
+        if wait_s > self._max_wait_s():
             self.counts.refused += 1
             return QueueFull(wait_s)
         return await self._put(self._claims, condition, write)
@@ -124,6 +129,12 @@
                 queue.remove(pending)
             raise
 
+    def _max_wait_s(self) -> float:
+        """Return the longest wait that leaves time to confirm the claim."""
+        settings = self.settings
+        wait_ms = min(settings.claim_max_wait_ms, settings.claim_timeout_ms / 2)
+        return wait_ms / 1000
+
     def _shared_budget(self) -> WriteBudget:
         rate = self.settings.claim_rows_per_s / max(1, self.n_daemons())
         if self._budget is None:
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/claims.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/claims.py
@@ -15,6 +15,7 @@
     Clock,
     Committed,
     Conflict,
+    NotWritten,
     PeerBus,
     StoreUnavailable,
     TableService,
@@ -106,6 +107,7 @@
         self._spawn = spawn
         self._n_tokens = 0
         self._abandoned_tokens: set[str] = set()
+        self._unsettled_by_key: dict[str, ClaimRecord] = {}
         self.n_unsettled = 0
         self.writer = ClaimWriter(settings, clock, table, self._n_daemons)
 
@@ -120,6 +122,11 @@
         if self.n_unsettled >= self._settings.max_unsettled_claims:
             return self._store_unavailable("too many outcomes wait for the store")
         key = claim_key(account_id, request_id)
+        ended = self._unsettled_by_key.get(key)
+        if ended is not None and ended.outcome is not None:
+            if ended.fingerprint != fingerprint:
+                return Refused(RefusalReason.REQUEST_ID_REUSED)
+            return Replayed(ended.outcome)
         version = 0
         for _ in range(_MAX_OVERWRITES):
             wanted = self._new_record(fingerprint)
@@ -167,7 +174,11 @@
         self, account_id: AccountId, request_id: RequestId
     ) -> Replayed | Refused | Failed:
         """Return what is recorded of a request."""
-        read = await self._table.read([claim_key(account_id, request_id)])
+        key = claim_key(account_id, request_id)
+        ended = self._unsettled_by_key.get(key)
+        if ended is not None and ended.outcome is not None:
+            return Replayed(ended.outcome)
+        read = await self._table.read([key])
         if isinstance(read, StoreUnavailable):
             detail = "the outcome can't be read"
             reason = RefusalReason.STORE_UNAVAILABLE
@@ -238,6 +249,9 @@
         if isinstance(result, WriteUnknown):
             self._abandoned_tokens.add(wanted.token)
             self._spawn(self._withdraw(key, version, wanted))
+        if isinstance(result, NotWritten) and result.over_rate:
+            reason = RefusalReason.CLAIM_RATE_EXCEEDED
+            return Refused(reason, result.detail, self._retry_after_ms())
         return self._store_unavailable(result.detail)
 
     def _abandon(
@@ -299,6 +313,7 @@
         """Write the end of a claim until it is known to be there."""
         self.n_unsettled += 1
         wait_s = _FIRST_RETRY_S
+        self._unsettled_by_key[claim.key] = record
         condition = Condition(claim.key, claim.version)
         write = Write(claim.key, encode_claim(record))
         try:
@@ -310,7 +325,12 @@
                 self.writer.spend(1)
         finally:
             self.n_unsettled -= 1
-            self._abandoned_tokens.discard(record.token)
+            self._forget(claim.key, record)
+
+    def _forget(self, key: str, record: ClaimRecord) -> None:
+        self._abandoned_tokens.discard(record.token)
+        if self._unsettled_by_key.get(key) is record:
+            del self._unsettled_by_key[key]
 
     async def _back_off(self, wait_s: float) -> float:
         await asyncio.sleep(wait_s * self._rng.uniform(0.5, 1.0))
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/outcome_bodies.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/outcome_bodies.py
@@ -18,6 +18,7 @@
 __all__ = ["http_status", "outcome_body"]
 
 _HTTP_OK: Final = 200
+_LATER_ACTIONS: Final = frozenset({CallerAction.RESEND, CallerAction.ASK_OUTCOME})
 
 
 def outcome_body(
@@ -28,10 +29,19 @@
     revision: Revision,
     stages: tuple[StageTiming, ...] = (),
     addresses: Callable[[], Sequence[str]] = tuple,
+    retry_after_ms: int | None = None,
+    may_repeat: bool = True,
 ) -> OutcomeBody:
     """Return the body of an outcome.
 
-    ``addresses`` is asked only when the caller is to go elsewhere.
+    Parameters
+    ----------
+    addresses : callable
+        Asked only when the caller is to go elsewhere.
+    retry_after_ms : int or None
+        When a caller may come back, for outcomes that don't say so.
+    may_repeat : bool
+        Whether the request may run more than once.
     """
     if isinstance(outcome, Answered):
         return OutcomeBody(
@@ -47,7 +57,12 @@
         )
     is_refusal = isinstance(outcome, Refused)
     rule = REFUSAL_RULES[outcome.reason]
-    elsewhere = rule.action is CallerAction.RESEND_ELSEWHERE
+    action = rule.action
+    if action is CallerAction.RESEND and not (may_repeat or outcome.ran is Ran.NO):
+        action = CallerAction.DO_NOT_RESEND
+    if outcome.retry_after_ms is not None:
+        retry_after_ms = outcome.retry_after_ms
+    elsewhere = action is CallerAction.RESEND_ELSEWHERE
     return OutcomeBody(
         request_id,
         OutcomeStatus.REFUSED if is_refusal else OutcomeStatus.FAILED,
@@ -55,8 +70,8 @@
         reason=outcome.reason,
         sentence=rule.sentence,
         detail=outcome.detail,
-        action=rule.action,
-        retry_after_ms=outcome.retry_after_ms,
+        action=action,
+        retry_after_ms=retry_after_ms if action in _LATER_ACTIONS else None,
         addresses=tuple(addresses()) if elsewhere else (),
         stages=stages,
         daemon_id=daemon_id,
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/request_runs.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/request_runs.py
@@ -5,11 +5,12 @@
 import asyncio
 from collections.abc import AsyncGenerator, Callable, Coroutine
 from contextlib import aclosing
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any, Final, Protocol, assert_never
 
 from aspendrift_daemon.events import EventHub
 from aspendrift_daemon.interfaces import Clock
+from aspendrift_daemon.poison import PoisonGuard
 from aspendrift_daemon.request_events import (
     AnswerDropped,
     AttemptEnded,
@@ -26,7 +27,7 @@
     StreamItem,
     TimedOut,
 )
-from aspendrift_model.ids import AttemptId, RequestId, Revision, TargetId
+from aspendrift_model.ids import AttemptId, Revision, TargetId
 from aspendrift_model.outcomes import Outcome, Refused
 from aspendrift_model.states import AttemptEnd, RefusalReason, StageKind
 from aspendrift_model.targets import Target
@@ -39,6 +40,7 @@
     RouteChoice,
     RouteQuery,
 )
+from aspendrift_policy.poison import Standing
 from aspendrift_policy.request_engine import (
     Acquire,
     Action,
@@ -59,7 +61,7 @@
     TokenArrived,
 )
 
-__all__ = ["AttemptWatcher", "RequestRun", "RunPorts", "Targets"]
+__all__ = ["RequestRun", "RunPorts", "Targets"]
 
 _MS_PER_S: Final = 1000.0
 _ACQUIRE_GRACE_S: Final = 0.05
@@ -87,18 +89,6 @@
         """Cancel an attempt; False if the target did not confirm it."""
 
 
-class AttemptWatcher(Protocol):
-    """Learns which contents run on which targets."""
-
-    async def before_send(self, run_id: RequestId, target_id: TargetId) -> bool:
-        """Note an attempt; False if it should go to another target."""
-
-    def after_attempt(
-        self, run_id: RequestId, target_id: TargetId, end: AttemptEnd, crashed: bool
-    ) -> None:
-        """Note the end of an attempt."""
-
-
 @dataclass(frozen=True, slots=True)
 class RunPorts:
     """What a run uses of the daemon."""
@@ -107,7 +97,7 @@
     dispatcher: Dispatcher
     targets: Targets
     events: EventHub
-    watcher: AttemptWatcher
+    poison: PoisonGuard
     spawn: Callable[[Coroutine[Any, Any, None]], None]
 
 
@@ -130,6 +120,7 @@
     choice: RouteChoice
     taken_at: float
     sent: bool = False
+    watched: bool = False
     first_token_at: float | None = None
     busy_s: float = 0.0
     end: AttemptEnd = AttemptEnd.CANCELLED
@@ -229,6 +220,21 @@
         return self._step(Routed(query.attempt_id, answer))
 
     async def _route(self, query: RouteQuery) -> RouteAnswer:
+        """Take a slot; a suspect waits for a target without another suspect."""
+        poison = self.ports.poison
+        while True:
+            turn = await poison.await_turn(query.request_id, query.deadline_at)
+            if turn.standing is Standing.CONVICTED:
+                return Refused(RefusalReason.POISON)
+            if turn.standing is Standing.CLEAN:
+                return await self._acquire_slot(query)
+            answer = await self._acquire_slot(_away_from(query, turn.busy_targets))
+            blocked = turn.busy_targets and _lacks_target(answer)
+            if not blocked or self._now() >= query.deadline_at:
+                return answer
+            await poison.await_trials(query.deadline_at)
+
+    async def _acquire_slot(self, query: RouteQuery) -> RouteAnswer:
         remaining_s = query.deadline_at - self._now() + _ACQUIRE_GRACE_S
         try:
             async with asyncio.timeout(remaining_s):
@@ -254,11 +260,12 @@
     async def _send(self, action: Send) -> Action:
         slot = self._held_slot()
         target = slot.choice.target
-        if not await self.ports.watcher.before_send(
-            slot.query.request_id, target.target_id
-        ):
-            return self._failed(slot, NotSent("the target runs another suspect"))
+        poison = self.ports.poison
+        permit = await poison.before_send(slot.query.request_id, target.target_id)
+        if not permit.allowed:
+            return self._withhold(slot, convicted=permit.convicted)
         slot.sent = True
+        slot.watched = True
         if action.call.kind is StageKind.GENERATE:
             items = self.ports.targets.generate(target, action.call, action.timeout_s)
             return await self._read_stream(slot, items)
@@ -269,6 +276,14 @@
             return self._step(StageReturned(slot.query.attempt_id, result.output))
         return self._failed(slot, result)
 
+    def _withhold(self, slot: _Slot, *, convicted: bool) -> Action:
+        """Give up an attempt before it is sent."""
+        self._end(slot, AttemptEnd.CANCELLED)
+        event = AttemptFailed(
+            slot.query.attempt_id, AttemptEnd.CANCELLED, convicted=convicted
+        )
+        return self._step(event)
+
     async def _resume(self, action: Resume) -> Action:
         slot = self._held_slot()
         items = self.ports.targets.resume(
@@ -332,12 +347,24 @@
             self._report_dropped(failure.attempt_id)
         slot.detail = getattr(failure, "detail", "")
         slot.crashed = crashed
-        event = AttemptFailed(slot.query.attempt_id, end, crashed, slot.detail)
+        convicted = crashed and self._note_end(slot) is Standing.CONVICTED
+        event = AttemptFailed(
+            slot.query.attempt_id, end, crashed, convicted, slot.detail
+        )
         action = self._step(event)
         if not isinstance(action, Resume):
             self._end(slot, end)
         return action
 
+    def _note_end(self, slot: _Slot) -> Standing:
+        """Tell the poison guard of the end of an attempt, once."""
+        slot.watched = False
+        return self.ports.poison.after_attempt(
+            slot.query.request_id,
+            slot.choice.target.target_id,
+            crashed=slot.crashed,
+        )
+
     def _held_slot(self) -> _Slot:
         assert self._slot is not None
         return self._slot
@@ -359,10 +386,8 @@
         first_s = slot.first_token_at and slot.first_token_at - slot.taken_at
         result = AttemptResult(slot.end, held_s, slot.busy_s, first_s)
         self.ports.dispatcher.release(slot.query, slot.choice, result)
-        if slot.sent:
-            self.ports.watcher.after_attempt(
-                slot.query.request_id, target.target_id, slot.end, slot.crashed
-            )
+        if slot.watched:
+            self._note_end(slot)
         if _may_still_run(slot):
             self.ports.spawn(self._cancel(target, slot.query.attempt_id))
         self._report_attempt(slot, held_s)
@@ -383,6 +408,14 @@
         self.ports.events.emit(ended)
 
 
+def _away_from(query: RouteQuery, busy: frozenset[TargetId]) -> RouteQuery:
+    return replace(query, avoid_sharing=True, excluded=query.excluded | busy)
+
+
+def _lacks_target(answer: RouteAnswer) -> bool:
+    return isinstance(answer, Refused) and answer.reason is RefusalReason.NO_TARGET
+
+
 def _may_still_run(slot: _Slot) -> bool:
     finished = (AttemptEnd.ANSWERED, AttemptEnd.NOT_SENT, AttemptEnd.REJECTED)
     return slot.sent and slot.end not in finished and not slot.crashed
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/requests.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/requests.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Iterable, Sequence
 from dataclasses import dataclass
 from typing import Any, Final
 
@@ -19,6 +19,7 @@
     TableService,
 )
 from aspendrift_daemon.outcome_bodies import outcome_body
+from aspendrift_daemon.poison import PoisonGuard
 from aspendrift_daemon.request_events import OutcomeStoreDelayed, RequestEnded
 from aspendrift_daemon.request_runs import RequestRun, RunPorts, Targets
 from aspendrift_daemon.streams import NoTokens, TokenSink
@@ -32,13 +33,11 @@
     ProfileName,
     RequestId,
     Revision,
-    TargetId,
 )
 from aspendrift_model.outcomes import Failed, Outcome, Refused
 from aspendrift_model.profiles import Profile
 from aspendrift_model.settings_requests import RequestSettings
 from aspendrift_model.states import (
-    AttemptEnd,
     OutcomeStatus,
     ProfileState,
     Ran,
@@ -46,6 +45,7 @@
 )
 from aspendrift_model.wire_caller import OutcomeBody, RequestBody
 from aspendrift_policy.interfaces import Dispatcher, Offer
+from aspendrift_policy.poison import Standing
 from aspendrift_policy.request_engine import (
     EngineLimits,
     RequestEngine,
@@ -121,6 +121,7 @@
         self._clock = clock
         self._configuration = configuration
         self._dispatcher = dispatcher
+        self._rng = rng
         self._events = events
         self._addresses = addresses
         self._may_serve = may_serve
@@ -137,8 +138,11 @@
         self.claims = Claims(
             settings, daemon_id, self._process, clock, table, bus, rng, self._spawn
         )
+        self.poison = PoisonGuard(
+            settings, daemon_id, clock, table, bus, events, rng, self._spawn
+        )
         self._ports = RunPorts(
-            clock, dispatcher, targets, events, NoWatcher(), self._spawn
+            clock, dispatcher, targets, events, self.poison, self._spawn
         )
 
     @property
@@ -149,16 +153,15 @@
     async def start(self) -> None:
         """Start the background work."""
         await self.claims.writer.start()
+        await self.poison.start()
 
     async def stop(self) -> None:
         """End what is left, after a bounded wait for the table."""
         self._leaving = True
+        await _cancel_all(self._open)
         if self._background:
             await asyncio.wait(self._background, timeout=_STOP_TIMEOUT_S)
-        left = [*self._open, *self._background]
-        for task in left:
-            task.cancel()
-        await asyncio.gather(*left, return_exceptions=True)
+        await _cancel_all(self._background)
         await self.claims.writer.stop()
 
     def begin_leaving(self) -> None:
@@ -181,6 +184,9 @@
         accepted = self._accept(account, body, now)
         if isinstance(accepted, Refused):
             return self._body(RequestId(body.request_id), accepted)
+        if self.poison.standing(accepted.fingerprint) is Standing.CONVICTED:
+            convicted = Refused(RefusalReason.POISON)
+            return self._body(accepted.request_id, convicted)
         if accepted.profile.contract.idempotent:
             return await self._follow(accepted, sink or NoTokens())
         other = self._claimed_by_key.get(accepted.key)
@@ -193,7 +199,7 @@
     ) -> OutcomeBody:
         """Return the recorded outcome of a request that may not be repeated."""
         if (account.account_id, request_id) in self._claimed_by_key:
-            running = Failed(RefusalReason.CLAIM_HELD, Ran.UNKNOWN, "", 500)
+            running = Failed(RefusalReason.CLAIM_HELD, Ran.UNKNOWN)
             return self._body(request_id, running)
         found = await self.claims.look_up(account.account_id, request_id)
         if isinstance(found, Replayed):
@@ -244,7 +250,7 @@
         done, _ = await asyncio.wait({other.task}, timeout=max(0.0, remaining_s))
         if done and not other.task.cancelled():
             return other.task.result()
-        held = Failed(RefusalReason.CLAIM_HELD, Ran.UNKNOWN, "", 500)
+        held = Failed(RefusalReason.CLAIM_HELD, Ran.UNKNOWN)
         return self._body(request.request_id, held)
 
     async def _follow(self, request: _Request, sink: TokenSink) -> OutcomeBody:
@@ -277,19 +283,23 @@
             deadline_at=request.deadline_at,
             prefix_key=_prefix_key(request),
             reserve_s=0.0 if idempotent else _OUTCOME_RESERVE_S,
+            excluded=self.poison.crashed_targets(request.fingerprint),
         )
         engine = RequestEngine(facts, self._limits)
         return RequestRun(engine, self._ports, sink, request.revision)
 
     async def _run_to_end(self, request: _Request, run: RequestRun) -> OutcomeBody:
         """Run a request and report its outcome, whatever happens."""
+        body: OutcomeBody | None = None
+        self.poison.open(request.run_id, request.fingerprint)
         try:
             body = await self._admit_and_run(request, run)
-        except asyncio.CancelledError:
-            raise
         except Exception:
             _logger.exception("request_error", request_id=request.request_id)
             body = self._body(request.request_id, _internal(run.engine.ran))
+        finally:
+            answered = body is not None and body.status is OutcomeStatus.ANSWERED
+            self.poison.close(request.run_id, answered=answered)
         self._report(request, body)
         return body
 
@@ -356,8 +366,14 @@
             daemon_id=self._daemon_id,
             revision=request.revision,
             stages=run.timings(),
+            retry_after_ms=self._retry_after_ms(),
+            may_repeat=request.profile.contract.idempotent,
         )
 
+    def _retry_after_ms(self) -> int:
+        """Return when a caller may come back, spread so that callers part."""
+        return int(self._settings.retry_after_ms * self._rng.uniform(1.0, 2.0))
+
     def _body(self, request_id: RequestId, outcome: Outcome) -> OutcomeBody:
         return outcome_body(
             request_id,
@@ -365,6 +381,7 @@
             daemon_id=self._daemon_id,
             revision=self._configuration.current().revision,
             addresses=self._addresses,
+            retry_after_ms=self._retry_after_ms(),
         )
 
     def _report(self, request: _Request, body: OutcomeBody) -> None:
@@ -386,17 +403,11 @@
         )
 
 
-class NoWatcher:
-    """Watches nothing."""
-
-    async def before_send(self, run_id: RequestId, target_id: TargetId) -> bool:
-        """Let every attempt go."""
-        return True
-
-    def after_attempt(
-        self, run_id: RequestId, target_id: TargetId, end: AttemptEnd, crashed: bool
-    ) -> None:
-        """Learn nothing."""
+async def _cancel_all(tasks: Iterable[asyncio.Task[Any]]) -> None:
+    left = list(tasks)
+    for task in left:
+        task.cancel()
+    await asyncio.gather(*left, return_exceptions=True)
 
 
 def _max_tokens(request: _Request) -> int:
--- a/packages/aspendrift-daemon/tests/request_path/conftest.py
+++ b/packages/aspendrift-daemon/tests/request_path/conftest.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import selectors
 from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
@@ -12,7 +13,6 @@
 import msgspec
 import pytest
 
-from aspendrift_daemon.clock import SystemClock
 from aspendrift_daemon.events import EventHub
 from aspendrift_daemon.interfaces import (
     Committed,
@@ -37,9 +37,52 @@
 from aspendrift_model.wire_caller import RequestBody
 from aspendrift_model.wire_platform import Row
 from aspendrift_model.wire_target import GeneratedEnd, GeneratedToken
+from aspendrift_policy.claims import decode_claim
 from aspendrift_policy.interfaces import CandidateScore, RouteChoice, RouteReason
 
 
+class _JumpingSelector(selectors.SelectSelector):
+    """Selector that moves the loop's time on instead of waiting."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+
+    def select(self, timeout=None):
+        assert timeout is not None, "every task waits for ever"
+        self.now += max(0.0, timeout)
+        return super().select(0)
+
+
+class VirtualTimeLoop(asyncio.SelectorEventLoop):
+    """Event loop whose time jumps to the next timer: no test waits."""
+
+    def __init__(self):
+        self._jumping = _JumpingSelector()
+        super().__init__(self._jumping)
+
+    def time(self):
+        return self._jumping.now
+
+
+def run_in_virtual_time(scenario):
+    with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+        return runner.run(scenario)
+
+
+class VirtualClock:
+    """Clock of a daemon on the loop's time; ``offset`` parts the hosts."""
+
+    def __init__(self, offset):
+        self.offset = offset
+
+    def monotonic(self):
+        return asyncio.get_running_loop().time() + self.offset
+
+    def unix(self):
+        return 1.7e9 + asyncio.get_running_loop().time()
+
+
 class FakeTable:
     """Table in memory whose faults a test switches on."""
 
@@ -95,6 +138,73 @@
         return Committed(self.version)
 
 
+class HostState:
+    """Whether the daemon on a host is stopped, for a while or for good."""
+
+    def __init__(self):
+        self.awake = asyncio.Event()
+        self.awake.set()
+        self.killed = False
+
+    async def gate(self):
+        if self.killed:
+            await asyncio.get_running_loop().create_future()
+        await self.awake.wait()
+
+
+class DaemonView:
+    """The table as one daemon sees it; a stopped daemon sees nothing."""
+
+    def __init__(self, table, state):
+        self.table = table
+        self.state = state
+
+    async def _through(self, call, *args):
+        await self.state.gate()
+        result = await call(*args)
+        await self.state.gate()
+        return result
+
+    async def read(self, keys):
+        return await self._through(self.table.read, keys)
+
+    async def scan(self, prefix, after="", limit=500):
+        return await self._through(self.table.scan, prefix, after, limit)
+
+    async def transact(self, conditions, writes):
+        return await self._through(self.table.transact, conditions, writes)
+
+
+class DaemonTargets:
+    """The targets as one daemon sees them; a stopped daemon sees nothing."""
+
+    def __init__(self, targets, state):
+        self.targets = targets
+        self.state = state
+
+    async def call(self, target, call, timeout_s):
+        await self.state.gate()
+        result = await self.targets.call(target, call, timeout_s)
+        await self.state.gate()
+        return result
+
+    async def generate(self, target, call, timeout_s):
+        await self.state.gate()
+        async for item in self.targets.generate(target, call, timeout_s):
+            await self.state.gate()
+            yield item
+
+    async def resume(self, target, call, after, timeout_s):
+        await self.state.gate()
+        async for item in self.targets.resume(target, call, after, timeout_s):
+            await self.state.gate()
+            yield item
+
+    async def cancel(self, target, attempt_id):
+        await self.state.gate()
+        return await self.targets.cancel(target, attempt_id)
+
+
 class FakeBus:
     """Peers in one process; a cut bus loses everything."""
 
@@ -293,12 +403,15 @@
         self.dispatchers = []
         self.events = []
         self.services = []
+        self.hosts = []
         self.account = ClientAccount("kaapwind", "")
         for _ in range(n_daemons):
             self.add_daemon()
 
     def add_daemon(self):
         number = len(self.services) + 1
+        host_state = HostState()
+        self.hosts.append(host_state)
         host = Host(f"d{number}", 1, Location("z1", "r1"), "http://x", "tcp://x")
         bus = FakeBus(self, host)
         self.buses.append(bus)
@@ -314,12 +427,12 @@
         service = RequestService(
             self.settings,
             host.daemon_id,
-            SystemClock(),
-            self.table,
+            VirtualClock(1000.0 * number),
+            DaemonView(self.table, host_state),
             bus,
             FakeConfiguration(configuration),
             dispatcher,
-            self.targets,
+            DaemonTargets(self.targets, host_state),
             hub,
             random.Random(number),
             addresses=lambda: ("http://other",),
@@ -336,12 +449,25 @@
     async def __aexit__(self, *exc_info):
         for service in self.services:
             await service.stop()
-        assert all(not d.admitted for d in self.dispatchers)
-        assert all(not any(d.held.values()) for d in self.dispatchers)
+        for dispatcher, host in zip(self.dispatchers, self.hosts, strict=True):
+            if not host.killed:
+                assert not dispatcher.admitted
+                assert not any(dispatcher.held.values())
 
     def send(self, body, daemon=0, sink=None):
         return self.services[daemon].run(self.account, body, sink)
 
+    async def kill(self, daemon):
+        """Stop a daemon for good: nothing it does has an effect any more."""
+        self.hosts[daemon].killed = True
+        self.buses[daemon].state = MemberState.DEAD
+        self.buses[daemon].cut = True
+
+    def claim(self, request_id="r1"):
+        """Return the record of a claim, or None."""
+        value = self.table.row(f"claim/kaapwind/{request_id}").value
+        return None if value is None else decode_claim(value)
+
     def named(self, name):
         return [event for event in self.events if event.name == name]
 
@@ -357,7 +483,7 @@
     network: Callable[..., Network] = Network
     body: Callable[..., RequestBody] = staticmethod(body)
     tokens: Callable[..., Any] = staticmethod(tokens)
-    run: Callable[[Coroutine[Any, Any, Any]], Any] = staticmethod(asyncio.run)
+    run: Callable[[Coroutine[Any, Any, Any]], Any] = staticmethod(run_in_virtual_time)
 
     @staticmethod
     def after_run(targets: FakeTargets, result: Any) -> Callable[..., Awaitable[Any]]:
--- a/packages/aspendrift-daemon/tests/request_path/test_front_door.py
+++ b/packages/aspendrift-daemon/tests/request_path/test_front_door.py
@@ -97,7 +97,7 @@
         async with box.network() as net, serving(net) as client:
             return await client.post("/v1/requests", content=sent)
 
-    response = box.run(scenario())
+    response = asyncio.run(scenario())
     answer = response.json()
     assert (response.status_code, answer["reason"]) == (status, reason)
     assert answer["ran"] == "no"
@@ -114,7 +114,7 @@
         async with box.network() as net, serving(net) as client:
             return await client.request(method, path)
 
-    response = box.run(scenario())
+    response = asyncio.run(scenario())
     assert response.status_code == status
     assert response.json()["ran"] == "no"
 
@@ -129,7 +129,7 @@
                 headers={"authorization": header},
             )
 
-    response = box.run(scenario())
+    response = asyncio.run(scenario())
     assert response.status_code == 401
     assert response.json()["reason"] == "unauthenticated"
 
@@ -139,7 +139,7 @@
         async with box.network() as net, serving(net) as client:
             return await client.post("/v1/requests", content=content(box, stream=True))
 
-    response = box.run(scenario())
+    response = asyncio.run(scenario())
     assert response.headers["content-type"].startswith("application/x-ndjson")
     events = [
         msgspec.json.decode(line, type=StreamEvent)
@@ -163,7 +163,7 @@
             missing = await client.get("/v1/requests/r2")
             return sent, found, missing
 
-    sent, found, missing = box.run(scenario())
+    sent, found, missing = asyncio.run(scenario())
     assert sent.status_code == found.status_code == 200
     assert json.loads(sent.content) == json.loads(found.content)
     assert missing.status_code == 404
@@ -193,4 +193,4 @@
             await until(lambda: net.targets.cancelled)
             assert net.services[0].n_open == 0
 
-    box.run(asyncio.wait_for(scenario(), 20))
+    asyncio.run(asyncio.wait_for(scenario(), 20))
--- a/packages/aspendrift-model/src/aspendrift_model/settings_requests.py
+++ b/packages/aspendrift-model/src/aspendrift_model/settings_requests.py
@@ -23,7 +23,7 @@
         500, unit="ms", doc="Time to connect to a target.", minimum=1
     )
     token_stall_ms: int = setting(
-        2000, unit="ms", doc="Longest wait for the next token.", minimum=10
+        1500, unit="ms", doc="Longest wait for the next token.", minimum=10
     )
     max_attempts_per_stage: int = setting(
         3, doc="Attempts of a stage, the first one included.", minimum=1
@@ -58,6 +58,12 @@
     outcome_store_wait_ms: int = setting(
         250, unit="ms", doc="Longest wait of an answer for the table.", minimum=0
     )
+    retry_after_ms: int = setting(
+        250,
+        unit="ms",
+        doc="Least time that callers are told to wait when nothing else is known.",
+        minimum=1,
+    )
     store_retry_after_ms: int = setting(
         500,
         unit="ms",
@@ -67,3 +73,18 @@
     max_unsettled_claims: int = setting(
         2000, doc="Outcomes that may wait for the table.", minimum=1
     )
+    poison_settle_ms: int = setting(
+        30,
+        unit="ms",
+        doc="Wait between announcing the trial of a suspect and sending it.",
+        minimum=0,
+    )
+    poison_trial_s: float = setting(
+        30.0, unit="s", doc="Longest that a trial keeps others waiting.", minimum=0.1
+    )
+    poison_suspicion_s: float = setting(
+        120.0, unit="s", doc="Time for which a crash makes suspects.", minimum=1
+    )
+    poison_conviction_s: float = setting(
+        3600.0, unit="s", doc="Time for which a content is refused.", minimum=1
+    )
--- a/packages/aspendrift-policy/src/aspendrift_policy/request_engine.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/request_engine.py
@@ -51,6 +51,9 @@
 ]
 
 _MS_PER_S: Final = 1000.0
+_UNTOUCHED_ENDS: Final = frozenset(
+    {AttemptEnd.NOT_SENT, AttemptEnd.REJECTED, AttemptEnd.CANCELLED}
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,8 +68,6 @@
         Deadline on the monotonic clock, in seconds.
     reserve_s : float
         Time to keep after the last stage, in seconds.
-    suspect : bool
-        Whether the content is suspected to stop targets.
     excluded : frozenset of TargetId
         Targets that stopped while they ran the same content.
     """
@@ -80,7 +81,6 @@
     deadline_at: float
     prefix_key: PrefixKey
     reserve_s: float = 0.0
-    suspect: bool = False
     excluded: frozenset[TargetId] = frozenset()
 
 
@@ -141,11 +141,22 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptFailed:
-    """An attempt gave no answer."""
+    """An attempt gave no answer.
+
+    Parameters
+    ----------
+    end : AttemptEnd
+        ``CANCELLED`` means that it was given up before it was sent.
+    crashed : bool
+        Whether the target stopped during the attempt.
+    convicted : bool
+        Whether the content is known by now to stop targets.
+    """
 
     attempt_id: AttemptId
     end: AttemptEnd
     crashed: bool = False
+    convicted: bool = False
     detail: str = ""
 
 
@@ -333,7 +344,7 @@
             max_tokens=self._max_tokens(),
             excluded=self._progress.excluded,
             is_retry=self._progress.was_sent,
-            avoid_sharing=facts.suspect or self.crashed,
+            avoid_sharing=self.crashed,
         )
 
     def _max_tokens(self) -> int:
@@ -445,9 +456,15 @@
         return self._begin_stage(now)
 
     def _on_failure(self, event: AttemptFailed, now: float) -> Action:
-        untouched = event.end in (AttemptEnd.NOT_SENT, AttemptEnd.REJECTED)
+        is_resume = self._progress.n_resumes > 0
+        untouched = event.end in _UNTOUCHED_ENDS and not is_resume
         if untouched and not self._progress.tokens:
             self.ran = self._ran_before_attempt
+        if event.convicted:
+            return self._fail(RefusalReason.POISON)
+        if event.end is AttemptEnd.CANCELLED:
+            self._progress.n_attempts -= 1
+            return self._acquire(now)
         if event.end is AttemptEnd.BROKEN and self._may_resume(event, now):
             return self._resume(now)
         self.crashed = self.crashed or event.crashed
@@ -479,8 +496,6 @@
     def _failure_reason(self, event: AttemptFailed) -> RefusalReason:
         if event.end is AttemptEnd.TIMED_OUT:
             return RefusalReason.DEADLINE_EXCEEDED
-        if self.ran is Ran.UNKNOWN and not self.facts.profile.contract.idempotent:
-            return RefusalReason.OUTCOME_UNKNOWN
         return RefusalReason.TARGET_FAILED
 
     def _fail(
@@ -491,6 +506,10 @@
     ) -> Action:
         if self.ran is Ran.NO:
             return self._finish(Refused(reason, detail, retry_after_ms))
+        once = not self.facts.profile.contract.idempotent
+        if once and self.ran is Ran.UNKNOWN and reason is not RefusalReason.POISON:
+            detail = f"{reason.value}: {detail}" if detail else reason.value
+            reason = RefusalReason.OUTCOME_UNKNOWN
         return self._finish(Failed(reason, self.ran, detail, retry_after_ms))
 
     def _finish(self, outcome: Outcome) -> Finish:
