--- a/packages/aspendrift-daemon/src/aspendrift_daemon/dispatch.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/dispatch.py
@@ -20,7 +20,14 @@
 )
 from aspendrift_model.configuration import Configuration
 from aspendrift_model.hosts import Location
-from aspendrift_model.ids import AccountId, DaemonId, PoolName, RequestId, TargetId
+from aspendrift_model.ids import (
+    AccountId,
+    DaemonId,
+    ModelName,
+    PoolName,
+    RequestId,
+    TargetId,
+)
 from aspendrift_model.outcomes import Refused, refused
 from aspendrift_model.settings_routing import RoutingSettings, RoutingStrategy
 from aspendrift_model.states import AttemptEnd, Priority, RefusalReason, TargetState
@@ -33,7 +40,7 @@
 )
 from aspendrift_policy.affinity import CacheHints
 from aspendrift_policy.baselines import RandomLimitRouter, RoundRobinRouter
-from aspendrift_policy.fairness import FairShares, name_hash
+from aspendrift_policy.fairness import FairShares, model_key, name_hash
 from aspendrift_policy.interfaces import (
     AttemptResult,
     Offer,
@@ -117,6 +124,7 @@
         self._salt = rng.getrandbits(64)
         self._pools_by_name: dict[PoolName, _Pool] = {}
         self._pool_of_target: dict[TargetId, _Pool] = {}
+        self._target_by_hash: dict[int, TargetId] = {}
         self._weights: dict[int, float] = {}
         self._times = ServiceTimes()
         self._admission = AdmissionController(self._times)
@@ -130,9 +138,7 @@
         self._target_budgets: RetryBudgets[TargetId] = RetryBudgets(
             settings.retry_share, settings.retry_floor_per_s
         )
-        self._peers = PeerUse(
-            settings, clock, bus, self._shares, self._take_report, rng, daemon_id
-        )
+        self._peers = PeerUse(settings, clock, bus, self._shares, self, rng, daemon_id)
         self._ticker: asyncio.Task[None] | None = None
         configuration.on_change(self._configured)
         self._configured(configuration.current())
@@ -165,7 +171,10 @@
             pools[stage.pool] = pool.capacity()
         for stage in offer.profile.stages:
             time = self._times.predict(offer.profile, stage, offer.max_tokens, now)
-            self._shares.pool_asked(stage.pool, time.mean_s, now)
+            self._shares.asked(stage.pool, time.mean_s, now)
+            if stage.model is not None:
+                key = model_key(stage.pool, stage.model)
+                self._shares.asked(key, time.mean_s, now)
         dominant_s = self._admission.dominant_s(offer, pools, now)
         self._shares.offered(offer.account_id, dominant_s, now)
         is_over = self._shares.over_share(
@@ -234,6 +243,12 @@
         pool.targets.attempt_ended(target_id, result.end, now)
         self._serve(pool, now)
 
+    def model_demand(self, pool: PoolName, model: ModelName) -> float:
+        """Return the slots that the requests of all daemons ask for now."""
+        now = self._clock.monotonic()
+        n_daemons = self._peers.n_daemons()
+        return self._shares.system_demand(model_key(pool, model), n_daemons, now)
+
     def uses(self, target_id: TargetId) -> bool:
         """Return whether this daemon sends requests to a target."""
         return target_id in self._pool_of_target
@@ -241,7 +256,7 @@
     def load_reported(self, report: LoadReport) -> None:
         """Take in a load report and share it with peers."""
         now = self._clock.monotonic()
-        self._take_report(report, now)
+        self.take_report(report, now)
         self._peers.share_report(report, now)
 
     def load_missed(self, target_id: TargetId) -> None:
@@ -250,6 +265,10 @@
         if pool is not None:
             pool.targets.poll_missed(target_id, self._clock.monotonic())
 
+    def target_named(self, name_hash: int) -> TargetId | None:
+        """Return the target in use whose id has a hash."""
+        return self._target_by_hash.get(name_hash)
+
     def _make_router(self) -> Router:
         if self._settings.strategy is RoutingStrategy.ROUND_ROBIN:
             return RoundRobinRouter()
@@ -268,6 +287,9 @@
         self._pool_of_target.clear()
         for name, targets in targets_by_pool.items():
             self._configure_pool(name, targets, now)
+        self._target_by_hash = {
+            name_hash(target_id): target_id for target_id in self._pool_of_target
+        }
         self._weights = {
             name_hash(account.account_id): account.share
             for account in configuration.accounts_by_id.values()
@@ -487,7 +509,8 @@
         if candidate is not None:
             candidate.learn_speed(result.held_s / predicted_s)
 
-    def _take_report(self, report: LoadReport, now: float) -> None:
+    def take_report(self, report: LoadReport, now: float) -> None:
+        """Take in a load report, polled here or by a peer."""
         pool = self._pool_of_target.get(report.target_id)
         if pool is not None:
             pool.targets.reported(report, now)
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/peer_use.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/peer_use.py
@@ -5,8 +5,7 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Callable
-from typing import Final
+from typing import Final, Protocol
 
 import msgspec
 
@@ -15,23 +14,31 @@
 from aspendrift_model.settings_routing import RoutingSettings
 from aspendrift_model.states import MemberState
 from aspendrift_model.targets import LoadReport
-from aspendrift_policy.fairness import FairShares, UseDigest
+from aspendrift_policy.fairness import FairShares, UseDigest, name_hash
 
-__all__ = ["PeerUse", "SharedLoad", "UseMessage"]
+__all__ = ["PeerUse", "SharedLoad", "TargetNames", "UseMessage"]
 
 TOPIC: Final = "routing.use"
 _JITTER_SHARE: Final = 0.2
-_MAX_LOADS: Final = 64
+_MAX_LOADS: Final = 32
 _VERSION: Final = 1
 _COUNTED_STATES: Final = frozenset({MemberState.LIVE, MemberState.SUSPECT})
 
-ReportSink = Callable[[LoadReport, float], None]
+
+class TargetNames(Protocol):
+    """What the exchange needs to know of the targets."""
+
+    def target_named(self, name_hash: int) -> TargetId | None:
+        """Return the target in use whose id has a hash."""
+
+    def take_report(self, report: LoadReport, now: float) -> None:
+        """Take in a load report that a peer polled."""
 
 
 class SharedLoad(msgspec.Struct, frozen=True, array_like=True):
-    """A load report of a target, passed on to a peer."""
+    """A load report of a target, passed on to a peer; ``target`` is a hash."""
 
-    target_id: str
+    target: int
     active: int
     queued: int
     slots: int
@@ -59,8 +66,8 @@
         Carries the messages.
     shares : FairShares
         Source and sink of the digests.
-    take_report : callable
-        Takes in a load report that a peer polled.
+    targets : TargetNames
+        Names the targets by their hash and takes in what peers polled.
     rng : random.Random
         Source of the choice of peers and of the jitter.
     daemon_id : DaemonId or None
@@ -73,7 +80,7 @@
         clock: Clock,
         bus: PeerBus,
         shares: FairShares,
-        take_report: ReportSink,
+        targets: TargetNames,
         rng: random.Random,
         daemon_id: DaemonId | None,
     ) -> None:
@@ -81,7 +88,7 @@
         self._clock = clock
         self._bus = bus
         self._shares = shares
-        self._take_report = take_report
+        self._targets = targets
         self._rng = rng
         self._daemon_id = daemon_id
         self._polled_by_id: dict[TargetId, tuple[LoadReport, float]] = {}
@@ -110,31 +117,34 @@
 
     async def _send_forever(self) -> None:
         while True:
-            self.send(self._clock.monotonic())
+            n_bytes = self.send(self._clock.monotonic())
+            settings = self._settings
+            interval_s = max(settings.digest_s, n_bytes / settings.digest_bytes_per_s)
             jitter = 1.0 + _JITTER_SHARE * (2.0 * self._rng.random() - 1.0)
-            await asyncio.sleep(self._settings.digest_s * jitter)
+            await asyncio.sleep(interval_s * jitter)
 
-    def send(self, now: float) -> None:
-        """Send one digest to a few random peers."""
+    def send(self, now: float) -> int:
+        """Send one digest to a few random peers; return the bytes sent."""
         peers = [
             host.daemon_id
             for host, state in self._bus.members()
             if state in _COUNTED_STATES and host.daemon_id != self._daemon_id
         ]
         self._n_daemons = len(peers) + 1
-        digest = self._shares.digest(now, {})
+        digest = self._shares.digest(now)
         message = UseMessage(_VERSION, digest, self._take_loads(now))
         payload = msgspec.msgpack.encode(message)
         n_chosen = min(len(peers), self._settings.digest_fanout)
         for peer in self._rng.sample(peers, n_chosen):
             self._bus.send(peer, TOPIC, payload)
+        return len(payload) * n_chosen
 
     def _take_loads(self, now: float) -> tuple[SharedLoad, ...]:
         reports = sorted(self._polled_by_id.values(), key=lambda each: -each[1])
         self._polled_by_id.clear()
         return tuple(
             SharedLoad(
-                report.target_id,
+                name_hash(report.target_id),
                 report.active,
                 report.queued,
                 report.slots,
@@ -153,11 +163,14 @@
         now = self._clock.monotonic()
         self._shares.heard(origin, message.digest, now)
         for load in message.loads:
+            target_id = self._targets.target_named(load.target)
+            if target_id is None:
+                continue
             report = LoadReport(
-                TargetId(load.target_id),
+                target_id,
                 load.active,
                 load.queued,
                 load.slots,
                 load.age_ms,
             )
-            self._take_report(report, now)
+            self._targets.take_report(report, now)
--- a/packages/aspendrift-model/src/aspendrift_model/settings_routing.py
+++ b/packages/aspendrift-model/src/aspendrift_model/settings_routing.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 from aspendrift_model.settings_base import setting
 
-__all__ = ["RoutingSettings", "RoutingStrategy"]
+__all__ = ["PlacementSettings", "RoutingSettings", "RoutingStrategy"]
 
 
 class RoutingStrategy(Enum):
@@ -18,6 +18,55 @@
     RANDOM_LIMIT = "random_limit"
 
 
+@dataclass(frozen=True, slots=True)
+class PlacementSettings:
+    """How models and roles are given to engines."""
+
+    enabled: bool = setting(True, doc="Whether this daemon gives orders to engines.")
+    lease_s: float = setting(
+        6.0, unit="s", doc="Length of the lease on a pool's orders.", minimum=0.5
+    )
+    lease_margin_s: float = setting(
+        1.0, unit="s", doc="How much earlier a holder stops.", minimum=0.1
+    )
+    takeover_wait_s: float = setting(
+        2.5, unit="s", doc="Wait of a new holder before its first order.", minimum=0
+    )
+    order_valid_ms: int = setting(
+        2000, unit="ms", doc="Longest life of an order.", minimum=100
+    )
+    n_contenders: int = setting(
+        3, doc="Daemons that try for the lease of a pool.", minimum=1
+    )
+    step_s: float = setting(
+        1.0, unit="s", doc="Time between looks at a pool.", minimum=0.05
+    )
+    max_state_reads_per_s: float = setting(
+        20.0, unit="1/s", doc="Engine states a holder reads.", minimum=0.1
+    )
+    ahead_s: float = setting(
+        120.0, unit="s", doc="How early a surge is prepared for.", minimum=1
+    )
+    keep_s: float = setting(
+        60.0, unit="s", doc="How long capacity is kept after a surge.", minimum=0
+    )
+    headroom: float = setting(
+        1.3, doc="Capacity planned for, relative to the demand.", minimum=1
+    )
+    min_replicas: int = setting(
+        2, doc="Engines that hold each model whatever the demand.", minimum=1
+    )
+    models_per_engine: int = setting(
+        2, doc="Models that one engine may hold.", minimum=1
+    )
+    max_loads: int = setting(
+        2, doc="Models loading in a pool at a time; the weight store's rate.", minimum=1
+    )
+    store_forecast_s: float = setting(
+        300.0, unit="s", doc="Time between writes of the forecast.", minimum=1
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class RoutingSettings:
     """How targets are chosen and load is limited."""
@@ -33,7 +82,7 @@
         1.0, unit="s", doc="Time to wait for a load report.", minimum=0.01
     )
     max_polls_per_s: float = setting(
-        80.0,
+        40.0,
         unit="1/s",
         doc="Load polls a daemon sends; more targets are polled less often.",
         minimum=0.1,
@@ -45,6 +94,12 @@
         0.5, unit="s", doc="Time between digests of use to peers.", minimum=0.05
     )
     digest_fanout: int = setting(8, doc="Peers that each digest goes to.", minimum=1)
+    digest_bytes_per_s: float = setting(
+        4000.0,
+        unit="bytes/s",
+        doc="Digest traffic a daemon sends; larger digests are sent less often.",
+        minimum=100,
+    )
     cross_zone_penalty_s: float = setting(
         0.01,
         unit="s",
@@ -88,3 +143,10 @@
     retry_floor_per_s: float = setting(
         1.0, unit="1/s", doc="Retries always allowed.", minimum=0
     )
+    cache_poll_s: float = setting(
+        2.0,
+        unit="s",
+        doc="Time between reads of an engine's cache events.",
+        minimum=0.1,
+    )
+    placement: PlacementSettings = field(default_factory=PlacementSettings)
--- a/packages/aspendrift-policy/src/aspendrift_policy/fairness.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/fairness.py
@@ -9,10 +9,17 @@
 import msgspec
 import xxhash
 
-from aspendrift_model.ids import AccountId, DaemonId, PoolName
+from aspendrift_model.ids import AccountId, DaemonId, ModelName, PoolName
 from aspendrift_policy.load_estimate import DecayedRate
 
-__all__ = ["AccountDemand", "FairShares", "UseDigest", "fair_level", "name_hash"]
+__all__ = [
+    "AccountDemand",
+    "FairShares",
+    "UseDigest",
+    "fair_level",
+    "model_key",
+    "name_hash",
+]
 
 _WINDOW_S: Final = 3.0
 _DIGEST_MAX_AGE_S: Final = 6.0
@@ -25,6 +32,11 @@
 _ADMITTED: Final = "admitted"
 
 
+def model_key(pool: PoolName, model: ModelName) -> str:
+    """Return the key under which the demand for a model of a pool is kept."""
+    return f"{pool}/{model}"
+
+
 def name_hash(name: str) -> int:
     """Return a 32-bit hash of a name, for digests."""
     return xxhash.xxh32_intdigest(name.encode())
@@ -43,7 +55,7 @@
 
 
 class UseDigest(msgspec.Struct, frozen=True, array_like=True):
-    """What one daemon tells its peers: its heaviest accounts and its pools.
+    """What one daemon tells its peers: its heaviest accounts and its demand.
 
     Names travel as 32-bit hashes. Accounts beyond the heaviest are summed, so
     the size does not grow with the number of accounts.
@@ -51,8 +63,7 @@
 
     accounts: tuple[AccountDemand, ...]
     offered_rest: float
-    demand_by_pool: dict[int, float]
-    arrivals_by_profile: dict[int, float] = {}
+    demand_by_key: dict[int, float]
 
 
 class _Account:
@@ -98,7 +109,7 @@
 
     def __init__(self) -> None:
         self._accounts_by_hash: dict[int, _Account] = {}
-        self._pool_demand: dict[int, DecayedRate] = {}
+        self._demand_by_key: dict[int, DecayedRate] = {}
         self._digests_by_peer: dict[DaemonId, tuple[float, UseDigest]] = {}
         self._level = math.inf
         self._level_at = -math.inf
@@ -112,12 +123,24 @@
         """Count a request that was admitted, by its dominant share."""
         self._account(account_id).admitted.add(dominant_s, now)
 
-    def pool_asked(self, pool: PoolName, work_s: float, now: float) -> None:
-        """Count work asked of a pool, admitted or not, in slot-seconds."""
-        rate = self._pool_demand.setdefault(name_hash(pool), DecayedRate(_WINDOW_S))
+    def asked(self, key: str, work_s: float, now: float) -> None:
+        """Count work asked of a pool or a model, admitted or not, in slot-seconds."""
+        rate = self._demand_by_key.setdefault(name_hash(key), DecayedRate(_WINDOW_S))
         rate.add(work_s, now)
 
-    def digest(self, now: float, arrivals: Mapping[int, float]) -> UseDigest:
+    def system_demand(self, key: str, n_daemons: int, now: float) -> float:
+        """Return the work asked of a pool or a model by all daemons, in slots."""
+        hashed = name_hash(key)
+        rate = self._demand_by_key.get(hashed)
+        own = 0.0 if rate is None else rate.per_s(now)
+        heard = [
+            digest.demand_by_key.get(hashed, 0.0) for digest in self.recent_digests(now)
+        ]
+        if not heard:
+            return own * n_daemons
+        return own + sum(heard) / len(heard) * (n_daemons - 1)
+
+    def digest(self, now: float) -> UseDigest:
         """Return what to tell the peers now."""
         demands = [
             AccountDemand(
@@ -130,10 +153,10 @@
         demands.sort(key=lambda demand: demand.offered, reverse=True)
         heaviest = tuple(demands[:_MAX_ACCOUNTS_IN_DIGEST])
         rest = sum(demand.offered for demand in demands[_MAX_ACCOUNTS_IN_DIGEST:])
-        pools = {
-            key: round(rate.per_s(now), 3) for key, rate in self._pool_demand.items()
+        demand = {
+            key: round(rate.per_s(now), 3) for key, rate in self._demand_by_key.items()
         }
-        return UseDigest(heaviest, round(rest, 5), pools, dict(arrivals))
+        return UseDigest(heaviest, round(rest, 5), demand)
 
     def heard(self, peer: DaemonId, digest: UseDigest, now: float) -> None:
         """Take in the digest of a peer."""
@@ -157,15 +180,9 @@
         """
         if n_daemons <= 1:
             return 1.0
-        key = name_hash(pool)
-        rate = self._pool_demand.get(key)
+        rate = self._demand_by_key.get(name_hash(pool))
         own = 0.0 if rate is None else rate.per_s(now)
-        heard = [
-            digest.demand_by_pool.get(key, 0.0) for digest in self.recent_digests(now)
-        ]
-        if not heard:
-            return 1.0 / n_daemons
-        total = own + sum(heard) / len(heard) * (n_daemons - 1)
+        total = self.system_demand(pool, n_daemons, now)
         prior = _PRIOR_SHARE * max(total, _IDLE_PER_S) / n_daemons
         return (own + prior) / (total + prior * n_daemons)
 
--- a/packages/aspendrift-policy/src/aspendrift_policy/router.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/router.py
@@ -47,6 +47,7 @@
         "health",
         "is_leaving",
         "lent_rounding",
+        "lists_models",
         "load",
         "models",
         "rounding",
@@ -65,6 +66,7 @@
         self.hash = target_hash(target.target_id)
         self.load = TargetLoad(target.slots)
         self.models = frozenset(target.models)
+        self.lists_models = bool(target.models)
         self.slowness = 1.0
         self.is_leaving = target.state is not TargetState.ACTIVE
         self.allowance = 0
@@ -81,7 +83,7 @@
         """Return whether the target can run a model."""
         if model is None or self.target.kind is not TargetKind.ENGINE:
             return True
-        return not self.models or model in self.models
+        return not self.lists_models or model in self.models
 
     def learn_speed(self, ratio: float) -> None:
         """Learn from an attempt's time, relative to what was predicted."""
@@ -160,8 +162,9 @@
         candidate.health.poll_answered()
         candidate.load.reported(report, now)
         candidate.lent_rounding = self._rng.random()
-        if report.models:
+        if report.models or candidate.models:
             candidate.models = frozenset(report.models)
+            candidate.lists_models = True
         self._refresh_one(candidate, now)
 
     def poll_missed(self, target_id: TargetId, now: float) -> None:
--- a/packages/aspendrift-policy/tests/test_fairness.py
+++ b/packages/aspendrift-policy/tests/test_fairness.py
@@ -18,7 +18,7 @@
         now = step / 10
         shares.offered(AccountId(account), per_s / 10, now)
         shares.admitted(AccountId(account), per_s / 10, now)
-        shares.pool_asked(POOL, per_s / 10, now)
+        shares.asked(POOL, per_s / 10, now)
 
 
 def test_level_lends_out_what_small_accounts_leave() -> None:
@@ -46,7 +46,7 @@
     n_daemons = 8
     greedy = FairShares()
     use(greedy, "greedy", 0.5, 10.0)
-    digest = msgspec.msgpack.encode(greedy.digest(10.0, {}))
+    digest = msgspec.msgpack.encode(greedy.digest(10.0))
     here = FairShares()
     use(here, "greedy", 0.5, 10.0)
     use(here, "small", 0.05, 10.0)
@@ -62,7 +62,7 @@
     shares = FairShares()
     for number in range(2600):
         shares.offered(AccountId(f"account-{number}"), 0.01, 1.0)
-    assert len(msgspec.msgpack.encode(shares.digest(1.0, {}))) < 600
+    assert len(msgspec.msgpack.encode(shares.digest(1.0))) < 600
 
 
 def test_share_of_a_pool_follows_the_demand_of_each_daemon() -> None:
@@ -72,13 +72,13 @@
     other = FairShares()
     use(other, "ann", 1.0, 10.0)
     for peer in range(3):
-        here.heard(DaemonId(f"d{peer}"), other.digest(10.0, {}), 10.0)
+        here.heard(DaemonId(f"d{peer}"), other.digest(10.0), 10.0)
     assert 0.4 < here.share_of_pool(POOL, 4, 10.0) < 0.5
 
 
 @pytest.mark.fault("peer link cut", "digest")
 def test_digest_of_a_silent_peer_is_forgotten() -> None:
     here = FairShares()
-    here.heard(DaemonId("d1"), FairShares().digest(0.0, {}), 0.0)
+    here.heard(DaemonId("d1"), FairShares().digest(0.0), 0.0)
     assert here.recent_digests(5.0)
     assert not here.recent_digests(7.0)
