--- a/packages/aspendrift-model/src/aspendrift_model/settings_base.py
+++ b/packages/aspendrift-model/src/aspendrift_model/settings_base.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import dataclasses
+import json
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
@@ -106,7 +108,7 @@
 
 
 def _scalar(hint: Any, value: Any) -> Any:
-    if hint is float and type(value) in (int, float):
+    if hint is float and type(value) in (int, float) and math.isfinite(value):
         return float(value)
     if hint in (int, bool, str) and type(value) is hint:
         return value
@@ -233,8 +235,27 @@
                 meta.doc,
             )
         )
+        listed += _list_items(hint, where)
     return listed
 
 
+def _list_items(hint: Any, path: str) -> list[SettingInfo]:
+    """Return the settings of each item, if the setting is a list of objects."""
+    if get_origin(hint) is not tuple:
+        return []
+    item = get_args(hint)[0]
+    if not (dataclasses.is_dataclass(item) and isinstance(item, type)):
+        return []
+    return list_settings(item, f"{path}[]")
+
+
 def _shown(value: Any) -> str:
-    return repr(value.value if isinstance(value, Enum) else value)
+    return json.dumps(_plain(value))
+
+
+def _plain(value: Any) -> Any:
+    if isinstance(value, Enum):
+        return value.value
+    if isinstance(value, tuple):
+        return [_plain(each) for each in value]
+    return value
