--- a/packages/aspendrift-client/src/aspendrift_client/cli.py
+++ b/packages/aspendrift-client/src/aspendrift_client/cli.py
@@ -9,7 +9,12 @@
 import click
 from click.shell_completion import get_completion_class
 
-from aspendrift_client import commands_keys, commands_request
+from aspendrift_client import (
+    commands_configuration,
+    commands_keys,
+    commands_request,
+    commands_status,
+)
 from aspendrift_client.context import ClientContext
 from aspendrift_client.errors import InvalidInput
 from aspendrift_client.output import OutputFormat, OutputWriter
@@ -99,7 +104,14 @@
     click.echo(script.source())
 
 
-for _module in (commands_request, commands_keys):
+_MODULES: Final = (
+    commands_request,
+    commands_configuration,
+    commands_status,
+    commands_keys,
+)
+
+for _module in _MODULES:
     for _command in _module.COMMANDS:
         command.add_command(_command)
 
