--- /dev/null
+++ b/packages/aspendrift-standins/src/aspendrift_standins/demo.py
@@ -0,0 +1,173 @@
+"""The demo: the whole path on real processes, checked and measured."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import os
+import sys
+import time
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Final
+
+import click
+
+from aspendrift_standins.demo_report import DemoResult, report_lines, verdict_lines
+from aspendrift_standins.demo_world import EXAMPLES, DemoWorld, read_world
+from aspendrift_standins.errors import CommandFailed, FleetError
+from aspendrift_standins.fleet import OPERATOR_TOKEN, Fleet
+from aspendrift_standins.load import LoadSender
+from aspendrift_standins.load_plan import LoadAccount, LoadPlan
+from aspendrift_standins.load_report import LoadReport
+
+__all__ = ["main", "run_demo"]
+
+_CLIENT_MODULE: Final = "aspendrift_client.cli"
+_N_COMMANDS_AT_ONCE: Final = 4
+_CALM_RATE_PER_S: Final = 10.0
+_BURST_RATE_PER_S: Final = 80.0
+_RESEND_SHARE: Final = 0.1
+
+
+class _Commands:
+    """Runs the ``aspendrift`` command line against a fleet."""
+
+    def __init__(self, urls: Sequence[str]) -> None:
+        self._environment = os.environ | {
+            "PYTHONPATH": os.pathsep.join(sys.path),
+            "ASPENDRIFT_ADDRESS": " ".join(urls),
+            "ASPENDRIFT_TOKEN": OPERATOR_TOKEN,
+        }
+        self._at_once = asyncio.Semaphore(_N_COMMANDS_AT_ONCE)
+
+    async def run(self, *words: str) -> str:
+        """Run a command and return what it prints.
+
+        Raises
+        ------
+        CommandFailed
+            If its exit code is not 0.
+        """
+        async with self._at_once:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                _CLIENT_MODULE,
+                *words,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=asyncio.subprocess.STDOUT,
+                env=self._environment,
+            )
+            output, _ = await process.communicate()
+        if process.returncode != 0:
+            raise CommandFailed(words, process.returncode or 0, output.decode())
+        return output.decode()
+
+
+async def run_demo(
+    world: DemoWorld, n_requests: int, seed: int, directory: Path | None = None
+) -> DemoResult:
+    """Start everything, publish, send a burst, stop everything."""
+    async with Fleet(directory) as fleet:
+        await fleet.start_stand_ins(world.stand_ins())
+        platform = {
+            "table_url": fleet.url("table"),
+            "membership_url": fleet.url("hostlist"),
+        }
+        await fleet.start_daemons(world.daemons(), platform)
+        commands = _Commands(fleet.urls(fleet.daemon_ids))
+        await _publish(world, fleet, commands)
+        click.echo(await commands.run("status"))
+        report = LoadReport()
+        await _send(world, fleet, report, n_requests, seed)
+        runs_by_id = await _runs(world, fleet)
+    return DemoResult(report.summary(), runs_by_id)
+
+
+async def _publish(world: DemoWorld, fleet: Fleet, commands: _Commands) -> None:
+    """Publish every item through the command line; the last in force everywhere."""
+    urls_by_id = {each.target_id: fleet.url(each.target_id) for each in world.targets}
+    work = []
+    for name, body in world.target_bodies(urls_by_id):
+        path = fleet.directory / f"target-{name}.json"
+        path.write_text(json.dumps(body))
+        work.append(commands.run("target", "add", str(path)))
+    for account in world.accounts:
+        digest = hashlib.sha256(_token(account.name).encode()).hexdigest()
+        options = ["--share", str(account.share), "--token-sha256", digest]
+        work.append(commands.run("account", "add", account.name, *options))
+    await asyncio.gather(*work)
+    *first, last = world.profile_files
+    publish = ("profile", "publish")
+    await asyncio.gather(*(commands.run(*publish, str(path)) for path in first))
+    click.echo(await commands.run(*publish, str(last), "--wait"))
+
+
+async def _send(
+    world: DemoWorld, fleet: Fleet, report: LoadReport, n_requests: int, seed: int
+) -> None:
+    """Send a calm minute's few requests, then the burst of the hour."""
+    accounts = tuple(
+        LoadAccount(each.name, _token(each.name), each.share) for each in world.accounts
+    )
+    sender = LoadSender(fleet.urls(fleet.daemon_ids), report.add)
+    n_calm = n_requests // 10
+    phases = (
+        ("calm", n_calm, _CALM_RATE_PER_S),
+        ("burst", n_requests - n_calm, _BURST_RATE_PER_S),
+    )
+    for name, n_phase, rate_per_s in phases:
+        plan = LoadPlan(
+            name,
+            seed,
+            n_phase,
+            rate_per_s,
+            world.load_profiles(),
+            accounts,
+            resend_share=_RESEND_SHARE,
+        )
+        await sender.run(plan)
+
+
+async def _runs(world: DemoWorld, fleet: Fleet) -> dict[str, int]:
+    runs_by_id: dict[str, int] = {}
+    for target_id in world.services():
+        for request_id, n_runs in (await fleet.get_json(target_id, "/runs")).items():
+            runs_by_id[request_id] = runs_by_id.get(request_id, 0) + n_runs
+    return runs_by_id
+
+
+def _token(account: str) -> str:
+    return f"{account}-token"
+
+
+@click.command()
+@click.option("--requests", "n_requests", default=400, show_default=True)
+@click.option("--seed", default=1, show_default=True)
+@click.option(
+    "--keep",
+    type=click.Path(path_type=Path),
+    help="Keep settings and logs in a folder.",
+)
+def main(n_requests: int, seed: int, keep: Path | None) -> None:
+    """Run the demo; exit 0 only if every answer was whole and its own."""
+    started_at = time.monotonic()
+    world = read_world(EXAMPLES)
+    try:
+        result = asyncio.run(run_demo(world, n_requests, seed, keep))
+    except FleetError as error:
+        raise click.ClickException(str(error)) from error
+    for line in report_lines(result):
+        click.echo(line)
+    click.echo()
+    for line in verdict_lines(result):
+        click.echo(line)
+    click.echo(f"{time.monotonic() - started_at:.1f} s in all")
+    sys.exit(0 if result.passed else 1)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/aspendrift-standins/src/aspendrift_standins/errors.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/errors.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-__all__ = ["FleetError", "NotReady", "ProcessEnded", "UnknownProcess"]
+from collections.abc import Sequence
+
+__all__ = ["CommandFailed", "FleetError", "NotReady", "ProcessEnded", "UnknownProcess"]
 
 
 class FleetError(Exception):
@@ -32,3 +34,11 @@
     def __init__(self, name: str) -> None:
         super().__init__(name)
         self.name = name
+
+
+class CommandFailed(FleetError):
+    """A command that ended with an error."""
+
+    def __init__(self, words: Sequence[str], code: int, output: str) -> None:
+        super().__init__(f"{' '.join(words)} ended with {code}:\n{output}")
+        self.code = code
