Run placement, cost and cache events in the daemon; log a decision once

Cause: each routing decision was logged twice, by the dispatcher and by the run, and stage timings showed as a repr string. Change: only the run emits route_decided, which has attempt, revision and remaining time; the log renders structs as objects; placement, cost and cache event readers are wired, their routes guarded by the operators' read role. Conclusion: the log answers who was chosen and why, once.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/app.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/app.py
@@ -15,8 +15,10 @@
 
 from aspendrift_daemon.address_routes import AddressBook, address_routes
 from aspendrift_daemon.authentication import AccountAuthenticator
+from aspendrift_daemon.cache_events import CacheEventReader
 from aspendrift_daemon.clock import SystemClock
 from aspendrift_daemon.configuration import ConfigurationKeeper
+from aspendrift_daemon.cost import CostRecorder
 from aspendrift_daemon.dispatch import DaemonDispatcher
 from aspendrift_daemon.events import Event, EventHub
 from aspendrift_daemon.front_door import caller_routes
@@ -31,6 +33,8 @@
 from aspendrift_daemon.operator_answers import OperatorAnswers
 from aspendrift_daemon.operator_routes import OperatorContext, operator_routes
 from aspendrift_daemon.peers import PeerLink
+from aspendrift_daemon.placement import PlacementService
+from aspendrift_daemon.placement_routes import placement_handlers
 from aspendrift_daemon.platform_clients import (
     membership_list,
     platform_client,
@@ -156,6 +160,28 @@
             self.dispatcher,
             rng,
         )
+        self.cache_events = CacheEventReader(
+            settings.routing,
+            self.keeper,
+            httpx.AsyncClient,
+            self.dispatcher.hints,
+            self.dispatcher,
+            rng,
+        )
+        self.cost = CostRecorder(daemon_id, self.clock, self.keeper, events)
+        self.placement = PlacementService(
+            settings.routing.placement,
+            daemon_id,
+            self.clock,
+            self.keeper,
+            self.link,
+            table,
+            httpx.AsyncClient,
+            self.dispatcher.model_demand,
+            events,
+            rng,
+            self.cost.idle_engines,
+        )
         self.book = AddressBook(self.link, peers, rng)
         self.targets = TargetClient(settings.requests, self.clock)
         self.requests = RequestService(
@@ -188,6 +214,8 @@
             self.membership,
             self.dispatcher,
             self.poller,
+            self.cache_events,
+            self.placement,
             self.requests,
             self.server,
         )
@@ -226,6 +254,9 @@
             *caller_routes(self.requests, authenticator, self.settings.requests),
             *address_routes(self.book),
             *operator_routes(context),
+            *placement_handlers(
+                self.placement.body, self.cost.body, (context.read_guard,)
+            ),
             *health_handlers(self._unready),
             metrics_handler(self.metrics),
         ]
@@ -268,7 +299,6 @@
             return
         self.leave.announce(now)
         self.membership.begin_leaving()
-        self.events.emit(LeavePhaseChanged(self.leave.phase, self._n_open()))
 
     async def run_until_left(self) -> None:
         """Return when a shutdown that was signalled has come to its end."""
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/dispatch.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/dispatch.py
@@ -15,7 +15,6 @@
 from aspendrift_daemon.routing_events import (
     AdmissionRefused,
     AttemptReleased,
-    RouteDecided,
     RouteRefused,
 )
 from aspendrift_model.configuration import Configuration
@@ -372,18 +371,7 @@
             budget.take()
         else:
             budget.first_attempt(now)
-        choice = dataclasses.replace(choice, queued_s=now - since)
-        self._events.emit(
-            RouteDecided(
-                query.request_id,
-                query.stage.name,
-                target_id,
-                choice.reason,
-                choice.scores,
-                choice.queued_s,
-            )
-        )
-        return choice
+        return dataclasses.replace(choice, queued_s=now - since)
 
     def _without_spent_targets(
         self, pool: _Pool, query: RouteQuery, now: float
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/logs.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/logs.py
@@ -5,9 +5,9 @@
 import dataclasses
 import logging
 import sys
-from enum import Enum
 from typing import Any
 
+import msgspec
 import structlog
 
 from aspendrift_daemon.events import Event, EventHub
@@ -48,10 +48,5 @@
 
 
 def _plain(value: Any) -> Any:
-    if isinstance(value, Enum):
-        return value.value
-    if dataclasses.is_dataclass(value) and not isinstance(value, type):
-        return {f.name: getattr(value, f.name) for f in dataclasses.fields(value)}
-    if isinstance(value, set | frozenset):
-        return sorted(value)
-    return repr(value)
+    """Return a value that is not of a JSON type as one that is."""
+    return msgspec.to_builtins(value, enc_hook=repr)
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/operator_routes.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/operator_routes.py
@@ -8,7 +8,10 @@
 
 import msgspec
 from litestar import Request, Response, get, post
+from litestar.connection import ASGIConnection
+from litestar.exceptions import HTTPException
 from litestar.handlers import HTTPRouteHandler
+from litestar.handlers.base import BaseRouteHandler
 
 from aspendrift_daemon.configuration import ConfigurationKeeper
 from aspendrift_daemon.events import Event, EventHub
@@ -47,6 +50,7 @@
 }
 
 AnyRequest = Request[Any, Any, Any]
+AnyConnection = ASGIConnection[Any, Any, Any, Any]
 Body = Response[bytes]
 
 
@@ -86,6 +90,16 @@
         """Return the operator of a request; raises ``OperatorDenied``."""
         return self.access.require(request.headers.get("authorization"), role)
 
+    def read_guard(self, connection: AnyConnection, handler: BaseRouteHandler) -> None:
+        """Admit operators that may read; a guard for routes made elsewhere."""
+        authorization = connection.headers.get("authorization")
+        try:
+            self.access.require(authorization, OperatorRole.READ)
+        except OperatorDenied as error:
+            raise HTTPException(
+                status_code=REFUSAL_RULES[error.reason].http_status
+            ) from error
+
 
 def operator_routes(context: OperatorContext) -> list[HTTPRouteHandler]:
     """Return the handlers for operators."""
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/routing_events.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/routing_events.py
@@ -15,22 +15,8 @@
     TargetId,
 )
 from aspendrift_model.states import AttemptEnd, RefusalReason
-from aspendrift_policy.interfaces import CandidateScore, RouteReason
 
-__all__ = ["AdmissionRefused", "AttemptReleased", "RouteDecided", "RouteRefused"]
-
-
-@dataclass(frozen=True, slots=True)
-class RouteDecided(Event):
-    """A target was chosen for an attempt; times in seconds."""
-
-    name: ClassVar[str] = "route_decided"
-    request_id: RequestId
-    stage: StageName
-    target_id: TargetId
-    reason: RouteReason
-    scores: tuple[CandidateScore, ...]
-    queued_s: float
+__all__ = ["AdmissionRefused", "AttemptReleased", "RouteRefused"]
 
 
 @dataclass(frozen=True, slots=True)
