Count only witnesses towards the proof of freshness

Cause: more than half of the daemons could hold a change, lose it by a restart in a store outage, and then outvote it with what older daemons held. Change: a daemon counts only after it was fresh as of a moment after its start, as in the recovery of viewstamped replication. A hungry daemon probes more often, contacts travel only on answers, the freshness limit is 3 s, and a daemon whose content differs at one revision reads the table again.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/configuration.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/configuration.py
@@ -57,6 +57,7 @@
 _ACCEPT_TIMEOUT_S: Final = 5.0
 _ACCEPT_POLL_S: Final = 0.02
 _PULL_INTERVAL_S: Final = 0.25
+_RELOAD_INTERVAL_S: Final = 30.0
 _REPAIR_INTERVAL_S: Final = 0.5
 _MAX_REPAIRS: Final = 64
 _WATCH_S: Final = 60.0
@@ -121,13 +122,15 @@
         self._settings = settings
         self._daemon_id = daemon_id
         self._log = ConfigurationLog()
-        self._freshness = Freshness(daemon_id, settings.freshness_limit_s)
+        limit_s = settings.freshness_limit_s
+        self._freshness = Freshness(daemon_id, limit_s, clock.monotonic())
         self._held = HeldRevisions()
         self._current = Configuration()
         self._listeners: list[Callable[[Configuration], None]] = []
         self._is_loaded = False
         self._is_leaving = False
         self._pulled_at = -_PULL_INTERVAL_S
+        self._reloaded_at = -_RELOAD_INTERVAL_S
         self._watched_until = 0.0
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(ConfigurationMessage)
@@ -218,10 +221,10 @@
         """For a while, ask the daemons that have not confirmed the newest revision."""
         self._watched_until = self._clock.monotonic() + _WATCH_S
 
-    def digest(self, now: float) -> RevisionDigest:
-        """Return what to tell a peer."""
+    def digest(self, now: float, is_answer: bool) -> RevisionDigest:
+        """Return what to tell a peer, in a probe or in its answer."""
         log = self._log
-        ids = self._member_ids()
+        ids = self._member_ids() if is_answer and self._is_loaded else []
         return self._freshness.digest(log.revision, log.content_hash, ids, now)
 
     def learned(
@@ -242,6 +245,11 @@
         elif digest.revision == self._log.revision:
             self._compare(daemon_id, digest)
 
+    def is_hungry(self, now: float) -> bool:
+        """Return whether to ask the peers more often."""
+        ids = self._member_ids()
+        return self._freshness.is_hungry(self._log.revision, ids, now)
+
     def is_serving(self, now: float) -> bool:
         """Return whether this daemon takes new work."""
         return self.may_serve(now) is None
@@ -407,9 +415,17 @@
             self._send(daemon_id, SnapshotPull())
 
     def _compare(self, daemon_id: DaemonId, digest: RevisionDigest) -> None:
-        if digest.content_hash != self._log.content_hash:
-            event = ConfigurationDiverged(daemon_id, digest.revision)
-            self._events.emit(event)
+        if digest.content_hash == self._log.content_hash:
+            return
+        now = self._clock.monotonic()
+        if now - self._reloaded_at < _RELOAD_INTERVAL_S:
+            return
+        self._reloaded_at = now
+        self._events.emit(ConfigurationDiverged(daemon_id, digest.revision))
+        self._run(self._reload())
+
+    async def _reload(self) -> None:
+        await self.load_from_table()
 
     def _note_held(self, daemon_id: DaemonId, revision: int) -> None:
         for host, _ in self._bus.members():
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/membership.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/membership.py
@@ -49,8 +49,11 @@
 class DigestExchange(Protocol):
     """What travels on probes besides membership."""
 
-    def digest(self, now: float) -> RevisionDigest:
-        """Return what to tell a peer."""
+    def digest(self, now: float, is_answer: bool) -> RevisionDigest:
+        """Return what to tell a peer, in a probe or in its answer."""
+
+    def is_hungry(self, now: float) -> bool:
+        """Return whether to ask more often."""
 
     def learned(
         self,
@@ -146,8 +149,9 @@
         """Do what is due; called by the tick task and by tests."""
         own = self._view.own.host
         serving = self._digests.is_serving(now)
+        hungry = self._digests.is_hungry(now)
         self._view.heard(own.daemon_id, own.incarnation, serving, now)
-        for action in self._prober.tick(self._view, now, self._rng):
+        for action in self._prober.tick(self._view, now, self._rng, hungry):
             self._act(action, now)
         if now - self._housekept_at > _HOUSEKEEPING_S:
             self._housekept_at = now
@@ -177,7 +181,7 @@
 
     def _act(self, action: ProbeAction, now: float) -> None:
         if isinstance(action, ProbeMember):
-            gossip = self._gossip(now, self._introduction(action.daemon_id))
+            gossip = self._gossip(now, self._introduction(action.daemon_id), False)
             self._send(action.daemon_id, Probe(action.sequence, gossip))
         elif isinstance(action, AskHelpers):
             request = ProbeRequest(action.sequence, action.daemon_id)
@@ -219,7 +223,8 @@
     def _on_probe(self, origin: DaemonId, probe: Probe, now: float) -> None:
         self._take_gossip(origin, probe.gossip, None, now)
         about_origin = self._accusation(origin)
-        self._send(origin, Ack(probe.sequence, self._gossip(now, about_origin)))
+        gossip = self._gossip(now, about_origin, True)
+        self._send(origin, Ack(probe.sequence, gossip))
 
     def _on_ack(self, origin: DaemonId, ack: Ack, now: float) -> None:
         probe = self._prober.acknowledged(ack.sequence)
@@ -251,11 +256,13 @@
             self._send(origin, BucketHashes(self._view.bucket_hashes))
         self._digests.learned(origin, gossip.digest, as_of, views_agree, now)
 
-    def _gossip(self, now: float, first: tuple[MemberUpdate, ...]) -> Gossip:
+    def _gossip(
+        self, now: float, first: tuple[MemberUpdate, ...], is_answer: bool
+    ) -> Gossip:
         updates = first + self._view.next_updates(_MAX_UPDATES)
         return Gossip(
             self._view.view_hash,
-            self._digests.digest(now),
+            self._digests.digest(now, is_answer),
             self._digests.is_serving(now),
             updates,
         )
--- a/packages/aspendrift-daemon/tests/configuration/test_configuration.py
+++ b/packages/aspendrift-daemon/tests/configuration/test_configuration.py
@@ -280,3 +280,51 @@
     table = type(world.table)()
     table.is_down = True
     return table
+
+
+@pytest.mark.fault("daemon killed", "change spreading")
+@pytest.mark.fault("store down", "change spreading", "daemon starting")
+def test_holders_restarted_in_an_outage_do_not_bring_back_the_old(world: Any) -> None:
+    """More than half held the change, lost it by a restart, and must not outvote it."""
+
+    async def scenario() -> None:
+        await settled(world, 5)
+        holders = {"d0", "d1", "d2"}
+        world.passes = lambda a, b: (a in holders) == (b in holders)
+        for name in ("d3", "d4"):
+            world.daemons[name].keeper.table._table = _unreachable(world)
+        await world.daemons["d1"].keeper.publish(world.change("c1"))
+        assert world.daemons["d1"].keeper.progress(1).is_accepted
+        world.table.is_down = True
+        for name in holders:
+            await world.kill(name)
+        await asyncio.sleep(10)
+        world.passes = lambda a, b: True
+        await world.start(*holders)
+        for _ in range(300):
+            await asyncio.sleep(0.1)
+            assert not any(
+                daemon.refusal(world.now()) is None
+                for daemon in world.daemons.values()
+                if daemon.keeper.current().revision < 1
+            )
+        world.table.is_down = False
+        await world.until(lambda: world.all_hold(1) and world.all_serve(), 20)
+
+    world.run(scenario())
+
+
+@pytest.mark.fault("daemon paused", "change spreading", "change in force")
+def test_paused_daemon_does_not_serve_on_what_it_held(world: Any) -> None:
+    async def scenario() -> None:
+        await settled(world)
+        world.passes = lambda origin, to: "d6" not in (origin, to)
+        keeper = world.daemons["d6"].keeper
+        keeper.table._table = _unreachable(world)
+        await world.daemons["d1"].keeper.publish(world.change("c1"))
+        await asyncio.sleep(30)
+        assert keeper.may_serve(world.now()) is RefusalReason.ISOLATED
+        world.passes = lambda origin, to: True
+        await world.until(lambda: world.all_hold(1) and world.all_serve(), 7)
+
+    world.run(scenario())
--- a/packages/aspendrift-model/src/aspendrift_model/settings_peers.py
+++ b/packages/aspendrift-model/src/aspendrift_model/settings_peers.py
@@ -53,7 +53,7 @@
         4, unit="peers", doc="Peers that a new change is pushed to.", minimum=1
     )
     freshness_limit_s: float = setting(
-        5.0,
+        3.0,
         unit="s",
         doc="Age of knowledge at which a daemon takes no new work.",
         minimum=0.1,
--- a/packages/aspendrift-model/src/aspendrift_model/wire_peer.py
+++ b/packages/aspendrift-model/src/aspendrift_model/wire_peer.py
@@ -83,9 +83,10 @@
 
     ``head_age_ms`` is the age of the newest read of the table's head known to
     the sender, -1 for none, and ``head_revision`` what that read saw.
-    ``contact_ages`` has one byte for each member of the view in order of
-    daemon id: the age in 100 ms of what is known of it, 255 for more. It is
-    empty while the table is read.
+    ``is_witness`` tells whether the sender has held everything accepted at some
+    moment since its start. ``contact_ages`` has one byte for each member of the
+    view in order of daemon id: the age in 100 ms of the newest word of it as a
+    witness, 255 for none. It is empty in probes and while the table is read.
     """
 
     revision: int
@@ -93,6 +94,7 @@
     head_revision: int = 0
     head_age_ms: int = -1
     contact_revision: int = 0
+    is_witness: bool = False
     contact_ages: bytes = b""
 
 
--- a/packages/aspendrift-policy/src/aspendrift_policy/configuration_log.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/configuration_log.py
@@ -107,8 +107,8 @@
         return applied
 
     def load(self, snapshot: Snapshot) -> bool:
-        """Replace the items by a newer snapshot; return False for an older one."""
-        if snapshot.revision <= self.revision and self.revision > 0:
+        """Replace the items by those of a snapshot; return False for an older one."""
+        if snapshot.revision < self.revision:
             return False
         self.items_by_key.clear()
         self._parsed_by_key.clear()
--- a/packages/aspendrift-policy/src/aspendrift_policy/failure_detection.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/failure_detection.py
@@ -32,6 +32,7 @@
 _N_RINGS: Final = 16
 _N_HELPERS: Final = 3
 _PAUSE_INTERVALS: Final = 4.0
+_HUNGRY_FACTOR: Final = 0.4
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,14 +98,18 @@
         self._ticked_at: float | None = None
 
     def tick(
-        self, view: MemberView, now: float, rng: random.Random
+        self, view: MemberView, now: float, rng: random.Random, hungry: bool = False
     ) -> list[ProbeAction]:
-        """Return what to send now, and move silent members on in the view."""
+        """Return what to send now, and move silent members on in the view.
+
+        A hungry member probes more often, for the news in the acknowledgements.
+        """
         self._forget_after_pause(now)
         actions = self._expire(view, now, rng)
         self._end_suspicions(view, now)
         if now >= self._next_probe_at:
-            self._next_probe_at = now + self._times.interval_s * rng.uniform(0.9, 1.1)
+            interval_s = self._times.interval_s * (_HUNGRY_FACTOR if hungry else 1.0)
+            self._next_probe_at = now + interval_s * rng.uniform(0.9, 1.1)
             actions += self._probe_next(view, now, rng)
         return actions
 
--- a/packages/aspendrift-policy/src/aspendrift_policy/freshness.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/freshness.py
@@ -5,6 +5,11 @@
 that shows no revision it lacks; or news from more than half of the view, none
 of which holds a revision it lacks, since an accepted change is held by more
 than half.
+
+A daemon keeps nothing over a restart, so the new process may not stand for what
+the old one held. It counts towards more than half only as a witness: once it
+has itself been fresh as of a moment after its start. The rule is that of
+recovery in viewstamped replication.
 """
 
 from __future__ import annotations
@@ -40,11 +45,16 @@
         The daemon itself.
     limit_s : float
         Age of knowledge at which the daemon takes no new work, in seconds.
+    started_at : float
+        When the process started, on the monotonic clock, in seconds.
     """
 
-    def __init__(self, own_id: DaemonId, limit_s: float) -> None:
+    def __init__(self, own_id: DaemonId, limit_s: float, started_at: float) -> None:
         self._own_id = own_id
         self._limit_s = limit_s
+        self._started_at = started_at
+        self._is_witness = False
+        self._has_agreed = False
         self._head: HeadRead | None = None
         self._head_confirmed_at: float | None = None
         self._contact_at_by_id: dict[DaemonId, float] = {}
@@ -88,12 +98,18 @@
         if digest.head_age_ms >= 0:
             at = as_of - digest.head_age_ms / 1000
             self.head_was(digest.head_revision, at, held_revision)
-        self._contact(daemon_id, as_of)
+        self._has_agreed |= bool(member_ids)
+        if digest.is_witness:
+            self._contact(daemon_id, as_of)
         newest = max(digest.revision, digest.contact_revision)
         self._contact_revision = max(self._contact_revision, newest)
-        if len(member_ids) != len(digest.contact_ages):
-            return
-        for member_id, age in zip(member_ids, digest.contact_ages, strict=True):
+        if len(member_ids) == len(digest.contact_ages):
+            self._relayed(member_ids, digest.contact_ages, as_of)
+
+    def _relayed(
+        self, member_ids: Sequence[DaemonId], ages: bytes, as_of: float
+    ) -> None:
+        for member_id, age in zip(member_ids, ages, strict=True):
             if age < _MAX_AGE:
                 self._contact(member_id, as_of - (age + 1) * _AGE_UNIT_S)
 
@@ -104,7 +120,15 @@
         member_ids: Sequence[DaemonId],
         now: float,
     ) -> RevisionDigest:
-        """Return what to tell a peer; contacts only while no head read is recent."""
+        """Return what to tell a peer.
+
+        Parameters
+        ----------
+        member_ids : sequence of DaemonId
+            The members whose contacts to list, while no head read is recent;
+            empty to list none.
+        """
+        self._become_witness(revision, member_ids, now)
         head = self._head
         age_ms = -1 if head is None else max(0, round((now - head.at) * 1000))
         ages = b""
@@ -116,6 +140,7 @@
             0 if head is None else head.revision,
             age_ms,
             max(self._contact_revision, revision),
+            self._is_witness,
             ages,
         )
 
@@ -140,6 +165,21 @@
             return RefusalReason.ISOLATED
         return None
 
+    def is_hungry(
+        self, held_revision: int, member_ids: Sequence[DaemonId], now: float
+    ) -> bool:
+        """Return whether the daemon should ask its peers more often."""
+        fresh_at = self.fresh_at(held_revision, member_ids, now)
+        return fresh_at is None or now - fresh_at > self._limit_s / 2
+
+    def _become_witness(
+        self, held_revision: int, member_ids: Sequence[DaemonId], now: float
+    ) -> None:
+        if self._is_witness or not member_ids:
+            return
+        fresh_at = self.fresh_at(held_revision, member_ids, now)
+        self._is_witness = fresh_at is not None and fresh_at >= self._started_at
+
     def _confirm(self, at: float) -> None:
         before = self._head_confirmed_at
         self._head_confirmed_at = at if before is None else max(before, at)
@@ -150,7 +190,7 @@
 
     def _age(self, daemon_id: DaemonId, now: float) -> int:
         if daemon_id == self._own_id:
-            return 0
+            return 0 if self._is_witness else _MAX_AGE
         at = self._contact_at_by_id.get(daemon_id)
         if at is None:
             return _MAX_AGE
@@ -158,8 +198,12 @@
 
     def _majority_at(self, member_ids: Sequence[DaemonId], now: float) -> float | None:
         """Return the latest moment since which more than half were heard from."""
-        known = [now, *self._others(member_ids)]
+        known = self._others(member_ids)
+        if self._is_witness:
+            known.append(now)
         needed = len(member_ids) // 2 + 1
+        if len(member_ids) > 1 and not self._has_agreed:
+            return None
         if len(known) < needed:
             return None
         return sorted(known, reverse=True)[needed - 1]
