--- a/packages/aspendrift-daemon/tests/request_path/conftest.py
+++ b/packages/aspendrift-daemon/tests/request_path/conftest.py
@@ -245,13 +245,15 @@
 
 @dataclass
 class FakeDispatcher:
-    """Takes the first target of the pool that is not excluded."""
+    """Takes a target of the pool that is not excluded, the first or any."""
 
     targets: list
     refusal: Any = None
     queries: list = field(default_factory=list)
     held: Counter = field(default_factory=Counter)
     admitted: set = field(default_factory=set)
+    rng: Any = None
+    down: Any = ()
 
     def admit(self, offer):
         if self.refusal is not None:
@@ -265,13 +267,19 @@
     async def acquire(self, query):
         await asyncio.sleep(0)
         self.queries.append(query)
-        for target in self.targets:
-            if target.pool == query.stage.pool:
-                if target.target_id not in query.excluded:
-                    self.held[target.target_id] += 1
-                    scores = (CandidateScore(target.target_id, 0.0),)
-                    return RouteChoice(target, RouteReason.LEAST_LOADED, scores)
-        return Refused(RefusalReason.NO_TARGET)
+        fit = [
+            target
+            for target in self.targets
+            if target.pool == query.stage.pool
+            and target.target_id not in query.excluded
+            and target.target_id not in self.down
+        ]
+        if not fit:
+            return Refused(RefusalReason.NO_TARGET)
+        target = self.rng.choice(fit) if self.rng else fit[0]
+        self.held[target.target_id] += 1
+        scores = (CandidateScore(target.target_id, 0.0),)
+        return RouteChoice(target, RouteReason.LEAST_LOADED, scores)
 
     def release(self, query, choice, result):
         self.held[choice.target.target_id] -= 1
@@ -387,6 +395,8 @@
     profile("deposit", [K.CALL], idempotent=False),
     profile("letter", [K.ENCODE, K.GENERATE], idempotent=False),
     profile("log", [K.CALL]),
+    profile("chat", [K.GENERATE], deadline_ms=10_000),
+    profile("notice", [K.GENERATE], idempotent=False, deadline_ms=10_000),
 ]
 
 
@@ -415,7 +425,9 @@
         host = Host(f"d{number}", 1, Location("z1", "r1"), "http://x", "tcp://x")
         bus = FakeBus(self, host)
         self.buses.append(bus)
-        dispatcher = FakeDispatcher(TARGETS)
+        dispatcher = FakeDispatcher(
+            self.dispatchers[0].targets if self.dispatchers else TARGETS
+        )
         hub = EventHub()
         hub.connect_all(self.events.append)
         configuration = Configuration(
@@ -485,6 +497,10 @@
     tokens: Callable[..., Any] = staticmethod(tokens)
     run: Callable[[Coroutine[Any, Any, Any]], Any] = staticmethod(run_in_virtual_time)
 
+    @staticmethod
+    def engines(names):
+        return [target(name, "engines", TargetKind.ENGINE) for name in names]
+
     @staticmethod
     def after_run(targets: FakeTargets, result: Any) -> Callable[..., Awaitable[Any]]:
         """Return a behaviour that runs the call and then gives a result."""
--- /dev/null
+++ b/packages/aspendrift-daemon/tests/request_path/test_poison.py
@@ -0,0 +1,231 @@
+"""Tests of the bound on what one poison request may cost."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from aspendrift_daemon.targets import Broken
+from aspendrift_model.states import CallerAction, OutcomeStatus, Ran
+from aspendrift_model.states import RefusalReason as R
+
+POISON = "poison"
+WORK_S = 0.2
+RESTART_S = 3.0
+
+
+class Engines:
+    """Engines that crash when they run poison, and take down all they run."""
+
+    def __init__(self, net, box, names):
+        self.net = net
+        self.box = box
+        self.crashed = []
+        self.alive = {name: asyncio.Event() for name in names}
+        for name in names:
+            net.targets.scripts[name] = [self.engine(name)]
+
+    def engine(self, name):
+        async def generate(call):
+            died = self.alive[name]
+            work_s = 0.01 if POISON in call.input else WORK_S
+            try:
+                async with asyncio.timeout(work_s):
+                    await died.wait()
+            except TimeoutError:
+                if POISON in call.input and not died.is_set():
+                    self.crash(name)
+            if died.is_set():
+                yield Broken("cut", crashed=True)
+                return
+            self.net.targets.ran[call.request_id] += 1
+            async for item in self.box.tokens(call):
+                yield item
+
+        return generate
+
+    def crash(self, name):
+        self.crashed.append(name)
+        self.alive[name].set()
+        self.alive[name] = asyncio.Event()
+        self.net.targets.down.add(name)
+        restarted = self.net.targets.down.discard
+        asyncio.get_running_loop().call_later(RESTART_S, restarted, name)
+
+
+def world(box, n_daemons=8, n_engines=8):
+    net = box.network(n_daemons)
+    names = [f"engine-{i}" for i in range(1, n_engines + 1)]
+    for number, dispatcher in enumerate(net.dispatchers):
+        dispatcher.targets = box.engines(names)
+        dispatcher.rng = random.Random(number)
+        dispatcher.down = net.targets.down
+    return net, Engines(net, box, names)
+
+
+def chat(box, request_id, text, profile="chat"):
+    return box.body(request_id, profile=profile, text=text)
+
+
+@pytest.mark.fault("poison", "request sent")
+def test_fifty_resends_cost_two_targets(box):
+    async def scenario():
+        net, engines = world(box)
+        rng = random.Random(1)
+        async with net:
+            outcomes = []
+            for i in range(50):
+                body = chat(box, f"p{i}", POISON)
+                outcomes.append(await net.send(body, daemon=rng.randrange(8)))
+        assert len(engines.crashed) == 2
+        assert all(o.status is not OutcomeStatus.ANSWERED for o in outcomes)
+        assert all(o.reason is R.POISON for o in outcomes)
+        assert all(o.action is CallerAction.DO_NOT_RESEND for o in outcomes)
+        assert all(o.ran is Ran.NO for o in outcomes[1:])
+
+    box.run(scenario())
+
+
+@pytest.mark.fault("poison", "request sent")
+@pytest.mark.parametrize("seed", range(5))
+def test_resends_without_waiting_cost_two_targets(box, seed):
+    """The caller sends again elsewhere while the first send is retried."""
+
+    async def scenario():
+        net, engines = world(box)
+        rng = random.Random(seed)
+        async with net:
+            sends = []
+            for i in range(50):
+                body = chat(box, f"p{i}", POISON)
+                send = net.send(body, daemon=rng.randrange(8))
+                sends.append(asyncio.create_task(send))
+                await asyncio.sleep(0.011 + rng.random() * 0.02)
+            outcomes = await asyncio.gather(*sends)
+        assert len(engines.crashed) == 2
+        assert all(o.reason is R.POISON for o in outcomes)
+
+    box.run(scenario())
+
+
+@pytest.mark.fault("poison", "request sent")
+@pytest.mark.fault("target crashing", "request sent")
+@pytest.mark.parametrize("seed", range(5))
+def test_innocents_are_answered(box, seed):
+    async def scenario():
+        net, engines = world(box)
+        rng = random.Random(seed)
+        async with net:
+            innocents = []
+            for i in range(16):
+                body = chat(box, f"i{i}", f"innocent {i}")
+                innocents.append(
+                    asyncio.create_task(net.send(body, daemon=rng.randrange(8)))
+                )
+            await asyncio.sleep(0.05)
+            poisons = [
+                asyncio.create_task(net.send(chat(box, f"p{i}", f"{POISON} {i}"), i))
+                for i in range(2)
+            ]
+            outcomes = await asyncio.gather(*innocents)
+            ends = await asyncio.gather(*poisons)
+            again = await net.send(chat(box, "again", "innocent 0"))
+        assert all(o.status is OutcomeStatus.ANSWERED for o in outcomes)
+        assert again.status is OutcomeStatus.ANSWERED
+        assert all(end.reason is R.POISON for end in ends)
+        assert len(engines.crashed) <= 4
+        convicted = {event.fingerprint for event in net.named("content_convicted")}
+        assert len(convicted) == 2
+
+    box.run(scenario())
+
+
+@pytest.mark.fault("target crashing", "request sent", "request partly answered")
+def test_target_that_crashes_by_itself_convicts_nobody(box):
+    async def scenario():
+        net, engines = world(box)
+        for dispatcher in net.dispatchers:
+            dispatcher.rng = None
+        async with net:
+            sends = [
+                asyncio.create_task(net.send(chat(box, f"i{i}", f"text {i}"), i % 8))
+                for i in range(8)
+            ]
+            await asyncio.sleep(0.05)
+            engines.crash("engine-1")
+            outcomes = await asyncio.gather(*sends)
+        assert all(o.status is OutcomeStatus.ANSWERED for o in outcomes)
+        assert not net.named("content_convicted")
+        assert net.named("target_crashed")
+
+    box.run(scenario())
+
+
+@pytest.mark.fault("poison", "request sent")
+def test_poison_that_may_not_be_repeated_is_convicted_by_its_second_send(box):
+    async def scenario():
+        net, engines = world(box)
+        async with net:
+            first = await net.send(chat(box, "p0", POISON, "notice"))
+            assert (first.reason, first.ran) == (R.OUTCOME_UNKNOWN, Ran.UNKNOWN)
+            same = await net.send(chat(box, "p0", POISON, "notice"), 3)
+            assert same == first
+            assert len(engines.crashed) == 1
+            second = await net.send(chat(box, "p1", POISON, "notice"), 3)
+            assert (second.reason, second.ran) == (R.POISON, Ran.UNKNOWN)
+            for i in range(2, 20):
+                third = await net.send(chat(box, f"p{i}", POISON, "notice"), i % 8)
+                assert (third.reason, third.ran) == (R.POISON, Ran.NO)
+        assert len(engines.crashed) == 2
+
+    box.run(scenario())
+
+
+@pytest.mark.fault("poison", "daemon starting")
+def test_daemon_that_starts_later_knows_convictions(box):
+    async def scenario():
+        net, engines = world(box)
+        async with net:
+            await net.send(chat(box, "p0", POISON))
+            await asyncio.sleep(1)
+            late = net.add_daemon()
+            await late.start()
+            await asyncio.sleep(1)
+            outcome = await net.send(chat(box, "p1", POISON), daemon=8)
+        assert (outcome.reason, outcome.ran) == (R.POISON, Ran.NO)
+        assert len(engines.crashed) == 2
+
+    box.run(scenario())
+
+
+@pytest.mark.fault("poison", "request sent")
+@pytest.mark.fault("store down", "request sent")
+def test_conviction_spreads_without_the_table(box):
+    async def scenario():
+        net, engines = world(box)
+        net.table.down = True
+        async with net:
+            await net.send(chat(box, "p0", POISON))
+            outcome = await net.send(chat(box, "p1", POISON), daemon=7)
+        assert outcome.reason is R.POISON
+        assert len(engines.crashed) == 2
+
+    box.run(scenario())
+
+
+def test_suspects_in_one_content_are_tried_one_after_the_other(box):
+    """Two requests with one content crash one target, then one more."""
+
+    async def scenario():
+        net, engines = world(box)
+        for dispatcher in net.dispatchers:
+            dispatcher.rng = None
+        async with net:
+            sends = [net.send(chat(box, f"p{i}", POISON), i) for i in range(6)]
+            outcomes = await asyncio.gather(*sends)
+        assert len(engines.crashed) == 2
+        assert all(o.reason is R.POISON for o in outcomes)
+
+    box.run(scenario())
