--- a/packages/aspendrift-policy/src/aspendrift_policy/placement.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/placement.py
@@ -119,7 +119,7 @@
     Models with the most demand are placed first. An engine that holds a model
     keeps it before another has to load it, and the replicas of a model are
     spread over the availability zones. A model without any learned demand keeps
-    what it has.
+    what it has, and no engine loses its role as long as there is such a model.
     """
     engines = [
         target
@@ -131,8 +131,9 @@
     }
     for demand in sorted(demands, key=lambda each: (-_slots(each), each.model)):
         _place(demand, engines, states_by_id, assigned, rules)
+    is_learning = any(demand.expected is None for demand in demands)
     return {
-        target.target_id: _engine_plan(target, states_by_id, assigned)
+        target.target_id: _engine_plan(target, states_by_id, assigned, is_learning)
         for target in targets
     }
 
@@ -258,6 +259,7 @@
     target: Target,
     states_by_id: Mapping[TargetId, EngineState],
     assigned: Mapping[TargetId, dict[ModelName, PlacementReason]],
+    is_learning: bool,
 ) -> EnginePlan:
     target_id = target.target_id
     state = states_by_id.get(target_id)
@@ -269,6 +271,8 @@
     if target.state is not TargetState.ACTIVE:
         return EnginePlan(target_id, state.role, held, {}, PlacementReason.DRAINING)
     reasons = assigned[target_id]
+    if not reasons and is_learning:
+        return EnginePlan(target_id, state.role, (), {}, PlacementReason.LEARNING)
     if not reasons:
         role = EngineRole.IDLE
         return EnginePlan(target_id, role, (), {}, PlacementReason.RELEASED)
