--- /dev/null
+++ b/packages/aspendrift-daemon/tests/request_path/test_claims_explored.py
@@ -0,0 +1,210 @@
+"""Explores every course with few faults of a call that may not be repeated.
+
+Two daemons share a table and two services. The caller sends the same request
+until it has a final outcome, each time to the other daemon. At every use of the
+table or of a target the explorer may place a fault.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from aspendrift_daemon.interfaces import NotWritten, StoreUnavailable, WriteUnknown
+from aspendrift_daemon.targets import Broken, NotSent, StageAnswered, TimedOut
+from aspendrift_model.states import CallerAction, OutcomeStatus, Ran
+from aspendrift_standins.explorer import Choices, explore
+
+N_SENDS = 4
+CALLER_TIMEOUT_S = 12.0
+PAUSE_S = 30.0
+SETTLE_S = 300.0
+
+
+class ExploredTable:
+    """Puts faults before, in and after each call of a table."""
+
+    def __init__(self, table, choices):
+        self._table = table
+        self._choices = choices
+        self._tasks = set()
+
+    def __getattr__(self, name):
+        return getattr(self._table, name)
+
+    async def read(self, keys):
+        fault = self._choices.pick(3, "read")
+        if fault == 1:
+            return StoreUnavailable("down")
+        if fault == 2:
+            await asyncio.sleep(2.0)
+        return await self._table.read(keys)
+
+    async def transact(self, conditions, writes):
+        fault = self._choices.pick(7, "transact")
+        if fault == 1:
+            return NotWritten("down")
+        if fault == 2:
+            return WriteUnknown("lost before the effect")
+        if fault == 3:
+            await self._table.transact(conditions, writes)
+            return WriteUnknown("lost after the effect")
+        if fault in (4, 5):
+            delay_s = 0.4 if fault == 4 else 7.0
+            self._apply_later(delay_s, conditions, writes)
+            return WriteUnknown("effect still to come")
+        if fault == 6:
+            await asyncio.sleep(3.0)
+        return await self._table.transact(conditions, writes)
+
+    def _apply_later(self, delay_s, conditions, writes):
+        async def apply():
+            await asyncio.sleep(delay_s)
+            self._table.apply(conditions, writes)
+
+        task = asyncio.create_task(apply())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+class ExploredHost:
+    """Stops a daemon for a while or for good at any use of its interfaces."""
+
+    def __init__(self, net, daemon, state, choices):
+        self._net = net
+        self._daemon = daemon
+        self._state = state
+        self._choices = choices
+
+    async def gate(self):
+        fault = self._choices.pick(3, f"daemon {self._daemon}")
+        if fault == 1 and not self._state.killed:
+            await self._net.kill(self._daemon)
+        elif fault == 2:
+            await asyncio.sleep(PAUSE_S)
+        await self._state.gate()
+
+
+class ExploredService:
+    """A plain service that answers, refuses, loses or delays its answer."""
+
+    def __init__(self, targets, choices):
+        self._targets = targets
+        self._choices = choices
+
+    async def __call__(self, call):
+        fault = self._choices.pick(4, "service")
+        if fault == 1:
+            return NotSent("refused")
+        self._targets.ran[call.request_id] += 1
+        if fault == 2:
+            return Broken("cut", False)
+        if fault == 3:
+            return TimedOut()
+        return StageAnswered(b'"done"', 1.0)
+
+
+def explored(net, choices, hosts):
+    table = ExploredTable(net.table, choices)
+    service = ExploredService(net.targets, choices)
+    for name in ("service-1", "service-2"):
+        net.targets.scripts[name] = [service]
+    for daemon, daemon_service in enumerate(net.services):
+        state = net.hosts[daemon]
+        view = daemon_service.claims._table
+        view.table = table
+        if hosts:
+            gate = ExploredHost(net, daemon, state, choices)
+            view.state = gate
+            daemon_service._ports.targets.state = gate
+
+
+async def send_until_final(box, net):
+    """Return the outcomes that the caller got; None where none came."""
+    outcomes = []
+    for n in range(N_SENDS):
+        body = box.body("r1", profile="deposit", text="pay")
+        try:
+            async with asyncio.timeout(CALLER_TIMEOUT_S):
+                outcome = await net.send(body, daemon=n % 2)
+        except TimeoutError:
+            outcome = None
+        outcomes.append(outcome)
+        if outcome is not None:
+            if outcome.status is OutcomeStatus.ANSWERED:
+                break
+            if outcome.action is CallerAction.DO_NOT_RESEND:
+                break
+            await asyncio.sleep((outcome.retry_after_ms or 100) / 1000)
+    return outcomes
+
+
+def end_faults(net):
+    """Let the table and the services work normally from now on."""
+    for name in ("service-1", "service-2"):
+        net.targets.scripts[name] = [None]
+    for service in net.services:
+        service.claims._table.table = net.table
+
+
+async def check_not_stuck(box, net):
+    """A request that never ran can still run once the faults are over."""
+    if sum(net.targets.ran.values()):
+        return
+    end_faults(net)
+    outcome = await net.send(box.body("r1", profile="deposit", text="pay"))
+    assert outcome.status is OutcomeStatus.ANSWERED, outcome.reason
+
+
+def check(outcomes, n_runs):
+    assert n_runs <= 1, f"ran {n_runs} times"
+    told = [outcome for outcome in outcomes if outcome is not None]
+    if told and len(told) == len(outcomes):
+        if all(outcome.ran is Ran.NO for outcome in told):
+            assert n_runs == 0, "told 'not run', yet it ran"
+    answers = {o.output for o in told if o.status is OutcomeStatus.ANSWERED}
+    if answers:
+        assert answers == {'"done"'}
+        assert n_runs == 1
+
+
+def scenario_of(box, hosts):
+    def scenario(choices: Choices) -> None:
+        async def main():
+            net = box.network(2)
+            explored(net, choices, hosts)
+            for service in net.services:
+                await service.start()
+            outcomes = []
+            try:
+                outcomes = await send_until_final(box, net)
+                await asyncio.sleep(SETTLE_S)
+                if not hosts:
+                    await check_not_stuck(box, net)
+            finally:
+                for service, state in zip(net.services, net.hosts, strict=True):
+                    if not state.killed:
+                        await service.stop()
+            check(outcomes, sum(net.targets.ran.values()))
+
+        box.run(main())
+
+    return scenario
+
+
+@pytest.mark.fault("store down", "request claimed", "outcome stored")
+@pytest.mark.fault("store slow", "request claimed", "outcome stored")
+@pytest.mark.fault("store answer lost", "request claimed", "outcome stored")
+@pytest.mark.fault("target failing", "request sent")
+@pytest.mark.fault("late answer", "request sent")
+def test_no_course_with_three_faults_of_table_and_service_runs_a_call_twice(box):
+    assert explore(scenario_of(box, hosts=False), max_faults=3, max_points=8) > 1000
+
+
+@pytest.mark.fault("daemon killed", "request claimed", "request sent", "outcome stored")
+@pytest.mark.fault("daemon paused", "request claimed", "request sent", "outcome stored")
+@pytest.mark.fault("daemon killed", "request answered", "outcome replied")
+@pytest.mark.fault("daemon paused", "request answered", "outcome replied")
+def test_no_course_with_two_faults_of_daemon_table_or_service_runs_a_call_twice(box):
+    assert explore(scenario_of(box, hosts=True), max_faults=2, max_points=24) > 500
