--- /dev/null
+++ b/packages/aspendrift-daemon/tests/configuration/test_membership.py
@@ -0,0 +1,185 @@
+"""Tests of joining, silence, refusal, leaving and restarts."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from aspendrift_model.states import MemberState, RefusalReason
+from aspendrift_model.wire_peer import MemberUpdate
+
+NAMES = [f"d{i}" for i in range(9)]
+
+
+async def settled(world: Any) -> None:
+    await world.start(*NAMES)
+    await world.until(lambda: world.all_met() and world.all_serve(), 20)
+
+
+def states_of(world: Any, name: str) -> set[MemberState]:
+    others = [daemon for key, daemon in world.daemons.items() if key != name]
+    return {daemon.states().get(name) for daemon in others}
+
+
+@pytest.mark.fault("daemon killed", "daemon joined")
+def test_refused_connection_makes_dead(world: Any) -> None:
+    async def scenario() -> None:
+        await settled(world)
+        await world.kill("d4")
+        gone = {MemberState.DEAD, None}
+        await world.until(lambda: states_of(world, "d4") <= gone, 15)
+        assert all(len(d.link.view.members()) == 8 for d in world.daemons.values())
+
+    world.run(scenario())
+
+
+@pytest.mark.fault("peer link cut", "daemon joined")
+@pytest.mark.fault("daemon paused", "daemon joined")
+def test_silence_makes_unreachable_never_dead_and_heals(world: Any) -> None:
+    async def scenario() -> None:
+        await settled(world)
+        world.passes = lambda origin, to: "d4" not in (origin, to)
+        silent = {MemberState.UNREACHABLE}
+        await world.until(lambda: states_of(world, "d4") == silent, 30)
+        await asyncio.sleep(200)
+        assert states_of(world, "d4") == silent
+        world.passes = lambda origin, to: True
+        live = {MemberState.LIVE}
+        await world.until(lambda: states_of(world, "d4") == live, 30)
+
+    world.run(scenario())
+
+
+@pytest.mark.fault("region cut", "daemon joined", "leave announced")
+def test_region_cut_kills_no_member_and_heals(world: Any) -> None:
+    async def scenario() -> None:
+        await settled(world)
+        one_side = set(NAMES[:4])
+        world.passes = lambda a, b: (a in one_side) == (b in one_side)
+        await asyncio.sleep(300)
+        seen = {s for d in world.daemons.values() for s in d.states().values()}
+        assert seen == {MemberState.LIVE, MemberState.UNREACHABLE}
+        world.passes = lambda a, b: True
+        await world.until(lambda: world.all_met() and world.all_serve(), 60)
+        for name in NAMES:
+            await world.until(
+                lambda n=name: states_of(world, n) == {MemberState.LIVE}, 60
+            )
+
+    world.run(scenario())
+
+
+@pytest.mark.fault("peer link one-way", "daemon joined")
+def test_one_way_link_does_not_accuse_a_member_that_helpers_reach(world: Any) -> None:
+    async def scenario() -> None:
+        await settled(world)
+        world.passes = lambda origin, to: (origin, to) != ("d2", "d4")
+        accused = 0
+        for _ in range(600):
+            await asyncio.sleep(0.1)
+            accused += states_of(world, "d4") != {MemberState.LIVE}
+        assert accused == 0
+
+    world.run(scenario())
+
+
+@pytest.mark.fault("peer link lossy", "daemon starting", "daemon joined")
+def test_members_meet_over_lossy_links_and_none_dies(world: Any) -> None:
+    async def scenario() -> None:
+        world.passes = lambda origin, to: world.rng.random() > 0.3
+        await world.start(*NAMES)
+        await world.until(world.all_met, 60)
+        for _ in range(600):
+            await asyncio.sleep(0.1)
+            for daemon in world.daemons.values():
+                assert MemberState.DEAD not in daemon.states().values()
+        world.passes = lambda origin, to: True
+        await world.until(world.all_met, 30)
+
+    world.run(scenario())
+
+
+@pytest.mark.fault("daemon killed", "daemon starting")
+def test_restart_is_a_new_member_and_old_messages_change_nothing(world: Any) -> None:
+    async def scenario() -> None:
+        await settled(world)
+        old = world.daemons["d4"].link.view
+        old_word = old.update_of(old.own)
+        await world.kill("d4")
+        await world.start("d4")
+        await world.until(world.all_met, 30)
+        incarnation = world.daemons["d4"].link.host.incarnation
+        assert incarnation > old_word.incarnation
+        for state in MemberState:
+            late = MemberUpdate("d4", old_word.incarnation, 99, state, old_word.host)
+            for name, daemon in world.daemons.items():
+                assert name == "d4" or not daemon.link.view.apply(late, world.now())
+        await asyncio.sleep(5)
+        assert world.all_met()
+
+    world.run(scenario())
+
+
+@pytest.mark.fault(
+    "daemon leaving", "leave announced", "leave draining", "leave exited"
+)
+def test_leaving_member_is_known_at_once_and_dead_after_exit(world: Any) -> None:
+    async def scenario() -> None:
+        await settled(world)
+        leaver = world.daemons["d4"]
+        leaver.keeper.begin_leaving()
+        leaver.membership.begin_leaving()
+        assert leaver.refusal(world.now()) is RefusalReason.LEAVING
+        leaving = {MemberState.LEAVING}
+        await world.until(lambda: states_of(world, "d4") == leaving, 1)
+        await asyncio.sleep(20)
+        assert states_of(world, "d4") == leaving
+        await world.kill("d4")
+        gone = {MemberState.DEAD, None}
+        await world.until(lambda: states_of(world, "d4") <= gone, 15)
+
+    world.run(scenario())
+
+
+@pytest.mark.fault("peer link cut", "leave announced")
+@pytest.mark.fault("peer link lossy", "leave announced")
+def test_leave_that_was_not_heard_spreads_later(world: Any) -> None:
+    async def scenario() -> None:
+        await settled(world)
+        world.passes = lambda origin, to: "d4" not in (origin, to)
+        world.daemons["d4"].membership.begin_leaving()
+        await asyncio.sleep(1)
+        assert MemberState.LEAVING not in states_of(world, "d4")
+        world.passes = lambda origin, to: True
+        leaving = {MemberState.LEAVING}
+        await world.until(lambda: states_of(world, "d4") == leaving, 10)
+
+    world.run(scenario())
+
+
+@pytest.mark.fault("daemon killed", "leave announced", "leave draining")
+def test_daemon_killed_while_leaving_is_dead(world: Any) -> None:
+    async def scenario() -> None:
+        await settled(world)
+        world.daemons["d4"].membership.begin_leaving()
+        await world.kill("d4")
+        gone = {MemberState.DEAD, None}
+        await world.until(lambda: states_of(world, "d4") <= gone, 15)
+
+    world.run(scenario())
+
+
+@pytest.mark.fault("daemon killed", "daemon starting", "daemon joined")
+def test_whole_zone_restarted_at_once_joins_again(world: Any) -> None:
+    async def scenario() -> None:
+        await settled(world)
+        zone = [f"d{i}" for i in (0, 3, 6)]
+        for name in zone:
+            await world.kill(name)
+        await asyncio.sleep(3)
+        await world.start(*zone)
+        await world.until(lambda: world.all_met() and world.all_serve(), 30)
+
+    world.run(scenario())
--- /dev/null
+++ b/packages/aspendrift-policy/tests/test_listed_hosts.py
@@ -0,0 +1,68 @@
+"""Tests of the platform's list as a hint."""
+
+from __future__ import annotations
+
+import pytest
+
+from aspendrift_model.hosts import Host, Location
+from aspendrift_model.ids import DaemonId, Incarnation, RegionName, ZoneName
+from aspendrift_model.states import MemberState
+from aspendrift_model.wire_peer import MemberUpdate
+from aspendrift_model.wire_platform import HostEntry
+from aspendrift_policy.listed_hosts import ListedHosts
+from aspendrift_policy.membership import MemberView, host_record
+
+PLACE = Location(ZoneName("a"), RegionName("r"))
+ENTRY = HostEntry("d1", "http://d1", "tcp://d1", "a", "r")
+
+
+def host(name: str) -> Host:
+    return Host(DaemonId(name), Incarnation(1), PLACE, f"http://{name}", "")
+
+
+@pytest.fixture
+def view() -> MemberView:
+    return MemberView(host("d0"), 0.0)
+
+
+def meet(view: MemberView) -> None:
+    record = host_record(host("d1"))
+    view.apply(MemberUpdate("d1", 1, 0, MemberState.LIVE, record), 0.0)
+
+
+def state(view: MemberView) -> MemberState:
+    return view.members_by_id[DaemonId("d1")].state
+
+
+def test_listed_host_is_joining(view: MemberView) -> None:
+    ListedHosts().update([ENTRY], view, 0.0)
+    assert state(view) is MemberState.JOINING
+
+
+def test_live_member_outlasts_a_list_that_lags(view: MemberView) -> None:
+    listed = ListedHosts()
+    meet(view)
+    for now in (0.0, 10.0, 500.0):
+        listed.update([ENTRY] if now == 0.0 else [], view, now)
+    assert state(view) is MemberState.LIVE
+
+
+def test_silent_member_that_left_the_list_for_long_is_dead(view: MemberView) -> None:
+    listed = ListedHosts()
+    meet(view)
+    listed.update([ENTRY], view, 0.0)
+    view.judge(DaemonId("d1"), MemberState.UNREACHABLE, 5.0)
+    listed.update([], view, 10.0)
+    assert state(view) is MemberState.UNREACHABLE
+    listed.update([], view, 71.0)
+    assert state(view) is MemberState.DEAD
+
+
+@pytest.mark.fault("region cut", "daemon joined")
+def test_silent_member_that_is_listed_is_not_dead(view: MemberView) -> None:
+    listed = ListedHosts()
+    meet(view)
+    view.judge(DaemonId("d1"), MemberState.UNREACHABLE, 5.0)
+    for now in range(0, 600, 10):
+        listed.update([ENTRY], view, float(now))
+    assert state(view) is MemberState.UNREACHABLE
