--- a/packages/aspendrift-model/src/aspendrift_model/settings.py
+++ b/packages/aspendrift-model/src/aspendrift_model/settings.py
@@ -15,6 +15,7 @@
     setting,
 )
 from aspendrift_model.settings_http import HttpSettings
+from aspendrift_model.settings_leaving import LeavingSettings
 from aspendrift_model.settings_peers import PeerSettings
 from aspendrift_model.settings_platform import PlatformSettings
 from aspendrift_model.settings_requests import RequestSettings
@@ -47,6 +48,7 @@
     peers: PeerSettings = field(default_factory=PeerSettings)
     requests: RequestSettings = field(default_factory=RequestSettings)
     routing: RoutingSettings = field(default_factory=RoutingSettings)
+    leaving: LeavingSettings = field(default_factory=LeavingSettings)
 
 
 def load_settings(path: Path) -> DaemonSettings:
@@ -63,7 +65,7 @@
     except OSError as error:
         problem = SettingProblem("", str(error), "a readable file")
         raise SettingsError(source, (problem,)) from error
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         problem = SettingProblem("", str(error), "JSON with comments")
         raise SettingsError(source, (problem,)) from error
     if not isinstance(values, dict):
