--- /dev/null
+++ b/packages/aspendrift-daemon/tests/configuration/test_peers.py
@@ -0,0 +1,219 @@
+"""Tests of the peer link over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+import zmq
+
+from aspendrift_daemon.clock import SystemClock
+from aspendrift_daemon.events import EventHub
+from aspendrift_daemon.peers import (
+    LinkDirection,
+    PeerLink,
+    PeerMessageRejected,
+    PeerRejection,
+)
+from aspendrift_model.hosts import Host, Location
+from aspendrift_model.ids import DaemonId, Incarnation, RegionName, ZoneName
+from aspendrift_model.settings_peers import PeerSettings, SeedPeer
+from aspendrift_model.states import MemberState
+from aspendrift_policy.membership import MemberView
+
+PLACE = Location(ZoneName("a"), RegionName("r"))
+
+
+class Node:
+    """A started link and what it received on one topic."""
+
+    def __init__(
+        self,
+        name: str,
+        settings: PeerSettings | None = None,
+        incarnation: int = 1,
+        passes: Callable[[LinkDirection, DaemonId], bool] | None = None,
+    ) -> None:
+        self.hub = EventHub()
+        self.rejected: list[PeerMessageRejected] = []
+        self.hub.connect(PeerMessageRejected, self.rejected.append)
+        host = Host(DaemonId(name), Incarnation(incarnation), PLACE, "", "")
+        link_filter = None
+        if passes is not None:
+            link_filter = type("Filter", (), {"passes": staticmethod(passes)})()
+        self.link = PeerLink(
+            settings or PeerSettings(),
+            host,
+            SystemClock(),
+            self.hub,
+            random.Random(1),
+            link_filter,
+        )
+        self.received: list[tuple[str, bytes]] = []
+        self.link.subscribe("t", lambda origin, p: self.received.append((origin, p)))
+
+    def knows(self, *others: Node) -> None:
+        for other in others:
+            introduce(self.link.view, other.link.host)
+
+
+def introduce(view: MemberView, host: Host) -> None:
+    view.add_seed(host, 0.0)
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    for _ in range(2000):
+        if condition():
+            return
+        await asyncio.sleep(0.01)
+    raise TimeoutError
+
+
+async def stop(*nodes: Node) -> None:
+    for node in nodes:
+        await node.link.stop()
+
+
+def test_message_reaches_its_topic_at_one_daemon() -> None:
+    async def scenario() -> None:
+        first, second = Node("d1"), Node("d2")
+        await first.link.start()
+        await second.link.start()
+        first.knows(second)
+        first.link.send(DaemonId("d2"), "other", b"no")
+        first.link.send(DaemonId("d2"), "t", b"hello")
+        await until(lambda: bool(second.received))
+        assert second.received == [("d1", b"hello")]
+        assert second.link.counters.n_received == 2
+        await stop(first, second)
+
+    asyncio.run(scenario())
+
+
+def test_broadcast_reaches_each_daemon_once() -> None:
+    async def scenario() -> None:
+        nodes = [Node(f"d{i}", PeerSettings(push_fanout=3)) for i in range(5)]
+        for node in nodes:
+            await node.link.start()
+        for node in nodes:
+            node.knows(*(each for each in nodes if each is not node))
+        nodes[0].link.broadcast("t", b"x")
+        await until(lambda: sum(len(node.received) for node in nodes) >= 4)
+        await until(lambda: all(n.link.counters.n_received for n in nodes[1:]))
+        await asyncio.sleep(0)
+        assert [len(node.received) for node in nodes] == [0, 1, 1, 1, 1]
+        await stop(*nodes)
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.fault("daemon killed", "daemon starting")
+def test_message_of_an_old_incarnation_is_rejected() -> None:
+    async def scenario() -> None:
+        old, new, other = Node("d1"), Node("d1", incarnation=2), Node("d2")
+        for node in (old, new, other):
+            await node.link.start()
+        other.knows(new)
+        old.knows(other)
+        old.link.send(DaemonId("d2"), "t", b"late")
+        await until(lambda: bool(other.rejected))
+        assert other.rejected[0].reason is PeerRejection.OLD_INCARNATION
+        assert other.received == []
+        await stop(old, new, other)
+
+    asyncio.run(scenario())
+
+
+def test_malformed_message_is_rejected() -> None:
+    async def scenario() -> None:
+        node = Node("d1")
+        await node.link.start()
+        context = zmq.Context()
+        socket = context.socket(zmq.PUSH)
+        socket.connect(node.link.endpoint)
+        socket.send(b"\xff\xff")
+        await until(lambda: bool(node.rejected))
+        assert node.rejected[0].reason is PeerRejection.MALFORMED
+        socket.close(linger=0)
+        context.term()
+        await stop(node)
+
+    asyncio.run(scenario())
+
+
+def test_only_allowed_keys_connect(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        pairs = [zmq.curve_keypair() for _ in range(3)]
+        allowed = tuple(public.decode() for public, _ in pairs[:2])
+        nodes = []
+        for i, (_, secret) in enumerate(pairs):
+            key_file = tmp_path / f"key{i}"
+            key_file.write_bytes(secret)
+            settings = PeerSettings(secret_key_file=str(key_file), allowed_keys=allowed)
+            nodes.append(Node(f"d{i}", settings))
+            await nodes[i].link.start()
+        for node in nodes[1:]:
+            node.knows(nodes[0])
+        nodes[2].link.send(DaemonId("d0"), "t", b"stranger")
+        nodes[1].link.send(DaemonId("d0"), "t", b"friend")
+        await until(lambda: bool(nodes[0].received))
+        nodes[1].link.send(DaemonId("d0"), "t", b"again")
+        await until(lambda: len(nodes[0].received) == 2)
+        assert {origin for origin, _ in nodes[0].received} == {"d1"}
+        await stop(*nodes)
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("direction", list(LinkDirection))
+def test_filter_drops_messages(direction: LinkDirection) -> None:
+    async def scenario() -> None:
+        is_out = direction is LinkDirection.OUT
+        sender = Node(
+            "d1", passes=(lambda d, _: d is not direction) if is_out else None
+        )
+        receiver = Node(
+            "d2", passes=None if is_out else (lambda d, _: d is not direction)
+        )
+        probe = Node("d3")
+        for node in (sender, receiver, probe):
+            await node.link.start()
+        sender.knows(receiver, probe)
+        sender.link.send(DaemonId("d2"), "t", b"dropped")
+        await until(lambda: is_out or receiver.link.counters.n_received > 0)
+        assert receiver.received == []
+        assert (sender.link.counters.n_sent == 0) is is_out
+        await stop(sender, receiver, probe)
+
+    asyncio.run(scenario())
+
+
+def test_only_a_refused_connection_is_a_refusal() -> None:
+    async def scenario() -> None:
+        node, other = Node("d1"), Node("d2")
+        await node.link.start()
+        await other.link.start()
+        host = other.link.host
+        assert not await node.link.is_refused(host)
+        await other.link.stop()
+        assert await node.link.is_refused(host)
+        await stop(node)
+
+    asyncio.run(scenario())
+
+
+def test_seeds_are_in_view_before_they_are_heard() -> None:
+    async def scenario() -> None:
+        other = Node("d2")
+        await other.link.start()
+        settings = PeerSettings(seeds=(SeedPeer("d2", other.link.endpoint),))
+        node = Node("d1", settings)
+        await node.link.start()
+        states = {host.daemon_id: state for host, state in node.link.members()}
+        assert states == {"d1": MemberState.LIVE, "d2": MemberState.JOINING}
+        await stop(node, other)
+
+    asyncio.run(scenario())
