Keep the cost of a tick flat in the size of the view

Cause: each tick and message walked all members several times. Change: lists are kept until the view changes; a recent head read answers without looking at contacts; changes carry the number of pushes; the status shows the link's counters; a share of messages can be lost on purpose.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/configuration.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/configuration.py
@@ -65,11 +65,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationApplied(Event):
-    """A newer revision came into force at this daemon."""
+    """A newer revision came into force at this daemon.
+
+    ``hops`` counts the pushes that brought it, 0 if it came another way.
+    """
 
     name: ClassVar[str] = "configuration_applied"
     revision: int
     n_changes: int
+    hops: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,6 +138,9 @@
         self._watched_until = 0.0
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(ConfigurationMessage)
+        self._listed: Sequence[tuple[Host, MemberState]] = ()
+        self._hosts_by_id: dict[DaemonId, Host] = {}
+        self._ids: list[DaemonId] = []
         self._tasks: set[asyncio.Task[None]] = set()
         bus.subscribe(CONFIGURATION_TOPIC, self._on_message)
 
@@ -260,7 +267,12 @@
         task.add_done_callback(self._tasks.discard)
 
     def _member_ids(self) -> list[DaemonId]:
-        return [host.daemon_id for host, _ in self._bus.members()]
+        members = self._bus.members()
+        if members is not self._listed:
+            self._listed = members
+            self._hosts_by_id = {host.daemon_id: host for host, _ in members}
+            self._ids = list(self._hosts_by_id)
+        return self._ids
 
     async def load_from_table(self) -> bool:
         """Read every item from the table; return False if it does not answer."""
@@ -331,7 +343,7 @@
         except msgspec.MsgspecError:
             return
         if isinstance(message, ChangePush):
-            self._take([message.change], DaemonId(message.confirm_to))
+            self._take([message.change], DaemonId(message.confirm_to), message.hops)
         elif isinstance(message, Changes):
             self._take(message.changes, None)
         elif isinstance(message, Held):
@@ -364,7 +376,10 @@
             self._load(snapshot)
 
     def _take(
-        self, changes: Sequence[ChangeRecord], confirm_to: DaemonId | None
+        self,
+        changes: Sequence[ChangeRecord],
+        confirm_to: DaemonId | None,
+        hops: int = 0,
     ) -> None:
         """Apply changes; forward and confirm those that came by push or table."""
         if not self._is_loaded:
@@ -372,15 +387,15 @@
         applied = self._log.offer(changes)
         if not applied:
             return
-        self._applied(len(applied))
+        self._applied(len(applied), hops)
         if confirm_to is None:
             return
         for change in applied:
-            self._push(change, confirm_to)
+            self._push(change, confirm_to, hops + 1)
         self._confirm(confirm_to)
 
-    def _push(self, change: ChangeRecord, confirm_to: DaemonId) -> None:
-        message = self._encoder.encode(ChangePush(change, confirm_to))
+    def _push(self, change: ChangeRecord, confirm_to: DaemonId, hops: int) -> None:
+        message = self._encoder.encode(ChangePush(change, confirm_to, hops))
         peers = [host.daemon_id for host, state in self._bus.members() if _hears(state)]
         others = [each for each in peers if each not in (self._daemon_id, confirm_to)]
         count = min(self._settings.push_fanout, len(others))
@@ -392,10 +407,10 @@
             held = Held(self._log.revision, self._log.content_hash)
             self._send(confirm_to, held)
 
-    def _applied(self, n_changes: int) -> None:
+    def _applied(self, n_changes: int, hops: int = 0) -> None:
         self._freshness.held(self._log.revision)
         self._current = self._log.configuration()
-        self._events.emit(ConfigurationApplied(self._log.revision, n_changes))
+        self._events.emit(ConfigurationApplied(self._log.revision, n_changes, hops))
         for listener in self._listeners:
             listener(self._current)
 
@@ -428,10 +443,10 @@
         await self.load_from_table()
 
     def _note_held(self, daemon_id: DaemonId, revision: int) -> None:
-        for host, _ in self._bus.members():
-            if host.daemon_id == daemon_id:
-                self._held.note(host, revision)
-                return
+        self._member_ids()
+        host = self._hosts_by_id.get(daemon_id)
+        if host is not None:
+            self._held.note(host, revision)
 
     def _send(self, daemon_id: DaemonId, message: ConfigurationMessage) -> None:
         payload = self._encoder.encode(message)
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/membership.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/membership.py
@@ -35,6 +35,7 @@
     ProbeTimes,
 )
 from aspendrift_policy.listed_hosts import ListedHosts
+from aspendrift_policy.membership import Member
 
 __all__ = ["DigestExchange", "MemberChanged", "MembershipKeeper"]
 
@@ -121,6 +122,7 @@
         self._housekept_at = 0.0
         self._acknowledged: set[DaemonId] = set()
         self._known_states: dict[DaemonId, tuple[int, MemberState]] = {}
+        self._reported: tuple[Member, ...] = ()
         self._tasks: set[asyncio.Task[None]] = set()
         link.subscribe(MEMBER_TOPIC, self._on_message)
 
@@ -288,6 +290,10 @@
         self._link.send(daemon_id, MEMBER_TOPIC, self._encoder.encode(message))
 
     def _report_changes(self) -> None:
+        listed = self._view.members()
+        if listed is self._reported:
+            return
+        self._reported = listed
         members = self._view.members_by_id
         for daemon_id, member in members.items():
             state = (int(member.host.incarnation), member.state)
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/operator_answers.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/operator_answers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import msgspec
 
 from aspendrift_daemon.configuration import ConfigurationKeeper
@@ -22,6 +24,7 @@
     DaemonStatus,
     ItemBody,
     ItemList,
+    LinkStatus,
     StatusBody,
 )
 from aspendrift_model.wire_peer import ItemRecord
@@ -86,6 +89,7 @@
             _age(self._keeper.head_read_at(), now),
             tuple(progress.unconfirmed),
             tuple(self._daemons()),
+            LinkStatus(**dataclasses.asdict(self._link.counters)),
         )
 
     def _daemons(self) -> list[DaemonStatus]:
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/peers.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/peers.py
@@ -27,7 +27,7 @@
 from aspendrift_model.settings_peers import PeerSettings
 from aspendrift_model.states import MemberState
 from aspendrift_model.wire_peer import PEER_PROTOCOL_VERSION, Envelope
-from aspendrift_policy.membership import MemberView
+from aspendrift_policy.membership import Member, MemberView
 from aspendrift_policy.spread import SeenMessages, push_peers
 
 __all__ = [
@@ -149,6 +149,8 @@
         self._receiving: asyncio.Task[None] | None = None
         self._authenticator: zmq.auth.asyncio.AsyncioAuthenticator | None = None
         self._in: zmq.asyncio.Socket | None = None
+        self._listed: tuple[Member, ...] = ()
+        self._hosts: Sequence[tuple[Host, MemberState]] = ()
         self.counters = LinkCounters()
         self.view = MemberView(host, clock.monotonic())
 
@@ -218,8 +220,15 @@
         self._transmit(daemon_id, self._encoder.encode(envelope))
 
     def members(self) -> Sequence[tuple[Host, MemberState]]:
-        """Return every known daemon that is not dead, this one included."""
-        return [(member.host, member.state) for member in self.view.members()]
+        """Return every known daemon that is not dead, this one included.
+
+        The same object is returned until the view changes.
+        """
+        members = self.view.members()
+        if members is not self._listed:
+            self._listed = members
+            self._hosts = [(member.host, member.state) for member in members]
+        return self._hosts
 
     async def is_refused(self, host: Host) -> bool:
         """Return whether a daemon's address refuses a connection.
@@ -271,6 +280,8 @@
             return
         if self._filter and not self._filter.passes(LinkDirection.OUT, daemon_id):
             return
+        if self._may_lose():
+            return
         link = self._out_link(member.host)
         if link is None:
             return
@@ -343,6 +354,10 @@
         host = replace(self.host, peer_endpoint=endpoint, peer_key=key)
         self.view.set_own_host(host, self._clock.monotonic())
 
+    def _may_lose(self) -> bool:
+        share = self._settings.test_drop_share
+        return share > 0 and self._rng.random() < share
+
     async def _receive(self) -> None:
         assert self._in is not None
         n_drained = 0
--- a/packages/aspendrift-daemon/tests/configuration/conftest.py
+++ b/packages/aspendrift-daemon/tests/configuration/conftest.py
@@ -23,6 +23,7 @@
     WriteUnknown,
 )
 from aspendrift_daemon.membership import MembershipKeeper
+from aspendrift_daemon.peers import LinkCounters
 from aspendrift_model.hosts import Host, Location
 from aspendrift_model.ids import DaemonId, Incarnation, RegionName, ZoneName
 from aspendrift_model.settings_peers import PeerSettings
@@ -126,6 +127,9 @@
         self._world = world
         self._seeds = seeds
         self._handlers: dict[str, list[MessageHandler]] = {}
+        self.counters = LinkCounters()
+        self._listed: Any = None
+        self._hosts: Sequence[tuple[Host, MemberState]] = ()
         self.view = MemberView(host, world.clock.monotonic())
         self.view.spread(host.daemon_id)
         self.add_seeds()
@@ -149,7 +153,11 @@
             handler(origin, payload)
 
     def members(self) -> Sequence[tuple[Host, MemberState]]:
-        return [(member.host, member.state) for member in self.view.members()]
+        members = self.view.members()
+        if members is not self._listed:
+            self._listed = members
+            self._hosts = [(member.host, member.state) for member in members]
+        return self._hosts
 
     def add_seeds(self) -> None:
         for host in self._seeds:
--- a/packages/aspendrift-model/src/aspendrift_model/settings_peers.py
+++ b/packages/aspendrift-model/src/aspendrift_model/settings_peers.py
@@ -49,6 +49,9 @@
     list_interval_s: float = setting(
         10.0, unit="s", doc="Time between reads of the platform's list.", minimum=0.1
     )
+    test_drop_share: float = setting(
+        0.0, doc="Share of messages lost on purpose, for tests.", minimum=0, maximum=1
+    )
     push_fanout: int = setting(
         4, unit="peers", doc="Peers that a new change is pushed to.", minimum=1
     )
--- a/packages/aspendrift-model/src/aspendrift_model/wire_operator.py
+++ b/packages/aspendrift-model/src/aspendrift_model/wire_operator.py
@@ -32,6 +32,7 @@
     "InFlightBody",
     "ItemBody",
     "ItemList",
+    "LinkStatus",
     "OperatorRefusal",
     "StatusBody",
 ]
@@ -151,6 +152,16 @@
     serving: bool | None = None
 
 
+class LinkStatus(msgspec.Struct, frozen=True):
+    """Peer messages and their bytes since the daemon started."""
+
+    n_sent: int = 0
+    n_received: int = 0
+    n_dropped: int = 0
+    bytes_sent: int = 0
+    bytes_received: int = 0
+
+
 class StatusBody(msgspec.Struct, frozen=True):
     """The state of the whole, seen from one daemon."""
 
@@ -161,6 +172,7 @@
     store_age_s: float | None
     unconfirmed: tuple[str, ...]
     daemons: tuple[DaemonStatus, ...]
+    link: LinkStatus = LinkStatus()
 
 
 class OperatorRefusal(msgspec.Struct, frozen=True):
--- a/packages/aspendrift-model/src/aspendrift_model/wire_peer.py
+++ b/packages/aspendrift-model/src/aspendrift_model/wire_peer.py
@@ -169,10 +169,14 @@
 
 
 class ChangePush(msgspec.Struct, frozen=True, array_like=True, tag="p"):
-    """A change on its way to every daemon; ``confirm_to`` counts who holds it."""
+    """A change on its way to every daemon; ``confirm_to`` counts who holds it.
+
+    ``hops`` counts the pushes so far, this one included.
+    """
 
     change: ChangeRecord
     confirm_to: str
+    hops: int = 1
 
 
 class HeldQuery(msgspec.Struct, frozen=True, array_like=True, tag="q"):
--- a/packages/aspendrift-policy/src/aspendrift_policy/failure_detection.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/failure_detection.py
@@ -96,6 +96,8 @@
         self._outstanding_by_sequence: dict[int, Outstanding] = {}
         self._next_probe_at = 0.0
         self._ticked_at: float | None = None
+        self._searched: tuple[Member, ...] = ()
+        self._suspects: list[Member] = []
 
     def tick(
         self, view: MemberView, now: float, rng: random.Random, hungry: bool = False
@@ -149,9 +151,12 @@
         return actions
 
     def _end_suspicions(self, view: MemberView, now: float) -> None:
-        for member in view.peers():
-            over = now - member.changed_at > self._times.suspicion_s
-            if member.state is MemberState.SUSPECT and over:
+        members = view.members()
+        if members is not self._searched:
+            self._searched = members
+            self._suspects = [m for m in members if m.state is MemberState.SUSPECT]
+        for member in self._suspects:
+            if now - member.changed_at > self._times.suspicion_s:
                 view.judge(member.host.daemon_id, MemberState.UNREACHABLE, now)
 
     def _probe_next(
--- a/packages/aspendrift-policy/src/aspendrift_policy/freshness.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/freshness.py
@@ -158,6 +158,8 @@
         self, held_revision: int, member_ids: Sequence[DaemonId], now: float
     ) -> RefusalReason | None:
         """Return why new work is refused, or None if it may be taken."""
+        if self._is_head_recent(now, self._limit_s):
+            return None
         fresh_at = self.fresh_at(held_revision, member_ids, now)
         if fresh_at is None:
             return RefusalReason.NOT_READY
@@ -169,9 +171,15 @@
         self, held_revision: int, member_ids: Sequence[DaemonId], now: float
     ) -> bool:
         """Return whether the daemon should ask its peers more often."""
+        if self._is_head_recent(now, self._limit_s / 2):
+            return False
         fresh_at = self.fresh_at(held_revision, member_ids, now)
         return fresh_at is None or now - fresh_at > self._limit_s / 2
 
+    def _is_head_recent(self, now: float, limit_s: float) -> bool:
+        at = self._head_confirmed_at
+        return at is not None and now - at <= limit_s
+
     def _become_witness(
         self, held_revision: int, member_ids: Sequence[DaemonId], now: float
     ) -> None:
--- a/packages/aspendrift-policy/src/aspendrift_policy/membership.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/membership.py
@@ -100,7 +100,7 @@
             own.daemon_id: Member(own, MemberState.LIVE, changed_at=now)
         }
         self._buckets = [0] * N_BUCKETS
-        self._in_order: list[Member] | None = None
+        self._in_order: tuple[Member, ...] | None = None
         self._sends_left_by_id: dict[DaemonId, int] = {}
         self._toggle_hash(self.own)
 
@@ -122,14 +122,17 @@
         """Hash of each bucket of the view."""
         return tuple(self._buckets)
 
-    def members(self) -> Sequence[Member]:
-        """Return every member but the dead, in order of daemon id."""
+    def members(self) -> tuple[Member, ...]:
+        """Return every member but the dead, in order of daemon id.
+
+        The same object is returned until the view changes.
+        """
         if self._in_order is None:
             ids = sorted(self.members_by_id)
             found = [self.members_by_id[daemon_id] for daemon_id in ids]
-            self._in_order = [
+            self._in_order = tuple(
                 member for member in found if member.state is not MemberState.DEAD
-            ]
+            )
         return self._in_order
 
     def peers(self) -> list[Member]:
