Measure outcomes under random failures of a fleet

Cause: at-most-once, whole answers and a true 'not run' are promises about real processes that are killed, paused and cut off, which single-module tests can't show.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: venv demo test check lint types unit fault-matrix
+.PHONY: venv demo test check lint types unit fault-matrix measure-outcomes
 
 VENV ?= .venv
 PYTHON ?= python3
@@ -39,3 +39,6 @@
 
 fault-matrix: venv
 	$(BIN)/python tools/fault_matrix.py
+
+measure-outcomes: venv
+	$(BIN)/python -m aspendrift_standins.measure_outcomes
--- a/packages/aspendrift-standins/src/aspendrift_standins/child.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/child.py
@@ -14,6 +14,8 @@
 from pathlib import Path
 from typing import Any, Final
 
+import psutil  # type: ignore[import-untyped]
+
 from aspendrift_standins.errors import NotReady, ProcessEnded
 
 __all__ = ["Child", "ChildCommand"]
@@ -143,6 +145,14 @@
             self.signal(signal.SIGKILL)
             await self.wait_ended(grace_s)
 
+    def cpu_s(self) -> float:
+        """Return the processor time of the last start; 0 once it has ended."""
+        try:
+            times = psutil.Process(self.pid).cpu_times()
+        except (psutil.Error, ValueError):
+            return 0.0
+        return float(times.user + times.system)
+
     def log_text(self) -> str:
         """Return what the process has written."""
         path = self.command.log_file
--- a/packages/aspendrift-standins/src/aspendrift_standins/errors.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/errors.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Sequence
 
-__all__ = ["CommandFailed", "FleetError", "NotReady", "ProcessEnded", "UnknownProcess"]
+__all__ = ["FleetError", "NotReady", "ProcessEnded", "PublishError", "UnknownProcess"]
 
 
 class FleetError(Exception):
@@ -42,3 +42,11 @@
     def __init__(self, words: Sequence[str], code: int, output: str) -> None:
         super().__init__(f"{' '.join(words)} ended with {code}:\n{output}")
         self.code = code
+
+
+class PublishError(FleetError):
+    """A configuration change that did not come into force."""
+
+    def __init__(self, item: str, detail: str) -> None:
+        super().__init__(f"{item}: {detail}")
+        self.item = item
--- a/packages/aspendrift-standins/src/aspendrift_standins/fleet.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/fleet.py
@@ -129,6 +129,11 @@
         """Ids of the daemons started, in order."""
         return tuple(self._daemon_ids)
 
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Names of all processes, in order of their first start."""
+        return tuple(self._children_by_name)
+
     def child(self, name: str) -> Child:
         """Return a process by name.
 
--- a/packages/aspendrift-standins/src/aspendrift_standins/load.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/load.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import random
 import time
 from collections.abc import Callable, Sequence
@@ -15,7 +16,7 @@
 from aspendrift_client.caller import Call, Caller, CallResult
 from aspendrift_model.wire_caller import OutcomeBody
 from aspendrift_standins.expected import AnswerFault, answer_fault, expected_answer
-from aspendrift_standins.load_plan import LoadPlan, PlannedRequest, planned
+from aspendrift_standins.load_plan import LoadAccount, LoadPlan, PlannedRequest, planned
 
 __all__ = ["LoadSender", "RequestRecord", "TokenTimes"]
 
@@ -101,8 +102,13 @@
         """Send a plan; return when every request has ended."""
         async with contextlib.AsyncExitStack() as stack:
             callers_by_account = {
-                account.account_id: await self._caller(stack, account.token, i, plan)
-                for i, account in enumerate(plan.accounts)
+                account.account_id: itertools.cycle(
+                    [
+                        await self._caller(stack, account, i, plan)
+                        for i in range(plan.callers_per_account)
+                    ]
+                )
+                for account in plan.accounts
             }
             started_at = time.monotonic()
             async with asyncio.TaskGroup() as tasks:
@@ -110,23 +116,27 @@
                     send_at = started_at + request.at_s
                     delay_s = send_at - time.monotonic()
                     await asyncio.sleep(max(0.0, delay_s))
-                    caller = callers_by_account[request.account.account_id]
+                    caller = next(callers_by_account[request.account.account_id])
                     tasks.create_task(self._send(caller, request, send_at))
 
     async def _caller(
-        self, stack: contextlib.AsyncExitStack, token: str, index: int, plan: LoadPlan
+        self,
+        stack: contextlib.AsyncExitStack,
+        account: LoadAccount,
+        index: int,
+        plan: LoadPlan,
     ) -> Caller:
         limits = httpx.Limits(
             max_connections=_MAX_CONNECTIONS,
             max_keepalive_connections=_MAX_IDLE_CONNECTIONS,
         )
         client = httpx.AsyncClient(
-            headers={"authorization": f"Bearer {token}"},
+            headers={"authorization": f"Bearer {account.token}"},
             limits=limits,
             trust_env=False,
         )
         await stack.enter_async_context(client)
-        rng = random.Random(plan.seed * 1_000 + index)
+        rng = random.Random(f"{plan.seed}/{account.account_id}/{index}")
         return Caller(self._seeds, client, rng)
 
     async def _send(
--- a/packages/aspendrift-standins/src/aspendrift_standins/load_plan.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/load_plan.py
@@ -62,6 +62,8 @@
     resend_share : float
         Share of the requests that are sent again, with the same id, after their
         outcome is known.
+    callers_per_account : int
+        Applications of each account, which choose addresses on their own.
     abandon_share : float
         Share of the requests whose caller goes away before the outcome.
     """
@@ -74,6 +76,7 @@
     accounts: tuple[LoadAccount, ...]
     resend_share: float = 0.0
     abandon_share: float = 0.0
+    callers_per_account: int = 3
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/aspendrift-standins/src/aspendrift_standins/world.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/world.py
@@ -22,8 +22,9 @@
 from aspendrift_model.states import Priority, StageKind, TargetKind
 from aspendrift_model.targets import Target
 from aspendrift_standins.expected import ExpectedStage
-from aspendrift_standins.fleet import Fleet, StandInSpec
+from aspendrift_standins.fleet import DaemonSpec, Fleet, StandInSpec
 from aspendrift_standins.load_plan import LoadAccount, LoadProfile
+from aspendrift_standins.publish import Item, publish
 
 __all__ = [
     "PoolPlan",
@@ -32,6 +33,7 @@
     "load_profile",
     "pipeline",
     "small_world",
+    "start_world",
 ]
 
 _KIND_OF_STAND_IN: Final = {
@@ -205,3 +207,34 @@
 
 def _target_name(pool: PoolPlan, index: int) -> str:
     return f"{pool.name}-{index + 1}"
+
+
+async def start_world(
+    fleet: Fleet, world: World, daemons: Sequence[DaemonSpec]
+) -> None:
+    """Start platform, targets and daemons, and publish the configuration.
+
+    Raises
+    ------
+    FleetError
+        If a process does not start or the configuration is not taken.
+    """
+    await fleet.start_stand_ins(
+        [
+            StandInSpec("table", "table"),
+            StandInSpec("objects", "objects"),
+            StandInSpec("weights", "weights"),
+            StandInSpec("hostlist", "hostlist"),
+            *world.stand_ins(fleet),
+        ]
+    )
+    platform = {
+        "table_url": fleet.url("table"),
+        "object_url": fleet.url("objects"),
+        "weight_url": fleet.url("weights"),
+        "membership_url": fleet.url("hostlist"),
+    }
+    await fleet.start_daemons(daemons, platform)
+    items: list[Item] = [*world.client_accounts(), *world.targets(fleet)]
+    items += world.profiles
+    await publish(fleet.urls(fleet.daemon_ids), items)
