--- /dev/null
+++ b/packages/aspendrift-policy/tests/test_poison.py
@@ -0,0 +1,122 @@
+"""Tests of suspicion, conviction and trials."""
+
+from __future__ import annotations
+
+from aspendrift_policy.poison import (
+    PoisonLimits,
+    Standing,
+    SuspectBook,
+    Trial,
+    TrialBook,
+)
+
+
+def book(**limits):
+    return SuspectBook(PoisonLimits(**limits))
+
+
+def test_first_crash_makes_suspects():
+    suspects = book()
+    assert suspects.report_crash("t1", {"a", "b"}, 1.0) == ()
+    assert suspects.standing("a", 2.0) is Standing.SUSPECT
+    assert suspects.standing("c", 2.0) is Standing.CLEAN
+    assert suspects.crashed_targets("a") == {"t1"}
+
+
+def test_content_common_to_two_crashes_is_convicted():
+    suspects = book()
+    suspects.report_crash("t1", {"a", "b", "p"}, 1.0)
+    assert suspects.report_crash("t2", {"c", "p"}, 2.0) == ("p",)
+    assert suspects.standing("p", 3.0) is Standing.CONVICTED
+    assert suspects.standing("a", 3.0) is Standing.SUSPECT
+
+
+def test_two_contents_common_to_two_crashes_are_not_told_apart():
+    suspects = book()
+    suspects.report_crash("t1", {"a", "p"}, 1.0)
+    assert suspects.report_crash("t2", {"a", "p"}, 2.0) == ()
+    assert suspects.report_crash("t3", {"p"}, 3.0) == ("p",)
+
+
+def test_second_crash_of_one_target_convicts_nobody():
+    suspects = book()
+    suspects.report_crash("t1", {"a"}, 1.0)
+    assert suspects.report_crash("t1", {"a"}, 60.0) == ()
+    assert suspects.standing("a", 61.0) is Standing.SUSPECT
+
+
+def test_reports_of_several_daemons_are_one_crash():
+    suspects = book()
+    suspects.report_crash("t1", {"a"}, 1.0)
+    suspects.report_crash("t1", {"b"}, 1.2)
+    assert suspects.n_crashes == 1
+    assert suspects.standing("b", 2.0) is Standing.SUSPECT
+
+
+def test_completed_content_is_cleared():
+    suspects = book()
+    suspects.report_crash("t1", {"a", "p"}, 1.0)
+    assert suspects.clear("a")
+    assert suspects.report_crash("t2", {"a", "p"}, 2.0) == ("p",)
+
+
+def test_suspicion_and_conviction_end():
+    suspects = book(suspicion_s=10.0, conviction_s=100.0)
+    suspects.report_crash("t1", {"a", "p"}, 0.0)
+    suspects.report_crash("t2", {"p"}, 1.0)
+    assert suspects.standing("a", 10.5) is Standing.CLEAN
+    assert suspects.standing("p", 100.0) is Standing.CONVICTED
+    assert suspects.standing("p", 102.0) is Standing.CLEAN
+
+
+def test_memory_is_bounded():
+    suspects = book(max_crashes=4, max_suspects_per_crash=3, max_convicted=5)
+    for i in range(50):
+        suspects.report_crash(f"t{i}", {f"a{i}.{n}" for n in range(10)}, i * 1.0)
+        suspects.convict(f"p{i}", i * 1.0)
+    assert suspects.n_crashes <= 4
+    standings = [suspects.standing(f"p{i}", 50.0) for i in range(50)]
+    assert standings.count(Standing.CONVICTED) == 5
+    n_suspects = sum(
+        suspects.standing(f"a{i}.{n}", 50.0) is Standing.SUSPECT
+        for i in range(50)
+        for n in range(10)
+    )
+    assert n_suspects <= 12
+
+
+def test_one_trial_per_target_and_content():
+    trials = TrialBook(30.0)
+    assert trials.begin(Trial("a", "t1", "d1"), 0.0)
+    assert not trials.begin(Trial("b", "t1", "d1"), 0.1)
+    assert not trials.begin(Trial("a", "t2", "d1"), 0.1)
+    assert trials.begin(Trial("b", "t2", "d1"), 0.1)
+    assert trials.busy_targets(0.2) == {"t1", "t2"}
+    assert trials.end("a", "t1", "d1")
+    assert trials.begin(Trial("c", "t1", "d1"), 0.3)
+
+
+def test_two_daemons_agree_on_which_waiting_trial_goes_first():
+    mine, theirs = Trial("a", "t1", "d1"), Trial("b", "t1", "d2")
+    first, second = TrialBook(30.0), TrialBook(30.0)
+    first.begin(mine, 0.0)
+    second.begin(theirs, 0.0)
+    first.hear(theirs, 0.01)
+    second.hear(mine, 0.01)
+    assert first.confirm(mine, 0.03)
+    assert not second.confirm(theirs, 0.03)
+
+
+def test_running_trial_goes_before_a_waiting_one():
+    waiting = Trial("a", "t1", "d1")
+    trials = TrialBook(30.0)
+    trials.begin(waiting, 0.0)
+    trials.hear(Trial("b", "t1", "d2", running=True), 0.01)
+    assert not trials.confirm(waiting, 0.03)
+
+
+def test_trial_of_a_daemon_that_died_ends():
+    trials = TrialBook(30.0)
+    trials.hear(Trial("a", "t1", "d2", running=True), 0.0)
+    assert trials.is_tried("a", 29.0)
+    assert not trials.is_tried("a", 31.0)
