--- a/packages/aspendrift-daemon/tests/request_path/conftest.py
+++ b/packages/aspendrift-daemon/tests/request_path/conftest.py
@@ -324,12 +324,12 @@
         if target.target_id in self.down:
             yield NotSent("down")
             return
+        async for item in _until(self._generated(target, call), timeout_s):
+            yield item
+
+    async def _generated(self, target, call):
         behaviour = self.behaviour(target)
-        if behaviour is not None:
-            async for item in behaviour(call):
-                yield item
-            return
-        async for item in tokens(call):
+        async for item in (behaviour or tokens)(call):
             yield item
 
     async def resume(self, target, call, after, timeout_s):
@@ -347,6 +347,22 @@
         return True
 
 
+async def _until(items, timeout_s):
+    """Yield items, then that the time is over."""
+    loop = asyncio.get_running_loop()
+    ends_at = loop.time() + timeout_s
+    while True:
+        try:
+            async with asyncio.timeout_at(ends_at):
+                item = await anext(items, None)
+        except TimeoutError:
+            yield TimedOut()
+            return
+        if item is None:
+            return
+        yield item
+
+
 async def tokens(call, after=None, until=None):
     """Yield the tokens of a whole answer, which depend on the input alone."""
     texts = [f"{call.input}-{n} " for n in range(1, call.max_tokens + 1)]
--- a/packages/aspendrift-policy/tests/test_request_engine.py
+++ b/packages/aspendrift-policy/tests/test_request_engine.py
@@ -323,6 +323,11 @@
             if isinstance(outcome, Refused):
                 assert not any(self.maybe_run_by_stage.values())
 
+    @invariant()
+    def caller_sees_each_token_once_in_order(self):
+        shown = getattr(self, "shown", [])
+        assert shown == [(n, text(n)) for n in range(1, len(shown) + 1)]
+
     @invariant()
     def answers_are_whole_and_own(self):
         if not getattr(self, "outcomes", None):
