--- a/packages/aspendrift-daemon/src/aspendrift_daemon/targets.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/targets.py
@@ -105,11 +105,19 @@
         Time limits of connections and streams.
     clock : Clock
         Clock of the process.
+    transport : httpx.AsyncBaseTransport or None
+        Replaces the network.
     """
 
-    def __init__(self, settings: RequestSettings, clock: Clock) -> None:
+    def __init__(
+        self,
+        settings: RequestSettings,
+        clock: Clock,
+        transport: httpx.AsyncBaseTransport | None = None,
+    ) -> None:
         self._settings = settings
         self._clock = clock
+        self._transport = transport
         self._tls = ssl.create_default_context()
         self._clients_by_id: dict[TargetId, httpx.AsyncClient] = {}
 
@@ -202,6 +210,7 @@
             timeout=timeout,
             limits=limits,
             verify=self._tls,
+            transport=self._transport,
             trust_env=False,
         )
 
