Decide without sums over every candidate

Cause: affinity summed the load of the pool for each choice and a full pool was scanned for each attempt.

Change: pools keep their load and open slots as they change, remember where a prefix ranks, and try the target that was freed last before they scan.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/dispatch.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/dispatch.py
@@ -77,7 +77,7 @@
 
     def capacity(self) -> PoolCapacity:
         return PoolCapacity(
-            self.targets.n_open_slots(), self.share, self.targets.next_probe_at()
+            self.targets.n_open_slots, self.share, self.targets.next_probe_at()
         )
 
 
@@ -237,9 +237,7 @@
         pool = self._pool_of_target.get(target_id)
         if pool is None:
             return
-        candidate = pool.targets.candidates_by_id.get(target_id)
-        if candidate is not None:
-            candidate.load.ended(now)
+        pool.targets.ended(target_id, now)
         pool.targets.attempt_ended(target_id, result.end, now)
         self._serve(pool, now)
 
@@ -365,7 +363,7 @@
         if choice is None:
             return None
         target_id = choice.target.target_id
-        pool.targets.candidates_by_id[target_id].load.sent(now)
+        pool.targets.sent(target_id, now)
         self._admission.stage_started(query.request_id, query.stage, now)
         budget = self._target_budgets.of(target_id, now)
         if query.is_retry:
@@ -489,7 +487,7 @@
             self._refuse_unserved(pool, now)
 
     def _refuse_unserved(self, pool: _Pool, now: float) -> None:
-        if pool.targets.n_open_slots():
+        if pool.targets.n_open_slots:
             return
         for waiting in pool.queue.waiting():
             ticket = waiting.ticket
--- a/packages/aspendrift-policy/src/aspendrift_policy/affinity.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/affinity.py
@@ -44,8 +44,6 @@
     """
     seed = xxhash.xxh3_64_intdigest(prefix_key.encode())
     weights = [((seed ^ each) * _MULTIPLIER) & _MASK for each in hashes]
-    if n_targets == 1:
-        return [weights.index(max(weights))]
     order = sorted(range(len(weights)), key=weights.__getitem__, reverse=True)
     return order[:n_targets]
 
--- a/packages/aspendrift-policy/src/aspendrift_policy/router.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/router.py
@@ -9,7 +9,7 @@
 from typing import Final, Protocol
 
 from aspendrift_model.hosts import Location
-from aspendrift_model.ids import ModelName, TargetId
+from aspendrift_model.ids import ModelName, PrefixKey, TargetId
 from aspendrift_model.settings_routing import RoutingSettings
 from aspendrift_model.states import AttemptEnd, StageKind, TargetKind, TargetState
 from aspendrift_model.targets import LoadReport, Target
@@ -31,6 +31,7 @@
 _AFFINITY_GAIN_SHARE: Final = 0.3
 _SLOWNESS_WEIGHT: Final = 0.1
 _MIN_SLOWNESS: Final = 0.2
+_MAX_PREFIXES: Final = 4096
 
 
 class Candidate:
@@ -77,7 +78,11 @@
 
     def has_room(self) -> bool:
         """Return whether a slot is free for this daemon."""
-        return self.load.own_active < self.allowance and self.is_open()
+        return (
+            self.load.own_active < self.allowance
+            and self.health.state is HealthState.OPEN
+            and not self.is_leaving
+        )
 
     def runs(self, model: ModelName | None) -> bool:
         """Return whether the target can run a model."""
@@ -124,7 +129,13 @@
         )
         self._share = 1.0
         self._is_filled = False
+        self._n_slots = 0
+        self._outstanding = 0.0
+        self._holders_by_prefix: dict[PrefixKey, list[Candidate]] = {}
         self.n_ejected = 0
+        self.n_open_slots = 0
+        self.freed: Candidate | None = None
+        self.is_full = False
         self.candidates_by_id: dict[TargetId, Candidate] = {}
         self.tiers: tuple[list[Candidate], list[Candidate], list[Candidate]]
         self.tiers = ([], [], [])
@@ -145,14 +156,33 @@
         self.candidates_by_id = kept
         self._is_filled = True
         self._sort_into_tiers()
-        self._count_ejected()
+        self._holders_by_prefix.clear()
+        self.freed = None
+        self._recount()
         self.refresh(self._share, now)
 
     def refresh(self, share: float, now: float) -> None:
         """Set every allowance from this daemon's part of the demand."""
         self._share = share
+        self.is_full = False
         for candidate in self.candidates_by_id.values():
             self._refresh_one(candidate, now)
+        self._recount()
+
+    def sent(self, target_id: TargetId, now: float) -> None:
+        """Count a request that is sent to a target."""
+        self.candidates_by_id[target_id].load.sent(now)
+        self._outstanding += 1.0
+
+    def ended(self, target_id: TargetId, now: float) -> None:
+        """Count a request that has ended at a target."""
+        candidate = self.candidates_by_id.get(target_id)
+        if candidate is None:
+            return
+        candidate.load.ended(now)
+        self._outstanding -= 1.0
+        self.freed = candidate
+        self.is_full = False
 
     def reported(self, report: LoadReport, now: float) -> None:
         """Take in a load report."""
@@ -160,7 +190,10 @@
         if candidate is None:
             return
         candidate.health.poll_answered()
+        others_before = candidate.load.others
         candidate.load.reported(report, now)
+        self._outstanding += candidate.load.others - others_before
+        self.is_full = False
         candidate.lent_rounding = self._rng.random()
         if report.models or candidate.models:
             candidate.models = frozenset(report.models)
@@ -172,20 +205,18 @@
         candidate = self.candidates_by_id.get(target_id)
         if candidate is not None:
             candidate.health.poll_missed(now, self._rng)
-            self._count_ejected()
+            self._recount()
 
     def attempt_ended(self, target_id: TargetId, end: AttemptEnd, now: float) -> None:
         """Learn a target's health from an attempt."""
         candidate = self.candidates_by_id.get(target_id)
         if candidate is None:
             return
+        state_before = candidate.health.state
         candidate.health.attempt_ended(end, now, self._rng, self._may_eject())
-        self._count_ejected()
-        self._refresh_one(candidate, now)
-
-    def n_open_slots(self) -> int:
-        """Return the slots of the targets that take new requests."""
-        return sum(c.load.slots for c in self.candidates_by_id.values() if c.is_open())
+        if candidate.health.state is not state_before:
+            self._recount()
+            self._refresh_one(candidate, now)
 
     def may_serve(self, query: RouteQuery, now: float) -> bool:
         """Return whether any target could take the query now or once it has room."""
@@ -212,7 +243,7 @@
         """Return an ejected target that is due for a probing request."""
         if query.is_retry:
             return None
-        if not query.profile.contract.idempotent and self.n_open_slots():
+        if not query.profile.contract.idempotent and self.n_open_slots:
             return None
         if not self.n_ejected:
             return None
@@ -229,10 +260,20 @@
 
     def mean_load(self) -> float:
         """Return the mean of outstanding requests per slot."""
-        candidates = self.candidates_by_id.values()
-        slots = sum(candidate.load.slots for candidate in candidates)
-        outstanding = sum(candidate.load.outstanding for candidate in candidates)
-        return outstanding / slots if slots else 0.0
+        return self._outstanding / self._n_slots if self._n_slots else 0.0
+
+    def affine(self, prefix_key: PrefixKey) -> list[Candidate]:
+        """Return the nearby targets that rank first for a prefix."""
+        known = self._holders_by_prefix.get(prefix_key)
+        if known is not None:
+            return known
+        near = self.tiers[0] or self.tiers[1] or self.tiers[2]
+        hashes = [candidate.hash for candidate in near]
+        ranked = [near[i] for i in top_targets(prefix_key, hashes, _N_AFFINE)]
+        if len(self._holders_by_prefix) >= _MAX_PREFIXES:
+            self._holders_by_prefix.clear()
+        self._holders_by_prefix[prefix_key] = ranked
+        return ranked
 
     def _new_candidate(self, target: Target, now: float) -> Candidate:
         opened_at = now if self._is_filled else -math.inf
@@ -258,12 +299,17 @@
         if len(self.candidates_by_id) == 1:
             candidate.allowance = max(1, candidate.allowance)
 
-    def _count_ejected(self) -> None:
-        self.n_ejected = sum(
-            1
-            for candidate in self.candidates_by_id.values()
-            if not candidate.is_leaving and not candidate.is_open()
-        )
+    def _recount(self) -> None:
+        candidates = self.candidates_by_id.values()
+        n_open, n_ejected = 0, 0
+        for candidate in candidates:
+            if candidate.is_open():
+                n_open += candidate.load.slots
+            elif not candidate.is_leaving:
+                n_ejected += 1
+        self.n_open_slots, self.n_ejected = n_open, n_ejected
+        self._n_slots = sum(candidate.load.slots for candidate in candidates)
+        self._outstanding = sum(candidate.load.outstanding for candidate in candidates)
 
     def _may_eject(self) -> bool:
         n_active = sum(len(tier) for tier in self.tiers)
@@ -319,8 +365,11 @@
             return RouteChoice(probe.target, RouteReason.PROBE, ())
         if query.avoid_sharing:
             return self._emptiest(pool, query, service_s)
+        if pool.is_full:
+            return None
         sample = self._sample(pool, query)
         if not sample:
+            pool.is_full = not query.excluded and query.stage.model is None
             return None
         penalties = self._penalties()
         scored = sorted(
@@ -346,7 +395,21 @@
     def _sample(self, pool: TargetPool, query: RouteQuery) -> list[Candidate]:
         near = self._sample_tier(pool.tiers[0], query)
         near += self._sample_tier(pool.tiers[1], query)
-        return near or self._sample_tier(pool.tiers[2], query)
+        near = near or self._sample_tier(pool.tiers[2], query)
+        if near:
+            return near
+        if pool.freed is not None and _suits(pool.freed, query):
+            return [pool.freed]
+        return self._first_free(pool, query)
+
+    def _first_free(self, pool: TargetPool, query: RouteQuery) -> list[Candidate]:
+        for tier in pool.tiers:
+            start = int(self.rng.random() * len(tier))
+            for i in range(len(tier)):
+                candidate = tier[i - start]
+                if candidate.has_room() and _suits(candidate, query):
+                    return [candidate]
+        return []
 
     def _sample_tier(
         self, tier: Sequence[Candidate], query: RouteQuery
@@ -361,14 +424,7 @@
                 found.append(candidate)
                 if len(found) == _N_CHOICES:
                     return found
-        if found:
-            return found
-        start = int(self.rng.random() * n_tier)
-        for i in range(n_tier):
-            candidate = tier[(start + i) % n_tier]
-            if _suits(candidate, query):
-                return [candidate]
-        return []
+        return found
 
     def _affine(self, pool: TargetPool, query: RouteQuery) -> Candidate | None:
         if not query.prefix_key or query.stage.kind is not StageKind.GENERATE:
@@ -390,11 +446,7 @@
         ]
         if hinted:
             return hinted
-        near = pool.tiers[0] or pool.tiers[1] or pool.tiers[2]
-        if not near:
-            return []
-        hashes = [candidate.hash for candidate in near]
-        return [near[i] for i in top_targets(query.prefix_key, hashes, _N_AFFINE)]
+        return pool.affine(query.prefix_key)
 
     def _emptiest(
         self, pool: TargetPool, query: RouteQuery, service_s: float
--- a/packages/aspendrift-policy/tests/test_router.py
+++ b/packages/aspendrift-policy/tests/test_router.py
@@ -85,7 +85,7 @@
         counts: Counter[str] = Counter()
         while (choice := self.choose(now=now)) is not None:
             name = choice.target.target_id
-            self.pool.candidates_by_id[name].load.sent(now)
+            self.pool.sent(name, now)
             counts[name] += 1
         return counts
 
@@ -108,7 +108,7 @@
     scene = Scene(target("t1"), target("t2"))
     for now in (9.0, 9.5):
         for _ in range(3):
-            scene.pool.candidates_by_id[TargetId("t1")].load.sent(now)
+            scene.pool.sent(TargetId("t1"), now)
     scene.pool.reported(report("t1", 0, age_ms=2000), 10.0)
     scene.pool.reported(report("t2", 2, age_ms=2000), 10.0)
     choice = scene.choose(now=10.0)
