--- /dev/null
+++ b/packages/aspendrift-standins/src/aspendrift_standins/surge_result.py
@@ -0,0 +1,170 @@
+"""Figures of the surge measurement."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from typing import Final
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from aspendrift_model.wire_caller import OutcomeBody
+from aspendrift_standins.load import RequestRecord
+from aspendrift_standins.surge_scenarios import Scenario
+
+__all__ = ["RunFigures", "ScenarioCollector", "StageFigures"]
+
+_MAX_US: Final = 600_000_000
+_GENERATING: Final = "pipeline"
+_BIN_S: Final = 1.0
+
+
+class StageFigures(msgspec.Struct):
+    """Slot-seconds of one stage over a run."""
+
+    held_s: float = 0.0
+    busy_s: float = 0.0
+    attempts: int = 0
+
+
+class RunFigures(msgspec.Struct, frozen=True):
+    """What one scenario gave under one strategy.
+
+    ``bound`` is the share that the capacity allows when what is queued at the
+    end is still served; ``plain_bound`` is min(1, capacity / offered).
+    ``engine_s_per_answer`` counts held engine-seconds for each pipeline request
+    that was answered whole and in time.
+    """
+
+    scenario: str
+    strategy: str
+    n_requests: int
+    attainment: float
+    bound: float
+    plain_bound: float
+    of_bound: float
+    small_attainment: float
+    p50_ms: float
+    p95_ms: float
+    p99_ms: float
+    engine_s_per_answer: float
+    n_faulty: int
+    attainment_by_account: dict[str, float]
+    outcomes: dict[str, int]
+    stages: dict[str, StageFigures]
+    attained_by_s: dict[int, int]
+    offered_by_s: dict[int, int]
+
+
+class ScenarioCollector:
+    """Takes the records of one scenario under one strategy.
+
+    Parameters
+    ----------
+    from_s : float
+        Records of requests sent earlier, before the hour, are left out.
+    """
+
+    def __init__(self, scenario: Scenario, strategy: str, from_s: float) -> None:
+        self._scenario = scenario
+        self._strategy = strategy
+        self._from_s = from_s
+        self._n_by_account: Counter[str] = Counter()
+        self._attained_by_account: Counter[str] = Counter()
+        self._n_by_profile: Counter[str] = Counter()
+        self._attained_by_profile: Counter[str] = Counter()
+        self._outcomes: Counter[str] = Counter()
+        self._n_faulty = 0
+        self._latency = HdrHistogram(1, _MAX_US, 3)
+        self._stages: defaultdict[str, StageFigures] = defaultdict(StageFigures)
+        self._offered_by_s: Counter[int] = Counter()
+        self._attained_by_s: Counter[int] = Counter()
+
+    def add(self, record: RequestRecord, sent_at_s: float) -> None:
+        """Take a record; ``sent_at_s`` counts from the start of the scenario."""
+        self._n_faulty += record.fault is not None
+        second = int(sent_at_s / _BIN_S)
+        self._offered_by_s[second] += 1
+        self._attained_by_s[second] += record.attained
+        if sent_at_s < self._from_s:
+            return
+        request = record.request
+        self._n_by_account[request.account.account_id] += 1
+        self._n_by_profile[request.profile.name] += 1
+        if record.attained:
+            self._attained_by_account[request.account.account_id] += 1
+            self._attained_by_profile[request.profile.name] += 1
+            us = int(record.latency_s * 1e6)
+            self._latency.record_value(min(_MAX_US, max(1, us)))
+        self._add_outcome(record)
+
+    def figures(self, surge_s: float) -> RunFigures:
+        """Return the figures; ``surge_s`` is how long requests were sent."""
+        n_requests = self._n_by_profile.total()
+        attained = self._attained_by_profile.total()
+        bound, plain_bound = self._bounds(surge_s)
+        attainment = attained / max(1, n_requests)
+        p50, p95, p99 = (
+            self._latency.get_value_at_percentile(p) / 1e3 for p in (50, 95, 99)
+        )
+        deployment = self._scenario.deployment
+        generate = self._stages["generate"]
+        slots = next(
+            t.slots for t in deployment.targets({}) if t.pool == deployment.engine_pool
+        )
+        answered = max(1, self._attained_by_profile[_GENERATING])
+        return RunFigures(
+            self._scenario.name,
+            self._strategy,
+            n_requests,
+            round(attainment, 4),
+            round(bound, 4),
+            round(plain_bound, 4),
+            round(attainment / bound, 4),
+            round(self._small_attainment(), 4),
+            round(p50, 1),
+            round(p95, 1),
+            round(p99, 1),
+            round(generate.held_s / slots / answered, 4),
+            self._n_faulty,
+            {
+                name: round(self._attained_by_account[name] / n, 4)
+                for name, n in sorted(self._n_by_account.items())
+            },
+            dict(self._outcomes),
+            dict(self._stages),
+            dict(self._attained_by_s),
+            dict(self._offered_by_s),
+        )
+
+    def _bounds(self, surge_s: float) -> tuple[float, float]:
+        scenario = self._scenario
+        deployment = scenario.deployment
+        per_s = deployment.generated_per_s * scenario.capacity
+        n_generating = max(1, self._n_by_profile[_GENERATING])
+        rest_s = max(0.0, deployment.deadline_s - deployment.unloaded_s)
+        share = n_generating / max(1, self._n_by_profile.total())
+        whole = min(1.0, per_s * (surge_s + rest_s) / n_generating)
+        plain = min(1.0, per_s * surge_s / n_generating)
+        return share * whole + 1 - share, share * plain + 1 - share
+
+    def _small_attainment(self) -> float:
+        small = self._scenario.deployment.small_accounts
+        n_small = sum(self._n_by_account[name] for name in small)
+        attained = sum(self._attained_by_account[name] for name in small)
+        return attained / max(1, n_small)
+
+    def _add_outcome(self, record: RequestRecord) -> None:
+        result = record.result
+        outcome = None if result is None else result.outcome
+        if not isinstance(outcome, OutcomeBody):
+            self._outcomes["no outcome"] += 1
+            return
+        reason = "" if outcome.reason is None else f" {outcome.reason.value}"
+        late = "" if record.attained or not outcome.output else " late"
+        self._outcomes[f"{outcome.status.value}{reason}{late}"] += 1
+        for timing in outcome.stages:
+            stage = self._stages[timing.stage]
+            stage.held_s += timing.held_ms / 1e3
+            stage.busy_s += timing.busy_ms / 1e3
+            stage.attempts += timing.attempts
