Choose the address with the fewest open requests

Cause: the demo's three zones of one daemon each: callers stayed within the zone of the first address, so one daemon had nearly all the load. Change: the caller counts its open requests by address and takes the least, near ones among equals. Conclusion: load spreads over the daemons of an answer.

--- a/packages/aspendrift-client/src/aspendrift_client/address_book.py
+++ b/packages/aspendrift-client/src/aspendrift_client/address_book.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Final
@@ -37,6 +38,7 @@
         self._far: tuple[str, ...] = ()
         self._refresh_at: float | None = None
         self._ejections_by_url: dict[str, _Ejection] = {}
+        self._n_open_by_url: Counter[str] = Counter()
 
     def needs_refresh(self, now: float) -> bool:
         """Return whether the addresses should be asked for again."""
@@ -66,27 +68,38 @@
     ) -> str | None:
         """Return the address for the next request.
 
-        Near addresses go first, at random among them; then far ones, then
-        seeds. When every address has failed lately, the one whose ejection
-        ends first is tried.
+        The address with the fewest open requests of this caller goes first;
+        among equals a near one, at random. Seeds serve when no other address
+        is usable. When every address has failed lately, the one whose
+        ejection ends first is tried.
 
         Parameters
         ----------
         avoided : frozenset of str
             Addresses to use only if there is no other.
         """
-        for group in (self._near, self._far, self._seeds):
+        for group in ((*self._near, *self._far), self._seeds):
             usable = [
                 url
                 for url in group
                 if url not in avoided and not self._is_ejected(url, now)
             ]
             if usable:
-                return rng.choice(usable)
+                return min(usable, key=lambda url: self._rank(url, rng))
         known = dict.fromkeys((*self._near, *self._far, *self._seeds))
         rest = [url for url in known if url not in avoided] or list(known)
         return min(rest, key=self._ejected_until, default=None)
 
+    def begin(self, url: str) -> None:
+        """Count a request that is sent to an address."""
+        self._n_open_by_url[url] += 1
+
+    def end(self, url: str) -> None:
+        """Count the end of a request that was sent to an address."""
+        self._n_open_by_url[url] -= 1
+        if not self._n_open_by_url[url]:
+            del self._n_open_by_url[url]
+
     def report_success(self, url: str) -> None:
         """Take an address back in after it answered."""
         self._ejections_by_url.pop(url, None)
@@ -99,6 +112,10 @@
         self._ejections_by_url[url] = _Ejection(now + length, length)
         self._forget_unknown()
 
+    def _rank(self, url: str, rng: random.Random) -> tuple[int, bool, float]:
+        is_far = url not in self._near
+        return self._n_open_by_url[url], is_far, rng.random()
+
     def _is_ejected(self, url: str, now: float) -> bool:
         return now < self._ejected_until(url)
 
--- a/packages/aspendrift-client/src/aspendrift_client/caller.py
+++ b/packages/aspendrift-client/src/aspendrift_client/caller.py
@@ -204,9 +204,13 @@
             progress.sink.restart()
         progress.n_sends += 1
         body = _request_body(progress.call, remaining_s)
-        reply = await send_request(
-            self._client, url, body, progress.sink, remaining_s + _GRACE_S
-        )
+        self._book.begin(url)
+        try:
+            reply = await send_request(
+                self._client, url, body, progress.sink, remaining_s + _GRACE_S
+            )
+        finally:
+            self._book.end(url)
         self._learn(progress, url, reply)
         return reply
 
--- a/packages/aspendrift-client/tests/test_address_book.py
+++ b/packages/aspendrift-client/tests/test_address_book.py
@@ -32,6 +32,21 @@
     assert 60 < chosen.count("u1") < 140
 
 
+def test_open_requests_move_the_next_one_on() -> None:
+    book, rng = filled_book(), random.Random(2)
+    chosen = []
+    for _ in range(6):
+        url = book.choose(101.0, rng)
+        assert url is not None
+        book.begin(url)
+        chosen.append(url)
+    assert {chosen.count(url) for url in ("u1", "u2", "u3")} == {2}
+    assert chosen[2] == "u3"
+    for url in chosen:
+        book.end(url)
+    assert book.choose(101.0, rng) in {"u1", "u2"}
+
+
 def test_failed_address_is_left_out_then_tried_again() -> None:
     book, rng = filled_book(), random.Random(3)
     book.report_failure("u1", 101.0)
--- a/packages/aspendrift-standins/src/aspendrift_standins/demo_world.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/demo_world.py
@@ -74,7 +74,9 @@
         """Return the profiles as the load sender needs them."""
         return tuple(_load_profile(profile) for profile in self.profiles)
 
-    def target_bodies(self, urls_by_id: Mapping[TargetId, str]) -> Iterator[tuple[str, Any]]:
+    def target_bodies(
+        self, urls_by_id: Mapping[TargetId, str]
+    ) -> Iterator[tuple[str, Any]]:
         """Yield each target with the address at which it was started."""
         for target in self.targets:
             body = msgspec.to_builtins(target)
