--- a/packages/aspendrift-daemon/tests/request_path/test_claims_explored.py
+++ b/packages/aspendrift-daemon/tests/request_path/test_claims_explored.py
@@ -149,7 +149,7 @@
 
 
 async def check_not_stuck(box, net):
-    """A request that never ran can still run once the faults are over."""
+    """Check that a request that never ran can run once the faults are over."""
     if sum(net.targets.ran.values()):
         return
     end_faults(net)
