--- a/packages/aspendrift-daemon/tests/request_path/test_claims_explored.py
+++ b/packages/aspendrift-daemon/tests/request_path/test_claims_explored.py
@@ -11,7 +11,6 @@
 
 import pytest
 
-from aspendrift_daemon.interfaces import NotWritten, StoreUnavailable, WriteUnknown
 from aspendrift_daemon.targets import Broken, NotSent, StageAnswered, TimedOut
 from aspendrift_model.states import CallerAction, OutcomeStatus, Ran
 from aspendrift_standins.explorer import Choices, explore
@@ -22,52 +21,6 @@
 SETTLE_S = 300.0
 
 
-class ExploredTable:
-    """Puts faults before, in and after each call of a table."""
-
-    def __init__(self, table, choices):
-        self._table = table
-        self._choices = choices
-        self._tasks = set()
-
-    def __getattr__(self, name):
-        return getattr(self._table, name)
-
-    async def read(self, keys):
-        fault = self._choices.pick(3, "read")
-        if fault == 1:
-            return StoreUnavailable("down")
-        if fault == 2:
-            await asyncio.sleep(2.0)
-        return await self._table.read(keys)
-
-    async def transact(self, conditions, writes):
-        fault = self._choices.pick(7, "transact")
-        if fault == 1:
-            return NotWritten("down")
-        if fault == 2:
-            return WriteUnknown("lost before the effect")
-        if fault == 3:
-            await self._table.transact(conditions, writes)
-            return WriteUnknown("lost after the effect")
-        if fault in (4, 5):
-            delay_s = 0.4 if fault == 4 else 7.0
-            self._apply_later(delay_s, conditions, writes)
-            return WriteUnknown("effect still to come")
-        if fault == 6:
-            await asyncio.sleep(3.0)
-        return await self._table.transact(conditions, writes)
-
-    def _apply_later(self, delay_s, conditions, writes):
-        async def apply():
-            await asyncio.sleep(delay_s)
-            self._table.apply(conditions, writes)
-
-        task = asyncio.create_task(apply())
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-
 class ExploredHost:
     """Stops a daemon for a while or for good at any use of its interfaces."""
 
@@ -105,8 +58,7 @@
         return StageAnswered(b'"done"', 1.0)
 
 
-def explored(net, choices, hosts):
-    table = ExploredTable(net.table, choices)
+def explored(net, table, choices, hosts):
     service = ExploredService(net.targets, choices)
     for name in ("service-1", "service-2"):
         net.targets.scripts[name] = [service]
@@ -169,24 +121,26 @@
         assert n_runs == 1
 
 
-def scenario_of(box, hosts):
+def scenario_of(box, explored_table, hosts):
     def scenario(choices: Choices) -> None:
         async def main():
             net = box.network(2)
-            explored(net, choices, hosts)
+            table = explored_table(net.table, choices)
+            explored(net, table, choices, hosts)
             for service in net.services:
                 await service.start()
             outcomes = []
             try:
                 outcomes = await send_until_final(box, net)
                 await asyncio.sleep(SETTLE_S)
+                check(outcomes, sum(net.targets.ran.values()))
                 if not hosts:
                     await check_not_stuck(box, net)
             finally:
                 for service, state in zip(net.services, net.hosts, strict=True):
                     if not state.killed:
                         await service.stop()
-            check(outcomes, sum(net.targets.ran.values()))
+            assert sum(net.targets.ran.values()) <= 1
 
         box.run(main())
 
@@ -198,13 +152,17 @@
 @pytest.mark.fault("store answer lost", "request claimed", "outcome stored")
 @pytest.mark.fault("target failing", "request sent")
 @pytest.mark.fault("late answer", "request sent")
-def test_no_course_with_three_faults_of_table_and_service_runs_a_call_twice(box):
-    assert explore(scenario_of(box, hosts=False), max_faults=3, max_points=8) > 1000
+def test_no_course_with_three_faults_of_table_and_service_runs_a_call_twice(
+    box, explored_table
+):
+    assert explore(scenario_of(box, explored_table, hosts=False), 3, 8) > 1000
 
 
 @pytest.mark.fault("daemon killed", "request claimed", "request sent", "outcome stored")
 @pytest.mark.fault("daemon paused", "request claimed", "request sent", "outcome stored")
 @pytest.mark.fault("daemon killed", "request answered", "outcome replied")
 @pytest.mark.fault("daemon paused", "request answered", "outcome replied")
-def test_no_course_with_two_faults_of_daemon_table_or_service_runs_a_call_twice(box):
-    assert explore(scenario_of(box, hosts=True), max_faults=2, max_points=24) > 500
+def test_no_course_with_two_faults_of_daemon_table_or_service_runs_a_call_twice(
+    box, explored_table
+):
+    assert explore(scenario_of(box, explored_table, hosts=True), 2, 24) > 500
