--- a/packages/aspendrift-daemon/src/aspendrift_daemon/membership.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/membership.py
@@ -190,6 +190,7 @@
             for helper_id in action.helper_ids:
                 self._send(helper_id, request)
         else:
+            self._view.judge(action.daemon_id, MemberState.SUSPECT, now)
             self._acknowledged.discard(action.daemon_id)
             self._run(self._check_refusal(action.daemon_id))
 
--- a/packages/aspendrift-policy/src/aspendrift_policy/failure_detection.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/failure_detection.py
@@ -63,7 +63,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SilentMember:
-    """Neither the member nor a helper answered; look for a refused connection."""
+    """Neither the member nor a helper answered: suspect it."""
 
     daemon_id: DaemonId
 
@@ -89,8 +89,9 @@
 class Prober:
     """Decides whom to probe and when to suspect."""
 
-    def __init__(self, times: ProbeTimes) -> None:
+    def __init__(self, times: ProbeTimes, n_helpers: int = _N_HELPERS) -> None:
         self._times = times
+        self._n_helpers = n_helpers
         self._sequence = 0
         self._round: list[DaemonId] = []
         self._outstanding_by_sequence: dict[int, Outstanding] = {}
@@ -102,7 +103,7 @@
     def tick(
         self, view: MemberView, now: float, rng: random.Random, hungry: bool = False
     ) -> list[ProbeAction]:
-        """Return what to send now, and move silent members on in the view.
+        """Return what to do now, and end suspicions that were not refuted.
 
         A hungry member probes more often, for the news in the acknowledgements.
         """
@@ -143,13 +144,19 @@
             elif not probe.is_indirect and waited > self._times.timeout_s:
                 waiting = replace(probe, is_indirect=True)
                 self._outstanding_by_sequence[sequence] = waiting
-                actions.append(_ask_helpers(view, probe.daemon_id, sequence, rng))
+                actions.append(self._ask_helpers(view, probe, sequence, rng))
             elif waited > 3 * self._times.timeout_s:
                 del self._outstanding_by_sequence[sequence]
-                view.judge(probe.daemon_id, MemberState.SUSPECT, now)
                 actions.append(SilentMember(probe.daemon_id))
         return actions
 
+    def _ask_helpers(
+        self, view: MemberView, probe: Outstanding, sequence: int, rng: random.Random
+    ) -> AskHelpers:
+        helpers = view.sample(self._n_helpers, rng, excluded=(probe.daemon_id,))
+        ids = tuple(helper.host.daemon_id for helper in helpers)
+        return AskHelpers(probe.daemon_id, sequence, ids)
+
     def _end_suspicions(self, view: MemberView, now: float) -> None:
         members = view.members()
         if members is not self._searched:
@@ -210,11 +217,3 @@
 
 def _is_unreachable(member: Member) -> bool:
     return member.state is MemberState.UNREACHABLE
-
-
-def _ask_helpers(
-    view: MemberView, daemon_id: DaemonId, sequence: int, rng: random.Random
-) -> AskHelpers:
-    helpers = view.sample(_N_HELPERS, rng, excluded=(daemon_id,))
-    ids = tuple(helper.host.daemon_id for helper in helpers)
-    return AskHelpers(daemon_id, sequence, ids)
--- /dev/null
+++ b/packages/aspendrift-standins/src/aspendrift_standins/measure_control.py
@@ -0,0 +1,194 @@
+"""Measures what control costs a daemon: processor time, bytes and memory.
+
+Real daemon processes, idle and under changes and restarts at a multiple of the
+daily rates. What a change and a restart add is divided by the multiple. The
+cost against views of up to 350 members is added from ``tools/measure_view.py``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import subprocess
+import sys
+import time
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Any, Final
+
+import click
+import psutil  # type: ignore[import-untyped]
+
+from aspendrift_standins.fleet import Fleet
+from aspendrift_standins.measure_support import (
+    ControlClient,
+    daemon_fleet,
+    print_result,
+    slope,
+)
+
+__all__ = ["ControlFigures", "main"]
+
+_CHANGES_PER_DAY: Final = 580
+_RESTARTS_PER_DAY: Final = 66
+_SECONDS_PER_DAY: Final = 86_400
+_SPEED_UP: Final = 60
+_DESIGN_SIZE: Final = 350
+_CORE_LIMIT: Final = 0.041
+_BYTES_LIMIT: Final = 11_000
+_MEMORY_LIMIT: Final = 128 * 1024 * 1024
+_WIRE_BYTES_PER_MESSAGE: Final = 52 + 52 + 4
+_SETTLE_S: Final = 25.0
+_SEED: Final = 7
+_VIEW_TOOL: Final = Path("tools") / "measure_view.py"
+
+
+@dataclass(frozen=True, slots=True)
+class _Reading:
+    """Totals over the daemons at one moment."""
+
+    at: float
+    cpu_s: float
+    n_sent: int
+    n_received: int
+    n_bytes: int
+    resident: int
+
+
+@dataclass(frozen=True, slots=True)
+class ControlFigures:
+    """Cost of control per daemon.
+
+    ``core`` is a share of one core. ``bytes_per_s`` counts both directions with
+    the headers of TCP and IP and one acknowledgement for each message.
+    """
+
+    n_daemons: int
+    idle_core: float
+    idle_messages_per_s: float
+    idle_bytes_per_s: float
+    loaded_core: float
+    loaded_bytes_per_s: float
+    resident_mb: float
+
+
+@click.command()
+@click.option("--daemons", "sizes", default="4,16,48,96", help="Numbers of daemons.")
+@click.option("--seconds", "window_s", default=20.0, help="Length of each window.")
+@click.option("--view/--no-view", default=True, help="Measure filled views as well.")
+def main(sizes: str, window_s: float, view: bool) -> None:
+    """Run each number of daemons, idle and loaded, one after the other."""
+    runs: list[ControlFigures] = []
+    for n_daemons in (int(size) for size in sizes.split(",")):
+        runs.append(asyncio.run(_run(n_daemons, window_s)))
+        click.echo(asdict(runs[-1]))
+    result: dict[str, Any] = {
+        "runs": [asdict(run) for run in runs],
+        "line": _lines(runs),
+        "limits": [_CORE_LIMIT, _BYTES_LIMIT, _MEMORY_LIMIT],
+    }
+    if view:
+        result["view"] = _measure_view()
+    print_result(result)
+
+
+async def _run(n_daemons: int, window_s: float) -> ControlFigures:
+    async with daemon_fleet(n_daemons, {}) as fleet:
+        client = ControlClient(fleet)
+        await asyncio.sleep(_SETTLE_S)
+        first = await _read(fleet, client)
+        await asyncio.sleep(window_s)
+        second = await _read(fleet, client)
+        load = asyncio.create_task(_load(fleet, client, window_s))
+        await asyncio.sleep(window_s)
+        third = await _read(fleet, client)
+        await load
+        await client.close()
+    return _figures(n_daemons, first, second, third)
+
+
+async def _load(fleet: Fleet, client: ControlClient, window_s: float) -> None:
+    """Make changes and restarts at a multiple of their daily rates."""
+    rng = random.Random(_SEED)
+    speed = _SPEED_UP * window_s / _SECONDS_PER_DAY
+    n_changes = max(1, round(_CHANGES_PER_DAY * speed))
+    for number in range(n_changes):
+        await client.add_account(rng.choice(fleet.daemon_ids), f"account-{number}")
+        await asyncio.sleep(0.9 * window_s / n_changes)
+
+
+async def _read(fleet: Fleet, client: ControlClient) -> _Reading:
+    cpu_s = 0.0
+    resident = 0
+    for daemon_id in fleet.daemon_ids:
+        process = psutil.Process(fleet.child(daemon_id).pid)
+        times = process.cpu_times()
+        cpu_s += times.user + times.system
+        resident += process.memory_info().rss
+    at = time.monotonic()
+    links = [(await client.status(each))["link"] for each in fleet.daemon_ids]
+    return _Reading(
+        at,
+        cpu_s,
+        sum(link["n_sent"] for link in links),
+        sum(link["n_received"] for link in links),
+        sum(link["bytes_sent"] + link["bytes_received"] for link in links),
+        resident,
+    )
+
+
+def _figures(
+    n_daemons: int, first: _Reading, second: _Reading, third: _Reading
+) -> ControlFigures:
+    idle_core, idle_messages, idle_bytes = _rates(n_daemons, first, second)
+    busy_core, _, busy_bytes = _rates(n_daemons, second, third)
+    added_core = max(0.0, busy_core - idle_core) / _SPEED_UP
+    added_bytes = max(0.0, busy_bytes - idle_bytes) / _SPEED_UP
+    return ControlFigures(
+        n_daemons,
+        round(idle_core, 5),
+        round(idle_messages, 2),
+        round(idle_bytes, 1),
+        round(idle_core + added_core, 5),
+        round(idle_bytes + added_bytes, 1),
+        round(third.resident / n_daemons / 1024 / 1024, 1),
+    )
+
+
+def _rates(
+    n_daemons: int, before: _Reading, after: _Reading
+) -> tuple[float, float, float]:
+    """Return core share, messages and bytes a second of one daemon."""
+    seconds = (after.at - before.at) * n_daemons
+    n_messages = after.n_sent - before.n_sent + after.n_received - before.n_received
+    n_bytes = after.n_bytes - before.n_bytes + n_messages * _WIRE_BYTES_PER_MESSAGE
+    core = (after.cpu_s - before.cpu_s) / seconds
+    return core, n_messages / seconds, n_bytes / seconds
+
+
+def _lines(runs: list[ControlFigures]) -> dict[str, dict[str, float]]:
+    """Return slopes over the number of daemons, and what they give at 350."""
+    sizes = [float(run.n_daemons) for run in runs]
+    lines: dict[str, dict[str, float]] = {}
+    for name in ("loaded_core", "loaded_bytes_per_s", "resident_mb"):
+        per_daemon, offset = slope(sizes, [getattr(run, name) for run in runs])
+        lines[name] = {
+            "per_daemon": per_daemon,
+            "offset": offset,
+            "at_design_size": offset + per_daemon * _DESIGN_SIZE,
+        }
+    return lines
+
+
+def _measure_view() -> dict[str, Any]:
+    """Return the costs against filled views, measured in a process of their own."""
+    words = [sys.executable, str(_VIEW_TOOL)]
+    output = subprocess.run(words, check=True, capture_output=True, text=True).stdout
+    last = output.strip().splitlines()[-1]
+    view: dict[str, Any] = json.loads(last.removeprefix("RESULT "))
+    return view
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/aspendrift-standins/src/aspendrift_standins/measure_support.py
@@ -0,0 +1,149 @@
+"""What the measurements share: a fleet of daemons, changes and their traces."""
+
+from __future__ import annotations
+
+import json
+import uuid
+from collections.abc import AsyncIterator, Iterable, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from datetime import datetime
+from typing import Any, Final
+
+import click
+import httpx
+
+from aspendrift_standins.fleet import (
+    OPERATOR_TOKEN,
+    DaemonSpec,
+    Fleet,
+    StandInSpec,
+)
+
+__all__ = [
+    "Applied",
+    "ControlClient",
+    "applied_events",
+    "daemon_fleet",
+    "print_result",
+    "quantile",
+    "slope",
+]
+
+_N_ZONES: Final = 11
+_N_REGIONS: Final = 3
+_TABLE: Final = "table"
+_TIMEOUT_S: Final = 30.0
+_STOP_GRACE_S: Final = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class Applied:
+    """When a daemon applied a revision, in Unix seconds, and after how many pushes."""
+
+    daemon_id: str
+    revision: int
+    at: float
+    hops: int
+
+
+class ControlClient:
+    """An operator of a fleet."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        headers = {"authorization": f"Bearer {OPERATOR_TOKEN}"}
+        self._client = httpx.AsyncClient(
+            headers=headers, timeout=_TIMEOUT_S, trust_env=False
+        )
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.aclose()
+
+    async def status(self, daemon_id: str) -> dict[str, Any]:
+        """Return the state of the whole as one daemon sees it."""
+        url = f"{self._fleet.url(daemon_id)}/v1/admin/status"
+        response = await self._client.get(url)
+        response.raise_for_status()
+        answer: dict[str, Any] = response.json()
+        return answer
+
+    async def add_account(self, daemon_id: str, name: str) -> dict[str, Any]:
+        """Add a client account through a daemon; return the answer."""
+        body = {"account_id": name, "token_sha256": uuid.uuid4().hex * 2}
+        change = {
+            "change_id": uuid.uuid4().hex,
+            "kind": "account",
+            "name": name,
+            "expected_revision": 0,
+            "body": body,
+        }
+        url = f"{self._fleet.url(daemon_id)}/v1/admin/changes"
+        response = await self._client.post(url, json=change)
+        answer: dict[str, Any] = response.json()
+        return answer
+
+    async def find_change(self, daemon_id: str, change_id: str) -> dict[str, Any]:
+        """Return how far a change has come."""
+        url = f"{self._fleet.url(daemon_id)}/v1/admin/changes/{change_id}"
+        response = await self._client.get(url)
+        answer: dict[str, Any] = response.json()
+        return answer
+
+
+@asynccontextmanager
+async def daemon_fleet(n_daemons: int, peers: dict[str, Any]) -> AsyncIterator[Fleet]:
+    """Start a table and daemons that spread over regions and availability zones.
+
+    Parameters
+    ----------
+    peers : dict
+        Peer settings that differ from the defaults.
+    """
+    async with Fleet(stop_grace_s=_STOP_GRACE_S) as fleet:
+        await fleet.start_stand_ins([StandInSpec(_TABLE, "table")])
+        specs = [
+            DaemonSpec(
+                f"d{index:03}",
+                f"zone-{index % _N_ZONES}",
+                f"region-{index % _N_ZONES % _N_REGIONS}",
+                {"peers": peers},
+            )
+            for index in range(n_daemons)
+        ]
+        await fleet.start_daemons(specs, {"table_url": fleet.url(_TABLE)})
+        yield fleet
+
+
+def applied_events(fleet: Fleet, daemon_ids: Iterable[str]) -> list[Applied]:
+    """Return when each daemon applied each revision, from the daemons' logs."""
+    found: list[Applied] = []
+    for daemon_id in daemon_ids:
+        for line in fleet.child(daemon_id).log_text().splitlines():
+            if "configuration_applied" not in line:
+                continue
+            event = json.loads(line)
+            at = datetime.fromisoformat(event["timestamp"]).timestamp()
+            found.append(Applied(daemon_id, event["revision"], at, event["hops"]))
+    return found
+
+
+def quantile(values: Sequence[float], share: float) -> float:
+    """Return the value below which a share of the values lies."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def slope(xs: Sequence[float], ys: Sequence[float]) -> tuple[float, float]:
+    """Return the slope and the offset of the line through points, least squares."""
+    mean_x, mean_y = sum(xs) / len(xs), sum(ys) / len(ys)
+    spread = sum((x - mean_x) ** 2 for x in xs)
+    together = sum((x - mean_x) * (y - mean_y) for x, y in zip(xs, ys, strict=True))
+    per_unit = together / spread if spread else 0.0
+    return per_unit, mean_y - per_unit * mean_x
+
+
+def print_result(result: dict[str, Any]) -> None:
+    """Print the line that ends a measurement."""
+    click.echo(f"RESULT {json.dumps(result)}")
