Let suspects take turns on the targets that are free

Cause: a suspect that waited for a slot kept the set of targets to avoid from the moment it began to wait, so it could starve. Change: it asks again when a trial begins or ends. Conclusion: twelve suspects on two targets are answered.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/request_runs.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/request_runs.py
@@ -228,11 +228,44 @@
                 return Refused(RefusalReason.POISON)
             if turn.standing is Standing.CLEAN:
                 return await self._acquire_slot(query)
-            answer = await self._acquire_slot(_away_from(query, turn.busy_targets))
-            blocked = turn.busy_targets and _lacks_target(answer)
-            if not blocked or self._now() >= query.deadline_at:
+            away = _away_from(query, turn.busy_targets)
+            answer = await self._acquire_between_trials(away, turn.busy_targets)
+            if answer is not None:
                 return answer
-            await poison.await_trials(query.deadline_at)
+            query = replace(query, is_retry=False)
+
+    async def _acquire_between_trials(
+        self, query: RouteQuery, busy: frozenset[TargetId]
+    ) -> RouteAnswer | None:
+        """Take a slot; None if trials began or ended before there was one."""
+        if not busy:
+            return await self._acquire_slot(query)
+        poison = self.ports.poison
+        asked = asyncio.create_task(self._acquire_slot(query))
+        changed = asyncio.create_task(poison.await_trials(query.deadline_at))
+        taken = False
+        try:
+            await asyncio.wait({asked, changed}, return_when=asyncio.FIRST_COMPLETED)
+            if asked.done() and _lacks_target(asked.result()):
+                await changed
+                return None if self._now() < query.deadline_at else asked.result()
+            taken = asked.done()
+            return asked.result() if taken else None
+        finally:
+            changed.cancel()
+            if not taken:
+                await self._take_back(query, asked)
+
+    async def _take_back(
+        self, query: RouteQuery, asked: asyncio.Task[RouteAnswer]
+    ) -> None:
+        """Stop asking for a slot, and give it back if it comes all the same."""
+        asked.cancel()
+        await asyncio.wait({asked})
+        answer = None if asked.cancelled() else asked.result()
+        if isinstance(answer, RouteChoice):
+            unused = AttemptResult(AttemptEnd.CANCELLED, 0.0, 0.0)
+            self.ports.dispatcher.release(query, answer, unused)
 
     async def _acquire_slot(self, query: RouteQuery) -> RouteAnswer:
         remaining_s = query.deadline_at - self._now() + _ACQUIRE_GRACE_S
--- a/packages/aspendrift-daemon/tests/request_path/conftest.py
+++ b/packages/aspendrift-daemon/tests/request_path/conftest.py
@@ -254,6 +254,7 @@
     admitted: set = field(default_factory=set)
     rng: Any = None
     down: Any = ()
+    waits: bool = False
 
     def admit(self, offer):
         if self.refusal is not None:
@@ -267,13 +268,11 @@
     async def acquire(self, query):
         await asyncio.sleep(0)
         self.queries.append(query)
-        fit = [
-            target
-            for target in self.targets
-            if target.pool == query.stage.pool
-            and target.target_id not in query.excluded
-            and target.target_id not in self.down
-        ]
+        for _ in range(1000 if self.waits else 0):
+            if self._fit(query):
+                break
+            await asyncio.sleep(0.01)
+        fit = self._fit(query)
         if not fit:
             return Refused(RefusalReason.NO_TARGET)
         target = self.rng.choice(fit) if self.rng else fit[0]
@@ -281,6 +280,15 @@
         scores = (CandidateScore(target.target_id, 0.0),)
         return RouteChoice(target, RouteReason.LEAST_LOADED, scores)
 
+    def _fit(self, query):
+        return [
+            target
+            for target in self.targets
+            if target.pool == query.stage.pool
+            and target.target_id not in query.excluded
+            and target.target_id not in self.down
+        ]
+
     def release(self, query, choice, result):
         self.held[choice.target.target_id] -= 1
 
--- a/packages/aspendrift-daemon/tests/request_path/test_poison.py
+++ b/packages/aspendrift-daemon/tests/request_path/test_poison.py
@@ -229,3 +229,46 @@
         assert all(o.reason is R.POISON for o in outcomes)
 
     box.run(scenario())
+
+
+@pytest.mark.fault("target crashing", "request sent")
+def test_more_suspects_than_targets_take_turns(box):
+    """Suspects queue for targets on which no other suspect is being tried."""
+
+    async def scenario():
+        net, engines = world(box, n_engines=3)
+        for dispatcher in net.dispatchers:
+            dispatcher.rng = None
+            dispatcher.waits = True
+        async with net:
+            sends = [
+                asyncio.create_task(net.send(chat(box, f"i{i}", f"text {i}"), i % 8))
+                for i in range(12)
+            ]
+            await asyncio.sleep(0.05)
+            engines.crash("engine-1")
+            outcomes = await asyncio.gather(*sends)
+        assert all(o.status is OutcomeStatus.ANSWERED for o in outcomes)
+        assert not net.named("content_convicted")
+
+    box.run(scenario())
+
+
+@pytest.mark.fault("poison", "request sent")
+def test_copy_sent_before_the_first_crash_counts_as_the_second_try(box):
+    """The caller sends again elsewhere just before the first target stops."""
+
+    async def scenario():
+        net, engines = world(box)
+        for dispatcher in net.dispatchers:
+            dispatcher.rng = None
+        net.dispatchers[1].targets = net.dispatchers[1].targets[3:]
+        async with net:
+            first = asyncio.create_task(net.send(chat(box, "p0", POISON), 0))
+            await asyncio.sleep(0.008)
+            second = asyncio.create_task(net.send(chat(box, "p1", POISON), 1))
+            outcomes = await asyncio.gather(first, second)
+        assert engines.crashed == ["engine-1", "engine-4"]
+        assert all(o.reason is R.POISON for o in outcomes)
+
+    box.run(scenario())
