--- a/packages/aspendrift-daemon/tests/request_path/test_poison.py
+++ b/packages/aspendrift-daemon/tests/request_path/test_poison.py
@@ -23,6 +23,7 @@
         self.net = net
         self.box = box
         self.crashed = []
+        self.poison_s = 0.01
         self.alive = {name: asyncio.Event() for name in names}
         for name in names:
             net.targets.scripts[name] = [self.engine(name)]
@@ -30,7 +31,7 @@
     def engine(self, name):
         async def generate(call):
             died = self.alive[name]
-            work_s = 0.01 if POISON in call.input else WORK_S
+            work_s = self.poison_s if POISON in call.input else WORK_S
             try:
                 async with asyncio.timeout(work_s):
                     await died.wait()
@@ -263,9 +264,10 @@
         for dispatcher in net.dispatchers:
             dispatcher.rng = None
         net.dispatchers[1].targets = net.dispatchers[1].targets[3:]
+        engines.poison_s = 0.05
         async with net:
             first = asyncio.create_task(net.send(chat(box, "p0", POISON), 0))
-            await asyncio.sleep(0.008)
+            await asyncio.sleep(0.04)
             second = asyncio.create_task(net.send(chat(box, "p1", POISON), 1))
             outcomes = await asyncio.gather(first, second)
         assert engines.crashed == ["engine-1", "engine-4"]
