--- a/packages/aspendrift-daemon/tests/request_path/test_poison.py
+++ b/packages/aspendrift-daemon/tests/request_path/test_poison.py
@@ -23,6 +23,7 @@
         self.net = net
         self.box = box
         self.crashed = []
+        self.poison_s = 0.01
         self.alive = {name: asyncio.Event() for name in names}
         for name in names:
             net.targets.scripts[name] = [self.engine(name)]
@@ -30,7 +31,7 @@
     def engine(self, name):
         async def generate(call):
             died = self.alive[name]
-            work_s = 0.01 if POISON in call.input else WORK_S
+            work_s = self.poison_s if POISON in call.input else WORK_S
             try:
                 async with asyncio.timeout(work_s):
                     await died.wait()
@@ -229,3 +230,47 @@
         assert all(o.reason is R.POISON for o in outcomes)
 
     box.run(scenario())
+
+
+@pytest.mark.fault("target crashing", "request sent")
+def test_more_suspects_than_targets_take_turns(box):
+    """Suspects queue for targets on which no other suspect is being tried."""
+
+    async def scenario():
+        net, engines = world(box, n_engines=3)
+        for dispatcher in net.dispatchers:
+            dispatcher.rng = None
+            dispatcher.waits = True
+        async with net:
+            sends = [
+                asyncio.create_task(net.send(chat(box, f"i{i}", f"text {i}"), i % 8))
+                for i in range(12)
+            ]
+            await asyncio.sleep(0.05)
+            engines.crash("engine-1")
+            outcomes = await asyncio.gather(*sends)
+        assert all(o.status is OutcomeStatus.ANSWERED for o in outcomes)
+        assert not net.named("content_convicted")
+
+    box.run(scenario())
+
+
+@pytest.mark.fault("poison", "request sent")
+def test_copy_sent_before_the_first_crash_counts_as_the_second_try(box):
+    """The caller sends again elsewhere just before the first target stops."""
+
+    async def scenario():
+        net, engines = world(box)
+        for dispatcher in net.dispatchers:
+            dispatcher.rng = None
+        net.dispatchers[1].targets = net.dispatchers[1].targets[3:]
+        engines.poison_s = 0.05
+        async with net:
+            first = asyncio.create_task(net.send(chat(box, "p0", POISON), 0))
+            await asyncio.sleep(0.04)
+            second = asyncio.create_task(net.send(chat(box, "p1", POISON), 1))
+            outcomes = await asyncio.gather(first, second)
+        assert engines.crashed == ["engine-1", "engine-4"]
+        assert all(o.reason is R.POISON for o in outcomes)
+
+    box.run(scenario())
