Poll targets through a pool each and learn the error of predictions

Requests that were admitted up to the edge of their deadline were answered late.

Change: a connection pool for each target and 16 polls a second; admission keeps the mean and deviation of the prediction error in reserve; a refused connection ejects a target at once.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/app.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/app.py
@@ -10,7 +10,6 @@
 from pathlib import Path
 from typing import Any, ClassVar, Final, Protocol
 
-import httpx
 import msgspec
 
 from aspendrift_daemon.address_routes import AddressBook, address_routes
@@ -41,6 +40,7 @@
 )
 from aspendrift_daemon.platform_http import HttpTableService
 from aspendrift_daemon.requests import RequestService
+from aspendrift_daemon.target_probes import probe_client
 from aspendrift_daemon.target_survey import TargetSurvey
 from aspendrift_daemon.targets import TargetClient
 from aspendrift_model.hosts import Host, Location
@@ -156,14 +156,14 @@
             settings.routing,
             self.clock,
             self.keeper,
-            httpx.AsyncClient,
+            probe_client,
             self.dispatcher,
             rng,
         )
         self.cache_events = CacheEventReader(
             settings.routing,
             self.keeper,
-            httpx.AsyncClient,
+            probe_client,
             self.dispatcher.hints,
             self.dispatcher,
             rng,
@@ -176,7 +176,7 @@
             self.keeper,
             self.link,
             table,
-            httpx.AsyncClient,
+            probe_client,
             self.dispatcher.model_demand,
             events,
             rng,
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/dispatch.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/dispatch.py
@@ -187,7 +187,7 @@
 
     def depart(self, request_id: RequestId) -> None:
         """Forget an admitted request that has ended."""
-        self._admission.depart(request_id)
+        self._admission.depart(request_id, self._clock.monotonic())
 
     async def acquire(self, query: RouteQuery) -> RouteAnswer:
         """Wait, within the deadline, for a slot on a target and take it."""
--- a/packages/aspendrift-model/src/aspendrift_model/settings_routing.py
+++ b/packages/aspendrift-model/src/aspendrift_model/settings_routing.py
@@ -82,7 +82,7 @@
         1.0, unit="s", doc="Time to wait for a load report.", minimum=0.01
     )
     max_polls_per_s: float = setting(
-        40.0,
+        16.0,
         unit="1/s",
         doc="Load polls a daemon sends; more targets are polled less often.",
         minimum=0.1,
--- a/packages/aspendrift-policy/src/aspendrift_policy/admission.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/admission.py
@@ -37,6 +37,8 @@
 _RETRY_AFTER_MAX_S: Final = 10.0
 _RETRY_JITTER: Final = 1.0
 _MIN_SLOTS: Final = 1e-3
+_HANDLING_S: Final = 0.05
+_MIN_ERRORS: Final = 10
 
 
 @dataclass(frozen=True, slots=True)
@@ -157,6 +159,8 @@
     offer: Offer
     work_by_stage: dict[StageName, float]
     started_by_stage: dict[StageName, float]
+    admitted_at: float
+    predicted_s: float
 
 
 class _PoolWork:
@@ -195,6 +199,26 @@
         self.started_sum = self.started_sum - started_at if self.n_running else 0.0
 
 
+class _PredictionError:
+    """By how much requests take longer than predicted, mean and deviation."""
+
+    def __init__(self) -> None:
+        self._learned = _Learned(0.0, 0.0)
+
+    def observe(self, error_s: float, now: float) -> None:
+        self._learned.observe(error_s, now)
+
+    def margin_s(self, now: float) -> float:
+        """Return the time to keep in reserve, halved for each while unconfirmed."""
+        learned = self._learned
+        if learned.n < _MIN_ERRORS:
+            return _HANDLING_S
+        stale_s = max(0.0, now - learned.at - _STALE_AFTER_S)
+        margin_s = learned.mean + math.sqrt(learned.variance)
+        shrink = math.pow(0.5, stale_s / _STALE_HALVING_S)
+        return max(_HANDLING_S, margin_s * shrink)
+
+
 class AdmissionController:
     """Admits the requests whose whole chain fits into their deadline.
 
@@ -208,6 +232,7 @@
         self._times = times
         self._admitted_by_id: dict[RequestId, _Admitted] = {}
         self._work_by_pool: dict[PoolName, _PoolWork] = {}
+        self._error = _PredictionError()
 
     def __len__(self) -> int:
         return len(self._admitted_by_id)
@@ -258,6 +283,7 @@
             return closed
         prediction = self.predict(offer, pools, now)
         safety_s = _SAFETY_DEVIATIONS * prediction.deviation_s
+        safety_s += self._error.margin_s(now)
         slack_s = offer.deadline_at - now - prediction.service_s - safety_s
         if slack_s < 0.0:
             return _too_late(prediction, slack_s, rng)
@@ -266,7 +292,7 @@
         if prediction.wait_s > wait_limit_s:
             excess_s = prediction.wait_s - wait_limit_s
             return _too_full(prediction, excess_s, over_share, rng)
-        self._add(offer, now)
+        self._add(offer, prediction, now)
         return None
 
     def dominant_s(
@@ -301,11 +327,14 @@
         if admitted is not None:
             self._remove(admitted, stage)
 
-    def depart(self, request_id: RequestId) -> None:
+    def depart(self, request_id: RequestId, now: float) -> None:
         """Release everything reserved for a request; harmless when unknown."""
         admitted = self._admitted_by_id.pop(request_id, None)
         if admitted is None:
             return
+        error_s = now - admitted.admitted_at - admitted.predicted_s
+        if not admitted.work_by_stage or error_s > 0.0:
+            self._error.observe(error_s, now)
         for stage in admitted.offer.profile.stages:
             self._remove(admitted, stage)
 
@@ -348,13 +377,15 @@
             return 0.0
         return work.left_s(now) / slots
 
-    def _add(self, offer: Offer, now: float) -> None:
+    def _add(self, offer: Offer, prediction: Prediction, now: float) -> None:
         work_by_stage: dict[StageName, float] = {}
         for stage in offer.profile.stages:
             time = self._times.predict(offer.profile, stage, offer.max_tokens, now)
             work_by_stage[stage.name] = time.mean_s
             self._work_by_pool.setdefault(stage.pool, _PoolWork()).add(time.mean_s)
-        self._admitted_by_id[offer.request_id] = _Admitted(offer, work_by_stage, {})
+        self._admitted_by_id[offer.request_id] = _Admitted(
+            offer, work_by_stage, {}, now, prediction.wait_s + prediction.service_s
+        )
 
     def _stop(self, admitted: _Admitted, stage: Stage) -> None:
         started_at = admitted.started_by_stage.pop(stage.name, None)
--- a/packages/aspendrift-policy/src/aspendrift_policy/outliers.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/outliers.py
@@ -75,11 +75,17 @@
     def attempt_ended(
         self, end: AttemptEnd, now: float, rng: random.Random, may_eject: bool
     ) -> None:
-        """Learn from an attempt; ``may_eject`` is whether the cap leaves room."""
+        """Learn from an attempt; ``may_eject`` is whether the cap leaves room.
+
+        A refused connection ejects at once, whatever the cap: nothing listens.
+        """
         if end is AttemptEnd.ANSWERED:
             self._succeeded(now)
         elif end in _FAILURES:
-            self._failed(now, rng, may_eject or self.is_unreachable)
+            if end is AttemptEnd.NOT_SENT:
+                self._n_failures = self._rules.failures_to_eject
+            is_gone = end is AttemptEnd.NOT_SENT or self.is_unreachable
+            self._failed(now, rng, may_eject or is_gone)
         elif self.state is HealthState.PROBING:
             self.state = HealthState.EJECTED
 
--- a/packages/aspendrift-policy/tests/test_admission.py
+++ b/packages/aspendrift-policy/tests/test_admission.py
@@ -125,6 +125,17 @@
     n_first = door.n_admitted(200)
     for i in range(1, 201):
         door.controller.stage_ended(RequestId(f"r{i}"), GENERATE)
-        door.controller.depart(RequestId(f"r{i}"))
-        door.controller.depart(RequestId(f"r{i}"))
+        door.controller.depart(RequestId(f"r{i}"), 0.0)
+        door.controller.depart(RequestId(f"r{i}"), 0.0)
     assert door.n_admitted(200) == n_first
+
+
+@pytest.mark.fault("burst", "request admitted")
+def test_requests_that_take_longer_than_predicted_leave_less_room() -> None:
+    door = Door()
+    n_first = door.n_admitted(200)
+    for i in range(1, 201):
+        door.controller.stage_ended(RequestId(f"r{i}"), ENCODE)
+        door.controller.stage_ended(RequestId(f"r{i}"), GENERATE)
+        door.controller.depart(RequestId(f"r{i}"), 2.5)
+    assert door.n_admitted(200, now=2.5) < n_first / 2
--- a/packages/aspendrift-policy/tests/test_router.py
+++ b/packages/aspendrift-policy/tests/test_router.py
@@ -177,6 +177,13 @@
     assert scene.fill(now=6.0)["t1"] > 0
 
 
+@pytest.mark.fault("target crashing", "request sent")
+def test_one_refused_connection_is_enough() -> None:
+    scene = Scene(target("t1"), target("t2"))
+    scene.fail("t1", AttemptEnd.NOT_SENT, 1, now=1.0)
+    assert "t1" not in scene.fill(now=1.1)
+
+
 @pytest.mark.fault("target failing", "request sent")
 def test_no_more_than_the_capped_share_is_ejected() -> None:
     scene = Scene(*(target(f"t{i}") for i in range(4)))
