--- a/packages/aspendrift-daemon/src/aspendrift_daemon/limits.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/limits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, ClassVar, Final
 
@@ -55,6 +56,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Accept the connection unless too many are open."""
         super().connection_made(transport)
+        _send_at_once(transport)
         if len(self.connections) > self.limits.max_connections:
             transport.abort()
             return
@@ -83,6 +85,18 @@
             self._header_timer = None
 
 
+def _send_at_once(transport: asyncio.Transport) -> None:
+    """Turn off Nagle's algorithm.
+
+    asyncio does so only for sockets whose protocol number is set, which those
+    accepted from a bound socket may lack. A response in two writes then waits
+    for the delayed acknowledgement of the first.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is not None and sock.family in (socket.AF_INET, socket.AF_INET6):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
 def limited_protocol(limits: ConnectionLimits) -> type[asyncio.Protocol]:
     """Return a protocol class for uvicorn's ``http`` option."""
     return type("LimitedProtocol", (_LimitedProtocol,), {"limits": limits})
--- a/packages/aspendrift-daemon/tests/test_limits.py
+++ b/packages/aspendrift-daemon/tests/test_limits.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
@@ -122,6 +123,32 @@
     assert run(crowd, max_connections=2, timeout_s=30.0) == b""
 
 
+def test_small_writes_are_sent_at_once() -> None:
+    seen: list[int] = []
+
+    class Noting(limited_protocol(ConnectionLimits(8, 1.0))):  # type: ignore[misc]
+        def connection_made(self, transport: asyncio.Transport) -> None:
+            super().connection_made(transport)
+            sock = transport.get_extra_info("socket")
+            seen.append(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
+
+    async def main() -> None:
+        config = uvicorn.Config(echo, loop="asyncio", http=Noting, log_config=None)
+        config.load()
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.bind(("127.0.0.1", 0))
+        state = uvicorn.server.ServerState()
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(
+            lambda: Noting(config=config, server_state=state, app_state={}), sock=sock
+        )
+        async with server:
+            await exchange(sock.getsockname()[1], HEAD + b"connection: close\r\n\r\n")
+
+    asyncio.run(main())
+    assert seen == [1]
+
+
 def test_unfinished_bodies_share_one_bound() -> None:
     async def crowd(port: int) -> bytes:
         begun = HEAD + b"content-length: 900\r\n\r\n" + b"x" * 800
--- a/packages/aspendrift-standins/src/aspendrift_standins/demo.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/demo.py
@@ -4,69 +4,30 @@
 
 import asyncio
 import hashlib
-import json
-import os
 import sys
 import time
-from collections.abc import Sequence
+from collections.abc import Coroutine
 from pathlib import Path
-from typing import Final
+from typing import Any, Final
 
 import click
 
+from aspendrift_standins.commands import Commands
 from aspendrift_standins.demo_report import DemoResult, report_lines, verdict_lines
 from aspendrift_standins.demo_world import EXAMPLES, DemoWorld, read_world
-from aspendrift_standins.errors import CommandFailed, FleetError
-from aspendrift_standins.fleet import OPERATOR_TOKEN, Fleet
+from aspendrift_standins.errors import FleetError
+from aspendrift_standins.fleet import Fleet
 from aspendrift_standins.load import LoadSender
 from aspendrift_standins.load_plan import LoadAccount, LoadPlan
 from aspendrift_standins.load_report import LoadReport
 
 __all__ = ["main", "run_demo"]
 
-_CLIENT_MODULE: Final = "aspendrift_client.cli"
-_N_COMMANDS_AT_ONCE: Final = 4
 _CALM_RATE_PER_S: Final = 10.0
 _BURST_RATE_PER_S: Final = 30.0
 _RESEND_SHARE: Final = 0.1
 
 
-class _Commands:
-    """Runs the ``aspendrift`` command line against a fleet."""
-
-    def __init__(self, urls: Sequence[str]) -> None:
-        self._environment = os.environ | {
-            "PYTHONPATH": os.pathsep.join(sys.path),
-            "ASPENDRIFT_ADDRESS": " ".join(urls),
-            "ASPENDRIFT_TOKEN": OPERATOR_TOKEN,
-        }
-        self._at_once = asyncio.Semaphore(_N_COMMANDS_AT_ONCE)
-
-    async def run(self, *words: str) -> str:
-        """Run a command and return what it prints.
-
-        Raises
-        ------
-        CommandFailed
-            If its exit code is not 0.
-        """
-        async with self._at_once:
-            process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                _CLIENT_MODULE,
-                *words,
-                stdin=asyncio.subprocess.DEVNULL,
-                stdout=asyncio.subprocess.PIPE,
-                stderr=asyncio.subprocess.STDOUT,
-                env=self._environment,
-            )
-            output, _ = await process.communicate()
-        if process.returncode != 0:
-            raise CommandFailed(words, process.returncode or 0, output.decode())
-        return output.decode()
-
-
 async def run_demo(
     world: DemoWorld, n_requests: int, seed: int, directory: Path | None = None
 ) -> DemoResult:
@@ -78,7 +39,7 @@
             "membership_url": fleet.url("hostlist"),
         }
         await fleet.start_daemons(world.daemons(), platform)
-        commands = _Commands(fleet.urls(fleet.daemon_ids))
+        commands = Commands(fleet.urls(fleet.daemon_ids))
         await _publish(world, fleet, commands)
         click.echo(await commands.run("status"))
         report = LoadReport()
@@ -87,14 +48,12 @@
     return DemoResult(report.summary(), runs_by_id)
 
 
-async def _publish(world: DemoWorld, fleet: Fleet, commands: _Commands) -> None:
+async def _publish(world: DemoWorld, fleet: Fleet, commands: Commands) -> None:
     """Publish every item through the command line; the last in force everywhere."""
     urls_by_id = {each.target_id: fleet.url(each.target_id) for each in world.targets}
-    work = []
+    work: list[Coroutine[Any, Any, object]] = []
     for name, body in world.target_bodies(urls_by_id):
-        path = fleet.directory / f"target-{name}.json"
-        path.write_text(json.dumps(body))
-        work.append(commands.run("target", "add", str(path)))
+        work.append(commands.put(fleet.directory, ("target", "add"), name, body))
     for account in world.accounts:
         digest = hashlib.sha256(_token(account.name).encode()).hexdigest()
         options = ["--share", str(account.share), "--token-sha256", digest]
