--- a/packages/aspendrift-standins/src/aspendrift_standins/child.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/child.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 from typing import Any, Final
 
-import psutil  # type: ignore[import-untyped]
+import psutil
 
 from aspendrift_standins.errors import NotReady, ProcessEnded
 
--- a/packages/aspendrift-standins/src/aspendrift_standins/measure_control.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/measure_control.py
@@ -18,7 +18,7 @@
 from typing import Any, Final
 
 import click
-import psutil  # type: ignore[import-untyped]
+import psutil
 
 from aspendrift_standins.fleet import Fleet
 from aspendrift_standins.measure_support import (
