Send load from several processes and compare only what was told with what ran

And a request that was truly refused, then sent again by the checker and run, was counted as a false 'not run'. Change: a plan is shared among processes and the lateness of sends is reported. A request is sent again only after it ran or may have run.

--- a/packages/aspendrift-standins/src/aspendrift_standins/errors.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/errors.py
@@ -4,7 +4,14 @@
 
 from collections.abc import Sequence
 
-__all__ = ["FleetError", "NotReady", "ProcessEnded", "PublishError", "UnknownProcess"]
+__all__ = [
+    "FleetError",
+    "NotReady",
+    "ProcessEnded",
+    "PublishError",
+    "SenderFailed",
+    "UnknownProcess",
+]
 
 
 class FleetError(Exception):
@@ -50,3 +57,11 @@
     def __init__(self, item: str, detail: str) -> None:
         super().__init__(f"{item}: {detail}")
         self.item = item
+
+
+class SenderFailed(FleetError):
+    """A load sender that ended without its records."""
+
+    def __init__(self, name: str, log_tail: str) -> None:
+        super().__init__(f"{name}:\n{log_tail}")
+        self.name = name
--- a/packages/aspendrift-standins/src/aspendrift_standins/fleet.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/fleet.py
@@ -189,6 +189,15 @@
             for spec, port in zip(specs, http_ports, strict=True)
         )
 
+    async def start_module(
+        self, name: str, module: str, arguments: Sequence[str]
+    ) -> None:
+        """Start a module that takes ``--ready-file``, and wait until it is ready."""
+        ready_file = self.directory / f"{name}.ready"
+        all_arguments = [*arguments, f"--ready-file={ready_file}"]
+        command = self._command(name, module, all_arguments, ready_file)
+        await self._start_all([command])
+
     async def restart(self, name: str) -> None:
         """Start a process that has ended, with the same command, and wait for it."""
         child = self.child(name)
--- a/packages/aspendrift-standins/src/aspendrift_standins/load_plan.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/load_plan.py
@@ -60,8 +60,8 @@
     rate_per_s : float
         Mean rate of arrivals.
     resend_share : float
-        Share of the requests that are sent again, with the same id, after their
-        outcome is known.
+        Share of the requests that are sent again, with the same id, after they
+        ran or may have run.
     callers_per_account : int
         Applications of each account, which choose addresses on their own.
     abandon_share : float
@@ -88,7 +88,7 @@
     at_s : float
         Intended send time, in seconds from the start.
     resend : bool
-        Whether it is sent again after its outcome.
+        Whether it is sent again after it ran or may have run.
     abandon_after_s : float or None
         When its caller goes away, in seconds from the send time.
     """
--- a/packages/aspendrift-standins/src/aspendrift_standins/load_report.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/load_report.py
@@ -60,6 +60,7 @@
     cost_by_stage: dict[str, StageCost]
     first_token: LatencyFigures
     token_gap: LatencyFigures
+    sent_late: LatencyFigures
 
 
 class _Times:
@@ -104,12 +105,13 @@
         self._by_account = _Times()
         self._queue_by_stage = _Times()
         self._held_by_stage = _Times()
-        self._streams = _Times()
+        self._others = _Times()
         self._cost_by_stage: defaultdict[str, StageCost] = defaultdict(StageCost)
 
     def add(self, record: RequestRecord) -> None:
         """Take the record of one request."""
         self._counts["requests"] += 1
+        self._others.add("late", record.sent_late_s)
         for fault in (record.fault, record.resent_fault):
             if fault is not None:
                 self._counts["cut" if fault.cut else "crossed"] += 1
@@ -146,8 +148,9 @@
             self._queue_by_stage.all_figures(),
             self._held_by_stage.all_figures(),
             dict(self._cost_by_stage),
-            self._streams.figures("first"),
-            self._streams.figures("gap"),
+            self._others.figures("first"),
+            self._others.figures("gap"),
+            self._others.figures("late"),
         )
 
     def _add_result(self, record: RequestRecord, result: CallResult) -> None:
@@ -172,9 +175,9 @@
         self._by_profile.add(record.request.profile.name, record.latency_s)
         self._by_account.add(record.request.account.account_id, record.latency_s)
         if record.first_token_s is not None:
-            self._streams.add("first", record.first_token_s)
+            self._others.add("first", record.first_token_s)
         for gap_s in record.token_gaps_s:
-            self._streams.add("gap", gap_s)
+            self._others.add("gap", gap_s)
 
     def _add_stages(self, outcome: OutcomeBody) -> None:
         for timing in outcome.stages:
--- a/packages/aspendrift-standins/tests/test_load.py
+++ b/packages/aspendrift-standins/tests/test_load.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+from pathlib import Path
 
 import msgspec
 import pytest
@@ -28,8 +29,15 @@
 from aspendrift_standins.exchange import Exchange
 from aspendrift_standins.expected import ExpectedStage, expected_answer
 from aspendrift_standins.faults import PlatformFaults
-from aspendrift_standins.load import LoadSender
-from aspendrift_standins.load_plan import LoadAccount, LoadPlan, LoadProfile
+from aspendrift_standins.fleet import Fleet
+from aspendrift_standins.load import LoadSender, RequestRecord
+from aspendrift_standins.load_plan import (
+    LoadAccount,
+    LoadPlan,
+    LoadProfile,
+    planned,
+)
+from aspendrift_standins.load_process import send_from_processes
 from aspendrift_standins.load_report import LoadReport, LoadSummary
 from aspendrift_standins.process import StandIn, serving
 
@@ -52,6 +60,7 @@
         self.answer_of = answer_of
         self.cut = cut
         self.url = ""
+        self.n_requests = 0
 
     async def route(self, exchange: Exchange) -> bool:
         if exchange.path == ("v1", "addresses"):
@@ -59,6 +68,7 @@
             await exchange.reply(200, AddressAnswer((address,), 60.0))
             return True
         body = await exchange.decode(RequestBody)
+        self.n_requests += 1
         if self.answer_of == "refused":
             await exchange.reply(400, refusal(body))
             return True
@@ -140,6 +150,27 @@
     assert run_plan(ScriptedDaemon(cut=1), plan).n_cut == 40
 
 
+def test_request_that_did_not_run_is_not_sent_again() -> None:
+    daemon = ScriptedDaemon(answer_of="refused")
+    run_plan(daemon, dataclasses.replace(PLAN, resend_share=1.0))
+    assert daemon.n_requests == 20
+
+
+def test_several_processes_send_every_request_once(tmp_path: Path) -> None:
+    daemon = ScriptedDaemon()
+
+    async def run() -> list[RequestRecord]:
+        async with serving(daemon) as url, Fleet(tmp_path) as fleet:
+            daemon.url = url
+            return await send_from_processes(fleet, [url], PLAN, 2)
+
+    records = asyncio.run(run())
+    ids = sorted(record.request.request_id for record in records)
+    assert ids == sorted(request.request_id for request in planned(PLAN))
+    assert all(record.attained for record in records)
+    assert daemon.n_requests == 20
+
+
 def test_caller_that_goes_away_is_not_counted_against_attainment() -> None:
     plan = dataclasses.replace(PLAN, abandon_share=1.0)
     profile = dataclasses.replace(plan.profiles[0], deadline_ms=0)
