Tell the truth of what a daemon runs before any refusal

Cause: a resend to a leaving daemon was told "not run" while the request ran there. Change: what the daemon knows of a request goes before its refusals.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/claims.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/claims.py
@@ -122,11 +122,6 @@
         if self.n_unsettled >= self._settings.max_unsettled_claims:
             return self._store_unavailable("too many outcomes wait for the store")
         key = claim_key(account_id, request_id)
-        ended = self._unsettled_by_key.get(key)
-        if ended is not None and ended.outcome is not None:
-            if ended.fingerprint != fingerprint:
-                return Refused(RefusalReason.REQUEST_ID_REUSED)
-            return Replayed(ended.outcome)
         version = 0
         for _ in range(_MAX_OVERWRITES):
             wanted = self._new_record(fingerprint)
@@ -141,6 +136,17 @@
             version = judged.version
         return self._store_unavailable("the claim changed while it was written")
 
+    def recall(
+        self, account_id: AccountId, request_id: RequestId, fingerprint: Fingerprint
+    ) -> Replayed | Refused | None:
+        """Return an outcome that still waits for the table, or None."""
+        ended = self._unsettled_by_key.get(claim_key(account_id, request_id))
+        if ended is None or ended.outcome is None:
+            return None
+        if ended.fingerprint != fingerprint:
+            return Refused(RefusalReason.REQUEST_ID_REUSED)
+        return Replayed(ended.outcome)
+
     async def finish(self, claim: Claim, outcome: OutcomeBody) -> bool:
         """Store the outcome; False if that goes on in the background.
 
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/requests.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/requests.py
@@ -58,6 +58,9 @@
 _PREFIX_LENGTH: Final = 512
 _OUTCOME_RESERVE_S: Final = 0.02
 _STOP_TIMEOUT_S: Final = 5.0
+_NO_RECORD: Final = frozenset(
+    {RefusalReason.NOT_FOUND, RefusalReason.STORE_UNAVAILABLE}
+)
 
 _logger = structlog.get_logger("aspendrift.requests")
 
@@ -184,19 +187,19 @@
         that may not be repeated and was sent then goes on without a caller,
         and its outcome is stored.
         """
+        request_id = RequestId(body.request_id)
         now = self._clock.monotonic()
-        accepted = self._accept(account, body, now)
-        if isinstance(accepted, Refused):
-            return self._body(RequestId(body.request_id), accepted)
-        if self.poison.standing(accepted.fingerprint) is Standing.CONVICTED:
-            convicted = Refused(RefusalReason.POISON)
-            return self._body(accepted.request_id, convicted)
-        if accepted.profile.contract.idempotent:
-            return await self._follow(accepted, sink or NoTokens())
-        other = self._claimed_by_key.get(accepted.key)
-        if other is not None:
-            return await self._join(accepted, other)
-        return await self._follow(accepted, sink or NoTokens())
+        request = self._resolve(account, body, now)
+        if request is None:
+            unknown = Refused(RefusalReason.UNKNOWN_PROFILE, body.profile)
+            return self._body(request_id, self._unfit(now) or unknown)
+        known = await self._known(request)
+        if known is not None:
+            return known
+        refusal = self._unfit(now) or self._poison_refusal(request)
+        if refusal is not None:
+            return self._body(request_id, refusal)
+        return await self._follow(request, sink or NoTokens())
 
     async def look_up(
         self, account: ClientAccount, request_id: RequestId
@@ -205,7 +208,12 @@
         if (account.account_id, request_id) in self._claimed_by_key:
             running = Failed(RefusalReason.CLAIM_HELD, Ran.UNKNOWN)
             return self._body(request_id, running)
-        found = await self.claims.look_up(account.account_id, request_id)
+        return await self._recorded(account.account_id, request_id)
+
+    async def _recorded(
+        self, account_id: AccountId, request_id: RequestId
+    ) -> OutcomeBody:
+        found = await self.claims.look_up(account_id, request_id)
         if isinstance(found, Replayed):
             return found.outcome
         return self._body(request_id, found)
@@ -215,20 +223,51 @@
         self._background.add(task)
         task.add_done_callback(self._background.discard)
 
-    def _accept(
-        self, account: ClientAccount, body: RequestBody, now: float
-    ) -> _Request | Refused:
+    def _unfit(self, now: float) -> Refused | None:
+        """Return why this daemon takes no new request, or None."""
         if self._leaving:
             return Refused(RefusalReason.LEAVING)
-        unfit = self._may_serve(now)
-        if unfit is not None:
-            return Refused(unfit)
+        reason = self._may_serve(now)
+        if reason is not None:
+            return Refused(reason)
         if self.n_open >= self._settings.max_open:
-            return Refused(RefusalReason.OVERLOADED, "too many open requests", 1000)
+            return Refused(RefusalReason.OVERLOADED, "too many open requests")
+        return None
+
+    def _poison_refusal(self, request: _Request) -> Refused | None:
+        if self.poison.standing(request.fingerprint) is Standing.CONVICTED:
+            return Refused(RefusalReason.POISON)
+        return None
+
+    async def _known(self, request: _Request) -> OutcomeBody | None:
+        """Return the outcome of an earlier send that this daemon knows of.
+
+        It goes before every refusal: what has run is not told "not run".
+        """
+        if request.profile.contract.idempotent:
+            return None
+        other = self._claimed_by_key.get(request.key)
+        if other is not None:
+            return await self._join(request, other)
+        content = self._claim_fingerprint(request)
+        ended = self.claims.recall(request.account_id, request.request_id, content)
+        if isinstance(ended, Replayed):
+            return ended.outcome
+        if ended is not None:
+            return self._body(request.request_id, ended)
+        if self._poison_refusal(request) is None:
+            return None
+        found = await self._recorded(request.account_id, request.request_id)
+        return found if found.reason not in _NO_RECORD else None
+
+    def _resolve(
+        self, account: ClientAccount, body: RequestBody, now: float
+    ) -> _Request | None:
+        """Find the profile of a request; None if there is none in force."""
         configuration = self._configuration.current()
         profile = configuration.profiles_by_name.get(ProfileName(body.profile))
         if profile is None or profile.state is not ProfileState.PUBLISHED:
-            return Refused(RefusalReason.UNKNOWN_PROFILE, body.profile)
+            return None
         deadline_ms = profile.contract.deadline_ms
         if body.deadline_ms is not None:
             deadline_ms = min(deadline_ms, body.deadline_ms)
@@ -245,15 +284,21 @@
             deadline_at=now + deadline_ms / _MS_PER_S,
         )
 
-    async def _join(self, request: _Request, other: _OpenClaimed) -> OutcomeBody:
-        """Wait for the end of the same request on this daemon."""
+    async def _join(self, request: _Request, other: _OpenClaimed) -> OutcomeBody | None:
+        """Wait for the end of the same request on this daemon.
+
+        None means that the other send ended before it ran, because its caller
+        had gone.
+        """
         if self._claim_fingerprint(request) != other.fingerprint:
             reused = Refused(RefusalReason.REQUEST_ID_REUSED)
             return self._body(request.request_id, reused)
         remaining_s = request.deadline_at - self._clock.monotonic()
         done, _ = await asyncio.wait({other.task}, timeout=max(0.0, remaining_s))
         if done and not other.task.cancelled():
-            return other.task.result()
+            ended = other.task.result()
+            was_left = ended.reason is RefusalReason.CALLER_GONE
+            return None if was_left and ended.ran is Ran.NO else ended
         held = Failed(RefusalReason.CLAIM_HELD, Ran.UNKNOWN)
         return self._body(request.request_id, held)
 
--- a/packages/aspendrift-daemon/tests/request_path/test_claims.py
+++ b/packages/aspendrift-daemon/tests/request_path/test_claims.py
@@ -455,3 +455,53 @@
         assert sum(net.targets.ran.values()) == len(answered)
 
     box.run(scenario())
+
+
+@pytest.mark.fault("daemon leaving", "request sent")
+def test_leaving_daemon_does_not_deny_what_it_runs(box):
+    async def scenario():
+        async with box.network() as net:
+            gate = slow_service(net)
+            sent = asyncio.create_task(net.send(deposit(box)))
+            await gate.entered.wait()
+            net.services[0].begin_leaving()
+            again = asyncio.create_task(net.send(deposit(box)))
+            await asyncio.sleep(0.1)
+            gate.opened.set()
+            assert await again == await sent
+
+    box.run(scenario())
+
+
+@pytest.mark.fault("poison", "request sent")
+def test_conviction_does_not_deny_what_ran_before(box):
+    async def scenario():
+        async with box.network() as net:
+            outcome = await net.send(deposit(box))
+            content = net.services[0]._resolve(net.account, deposit(box), 0.0)
+            net.services[0].poison._book.convict(content.fingerprint, 1000.0)
+            again = await net.send(deposit(box))
+            other = await net.send(deposit(box, "r2"))
+        assert again == outcome
+        assert (other.reason, other.ran) == (R.POISON, Ran.NO)
+
+    box.run(scenario())
+
+
+@pytest.mark.fault("caller gone", "request claimed")
+def test_resend_after_its_caller_left_early_runs(box):
+    async def scenario():
+        async with box.network() as net:
+            net.table.hold = asyncio.Event()
+            sent = asyncio.create_task(net.send(deposit(box)))
+            await asyncio.sleep(0.01)
+            sent.cancel()
+            await asyncio.wait({sent})
+            again = asyncio.create_task(net.send(deposit(box)))
+            await asyncio.sleep(0.01)
+            net.table.hold.set()
+            outcome = await again
+        assert outcome.status is OutcomeStatus.ANSWERED
+        assert net.targets.ran["r1"] == 1
+
+    box.run(scenario())
