--- a/packages/aspendrift-daemon/tests/configuration/test_faults_of_a_change.py
+++ b/packages/aspendrift-daemon/tests/configuration/test_faults_of_a_change.py
@@ -23,7 +23,8 @@
 
 NAMES = [f"d{i}" for i in range(7)]
 PUBLISHER = "d1"
-MINORITY = frozenset({"d1", "d6"})
+MINORITY = frozenset({"d5", "d6"})
+PUBLISHER_SIDE = frozenset({"d1", "d6"})
 FAULT_S = 12.0
 GRACE_S = 0.3
 STEPS = ("submitted", "written", "spreading", "in force")
@@ -103,6 +104,11 @@
     case.world.passes = lambda a, b: (a in MINORITY) == (b in MINORITY)
 
 
+def region_cut_around_publisher(case: Case) -> None:
+    side = PUBLISHER_SIDE
+    case.world.passes = lambda a, b: (a in side) == (b in side)
+
+
 def operators_racing(case: Case) -> None:
     other = case.world.target("other", 1, "draining")
     case.spawn(case.world.daemons["d4"].keeper.publish(other, "ben"))
@@ -129,6 +135,12 @@
     "operators racing": operators_racing,
     "burst": burst,
 }
+SECOND_FAULTS: dict[str, Callable[[Case], None]] = {
+    "store down": store_down,
+    "peer link lossy": peer_link_lossy,
+    "region cut": region_cut,
+    "region cut around publisher": region_cut_around_publisher,
+}
 IMPOSSIBLE = {
     (row, "written")
     for row in ("peer link cut", "peer link lossy", "peer link one-way", "burst")
@@ -221,14 +233,14 @@
     world.run(one_change(world, row, step, FAULTS[row]))
 
 
-@pytest.mark.parametrize("also", ["store down", "peer link lossy", "region cut"])
+@pytest.mark.parametrize("also", SECOND_FAULTS)
 @pytest.mark.parametrize("step", ["written", "spreading"])
 @pytest.mark.parametrize("row", FAULTS)
 def test_change_and_drain_hold_under_two_faults(
     world: Any, row: str, step: str, also: str
 ) -> None:
     def both(case: Case) -> None:
-        FAULTS[also](case)
+        SECOND_FAULTS[also](case)
         FAULTS[row](case)
 
     world.run(one_change(world, row, step, both))
@@ -265,7 +277,16 @@
         assert not is_recorded
     if not isinstance(told, ChangeRecorded | ChangeUnknown | asyncio.CancelledError):
         assert not is_recorded, "told that it was not made, but it was"
-    head = await world.daemons["d2"].keeper.table.head()
+    table = world.daemons["d2"].keeper.table
+    head = await table.head()
+    changes = await table.history(0, 100)
+    assert [each.revision for each in changes] == list(range(1, head + 1))
+    ids = [each.change_id for each in changes]
+    assert len(set(ids)) == len(ids)
+    assert ("c1" in ids) == is_recorded
+    for result in results:
+        if isinstance(result, ChangeRecorded) and result.record is not None:
+            assert result.record.change_id in ids, "told recorded, but lost"
     await world.until(lambda: world.all_hold(head), 7)
     await world.until(lambda: _all_able_serve(world), 20)
     if is_recorded:
