--- a/Makefile
+++ b/Makefile
@@ -48,6 +48,9 @@
 	$(BIN)/python tools/generate_settings_page.py
 	$(BIN)/python tools/generate_index_page.py
 
+measure-capacity: venv
+	$(BIN)/python tools/measure_capacity.py
+
 measure-path: venv
 	$(BIN)/python -m aspendrift_standins.measure_path
 
