--- a/packages/aspendrift-daemon/src/aspendrift_daemon/dispatch.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/dispatch.py
@@ -463,8 +463,11 @@
 
     async def _tick_forever(self) -> None:
         while True:
+            due = self._clock.monotonic() + _TICK_S
             await asyncio.sleep(_TICK_S)
-            self._tick(self._clock.monotonic())
+            now = self._clock.monotonic()
+            self._admission.loop_lagged(max(0.0, now - due))
+            self._tick(now)
 
     def _tick(self, now: float) -> None:
         n_daemons = self._peers.n_daemons()
--- a/packages/aspendrift-policy/src/aspendrift_policy/admission.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/admission.py
@@ -38,6 +38,8 @@
 _RETRY_JITTER: Final = 1.0
 _MIN_SLOTS: Final = 1e-3
 _HANDLING_S: Final = 0.05
+_LAG_KEPT: Final = 0.9
+_LAGS_PER_REQUEST: Final = 2.0
 _MIN_ERRORS: Final = 10
 
 
@@ -233,6 +235,7 @@
         self._admitted_by_id: dict[RequestId, _Admitted] = {}
         self._work_by_pool: dict[PoolName, _PoolWork] = {}
         self._error = _PredictionError()
+        self._loop_lag_s = 0.0
 
     def __len__(self) -> int:
         return len(self._admitted_by_id)
@@ -283,7 +286,7 @@
             return closed
         prediction = self.predict(offer, pools, now)
         safety_s = _SAFETY_DEVIATIONS * prediction.deviation_s
-        safety_s += self._error.margin_s(now)
+        safety_s += self._error.margin_s(now) + _LAGS_PER_REQUEST * self._loop_lag_s
         slack_s = offer.deadline_at - now - prediction.service_s - safety_s
         if slack_s < 0.0:
             return _too_late(prediction, slack_s, rng)
@@ -295,6 +298,14 @@
         self._add(offer, prediction, now)
         return None
 
+    def loop_lagged(self, lag_s: float) -> None:
+        """Take in how late the daemon's event loop ran.
+
+        A request waits for the loop before the daemon sees it and again when it
+        is answered, which no other time shows; the highest lag fades slowly.
+        """
+        self._loop_lag_s = max(lag_s, self._loop_lag_s * _LAG_KEPT)
+
     def dominant_s(
         self, offer: Offer, pools: Mapping[PoolName, PoolCapacity], now: float
     ) -> float:
--- a/packages/aspendrift-standins/src/aspendrift_standins/measure_surge.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/measure_surge.py
@@ -31,6 +31,7 @@
 _PLATFORM: Final = ("table", "hostlist")
 _BEFORE_S: Final = 2.0
 _SETTLE_S: Final = 1.0
+_WATCH_S: Final = 0.02
 _SEED: Final = 7
 _STRATEGIES: Final = tuple(strategy.value for strategy in RoutingStrategy)
 
@@ -119,6 +120,7 @@
         collector = ScenarioCollector(scenario, self._strategy, _BEFORE_S)
         surge = max(0.0, scenario.load - scenario.before)
         whole_s = _BEFORE_S + self._surge_s
+        watch = asyncio.create_task(_watch_sender(collector))
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(
                 self._send("base", scenario.before, 0.0, whole_s, collector)
@@ -128,6 +130,7 @@
                 tasks.create_task(send)
             if scenario.fault is not None:
                 tasks.create_task(self._cause_fault())
+        watch.cancel()
         return collector.figures(self._surge_s)
 
     async def _send(
@@ -167,6 +170,13 @@
         )
 
 
+async def _watch_sender(collector: ScenarioCollector) -> None:
+    while True:
+        due = time.monotonic() + _WATCH_S
+        await asyncio.sleep(_WATCH_S)
+        collector.add_sender_lag(max(0.0, time.monotonic() - due))
+
+
 def _show(figures: RunFigures) -> None:
     click.echo(
         f"{figures.scenario:28} {figures.strategy:12} n={figures.n_requests:5}"
@@ -174,6 +184,7 @@
         f" of bound={figures.of_bound:.4f} small={figures.small_attainment:.4f}"
         f" p50={figures.p50_ms:.0f} p99={figures.p99_ms:.0f} ms"
         f" engine-s/answer={figures.engine_s_per_answer:.3f}"
+        f" sender lag p99={figures.sender_lag_p99_ms:.0f} ms"
         f" faulty={figures.n_faulty} {figures.outcomes}"
     )
 
--- a/packages/aspendrift-standins/src/aspendrift_standins/surge_result.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/surge_result.py
@@ -33,7 +33,8 @@
     ``bound`` is the share that the capacity allows when what is queued at the
     end is still served; ``plain_bound`` is min(1, capacity / offered).
     ``engine_s_per_answer`` counts held engine-seconds for each pipeline request
-    that was answered whole and in time.
+    that was answered whole and in time. ``sender_lag_p99_ms`` is how late the
+    load sender's own loop ran, as a check on the machine.
     """
 
     scenario: str
@@ -48,6 +49,7 @@
     p95_ms: float
     p99_ms: float
     engine_s_per_answer: float
+    sender_lag_p99_ms: float
     n_faulty: int
     attainment_by_account: dict[str, float]
     outcomes: dict[str, int]
@@ -76,6 +78,7 @@
         self._outcomes: Counter[str] = Counter()
         self._n_faulty = 0
         self._latency = HdrHistogram(1, _MAX_US, 3)
+        self._sender_lag = HdrHistogram(1, _MAX_US, 3)
         self._stages: defaultdict[str, StageFigures] = defaultdict(StageFigures)
         self._offered_by_s: Counter[int] = Counter()
         self._attained_by_s: Counter[int] = Counter()
@@ -98,6 +101,10 @@
             self._latency.record_value(min(_MAX_US, max(1, us)))
         self._add_outcome(record)
 
+    def add_sender_lag(self, seconds: float) -> None:
+        """Take how late the sender's loop ran."""
+        self._sender_lag.record_value(max(1, int(seconds * 1e6)))
+
     def figures(self, surge_s: float) -> RunFigures:
         """Return the figures; ``surge_s`` is how long requests were sent."""
         n_requests = self._n_by_profile.total()
@@ -126,6 +133,7 @@
             round(p95, 1),
             round(p99, 1),
             round(generate.held_s / slots / answered, 4),
+            round(self._sender_lag.get_value_at_percentile(99) / 1e3, 1),
             self._n_faulty,
             {
                 name: round(self._attained_by_account[name] / n, 4)
