--- a/packages/aspendrift-standins/src/aspendrift_standins/child.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/child.py
@@ -16,7 +16,7 @@
 
 import psutil
 
-from aspendrift_standins.errors import NotReady, ProcessEnded
+from aspendrift_standins.errors import AlreadyRunning, NotReady, ProcessEnded
 
 __all__ = ["Child", "ChildCommand"]
 
@@ -80,7 +80,15 @@
         return None if self._process is None else self._process.returncode
 
     async def start(self) -> None:
-        """Start the process; it is ready only after :meth:`wait_ready`."""
+        """Start the process; it is ready only after :meth:`wait_ready`.
+
+        Raises
+        ------
+        AlreadyRunning
+            If it runs: the fleet could no longer stop the earlier start.
+        """
+        if self.running:
+            raise AlreadyRunning(self.command.name, self.pid)
         self.command.ready_file.unlink(missing_ok=True)
         self.paused = False
         environment = os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)}
--- a/packages/aspendrift-standins/src/aspendrift_standins/errors.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/errors.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 
 __all__ = [
+    "AlreadyRunning",
     "FleetError",
     "NotReady",
     "ProcessEnded",
@@ -65,3 +66,11 @@
     def __init__(self, name: str, log_tail: str) -> None:
         super().__init__(f"{name}:\n{log_tail}")
         self.name = name
+
+
+class AlreadyRunning(FleetError):
+    """A process that was to be started although it runs."""
+
+    def __init__(self, name: str, pid: int) -> None:
+        super().__init__(f"{name} runs as {pid}")
+        self.name = name
--- a/packages/aspendrift-standins/tests/test_chaos.py
+++ b/packages/aspendrift-standins/tests/test_chaos.py
@@ -2,7 +2,16 @@
 
 from __future__ import annotations
 
-from aspendrift_standins.chaos import ChaosKind, ChaosPlan, chaos_events
+import asyncio
+
+from aspendrift_standins.chaos import (
+    ChaosEvent,
+    ChaosKind,
+    ChaosPlan,
+    ChaosRunner,
+    chaos_events,
+)
+from aspendrift_standins.fleet import Fleet, StandInSpec
 
 PLAN = ChaosPlan(3, 500.0, 1.0, ("d1", "d2", "d3", "d4"), "table", ("e1", "e2"))
 
@@ -25,3 +34,21 @@
         assert event.name not in {other.name for other in together}
         n_daemons_out = len({o.name for o in together if o.name.startswith("d")})
         assert n_daemons_out + event.name.startswith("d") <= 2
+
+
+def test_process_that_has_not_recovered_does_not_fail_again() -> None:
+    events = [
+        ChaosEvent(0.0, ChaosKind.TARGET_KILLED, "service", 0.3),
+        ChaosEvent(0.1, ChaosKind.TARGET_KILLED, "service", 0.0),
+    ]
+
+    async def run() -> ChaosRunner:
+        async with Fleet() as fleet:
+            await fleet.start_stand_ins([StandInSpec("service", "service")])
+            runner = ChaosRunner(fleet)
+            await runner.run(events)
+            assert await fleet.get_json("service", "/runs") == {}
+            return runner
+
+    runner = asyncio.run(run())
+    assert (runner.done, runner.problems) == (events[:1], [])
--- a/packages/aspendrift-standins/tests/test_fleet.py
+++ b/packages/aspendrift-standins/tests/test_fleet.py
@@ -9,7 +9,7 @@
 import httpx
 import pytest
 
-from aspendrift_standins.errors import ProcessEnded, UnknownProcess
+from aspendrift_standins.errors import AlreadyRunning, ProcessEnded, UnknownProcess
 from aspendrift_standins.fleet import Fleet, StandInSpec, free_ports, merged
 
 
@@ -74,6 +74,18 @@
         asyncio.run(run())
 
 
+def test_running_process_is_not_started_again() -> None:
+    async def run() -> None:
+        async with Fleet() as fleet:
+            await fleet.start_stand_ins([StandInSpec("table", "table")])
+            pid = fleet.child("table").pid
+            with pytest.raises(AlreadyRunning):
+                await fleet.restart("table")
+            assert fleet.child("table").pid == pid
+
+    asyncio.run(run())
+
+
 def test_unknown_process_is_an_error() -> None:
     with pytest.raises(UnknownProcess):
         Fleet().child("none")
