Reuse the connections of engine streams

Cause: a stream was closed at its last event, before the end of its body, so each stream took a new connection. Change: read the body out first.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/targets.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/targets.py
@@ -42,6 +42,7 @@
 _KEEPALIVE_S: Final = 2.0
 _CANCEL_TIMEOUT_S: Final = 1.0
 _PROBE_TIMEOUT_S: Final = 0.25
+_READ_OUT_S: Final = 0.02
 _REJECTING_STATUSES: Final = frozenset({*range(400, 500), 503})
 _NEVER_SENT: Final = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 _EVENTS: Final = msgspec.json.Decoder(GeneratedEvent)
@@ -245,10 +246,15 @@
         except httpx.HTTPError as error:
             yield await self._transport_failure(target, error)
             return
+        lines = response.aiter_lines()
+        ended = False
         try:
-            async for item in self._items(target, call, response, ends_at):
+            async for item in self._items(target, call, response, lines, ends_at):
+                ended = isinstance(item, GeneratedEnd)
                 yield item
         finally:
+            if ended:
+                await _read_out(lines)
             await response.aclose()
 
     async def _items(
@@ -256,12 +262,12 @@
         target: Target,
         call: StageCall,
         response: httpx.Response,
+        lines: AsyncIterator[str],
         ends_at: float,
     ) -> AsyncGenerator[StreamItem, None]:
         if response.status_code != 200:
             yield await self._refused_stream(call, response, ends_at)
             return
-        lines = response.aiter_lines()
         while True:
             item = await self._next_item(target, lines, ends_at)
             yield item
@@ -300,6 +306,15 @@
             return Broken("an event that can't be read")
 
 
+async def _read_out(lines: AsyncIterator[str]) -> None:
+    """Read the end of the body, without which the connection can't be reused."""
+    try:
+        async with asyncio.timeout(_READ_OUT_S):
+            await anext(lines, None)
+    except (TimeoutError, httpx.HTTPError):
+        return
+
+
 def _stage_result(
     call: StageCall, response: httpx.Response
 ) -> StageAnswered | AttemptFailure:
--- a/packages/aspendrift-daemon/tests/request_path/test_targets.py
+++ b/packages/aspendrift-daemon/tests/request_path/test_targets.py
@@ -49,6 +49,7 @@
         self.messages = messages
         self.then = then
         self.closed = False
+        self.read_out = False
 
     async def __aiter__(self):
         for message in self.messages:
@@ -57,6 +58,7 @@
             await asyncio.sleep(60)
         elif self.then is not None:
             raise self.then
+        self.read_out = True
 
     async def aclose(self):
         self.closed = True
@@ -173,6 +175,13 @@
     body = Answers([*TOKENS, END])
     assert run_stream(streaming(body)) == [*TOKENS, END]
     assert body.closed
+    assert body.read_out, "a connection whose body is not read out is closed"
+
+
+def test_stream_that_stays_open_after_its_end_is_closed():
+    body = Answers([*TOKENS, END], "stall")
+    assert run_stream(streaming(body)) == [*TOKENS, END]
+    assert body.closed
 
 
 def test_stream_resumed_after_a_token():
