--- a/packages/aspendrift-daemon/tests/request_path/conftest.py
+++ b/packages/aspendrift-daemon/tests/request_path/conftest.py
@@ -83,6 +83,9 @@
         return 1.7e9 + asyncio.get_running_loop().time()
 
 
+STALL_S = 1.5
+
+
 class FakeTable:
     """Table in memory whose faults a test switches on."""
 
@@ -343,11 +346,8 @@
     async def resume(self, target, call, after, timeout_s):
         self.calls.append((target.target_id, ("resume", after)))
         behaviour = self.behaviour(target)
-        if behaviour is not None:
-            async for item in behaviour(call):
-                yield item
-            return
-        async for item in tokens(call, after):
+        items = tokens(call, after) if behaviour is None else behaviour(call)
+        async for item in _until(items, timeout_s):
             yield item
 
     async def cancel(self, target, attempt_id):
@@ -356,15 +356,16 @@
 
 
 async def _until(items, timeout_s):
-    """Yield items, then that the time is over."""
+    """Yield items, then that the time is over or the stream stalled."""
     loop = asyncio.get_running_loop()
     ends_at = loop.time() + timeout_s
     while True:
         try:
-            async with asyncio.timeout_at(ends_at):
+            async with asyncio.timeout_at(min(ends_at, loop.time() + STALL_S)):
                 item = await anext(items, None)
         except TimeoutError:
-            yield TimedOut()
+            is_late = loop.time() >= ends_at
+            yield TimedOut() if is_late else Broken("stalled")
             return
         if item is None:
             return
--- a/packages/aspendrift-daemon/tests/request_path/test_outcomes_under_faults.py
+++ b/packages/aspendrift-daemon/tests/request_path/test_outcomes_under_faults.py
@@ -1,9 +1,10 @@
-"""Every fault at every step of a request that may not be repeated.
+"""Every fault at every step of a request.
 
 The caller sends, a fault strikes at the step, and the caller sends again at
 random daemons until the outcome is final, having waited long or hardly for the
-first send. Whatever happens, the request runs at most once, "not run" is true,
-and every whole answer is the one of that run.
+first send. Whatever happens, a request that may not be repeated runs at most
+once, "not run" is true, and every whole answer is the one of that run. An
+idempotent request is answered in the end, and no answer is cut or mixed.
 """
 
 from __future__ import annotations
@@ -29,6 +30,7 @@
 ]
 OUTAGE_S = 3.0
 PAUSE_S = 8.0
+WHOLE = "".join(f"hello-{n} " for n in range(1, 9))
 PATIENCE_S = [60.0, 0.05, 0.3]
 THIS_SEND_ONLY = {
     R.STORE_UNAVAILABLE,
@@ -48,6 +50,7 @@
         self.struck = False
         self.sent = None
         self.replace = None
+        self.failing = None
         self.attempts = set()
         self.n_runs_at_reply = []
 
@@ -85,16 +88,22 @@
                 self.reach("request partly answered")
             if isinstance(item, GeneratedEnd):
                 self.reach("request answered")
-            if self.replace is not None:
+            if self.is_replaced(call):
                 break
             yield item
-        if self.replace is not None:
+        if self.is_replaced(call):
             async for item in self.replace(call):
                 yield item
 
-    async def run(self, seed):
+    def is_replaced(self, call):
+        """Whether the target fails in this attempt: the first one struck."""
+        if self.replace is not None and self.failing is None:
+            self.failing = call.attempt_id
+        return call.attempt_id == self.failing
+
+    async def run(self, seed, profile):
         rng = random.Random(seed)
-        body = self.box.body(profile="notice")
+        body = self.box.body(profile=profile)
         self.sent = asyncio.create_task(self.net.send(body))
         self.sent.add_done_callback(lambda _: self.reach("outcome replied"))
         await asyncio.wait({self.sent}, timeout=PATIENCE_S[seed])
@@ -102,7 +111,7 @@
         if self.sent.done() and not self.sent.cancelled():
             outcomes.append(self.note(self.sent.result()))
         for _ in range(12):
-            if outcomes and final(outcomes[-1]):
+            if outcomes and final(outcomes[-1], profile):
                 break
             await asyncio.sleep(rng.uniform(0.2, 1.5))
             daemon = rng.choice(self.awake())
@@ -121,7 +130,9 @@
         ]
 
 
-def final(outcome):
+def final(outcome, profile):
+    if profile == "chat":
+        return outcome.status is OutcomeStatus.ANSWERED
     return outcome.ran is not Ran.NO and outcome.reason is not R.CLAIM_HELD
 
 
@@ -264,7 +275,7 @@
             course = Course(box, net, step, fault)
             course.install()
             async with net:
-                outcomes = await course.run(seed)
+                outcomes = await course.run(seed, "notice")
                 await asyncio.sleep(30)
                 if course.sent is not None and not course.sent.done():
                     course.sent.cancel()
@@ -273,6 +284,33 @@
     box.run(scenario())
 
 
+def idempotent_cells():
+    for cell in cells():
+        fault, step = cell.values
+        if step not in ("request claimed", "outcome stored"):
+            yield cell
+
+
+@pytest.mark.parametrize(("fault", "step"), idempotent_cells())
+def test_fault_at_step_of_an_idempotent_request(box, fault, step):
+    async def scenario():
+        for seed in range(len(PATIENCE_S)):
+            net = box.network(3)
+            course = Course(box, net, step, fault)
+            course.install()
+            async with net:
+                outcomes = await course.run(seed, "chat")
+                await asyncio.sleep(30)
+                course.sent.cancel()
+            assert course.struck
+            assert outcomes[-1].status is OutcomeStatus.ANSWERED
+            for outcome in outcomes:
+                if outcome.status is OutcomeStatus.ANSWERED:
+                    assert outcome.output == WHOLE
+
+    box.run(scenario())
+
+
 def check(course, outcomes):
     net = course.net
     assert course.struck
@@ -281,7 +319,7 @@
         if outcome.ran is Ran.NO:
             assert n_runs == 0 or outcome.reason in THIS_SEND_ONLY
         if outcome.status is OutcomeStatus.ANSWERED:
-            assert outcome.output == "".join(f"hello-{n} " for n in range(1, 9))
+            assert outcome.output == WHOLE
             assert net.targets.ran["r1"] == 1
     sent = course.sent
     if sent.done() and not sent.cancelled():
