--- a/packages/aspendrift-daemon/src/aspendrift_daemon/request_runs.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/request_runs.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import AsyncGenerator, Callable, Coroutine
 from contextlib import aclosing
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import Any, Final, Protocol, assert_never
 
 from aspendrift_daemon.events import EventHub
@@ -16,6 +16,7 @@
     AttemptEnded,
     RouteDecided,
 )
+from aspendrift_daemon.slot_source import SlotSource
 from aspendrift_daemon.streams import TokenSink
 from aspendrift_daemon.targets import (
     AttemptFailure,
@@ -29,7 +30,7 @@
 )
 from aspendrift_model.ids import AttemptId, Revision, TargetId
 from aspendrift_model.outcomes import Outcome, Refused
-from aspendrift_model.states import AttemptEnd, RefusalReason, StageKind
+from aspendrift_model.states import AttemptEnd, StageKind
 from aspendrift_model.targets import Target
 from aspendrift_model.wire_caller import StageTiming
 from aspendrift_model.wire_target import GeneratedEnd, GeneratedToken, StageCall
@@ -41,7 +42,8 @@
     RouteQuery,
 )
 from aspendrift_policy.poison import Standing
-from aspendrift_policy.request_engine import (
+from aspendrift_policy.request_engine import RequestEngine
+from aspendrift_policy.request_steps import (
     Acquire,
     Action,
     AttemptFailed,
@@ -50,7 +52,6 @@
     Finish,
     GenerationEnded,
     Ignore,
-    RequestEngine,
     Resume,
     Routed,
     RouteRefused,
@@ -64,7 +65,6 @@
 __all__ = ["RequestRun", "RunPorts", "Targets"]
 
 _MS_PER_S: Final = 1000.0
-_ACQUIRE_GRACE_S: Final = 0.05
 
 
 class Targets(Protocol):
@@ -95,6 +95,7 @@
 
     clock: Clock
     dispatcher: Dispatcher
+    slots: SlotSource
     targets: Targets
     events: EventHub
     poison: PoisonGuard
@@ -207,7 +208,7 @@
 
     async def _acquire(self, query: RouteQuery) -> Action:
         asked_at = self._now()
-        answer = await self._route(query)
+        answer = await self.ports.slots.take(query)
         now = self._now()
         timing = self._timings_by_stage.setdefault(query.stage.name, _Timing())
         timing.queue_s += now - asked_at
@@ -219,62 +220,6 @@
         timing.target_id = answer.target.target_id
         return self._step(Routed(query.attempt_id, answer))
 
-    async def _route(self, query: RouteQuery) -> RouteAnswer:
-        """Take a slot; a suspect waits for a target without another suspect."""
-        poison = self.ports.poison
-        while True:
-            turn = await poison.await_turn(query.request_id, query.deadline_at)
-            if turn.standing is Standing.CONVICTED:
-                return Refused(RefusalReason.POISON)
-            if turn.standing is Standing.CLEAN:
-                return await self._acquire_slot(query)
-            away = _away_from(query, turn.busy_targets)
-            answer = await self._acquire_between_trials(away, turn.busy_targets)
-            if answer is not None:
-                return answer
-            query = replace(query, is_retry=False)
-
-    async def _acquire_between_trials(
-        self, query: RouteQuery, busy: frozenset[TargetId]
-    ) -> RouteAnswer | None:
-        """Take a slot; None if trials began or ended before there was one."""
-        if not busy:
-            return await self._acquire_slot(query)
-        poison = self.ports.poison
-        asked = asyncio.create_task(self._acquire_slot(query))
-        changed = asyncio.create_task(poison.await_trials(query.deadline_at))
-        taken = False
-        try:
-            await asyncio.wait({asked, changed}, return_when=asyncio.FIRST_COMPLETED)
-            if asked.done() and _lacks_target(asked.result()):
-                await changed
-                return None if self._now() < query.deadline_at else asked.result()
-            taken = asked.done()
-            return asked.result() if taken else None
-        finally:
-            changed.cancel()
-            if not taken:
-                await self._take_back(query, asked)
-
-    async def _take_back(
-        self, query: RouteQuery, asked: asyncio.Task[RouteAnswer]
-    ) -> None:
-        """Stop asking for a slot, and give it back if it comes all the same."""
-        asked.cancel()
-        await asyncio.wait({asked})
-        answer = None if asked.cancelled() else asked.result()
-        if isinstance(answer, RouteChoice):
-            unused = AttemptResult(AttemptEnd.CANCELLED, 0.0, 0.0)
-            self.ports.dispatcher.release(query, answer, unused)
-
-    async def _acquire_slot(self, query: RouteQuery) -> RouteAnswer:
-        remaining_s = query.deadline_at - self._now() + _ACQUIRE_GRACE_S
-        try:
-            async with asyncio.timeout(remaining_s):
-                return await self.ports.dispatcher.acquire(query)
-        except TimeoutError:
-            return Refused(RefusalReason.DEADLINE_EXCEEDED)
-
     def _report_route(self, query: RouteQuery, answer: RouteAnswer, now: float) -> None:
         choice = answer if isinstance(answer, RouteChoice) else None
         self.ports.events.emit(
@@ -441,14 +386,6 @@
         self.ports.events.emit(ended)
 
 
-def _away_from(query: RouteQuery, busy: frozenset[TargetId]) -> RouteQuery:
-    return replace(query, avoid_sharing=True, excluded=query.excluded | busy)
-
-
-def _lacks_target(answer: RouteAnswer) -> bool:
-    return isinstance(answer, Refused) and answer.reason is RefusalReason.NO_TARGET
-
-
 def _may_still_run(slot: _Slot) -> bool:
     finished = (AttemptEnd.ANSWERED, AttemptEnd.NOT_SENT, AttemptEnd.REJECTED)
     return slot.sent and slot.end not in finished and not slot.crashed
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/requests.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/requests.py
@@ -22,6 +22,7 @@
 from aspendrift_daemon.poison import PoisonGuard
 from aspendrift_daemon.request_events import OutcomeStoreDelayed, RequestEnded
 from aspendrift_daemon.request_runs import RequestRun, RunPorts, Targets
+from aspendrift_daemon.slot_source import SlotSource
 from aspendrift_daemon.streams import NoTokens, TokenSink
 from aspendrift_model.accounts import ClientAccount
 from aspendrift_model.digests import content_fingerprint
@@ -46,11 +47,7 @@
 from aspendrift_model.wire_caller import OutcomeBody, RequestBody
 from aspendrift_policy.interfaces import Dispatcher, Offer
 from aspendrift_policy.poison import Standing
-from aspendrift_policy.request_engine import (
-    EngineLimits,
-    RequestEngine,
-    RequestFacts,
-)
+from aspendrift_policy.request_engine import EngineLimits, RequestEngine, RequestFacts
 
 __all__ = ["RequestService"]
 
@@ -144,8 +141,9 @@
         self.poison = PoisonGuard(
             settings, daemon_id, clock, table, bus, events, rng, self._spawn
         )
+        slots = SlotSource(clock, dispatcher, self.poison)
         self._ports = RunPorts(
-            clock, dispatcher, targets, events, self.poison, self._spawn
+            clock, dispatcher, slots, targets, events, self.poison, self._spawn
         )
 
     @property
--- a/packages/aspendrift-policy/tests/test_request_engine.py
+++ b/packages/aspendrift-policy/tests/test_request_engine.py
@@ -21,16 +21,14 @@
 from aspendrift_model.states import RefusalReason as R
 from aspendrift_model.targets import Target
 from aspendrift_policy.interfaces import RouteChoice, RouteReason
-from aspendrift_policy.request_engine import (
+from aspendrift_policy.request_engine import EngineLimits, RequestEngine, RequestFacts
+from aspendrift_policy.request_steps import (
     Acquire,
     AttemptFailed,
     CallerGone,
-    EngineLimits,
     Finish,
     GenerationEnded,
     Ignore,
-    RequestEngine,
-    RequestFacts,
     Resume,
     Routed,
     RouteRefused,
