--- a/packages/aspendrift-client/src/aspendrift_client/commands_configuration.py
+++ b/packages/aspendrift-client/src/aspendrift_client/commands_configuration.py
@@ -34,6 +34,7 @@
     ItemKind.ACCOUNT: "account_id",
 }
 _TOKEN_BYTES: Final = 32
+_FILE: Final = click.Path(dir_okay=False, allow_dash=True)
 
 
 @click.group()
@@ -42,10 +43,10 @@
 
 
 @profile.command("publish")
-@click.argument("file", type=click.File("rb", lazy=True))
+@click.argument("file", type=_FILE)
 @pass_api
 @change_options
-def publish_profile(api: OperatorApi, file: Any, options: ChangeOptions) -> None:
+def publish_profile(api: OperatorApi, file: str, options: ChangeOptions) -> None:
     """Publish a new profile from a JSON FILE."""
     body = _read_object(file)
     seen = 0 if options.seen is None else options.seen
@@ -53,10 +54,10 @@
 
 
 @profile.command("revise")
-@click.argument("file", type=click.File("rb", lazy=True))
+@click.argument("file", type=_FILE)
 @pass_api
 @change_options
-def revise_profile(api: OperatorApi, file: Any, options: ChangeOptions) -> None:
+def revise_profile(api: OperatorApi, file: str, options: ChangeOptions) -> None:
     """Replace a profile by the one in a JSON FILE."""
     body = _read_object(file)
     name = _name(ItemKind.PROFILE, body)
@@ -104,10 +105,10 @@
 
 
 @target.command("add")
-@click.argument("file", type=click.File("rb", lazy=True))
+@click.argument("file", type=_FILE)
 @pass_api
 @change_options
-def add_target(api: OperatorApi, file: Any, options: ChangeOptions) -> None:
+def add_target(api: OperatorApi, file: str, options: ChangeOptions) -> None:
     """Add a target, or set one anew, from a JSON FILE."""
     body = _read_object(file)
     name = _name(ItemKind.TARGET, body)
@@ -259,12 +260,14 @@
             show_json(_require(api, kind, name))
 
 
-def _read_object(file: Any) -> dict[str, Any]:
+def _read_object(file: str) -> dict[str, Any]:
     try:
-        body = msgspec.json.decode(file.read(), type=dict[str, Any])
+        with click.open_file(file, "rb") as opened:
+            return msgspec.json.decode(opened.read(), type=dict[str, Any])
+    except OSError as error:
+        raise InvalidInput(str(error)) from error
     except msgspec.MsgspecError as error:
         raise InvalidInput(f"the file is not a JSON object: {error}") from error
-    return body
 
 
 def _name(kind: ItemKind, body: dict[str, Any]) -> str:
