--- a/packages/aspendrift-standins/src/aspendrift_standins/measure_config.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/measure_config.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import random
 import statistics
 import time
@@ -24,6 +25,7 @@
     daemon_fleet,
     print_result,
     quantile,
+    run_with_retries,
 )
 
 __all__ = ["SpreadFigures", "main"]
@@ -71,8 +73,8 @@
     runs: list[dict[str, Any]] = []
     for n_daemons in (int(size) for size in sizes.split(",")):
         for lost_share in (float(share) for share in losses.split(",")):
-            run = _run(n_daemons, lost_share, n_changes, interval_s)
-            figures = asdict(asyncio.run(run))
+            run = functools.partial(_run, n_daemons, lost_share, n_changes, interval_s)
+            figures = asdict(run_with_retries(run))
             click.echo(figures)
             runs.append(figures)
     worst = max(run["in_force_max"] for run in runs)
--- a/packages/aspendrift-standins/src/aspendrift_standins/measure_control.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/measure_control.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import json
 import random
 import subprocess
@@ -25,6 +26,7 @@
     ControlClient,
     daemon_fleet,
     print_result,
+    run_with_retries,
     slope,
 )
 
@@ -81,7 +83,8 @@
     """Run each number of daemons, idle and loaded, one after the other."""
     runs: list[ControlFigures] = []
     for n_daemons in (int(size) for size in sizes.split(",")):
-        runs.append(asyncio.run(_run(n_daemons, window_s)))
+        run = functools.partial(_run, n_daemons, window_s)
+        runs.append(run_with_retries(run))
         click.echo(asdict(runs[-1]))
     result: dict[str, Any] = {
         "runs": [asdict(run) for run in runs],
--- a/packages/aspendrift-standins/src/aspendrift_standins/measure_support.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/measure_support.py
@@ -2,17 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import uuid
-from collections.abc import AsyncIterator, Iterable, Sequence
+from collections.abc import AsyncIterator, Callable, Coroutine, Iterable, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from datetime import datetime
-from typing import Any, Final
+from typing import Any, Final, TypeVar
 
 import click
 import httpx
 
+from aspendrift_standins.errors import ProcessEnded
 from aspendrift_standins.fleet import (
     OPERATOR_TOKEN,
     DaemonSpec,
@@ -27,6 +29,7 @@
     "daemon_fleet",
     "print_result",
     "quantile",
+    "run_with_retries",
     "slope",
 ]
 
@@ -35,6 +38,8 @@
 _TABLE: Final = "table"
 _TIMEOUT_S: Final = 30.0
 _STOP_GRACE_S: Final = 0.2
+_N_RETRIES: Final = 3
+_T = TypeVar("_T")
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,6 +121,16 @@
         yield fleet
 
 
+def run_with_retries(make: Callable[[], Coroutine[Any, Any, _T]]) -> _T:
+    """Run a measurement, again if a port was taken before its process bound it."""
+    for _ in range(_N_RETRIES):
+        try:
+            return asyncio.run(make())
+        except ProcessEnded as error:
+            click.echo(f"started again: {error.name} ended", err=True)
+    return asyncio.run(make())
+
+
 def applied_events(fleet: Fleet, daemon_ids: Iterable[str]) -> list[Applied]:
     """Return when each daemon applied each revision, from the daemons' logs."""
     found: list[Applied] = []
