Deal out slots in turn and keep each daemon to its share of a pool

Change: fractions of slots are dealt out in turn over targets and daemons, what was lent is given back when a target is too full, and a daemon keeps to the sum of its allowances. Slots nobody asks for are divided evenly. A refusal says to come back when what waits has been served.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/dispatch.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/dispatch.py
@@ -472,8 +472,9 @@
     def _tick(self, now: float) -> None:
         n_daemons = self._peers.n_daemons()
         for name, pool in self._pools_by_name.items():
-            pool.share = self._shares.share_of_pool(name, n_daemons, now)
-            pool.targets.refresh(pool.share, now)
+            n_slots = pool.targets.n_open_slots
+            pool.share = self._shares.share_of_pool(name, n_slots, n_daemons, now)
+            pool.targets.refresh(pool.share, self._peers.rank(), now)
             self._serve(pool, now)
             self._refuse_unserved(pool, now)
 
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/peer_use.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/peer_use.py
@@ -94,6 +94,7 @@
         self._polled_by_id: dict[TargetId, tuple[LoadReport, float]] = {}
         self._sender: asyncio.Task[None] | None = None
         self._n_daemons = 1
+        self._rank = 0
         bus.subscribe(TOPIC, self._received)
 
     async def start(self) -> None:
@@ -111,6 +112,10 @@
         """Return the live daemons as of the last digest, this one included."""
         return self._n_daemons
 
+    def rank(self) -> int:
+        """Return the place of this daemon among the live ones, by id."""
+        return self._rank
+
     def share_report(self, report: LoadReport, now: float) -> None:
         """Pass a polled report on with the next digest."""
         self._polled_by_id[report.target_id] = (report, now)
@@ -131,6 +136,8 @@
             if state in _COUNTED_STATES and host.daemon_id != self._daemon_id
         ]
         self._n_daemons = len(peers) + 1
+        own = self._daemon_id or ""
+        self._rank = sum(1 for peer in peers if peer < own)
         digest = self._shares.digest(now)
         message = UseMessage(_VERSION, digest, self._take_loads(now))
         payload = msgspec.msgpack.encode(message)
--- a/packages/aspendrift-policy/src/aspendrift_policy/admission.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/admission.py
@@ -28,12 +28,12 @@
 _STALE_HALVING_S: Final = 2.0
 _SAFETY_DEVIATIONS: Final = 1.65
 _WAIT_SHARE_BY_PRIORITY: Final = {
-    Priority.URGENT: 0.9,
-    Priority.NORMAL: 0.8,
-    Priority.BACKGROUND: 0.5,
+    Priority.URGENT: 0.95,
+    Priority.NORMAL: 0.9,
+    Priority.BACKGROUND: 0.6,
 }
-_OVER_SHARE_FACTOR: Final = 0.5
-_RETRY_AFTER_MIN_S: Final = 0.2
+_OVER_SHARE_FACTOR: Final = 0.7
+_RETRY_AFTER_MIN_S: Final = 0.5
 _RETRY_AFTER_MAX_S: Final = 10.0
 _RETRY_JITTER: Final = 1.0
 _MIN_SLOTS: Final = 1e-3
@@ -41,6 +41,7 @@
 _LAG_KEPT: Final = 0.9
 _LAGS_PER_REQUEST: Final = 2.0
 _MIN_ERRORS: Final = 10
+_MARGIN_DEVIATIONS: Final = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -216,7 +217,7 @@
         if learned.n < _MIN_ERRORS:
             return _HANDLING_S
         stale_s = max(0.0, now - learned.at - _STALE_AFTER_S)
-        margin_s = learned.mean + math.sqrt(learned.variance)
+        margin_s = learned.mean + _MARGIN_DEVIATIONS * math.sqrt(learned.variance)
         shrink = math.pow(0.5, stale_s / _STALE_HALVING_S)
         return max(_HANDLING_S, margin_s * shrink)
 
@@ -293,8 +294,7 @@
         wait_limit_s = _WAIT_SHARE_BY_PRIORITY[offer.profile.contract.priority]
         wait_limit_s *= slack_s * (_OVER_SHARE_FACTOR if over_share else 1.0)
         if prediction.wait_s > wait_limit_s:
-            excess_s = prediction.wait_s - wait_limit_s
-            return _too_full(prediction, excess_s, over_share, rng)
+            return _too_full(prediction, over_share, rng)
         self._add(offer, prediction, now)
         return None
 
@@ -432,18 +432,19 @@
 def _too_late(prediction: Prediction, slack_s: float, rng: random.Random) -> Refused:
     detail = f"the stages take {-slack_s:.3f} s more than the deadline leaves"
     return refused(
-        RefusalReason.DEADLINE_UNREACHABLE, detail, retry_after_ms(-slack_s, rng)
+        RefusalReason.DEADLINE_UNREACHABLE,
+        detail,
+        retry_after_ms(prediction.wait_s, rng),
     )
 
 
-def _too_full(
-    prediction: Prediction, excess_s: float, over_share: bool, rng: random.Random
-) -> Refused:
+def _too_full(prediction: Prediction, over_share: bool, rng: random.Random) -> Refused:
+    """Refuse until what waits now has been served; coming back earlier is vain."""
     reason = RefusalReason.OVERLOADED
     if over_share:
         reason = RefusalReason.ACCOUNT_OVER_SHARE
     detail = f"predicted wait {prediction.wait_s:.3f} s, pool {prediction.slowest_pool}"
-    return refused(reason, detail, retry_after_ms(excess_s, rng))
+    return refused(reason, detail, retry_after_ms(prediction.wait_s, rng))
 
 
 def retry_after_ms(wait_s: float, rng: random.Random) -> int:
--- a/packages/aspendrift-policy/src/aspendrift_policy/fairness.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/fairness.py
@@ -25,8 +25,6 @@
 _DIGEST_MAX_AGE_S: Final = 6.0
 _MAX_ACCOUNTS_IN_DIGEST: Final = 16
 _MAX_ACCOUNTS: Final = 4096
-_IDLE_PER_S: Final = 1e-4
-_PRIOR_SHARE: Final = 0.1
 _LEVEL_MAX_AGE_S: Final = 0.1
 _OFFERED: Final = "offered"
 _ADMITTED: Final = "admitted"
@@ -169,22 +167,37 @@
             del self._digests_by_peer[peer]
         return [digest for _, digest in self._digests_by_peer.values()]
 
-    def share_of_pool(self, pool: PoolName, n_daemons: int, now: float) -> float:
-        """Return this daemon's part of the demand for a pool, from 0 to 1.
+    def share_of_pool(
+        self, pool: PoolName, slots: int, n_daemons: int, now: float
+    ) -> float:
+        """Return this daemon's part of a pool, from 0 to 1.
+
+        Parameters
+        ----------
+        pool : PoolName
+            The pool.
+        slots : int
+            Slots of its open targets.
+        n_daemons : int
+            Live daemons, this one included.
+        now : float
+            Present time in seconds.
 
         Notes
         -----
-        Every daemon sees the surge of the hour at the same moment, so the parts
-        move little while the demand itself jumps. Digests of a sample of the
-        peers stand for all of them.
+        Each daemon has what its own demand takes, and the slots that nobody asks
+        for are divided evenly; the parts of all daemons add up to one. Every
+        daemon sees the surge of the hour at the same moment, so the parts move
+        little while the demand itself jumps. Digests of a sample of the peers
+        stand for all of them.
         """
-        if n_daemons <= 1:
-            return 1.0
+        if n_daemons <= 1 or slots <= 0:
+            return 1.0 / max(1, n_daemons)
         rate = self._demand_by_key.get(name_hash(pool))
         own = 0.0 if rate is None else rate.per_s(now)
         total = self.system_demand(pool, n_daemons, now)
-        prior = _PRIOR_SHARE * max(total, _IDLE_PER_S) / n_daemons
-        return (own + prior) / (total + prior * n_daemons)
+        unused = max(0.0, slots - total)
+        return (own + unused / n_daemons) / max(total, float(slots))
 
     def over_share(
         self,
--- a/packages/aspendrift-policy/src/aspendrift_policy/load_estimate.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/load_estimate.py
@@ -11,6 +11,7 @@
 __all__ = ["DecayedRate", "TargetLoad"]
 
 _HISTORY_S: Final = 6.0
+_EPSILON: Final = 1e-9
 
 
 class DecayedRate:
@@ -108,32 +109,39 @@
         if report.slots > 0:
             self.slots = report.slots
 
-    def allowance(self, share: float, rounding: float, lent_rounding: float) -> int:
+    def allowance(self, share: float, position: int, lent_rounding: float) -> int:
         """Return how many requests this daemon may have at the target.
 
         Parameters
         ----------
         share : float
             This daemon's part of the demand for the target, from 0 to 1.
-        rounding : float
-            Fixed number in [0, 1) that differs between daemons, so that the
-            fractions of all daemons add up.
+        position : int
+            Index of the target plus rank of the daemon. Fractions of a slot are
+            dealt out in turn along it, so the whole numbers add up for each
+            daemon over the targets and for each target over the daemons.
         lent_rounding : float
-            The same for the free slots, drawn anew for each report, so that a
-            daemon is not kept from the last free slot for good.
+            Number in [0, 1) drawn for each report, which rounds what is lent.
 
         Notes
         -----
         The daemon is entitled to its share of the slots, whatever the report
         says. Of the slots that the report shows free it takes its share as
-        well, so all daemons together fill them once, not each of them.
+        well, so all daemons together fill them once, not each of them. When the
+        report shows more requests than slots, what was lent is given back.
         """
         entitled = self.slots * share
+        lent = self._lent(share)
+        if lent > entitled:
+            return math.floor(lent + lent_rounding)
+        dealt_before = math.floor(position * entitled + _EPSILON)
+        return math.floor((position + 1) * entitled + _EPSILON) - dealt_before
+
+    def _lent(self, share: float) -> float:
         if self._observed_at == -math.inf:
-            return math.floor(entitled + rounding)
+            return 0.0
         free = self.slots - self._reported
-        lent = self._own_at_report + free * share
-        return max(math.floor(entitled + rounding), math.floor(lent + lent_rounding))
+        return self._own_at_report + (free * share if free > 0 else free)
 
     def _remember(self, now: float) -> None:
         history = self._history
--- a/packages/aspendrift-policy/src/aspendrift_policy/router.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/router.py
@@ -46,12 +46,12 @@
         "distance",
         "hash",
         "health",
+        "index",
         "is_leaving",
         "lent_rounding",
         "lists_models",
         "load",
         "models",
-        "rounding",
         "slowness",
         "target",
     )
@@ -62,8 +62,8 @@
         self.target = target
         self.distance = distance
         self.health = health
-        self.rounding = rounding
         self.lent_rounding = rounding
+        self.index = 0
         self.hash = target_hash(target.target_id)
         self.load = TargetLoad(target.slots)
         self.models = frozenset(target.models)
@@ -128,9 +128,12 @@
             settings.slow_start_s,
         )
         self._share = 1.0
+        self._rank = 0
         self._is_filled = False
         self._n_slots = 0
         self._outstanding = 0.0
+        self._own_active = 0
+        self._allowance = 0
         self._holders_by_prefix: dict[PrefixKey, list[Candidate]] = {}
         self.n_ejected = 0
         self.n_open_slots = 0
@@ -159,20 +162,33 @@
         self._holders_by_prefix.clear()
         self.freed = None
         self._recount()
-        self.refresh(self._share, now)
+        self.refresh(self._share, self._rank, now)
 
-    def refresh(self, share: float, now: float) -> None:
-        """Set every allowance from this daemon's part of the demand."""
+    def refresh(self, share: float, rank: int, now: float) -> None:
+        """Set every allowance.
+
+        Parameters
+        ----------
+        share : float
+            This daemon's part of the demand for the pool.
+        rank : int
+            Place of this daemon among the live ones.
+        now : float
+            Present time in seconds.
+        """
         self._share = share
+        self._rank = rank
         self.is_full = False
         for candidate in self.candidates_by_id.values():
             self._refresh_one(candidate, now)
         self._recount()
+        self._keep_one_open()
 
     def sent(self, target_id: TargetId, now: float) -> None:
         """Count a request that is sent to a target."""
         self.candidates_by_id[target_id].load.sent(now)
         self._outstanding += 1.0
+        self._own_active += 1
 
     def ended(self, target_id: TargetId, now: float) -> None:
         """Count a request that has ended at a target."""
@@ -181,6 +197,7 @@
             return
         candidate.load.ended(now)
         self._outstanding -= 1.0
+        self._own_active -= 1
         self.freed = candidate
         self.is_full = False
 
@@ -258,6 +275,14 @@
                 return candidate
         return None
 
+    def has_room(self) -> bool:
+        """Return whether this daemon may have more requests in the whole pool.
+
+        Which targets the fractions of its share fall on changes with the share,
+        so the allowances of the targets alone would let it creep above.
+        """
+        return self._own_active < self._allowance
+
     def mean_load(self) -> float:
         """Return the mean of outstanding requests per slot."""
         return self._outstanding / self._n_slots if self._n_slots else 0.0
@@ -285,19 +310,28 @@
         health = TargetHealth(self._rules, opened_at)
         return Candidate(target, distance, health, self._rng.random())
 
+    def _keep_one_open(self) -> None:
+        """Let a daemon whose shares all round to nothing use one target."""
+        open_ones = [c for c in self.candidates_by_id.values() if c.is_open()]
+        if open_ones and not any(candidate.allowance for candidate in open_ones):
+            open_ones[self._rank % len(open_ones)].allowance = 1
+            self._allowance = 1
+
     def _sort_into_tiers(self) -> None:
         self.tiers = ([], [], [])
+        for index, target_id in enumerate(sorted(self.candidates_by_id)):
+            self.candidates_by_id[target_id].index = index
         for candidate in self.candidates_by_id.values():
             if not candidate.is_leaving:
                 self.tiers[candidate.distance].append(candidate)
 
     def _refresh_one(self, candidate: Candidate, now: float) -> None:
         share = self._share * candidate.health.ramp(now)
+        self._allowance -= candidate.allowance
         candidate.allowance = candidate.load.allowance(
-            share, candidate.rounding, candidate.lent_rounding
+            share, candidate.index + self._rank, candidate.lent_rounding
         )
-        if len(self.candidates_by_id) == 1:
-            candidate.allowance = max(1, candidate.allowance)
+        self._allowance += candidate.allowance
 
     def _recount(self) -> None:
         candidates = self.candidates_by_id.values()
@@ -310,6 +344,8 @@
         self.n_open_slots, self.n_ejected = n_open, n_ejected
         self._n_slots = sum(candidate.load.slots for candidate in candidates)
         self._outstanding = sum(candidate.load.outstanding for candidate in candidates)
+        self._own_active = sum(candidate.load.own_active for candidate in candidates)
+        self._allowance = sum(candidate.allowance for candidate in candidates)
 
     def _may_eject(self) -> bool:
         n_active = sum(len(tier) for tier in self.tiers)
@@ -365,7 +401,7 @@
             return RouteChoice(probe.target, RouteReason.PROBE, ())
         if query.avoid_sharing:
             return self._emptiest(pool, query, service_s)
-        if pool.is_full:
+        if pool.is_full or not pool.has_room():
             return None
         sample = self._sample(pool, query)
         if not sample:
