--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: venv demo test check lint types unit fault-matrix measure-outcomes
+.PHONY: measure-surge report venv demo test check lint types unit fault-matrix measure-outcomes
 
 VENV ?= .venv
 PYTHON ?= python3
@@ -42,3 +42,13 @@
 
 measure-outcomes: venv
 	$(BIN)/python -m aspendrift_standins.measure_outcomes
+
+measure-surge: venv
+	$(BIN)/python tools/measure_decisions.py > docs/measurements/decisions.json
+	$(BIN)/python -m aspendrift_standins.measure_surge \
+		--decisions docs/measurements/decisions.json \
+		--save docs/measurements/surge.json
+
+report: venv
+	$(BIN)/python -m aspendrift_standins.report \
+		docs/measurements/surge.json docs/measurements
--- a/packages/aspendrift-standins/src/aspendrift_standins/measure_surge.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/measure_surge.py
@@ -145,7 +145,7 @@
         self._strategy = strategy
         self._fleet = fleet
         self._daemons = daemons
-        self._surge_s = surge_s
+        self._surge_s = scenario.surge_s or surge_s
         self._seed = seed
 
     async def measure(self) -> RunFigures:
--- a/packages/aspendrift-standins/src/aspendrift_standins/surge_result.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/surge_result.py
@@ -17,6 +17,8 @@
 _MAX_US: Final = 600_000_000
 _GENERATING: Final = "pipeline"
 _BIN_S: Final = 1.0
+_BACK_WINDOW_S: Final = 3
+_BACK_SHARE: Final = 0.95
 
 
 class StageFigures(msgspec.Struct):
@@ -35,7 +37,9 @@
     ends and served until the deadlines.
     ``engine_s_per_answer`` counts held engine-seconds for each pipeline request
     that was answered whole and in time. ``sender_lag_p99_ms`` is how late the
-    load sender's own loop ran, as a check on the machine.
+    load sender's own loop ran, as a check on the machine. ``back_after_s`` is the
+    time from the end of an outage to the first second from which on at least 95
+    of 100 requests sent within three seconds are answered.
     """
 
     scenario: str
@@ -52,6 +56,7 @@
     p99_ms: float
     engine_s_per_answer: float
     sender_lag_p99_ms: float
+    back_after_s: int | None
     n_faulty: int
     attainment_by_account: dict[str, float]
     outcomes: dict[str, int]
@@ -137,6 +142,7 @@
             round(p99, 1),
             round(generate.held_s / slots / answered, 4),
             round(self._sender_lag.get_value_at_percentile(99) / 1e3, 1),
+            self._back_after_s(),
             self._n_faulty,
             {
                 name: round(self._attained_by_account[name] / n, 4)
@@ -155,10 +161,26 @@
         n_generating = max(1, self._n_by_profile[_GENERATING])
         rest_s = max(0.0, deployment.deadline_s - deployment.unloaded_s)
         share = n_generating / max(1, self._n_by_profile.total())
-        whole = min(1.0, per_s * (surge_s + rest_s) / n_generating)
-        plain = min(1.0, per_s * surge_s / n_generating)
+        up_s = surge_s - scenario.out_s
+        up_share = up_s / surge_s
+        whole = min(1.0, up_share + rest_s / surge_s)
+        whole = min(whole, per_s * (up_s + rest_s) / n_generating)
+        plain = min(up_share, per_s * up_s / n_generating)
         return share * plain + 1 - share, share * whole + 1 - share
 
+    def _back_after_s(self) -> int | None:
+        out_s = self._scenario.out_s
+        if not out_s:
+            return None
+        back_at = int(self._from_s + out_s)
+        for second in range(back_at, max(self._offered_by_s, default=0)):
+            window = range(second, second + _BACK_WINDOW_S)
+            offered = sum(self._offered_by_s[s] for s in window)
+            attained = sum(self._attained_by_s[s] for s in window)
+            if attained >= _BACK_SHARE * offered:
+                return second - back_at
+        return None
+
     def _small_attainment(self) -> float:
         small = self._scenario.deployment.small_accounts
         n_small = sum(self._n_by_account[name] for name in small)
--- a/packages/aspendrift-standins/src/aspendrift_standins/surge_scenarios.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/surge_scenarios.py
@@ -14,6 +14,8 @@
 __all__ = ["SCENARIOS", "Scenario"]
 
 _FLAP_S: Final = 0.5
+_OUT_S: Final = 30.0
+_AFTER_OUT_S: Final = 12.0
 _GREEDY_FACTOR: Final = 10.0
 
 FaultRun: TypeAlias = Callable[
@@ -37,6 +39,10 @@
         Factor on what each account sends.
     fault : callable or None
         Causes the fault for a number of seconds and takes it back.
+    surge_s : float or None
+        Length of the run; None takes the length of the whole measurement.
+    out_s : float
+        How long no engine answers, from the start of the surge, in seconds.
     """
 
     name: str
@@ -46,7 +52,8 @@
     capacity: float = 1.0
     factors_by_account: Mapping[str, float] = field(default_factory=dict)
     fault: FaultRun | None = None
-    ends_daemons: bool = False
+    surge_s: float | None = None
+    out_s: float = 0.0
 
 
 def _engines(deployment: Deployment) -> list[str]:
@@ -77,6 +84,13 @@
         await asyncio.sleep(_FLAP_S)
 
 
+async def _stage_out(
+    deployment: Deployment, fleet: Fleet, daemons: tuple[str, ...], for_s: float
+) -> None:
+    engines = _engines(deployment)
+    await asyncio.gather(*(fleet.switch_faults(e, refuse_s=_OUT_S) for e in engines))
+
+
 async def _zone_gone(
     deployment: Deployment, fleet: Fleet, daemons: tuple[str, ...], for_s: float
 ) -> None:
@@ -109,8 +123,15 @@
         "target flapping", KAAPWIND, _CALM, capacity=5 / 6, fault=_flapping_target
     ),
     Scenario(
-        "zone gone", KAAPWIND, 0.5, capacity=2 / 3, fault=_zone_gone, ends_daemons=True
+        "stage out 30 s",
+        KAAPWIND,
+        _CALM,
+        before=_CALM,
+        fault=_stage_out,
+        surge_s=_OUT_S + _AFTER_OUT_S,
+        out_s=_OUT_S,
     ),
+    Scenario("zone gone", KAAPWIND, 0.5, capacity=2 / 3, fault=_zone_gone),
     Scenario("reports 2 s old, steady", REGISTRY, _CALM, before=_CALM),
     Scenario("reports 2 s old, hour 1.5x", REGISTRY, 1.5),
 )
