--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,6 @@
-.PHONY: measure-config measure-control compare-detection venv demo test check lint types unit pages measure-path measure-security fault-matrix measure-outcomes
+.PHONY: venv demo test check lint types unit pages fault-matrix report \
+	measure-capacity measure-config measure-control measure-outcomes \
+	measure-path measure-security measure-surge compare-detection
 
 VENV ?= .venv
 PYTHON ?= python3
@@ -65,3 +67,13 @@
 
 compare-detection: venv
 	$(BIN)/python tools/compare_detection.py
+
+measure-surge: venv
+	$(BIN)/python tools/measure_decisions.py > docs/measurements/decisions.json
+	$(BIN)/python -m aspendrift_standins.measure_surge \
+		--decisions docs/measurements/decisions.json \
+		--save docs/measurements/surge.json
+
+report: venv
+	$(BIN)/python -m aspendrift_standins.report \
+		docs/measurements/surge.json docs/measurements
