--- a/packages/aspendrift-daemon/src/aspendrift_daemon/limits.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/limits.py
@@ -22,7 +22,8 @@
 
 __all__ = ["BodyLimits", "ConnectionLimits", "limited_protocol"]
 
-_MAX_BUFFERED_BYTES: Final = 16 * 1024 * 1024
+_READ_BYTES: Final = 16 * 1024
+_MAX_HELD_BYTES: Final = 16 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +58,7 @@
         """Accept the connection unless too many are open."""
         super().connection_made(transport)
         _send_at_once(transport)
+        _read_in_small_pieces(transport)
         if len(self.connections) > self.limits.max_connections:
             transport.abort()
             return
@@ -97,6 +99,15 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
+def _read_in_small_pieces(transport: asyncio.Transport) -> None:
+    """Bound what one read takes in before the flow of a body is held back.
+
+    asyncio reads up to 256 KiB at once, which many connections can't have each.
+    """
+    if hasattr(transport, "max_size"):
+        transport.max_size = _READ_BYTES
+
+
 def limited_protocol(limits: ConnectionLimits) -> type[asyncio.Protocol]:
     """Return a protocol class for uvicorn's ``http`` option."""
     return type("LimitedProtocol", (_LimitedProtocol,), {"limits": limits})
@@ -107,7 +118,7 @@
 
 
 class _BuffersFull(Exception):
-    """The bodies that are not whole yet take too much memory."""
+    """The bodies being read or worked on take too much memory."""
 
 
 class BodyLimits:
@@ -124,8 +135,8 @@
         Largest body, in bytes.
     body_timeout_s : float
         Time for the whole body, in seconds.
-    max_buffered_bytes : int
-        Bytes of all bodies that are not whole yet.
+    max_held_bytes : int
+        Bytes of all bodies that are being read or worked on.
     """
 
     def __init__(
@@ -133,22 +144,23 @@
         app: ASGIApp,
         max_body_bytes: int,
         body_timeout_s: float,
-        max_buffered_bytes: int = _MAX_BUFFERED_BYTES,
+        max_held_bytes: int = _MAX_HELD_BYTES,
     ) -> None:
         self._app = app
         self._max_body_bytes = max_body_bytes
         self._body_timeout_s = body_timeout_s
-        self._max_buffered_bytes = max_buffered_bytes
-        self._n_buffered_bytes = 0
+        self._max_held_bytes = max_held_bytes
+        self._n_held_bytes = 0
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Read the body within the limits, then call the application."""
         if scope["type"] != ScopeType.HTTP:
             await self._app(scope, receive, send)
             return
+        body = bytearray()
         try:
             async with asyncio.timeout(self._body_timeout_s):
-                body = await self._read_body(scope, receive)
+                is_whole = await self._read_body(scope, receive, body)
         except _BodyTooLarge:
             await _refuse(send, RefusalReason.TOO_LARGE)
         except _BuffersFull:
@@ -156,31 +168,30 @@
         except TimeoutError:
             await _refuse(send, RefusalReason.BAD_REQUEST, "the body came too slowly")
         else:
-            if body is not None:
-                await self._app(scope, _Replay(body, receive), send)
+            if is_whole:
+                await self._app(scope, _Replay(bytes(body), receive), send)
+        finally:
+            self._n_held_bytes -= len(body)
 
-    async def _read_body(self, scope: Scope, receive: Receive) -> bytes | None:
+    async def _read_body(self, scope: Scope, receive: Receive, body: bytearray) -> bool:
+        """Read the whole body; False if the client went away."""
         if _declared_length(scope) > self._max_body_bytes:
             raise _BodyTooLarge
-        body = bytearray()
-        try:
-            while True:
-                message: Any = await receive()
-                if message["type"] == "http.disconnect":
-                    return None
-                self._append(body, message.get("body", b""))
-                if not message.get("more_body", False):
-                    return bytes(body)
-        finally:
-            self._n_buffered_bytes -= len(body)
+        while True:
+            message: Any = await receive()
+            if message["type"] == "http.disconnect":
+                return False
+            self._append(body, message.get("body", b""))
+            if not message.get("more_body", False):
+                return True
 
     def _append(self, body: bytearray, chunk: bytes) -> None:
         if len(body) + len(chunk) > self._max_body_bytes:
             raise _BodyTooLarge
-        if self._n_buffered_bytes + len(chunk) > self._max_buffered_bytes:
+        if self._n_held_bytes + len(chunk) > self._max_held_bytes:
             raise _BuffersFull
         body += chunk
-        self._n_buffered_bytes += len(chunk)
+        self._n_held_bytes += len(chunk)
 
 
 class _Replay:
