--- a/tools/check_docs.py
+++ b/tools/check_docs.py
@@ -21,6 +21,7 @@
 import check_imports
 import click
 import generate_index_page
+import generate_outcomes_page
 import generate_settings_page
 from click.testing import CliRunner
 
@@ -35,6 +36,11 @@
     "aspendrift": aspendrift_client.cli.command,
     "aspendriftd": aspendrift_daemon.cli.command,
 }
+GENERATORS: Final = (
+    generate_settings_page.main,
+    generate_outcomes_page.main,
+    generate_index_page.main,
+)
 ELISION: Final = "…"
 
 
@@ -162,8 +168,8 @@
     problems += [*package_table_problems(), *dependency_problems()]
     for problem in problems:
         print(problem, file=sys.stderr)
-    stale = generate_settings_page.main() + generate_index_page.main()
-    return 1 if problems or stale else 0
+    stale = [generate() for generate in GENERATORS]
+    return 1 if problems or any(stale) else 0
 
 
 if __name__ == "__main__":
