Check the peer link's keys before a daemon starts

Cause: a peer link without keys could listen beyond loopback, and a wrong key file was found only when the link started. Change: aspendriftd check and run read the keys and refuse a link without keys off loopback unless peers.allow_plaintext is set; secrets are never shown.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/cli.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/cli.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import importlib
 import importlib.metadata
 import json
 import sys
@@ -15,7 +14,9 @@
 import click
 from click.shell_completion import get_completion_class
 
+from aspendrift_daemon.app import serve
 from aspendrift_daemon.logs import configure_logging
+from aspendrift_daemon.peer_checks import peer_problems
 from aspendrift_daemon.tls import transport_problems
 from aspendrift_model.settings import DaemonSettings, load_settings
 from aspendrift_model.settings_base import SettingInfo, SettingsError, list_settings
@@ -56,7 +57,6 @@
     """Run the daemon with the file SETTINGS until it is told to leave."""
     settings = _checked_settings(settings_file)
     configure_logging(settings.log_level.value)
-    serve = importlib.import_module("aspendrift_daemon.app").serve
     asyncio.run(serve(settings))
 
 
@@ -95,7 +95,10 @@
 def _checked_settings(path: Path) -> DaemonSettings:
     try:
         settings = load_settings(path)
-        problems = transport_problems(settings.http)
+        problems = (
+            *transport_problems(settings.http),
+            *peer_problems(settings.peers),
+        )
         if problems:
             raise SettingsError(str(path), problems)
     except SettingsError as error:
--- a/packages/aspendrift-model/src/aspendrift_model/settings_peers.py
+++ b/packages/aspendrift-model/src/aspendrift_model/settings_peers.py
@@ -30,6 +30,9 @@
     allowed_keys: tuple[str, ...] = setting(
         (), doc="CURVE public keys of peers that may connect."
     )
+    allow_plaintext: bool = setting(
+        False, doc="Whether peers may do without keys on an address not loopback."
+    )
     seeds: tuple[SeedPeer, ...] = setting((), doc="Daemons known in advance.")
     max_queued: int = setting(
         1000, unit="messages", doc="Messages queued for one peer.", minimum=1
