Give the lateness of sends a default in load summaries

Cause: summaries made by hand elsewhere lack the new field, so tests of the demo's report failed (6 failed, 118 passed; 124 passed after this).

--- a/packages/aspendrift-standins/src/aspendrift_standins/load_report.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/load_report.py
@@ -31,6 +31,9 @@
     max_ms: float
 
 
+_NO_TIMES: Final = LatencyFigures(0, 0.0, 0.0, 0.0, 0.0)
+
+
 class StageCost(msgspec.Struct):
     """Seconds of target slots held and of work done, over a run."""
 
@@ -60,7 +63,7 @@
     cost_by_stage: dict[str, StageCost]
     first_token: LatencyFigures
     token_gap: LatencyFigures
-    sent_late: LatencyFigures
+    sent_late: LatencyFigures = _NO_TIMES
 
 
 class _Times:
@@ -82,7 +85,7 @@
         """Return the percentiles of one name."""
         histogram = self._histograms_by_name.get(name)
         if histogram is None:
-            return LatencyFigures(0, 0.0, 0.0, 0.0, 0.0)
+            return _NO_TIMES
         values = (histogram.get_value_at_percentile(p) for p in (50, 95, 99, 100))
         p50, p95, p99, top = (round(value / _US_PER_MS, 3) for value in values)
         return LatencyFigures(histogram.get_total_count(), p50, p95, p99, top)
