--- a/packages/aspendrift-standins/src/aspendrift_standins/measure_outcomes.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/measure_outcomes.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import sys
 from collections import Counter
 from collections.abc import Sequence
@@ -58,7 +59,11 @@
 
 
 class OutcomesResult(msgspec.Struct, frozen=True):
-    """Figures of both runs; the first four must be 0."""
+    """Figures of both runs; the first four must be 0.
+
+    The load averages, over five minutes at the end of each run, tell how busy the
+    machine was with everything that ran on it.
+    """
 
     doubled: int
     crossed: int
@@ -81,6 +86,8 @@
     claim_added_p99_ms: float
     cpu_share_by_role_calm: dict[str, float]
     cpu_share_by_role_faults: dict[str, float]
+    load_average_calm: float
+    load_average_faults: float
     calm: LoadSummary
     faults: LoadSummary
 
@@ -99,6 +106,7 @@
     claim_rows_per_s: float
     cpu_share_by_role: dict[str, float]
     failures: list[ChaosEvent]
+    load_average: float
 
 
 async def measure(options: OutcomesOptions) -> OutcomesResult:
@@ -182,7 +190,14 @@
         for role, cpu_s in _cpu_s_by_role(fleet).items()
     }
     rows_per_s = round(n_rows / duration_s, 2)
-    return _Phase(records, report.summary(), rows_per_s, cpu_share_by_role, runner.done)
+    return _Phase(
+        records,
+        report.summary(),
+        rows_per_s,
+        cpu_share_by_role,
+        runner.done,
+        round(os.getloadavg()[1], 1),
+    )
 
 
 def _cpu_s_by_role(fleet: Fleet) -> dict[str, float]:
@@ -247,6 +262,8 @@
         added_p99,
         calm.cpu_share_by_role,
         faults.cpu_share_by_role,
+        calm.load_average,
+        faults.load_average,
         calm.summary,
         faults.summary,
     )
