--- a/packages/aspendrift-daemon/src/aspendrift_daemon/dispatch_witnesses.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/dispatch_witnesses.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections import OrderedDict
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import Final, TypeVar
 
 import msgspec
@@ -19,7 +20,7 @@
 from aspendrift_model.settings_requests import RequestSettings
 from aspendrift_policy.witnesses import choose_witnesses, witness_ids
 
-__all__ = ["DispatchWitnesses"]
+__all__ = ["DispatchWitnesses", "Testimony"]
 
 _MS_PER_S: Final = 1000.0
 _TOPIC_NOTE: Final = "dispatch.note"
@@ -29,6 +30,14 @@
 _MAX_REMEMBERED: Final = 100_000
 
 
+class Testimony(Enum):
+    """What the witnesses say of a request."""
+
+    MAY_HAVE_RUN = "may_have_run"
+    NOT_SEEN = "not_seen"
+    NO_REPLY = "no_reply"
+
+
 class DispatchNote(msgspec.Struct, frozen=True):
     """A request may run from now on, or certainly did not (``undone``)."""
 
@@ -58,7 +67,8 @@
     """A question whose replies are awaited."""
 
     n_missing: int
-    done: asyncio.Future[bool]
+    done: asyncio.Future[Testimony]
+    any_reply: bool = False
 
 
 @dataclass(slots=True)
@@ -87,25 +97,25 @@
         for daemon_id in self._witnesses(request):
             self._send(daemon_id, _TOPIC_NOTE, note)
 
-    async def may_have_run(self, key: str) -> bool:
-        """Ask whether a request may have run; False if nobody knows of it."""
+    async def ask(self, key: str) -> Testimony:
+        """Ask whether a request may have run, for a bounded time."""
         request = _hash(key)
         if self._remembers(request):
-            return True
+            return Testimony.MAY_HAVE_RUN
         witnesses = self._witnesses(request)
         if not witnesses:
-            return False
+            return Testimony.NOT_SEEN
         self._n_questions += 1
         number = self._n_questions
-        done: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
-        self._questions_by_number[number] = _Question(len(witnesses), done)
+        question = _Question(len(witnesses), asyncio.get_running_loop().create_future())
+        self._questions_by_number[number] = question
         for daemon_id in witnesses:
             self._send(daemon_id, _TOPIC_ASK, DispatchQuestion(number, request))
         try:
             async with asyncio.timeout(self.settings.witness_wait_ms / _MS_PER_S):
-                return await done
+                return await question.done
         except TimeoutError:
-            return False
+            return Testimony.NOT_SEEN if question.any_reply else Testimony.NO_REPLY
         finally:
             del self._questions_by_number[number]
 
@@ -147,8 +157,11 @@
         if not reply or not question or question.done.done():
             return
         question.n_missing -= 1
-        if reply.may_have_run or question.n_missing == 0:
-            question.done.set_result(reply.may_have_run)
+        question.any_reply = True
+        if reply.may_have_run:
+            question.done.set_result(Testimony.MAY_HAVE_RUN)
+        elif question.n_missing == 0:
+            question.done.set_result(Testimony.NOT_SEEN)
 
     def _send(self, daemon_id: DaemonId, topic: str, message: msgspec.Struct) -> None:
         self.bus.send(daemon_id, topic, msgspec.msgpack.encode(message))
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/requests.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/requests.py
@@ -12,7 +12,7 @@
 import structlog
 
 from aspendrift_daemon.claims import Claim, Claims, Replayed
-from aspendrift_daemon.dispatch_witnesses import DispatchWitnesses
+from aspendrift_daemon.dispatch_witnesses import DispatchWitnesses, Testimony
 from aspendrift_daemon.events import EventHub
 from aspendrift_daemon.interfaces import (
     Clock,
@@ -60,6 +60,9 @@
 _OUTCOME_RESERVE_S: Final = 0.02
 _STOP_TIMEOUT_S: Final = 5.0
 _OF_THIS_SEND: Final = frozenset({RefusalReason.REQUEST_ID_REUSED})
+_OF_A_CUT_OFF_DAEMON: Final = frozenset(
+    {RefusalReason.ISOLATED, RefusalReason.NOT_READY}
+)
 _NO_RECORD: Final = frozenset(
     {RefusalReason.NOT_FOUND, RefusalReason.STORE_UNAVAILABLE}
 )
@@ -212,7 +215,10 @@
         repeatable = request.profile.contract.idempotent
         if repeatable or body.ran is not Ran.NO or body.reason in _OF_THIS_SEND:
             return body
-        if not await self.witnesses.may_have_run(claim_key(*request.key)):
+        testimony = await self.witnesses.ask(claim_key(*request.key))
+        cut_off = body.reason in _OF_A_CUT_OFF_DAEMON
+        silent = testimony is Testimony.NO_REPLY
+        if testimony is Testimony.NOT_SEEN or (silent and cut_off):
             return body
         return msgspec.structs.replace(
             body,
