--- a/packages/aspendrift-daemon/tests/request_path/conftest.py
+++ b/packages/aspendrift-daemon/tests/request_path/conftest.py
@@ -148,6 +148,7 @@
         self.awake = asyncio.Event()
         self.awake.set()
         self.killed = False
+        self.cut_off = False
 
     async def gate(self):
         if self.killed:
@@ -169,12 +170,18 @@
         return result
 
     async def read(self, keys):
+        if self.state.cut_off:
+            return StoreUnavailable("cut off")
         return await self._through(self.table.read, keys)
 
     async def scan(self, prefix, after="", limit=500):
+        if self.state.cut_off:
+            return StoreUnavailable("cut off")
         return await self._through(self.table.scan, prefix, after, limit)
 
     async def transact(self, conditions, writes):
+        if self.state.cut_off:
+            return NotWritten("cut off")
         return await self._through(self.table.transact, conditions, writes)
 
 
@@ -216,21 +223,29 @@
         self.host = host
         self.handlers = {}
         self.cut = False
+        self.mute = False
+        self.lossy = None
 
     def subscribe(self, topic, handler):
         self.handlers.setdefault(topic, []).append(handler)
 
     def broadcast(self, topic, payload):
         for bus in self.network.buses:
-            if bus is not self and not (bus.cut or self.cut):
-                for handler in bus.handlers.get(topic, ()):
-                    handler(self.host.daemon_id, payload)
+            if bus is not self:
+                self._deliver(bus, topic, payload)
 
     def send(self, daemon_id, topic, payload):
         for bus in self.network.buses:
-            if bus.host.daemon_id == daemon_id and not (bus.cut or self.cut):
-                for handler in bus.handlers.get(topic, ()):
-                    handler(self.host.daemon_id, payload)
+            if bus.host.daemon_id == daemon_id:
+                self._deliver(bus, topic, payload)
+
+    def _deliver(self, bus, topic, payload):
+        if self.cut or bus.cut or self.mute:
+            return
+        if self.lossy is not None and self.lossy.random() < 0.5:
+            return
+        for handler in bus.handlers.get(topic, ()):
+            handler(self.host.daemon_id, payload)
 
     def members(self):
         return [(bus.host, bus.state) for bus in self.network.buses]
--- a/packages/aspendrift-daemon/tests/request_path/test_outcomes_under_faults.py
+++ b/packages/aspendrift-daemon/tests/request_path/test_outcomes_under_faults.py
@@ -46,6 +46,7 @@
         self.sent = None
         self.replace = None
         self.failing = None
+        self.always = False
         self.attempts = set()
         self.n_runs_at_reply = []
 
@@ -94,7 +95,7 @@
         """Whether the target fails in this attempt: the first one struck."""
         if self.replace is not None and self.failing is None:
             self.failing = call.attempt_id
-        return call.attempt_id == self.failing
+        return call.attempt_id == self.failing or self.always
 
     async def run(self, seed, profile):
         rng = random.Random(seed)
@@ -177,6 +178,31 @@
         bus.state = MemberState.UNREACHABLE
 
 
+def peer_link_lossy(course):
+    for number, bus in enumerate(course.net.buses):
+        bus.lossy = random.Random(number)
+
+
+def peer_link_one_way(course):
+    course.net.buses[0].mute = True
+
+
+def region_cut(course):
+    net = course.net
+    net.hosts[0].cut_off = True
+    net.buses[0].cut = True
+    net.buses[0].state = MemberState.UNREACHABLE
+    later(OUTAGE_S, setattr, net.hosts[0], "cut_off", False)
+
+
+def poison(course):
+    async def crash(call):
+        yield Broken("cut", crashed=True)
+
+    course.replace = crash
+    course.always = True
+
+
 def target_slow(course):
     async def slow(call):
         await asyncio.sleep(60)
@@ -233,6 +259,10 @@
     "store slow": store_slow,
     "store answer lost": store_answer_lost,
     "peer link cut": peer_link_cut,
+    "peer link lossy": peer_link_lossy,
+    "peer link one-way": peer_link_one_way,
+    "region cut": region_cut,
+    "poison": poison,
     "target slow": target_slow,
     "target failing": failing(Broken("status 500")),
     "target crashing": failing(Broken("cut", crashed=True)),
@@ -241,23 +271,11 @@
     "repeated answer": repeated_answer,
     "burst": burst,
 }
-AFTER_ANSWER = {"outcome stored", "outcome replied"}
-AT_TARGET = {
-    "target slow",
-    "target failing",
-    "target crashing",
-    "foreign answer",
-    "late answer",
-    "repeated answer",
-}
 
 
 def cells():
     for fault in FAULTS:
         for step in STEPS:
-            before_send = step in ("request admitted", "request claimed")
-            if fault in AT_TARGET and (before_send or step in AFTER_ANSWER):
-                continue
             mark = pytest.mark.fault(fault, step)
             yield pytest.param(fault, step, marks=mark, id=f"{fault} at {step}")
 
@@ -282,7 +300,7 @@
 def idempotent_cells():
     for cell in cells():
         fault, step = cell.values
-        if step not in ("request claimed", "outcome stored"):
+        if step not in ("request claimed", "outcome stored") and fault != "poison":
             yield cell
 
 
