Plan a change again on the rows that a conflict shows

Cause: with 96 daemons on a busy machine one of 30 changes was not recorded within 10 s, since each try read the rows anew and others committed meanwhile. Change: the answer to a conflict shows the rows as they are; the change is planned on them at once, without a read or a growing delay.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/configuration_table.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/configuration_table.py
@@ -96,6 +96,9 @@
 )
 
 
+_ChangeRows: TypeAlias = tuple[Row, Row, Row]
+
+
 class ConfigurationTable:
     """Reads revisions from the table and records changes in it."""
 
@@ -213,8 +216,9 @@
         until = self._clock.monotonic() + _PUBLISH_TIMEOUT_S
         delay_s = _RETRY_S
         may_be_written = False
+        rows: _ChangeRows | None = None
         while True:
-            outcome = await self._try(change, operator)
+            outcome, rows = await self._try(change, operator, rows)
             if not isinstance(outcome, ChangeNotWritten | ChangeUnknown):
                 return outcome
             may_be_written |= isinstance(outcome, ChangeUnknown)
@@ -222,33 +226,43 @@
                 if may_be_written:
                     return ChangeUnknown(ChangeId(change.change_id), outcome.detail)
                 return outcome
-            await asyncio.sleep(delay_s * self._rng.uniform(0.5, 1.0))
-            delay_s = min(_RETRY_MAX_S, delay_s * 2)
-
-    async def _try(self, change: ChangeRequest, operator: str) -> ChangeOutcome:
-        keys = (
-            HEAD_KEY,
-            item_row_key(change.kind, change.name),
-            change_key(change.change_id),
-        )
-        answer = await self._table.read(keys)
-        if isinstance(answer, StoreUnavailable):
-            return ChangeNotWritten(answer.detail)
-        head_row, item_row, change_row = answer.rows
-        rows = (head_row, item_row, change_row)
+            if rows is None:
+                await asyncio.sleep(delay_s * self._rng.uniform(0.5, 1.0))
+                delay_s = min(_RETRY_MAX_S, delay_s * 2)
+
+    async def _try(
+        self, change: ChangeRequest, operator: str, rows: _ChangeRows | None
+    ) -> tuple[ChangeOutcome, _ChangeRows | None]:
+        """Plan and send a change once.
+
+        Returns
+        -------
+        tuple
+            The outcome, and after a conflict the rows to plan on again at once:
+            the answer to a conflict shows them as they are.
+        """
+        if rows is None:
+            answer = await self._table.read(_change_row_keys(change))
+            if isinstance(answer, StoreUnavailable):
+                return ChangeNotWritten(answer.detail), None
+            head_row, item_row, change_row = answer.rows
+            rows = (head_row, item_row, change_row)
         plan = plan_change(change, operator, self._clock.unix(), rows)
         if isinstance(plan, RecordedChange):
-            return ChangeRecorded(plan.revision)
+            return ChangeRecorded(plan.revision), None
         if not isinstance(plan, PlannedChange):
-            return plan
+            return plan, None
         result = await self._table.transact(plan.conditions, plan.writes)
         if isinstance(result, Committed):
-            return ChangeRecorded(Revision(plan.record.revision), plan.record)
+            revision = Revision(plan.record.revision)
+            return ChangeRecorded(revision, plan.record), None
         if isinstance(result, WriteUnknown):
-            return ChangeUnknown(ChangeId(change.change_id), result.detail)
+            return ChangeUnknown(ChangeId(change.change_id), result.detail), None
         if isinstance(result, NotWritten):
-            return ChangeNotWritten(result.detail)
-        return ChangeNotWritten("the table changed meanwhile")
+            return ChangeNotWritten(result.detail), None
+        newer = {row.key: row for row in result.rows}
+        first, second, third = (newer.get(row.key, row) for row in rows)
+        return ChangeNotWritten("the table kept changing"), (first, second, third)
 
     async def _scan(self, prefix: str) -> list[Row] | StoreUnavailable:
         rows: list[Row] = []
@@ -263,6 +277,14 @@
             after = page.rows[-1].key
 
 
+def _change_row_keys(change: ChangeRequest) -> tuple[str, str, str]:
+    return (
+        HEAD_KEY,
+        item_row_key(change.kind, change.name),
+        change_key(change.change_id),
+    )
+
+
 def _changes(rows: Sequence[Row]) -> list[ChangeBody]:
     bodies = [change_of_row(row) for row in rows]
     return [body for body in bodies if body is not None]
--- a/packages/aspendrift-daemon/tests/configuration/test_configuration.py
+++ b/packages/aspendrift-daemon/tests/configuration/test_configuration.py
@@ -328,3 +328,25 @@
         await world.until(lambda: world.all_hold(1) and world.all_serve(), 7)
 
     world.run(scenario())
+
+
+@pytest.mark.fault("burst", "change submitted")
+@pytest.mark.fault("store slow", "change submitted")
+def test_burst_of_changes_over_a_slow_store_is_recorded(world: Any) -> None:
+    """Each conflict lets another change through, so that none starves."""
+
+    async def scenario() -> None:
+        await settled(world)
+        world.table.delay_s = 0.4
+        outcomes = await asyncio.gather(
+            *(
+                world.daemons[NAMES[i % 7]].keeper.publish(
+                    world.change(f"c{i}", f"x{i}")
+                )
+                for i in range(20)
+            )
+        )
+        assert {type(outcome) for outcome in outcomes} == {ChangeRecorded}
+        assert sorted(each.revision for each in outcomes) == list(range(1, 21))
+
+    world.run(scenario())
--- a/packages/aspendrift-standins/src/aspendrift_standins/measure_control.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/measure_control.py
@@ -1,7 +1,8 @@
 """Measures what control costs a daemon: processor time, bytes and memory.
 
 Real daemon processes, idle and under changes and restarts at a multiple of the
-daily rates. What a change and a restart add is divided by the multiple. The
+daily rates; one daemon is restarted, the others are measured. What changes and
+restarts add is divided by the multiple. The
 cost against views of up to 350 members is added from ``tools/measure_view.py``.
 """
 
@@ -42,6 +43,7 @@
 _MEMORY_LIMIT: Final = 128 * 1024 * 1024
 _WIRE_BYTES_PER_MESSAGE: Final = 52 + 52 + 4
 _SETTLE_S: Final = 25.0
+_RESTART_PAUSE_S: Final = 2.0
 _SEED: Final = 7
 _VIEW_TOOL: Final = Path("tools") / "measure_view.py"
 
@@ -56,6 +58,7 @@
     n_received: int
     n_bytes: int
     resident: int
+    n_files: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +67,7 @@
 
     ``core`` is a share of one core. ``bytes_per_s`` counts both directions with
     the headers of TCP and IP and one acknowledgement for each message.
+    ``n_files`` counts open files and sockets.
     """
 
     n_daemons: int
@@ -73,6 +77,7 @@
     loaded_core: float
     loaded_bytes_per_s: float
     resident_mb: float
+    n_files: float
 
 
 @click.command()
@@ -115,22 +120,37 @@
     """Make changes and restarts at a multiple of their daily rates."""
     rng = random.Random(_SEED)
     speed = _SPEED_UP * window_s / _SECONDS_PER_DAY
+    restarted, observed = fleet.daemon_ids[-1], fleet.daemon_ids[:-1]
+    restarts = asyncio.create_task(
+        _restart(fleet, restarted, max(1, round(_RESTARTS_PER_DAY * speed)))
+    )
     n_changes = max(1, round(_CHANGES_PER_DAY * speed))
     for number in range(n_changes):
-        await client.add_account(rng.choice(fleet.daemon_ids), f"account-{number}")
-        await asyncio.sleep(0.9 * window_s / n_changes)
+        await client.add_account(rng.choice(observed), f"account-{number}")
+        await asyncio.sleep(0.8 * window_s / n_changes)
+    await restarts
+
+
+async def _restart(fleet: Fleet, daemon_id: str, n_restarts: int) -> None:
+    for _ in range(n_restarts):
+        fleet.kill(daemon_id)
+        await fleet.child(daemon_id).wait_ended(_RESTART_PAUSE_S)
+        await asyncio.sleep(_RESTART_PAUSE_S)
+        await fleet.restart(daemon_id)
 
 
 async def _read(fleet: Fleet, client: ControlClient) -> _Reading:
     cpu_s = 0.0
-    resident = 0
-    for daemon_id in fleet.daemon_ids:
+    resident = n_files = 0
+    observed = fleet.daemon_ids[:-1]
+    for daemon_id in observed:
         process = psutil.Process(fleet.child(daemon_id).pid)
         times = process.cpu_times()
         cpu_s += times.user + times.system
         resident += process.memory_info().rss
+        n_files += process.num_fds()
     at = time.monotonic()
-    links = [(await client.status(each))["link"] for each in fleet.daemon_ids]
+    links = [(await client.status(each))["link"] for each in observed]
     return _Reading(
         at,
         cpu_s,
@@ -138,14 +158,16 @@
         sum(link["n_received"] for link in links),
         sum(link["bytes_sent"] + link["bytes_received"] for link in links),
         resident,
+        n_files,
     )
 
 
 def _figures(
     n_daemons: int, first: _Reading, second: _Reading, third: _Reading
 ) -> ControlFigures:
-    idle_core, idle_messages, idle_bytes = _rates(n_daemons, first, second)
-    busy_core, _, busy_bytes = _rates(n_daemons, second, third)
+    n_observed = n_daemons - 1
+    idle_core, idle_messages, idle_bytes = _rates(n_observed, first, second)
+    busy_core, _, busy_bytes = _rates(n_observed, second, third)
     added_core = max(0.0, busy_core - idle_core) / _SPEED_UP
     added_bytes = max(0.0, busy_bytes - idle_bytes) / _SPEED_UP
     return ControlFigures(
@@ -155,7 +177,8 @@
         round(idle_bytes, 1),
         round(idle_core + added_core, 5),
         round(idle_bytes + added_bytes, 1),
-        round(third.resident / n_daemons / 1024 / 1024, 1),
+        round(third.resident / n_observed / 1024 / 1024, 1),
+        round(third.n_files / n_observed, 1),
     )
 
 
@@ -174,7 +197,7 @@
     """Return slopes over the number of daemons, and what they give at 350."""
     sizes = [float(run.n_daemons) for run in runs]
     lines: dict[str, dict[str, float]] = {}
-    for name in ("loaded_core", "loaded_bytes_per_s", "resident_mb"):
+    for name in ("loaded_core", "loaded_bytes_per_s", "resident_mb", "n_files"):
         per_daemon, offset = slope(sizes, [getattr(run, name) for run in runs])
         lines[name] = {
             "per_daemon": per_daemon,
--- /dev/null
+++ b/tools/measure_freshness.py
@@ -0,0 +1,112 @@
+"""Measure how fresh 350 daemons stay, by stepping their freshness decisions.
+
+Relayed reads of the head while the table answers, and word from more than half
+of the view once it does not. No processes: probes go along the rings' neighbours
+with a fixed latency and a share of lost messages.
+"""
+
+from __future__ import annotations
+
+import heapq
+import json
+import random
+from typing import Final
+
+from aspendrift_model.ids import DaemonId
+from aspendrift_policy.failure_detection import ring_neighbours
+from aspendrift_policy.freshness import Freshness
+from aspendrift_policy.spread import head_read_delay_s
+
+LIMIT_S: Final = 3.0
+PROBE_S: Final = 0.5
+HUNGRY_FACTOR: Final = 0.4
+READS_PER_S: Final = 50.0
+LATENCY_S: Final = 0.002
+OUTAGE_AT_S: Final = 15.0
+RUN_S: Final = 30.0
+WARM_UP_S: Final = 8.0
+SAMPLE_S: Final = 0.5
+CASES: Final = ((8, 0.0), (96, 0.01), (350, 0.0), (350, 0.01), (350, 0.1))
+
+
+class Group:
+    """Daemons that ask each other."""
+
+    def __init__(self, n_daemons: int, lost_share: float, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.lost_share = lost_share
+        self.ids = [DaemonId(f"d{i:03}") for i in range(n_daemons)]
+        self.fresh = {each: Freshness(each, LIMIT_S, 0.0) for each in self.ids}
+        self.peers = {each: ring_neighbours(each, self.ids) for each in self.ids}
+        self.events: list[tuple[float, int, str, DaemonId]] = []
+        for number, each in enumerate(self.ids):
+            first = self.rng.uniform(0, PROBE_S)
+            heapq.heappush(self.events, (first, number, "probe", each))
+            heapq.heappush(self.events, (first, number, "read", each))
+        self.ages: dict[str, list[float]] = {"reading": [], "outage": []}
+
+    def run(self) -> None:
+        """Step every probe and read until the end."""
+        sample_at = WARM_UP_S
+        while self.events[0][0] < RUN_S:
+            now, number, kind, own_id = heapq.heappop(self.events)
+            if now >= sample_at:
+                self.sample(sample_at)
+                sample_at += SAMPLE_S
+            delay_s = self.read(own_id, now) if kind == "read" else None
+            if delay_s is None:
+                delay_s = self.probe(own_id, now)
+            heapq.heappush(self.events, (now + delay_s, number, kind, own_id))
+
+    def read(self, own_id: DaemonId, now: float) -> float:
+        """Read the head while the table answers; return the time to the next."""
+        if now < OUTAGE_AT_S:
+            self.fresh[own_id].head_was(1, now, 1)
+        return head_read_delay_s(len(self.ids), READS_PER_S, self.rng)
+
+    def probe(self, own_id: DaemonId, now: float) -> float:
+        """Ask a neighbour; return the time to the next probe."""
+        peer_id = self.rng.choice(self.peers[own_id])
+        fresh = self.fresh[own_id]
+        if self.rng.random() >= 1 - (1 - self.lost_share) ** 2:
+            digest = self.fresh[peer_id].digest(1, 0, self.ids, now + LATENCY_S)
+            fresh.learned(peer_id, digest, now, self.ids, 1)
+        hungry = fresh.is_hungry(1, self.ids, now + 2 * LATENCY_S)
+        return PROBE_S * (HUNGRY_FACTOR if hungry else 1) * self.rng.uniform(0.9, 1.1)
+
+    def sample(self, now: float) -> None:
+        """Note the age of every daemon's proof."""
+        if OUTAGE_AT_S <= now < OUTAGE_AT_S + LIMIT_S:
+            return
+        phase = "reading" if now < OUTAGE_AT_S else "outage"
+        for fresh in self.fresh.values():
+            at = fresh.fresh_at(1, self.ids, now)
+            self.ages[phase].append(RUN_S if at is None else now - at)
+
+
+def quantile(values: list[float], share: float) -> float:
+    """Return the value below which a share of the values lies."""
+    ordered = sorted(values)
+    return round(ordered[min(len(ordered) - 1, int(share * len(ordered)))], 2)
+
+
+def main() -> None:
+    """Run every size and loss."""
+    rows = []
+    for n_daemons, lost_share in CASES:
+        group = Group(n_daemons, lost_share, 1)
+        group.run()
+        row: dict[str, object] = {"n_daemons": n_daemons, "lost_share": lost_share}
+        for phase, ages in group.ages.items():
+            row[f"{phase}_p50_s"] = quantile(ages, 0.5)
+            row[f"{phase}_p99_s"] = quantile(ages, 0.99)
+            row[f"{phase}_max_s"] = quantile(ages, 1.0)
+            stale = sum(age > LIMIT_S for age in ages)
+            row[f"{phase}_isolated_share"] = round(stale / len(ages), 5)
+        rows.append(row)
+        print(row, flush=True)
+    print("RESULT " + json.dumps({"limit_s": LIMIT_S, "rows": rows}))
+
+
+if __name__ == "__main__":
+    main()
