--- a/tools/compare_detection.py
+++ b/tools/compare_detection.py
@@ -35,10 +35,12 @@
 from aspendrift_policy.membership import MemberView
 
 N_MEMBERS: Final = 40
-N_SEEDS: Final = 5
+N_SEEDS: Final = 3
 TICK_S: Final = 0.1
 LATENCY_S: Final = 0.002
-RUN_S: Final = 120.0
+N_MINORITY: Final = 13
+RUN_S: Final = 100.0
+SAMPLE_S: Final = 0.5
 FAULT_AT_S: Final = 20.0
 HEAL_AT_S: Final = 60.0
 HEADER_BYTES: Final = 60
@@ -87,7 +89,7 @@
     Fault("loss 30%", lambda a, b, rng: rng.random() > 0.3),
     Fault("one-way link", lambda a, b, rng: (a, b) != (3, 7)),
     Fault("paused 30 s", stopped=(5,)),
-    Fault("cut of a third", lambda a, b, rng: (a < 13) == (b < 13)),
+    Fault("cut of a third", lambda a, b, rng: (a < N_MINORITY) == (b < N_MINORITY)),
     Fault("silent hosts", gone=(4, 9)),
     Fault("restarts, loss 30%", lambda a, b, rng: rng.random() > 0.3, n_restarts=12),
 )
@@ -123,6 +125,7 @@
         self.false_s = 0.0
         self.found_at: dict[int, float] = {}
         self.equal_at: float | None = None
+        self.cut_noticed: dict[bool, float] = {}
 
     def new_node(self, index: int, incarnation: int) -> Node:
         """Return a member that knows only itself."""
@@ -290,7 +293,9 @@
                 if other in self.fault.gone:
                     self.found_at.setdefault(other * 1000 + index, self.now)
                 elif not self.is_down(other) and not self.is_cut(index, other):
-                    self.false_s += TICK_S
+                    self.false_s += SAMPLE_S
+        if self.fault.name.startswith("cut") and self.now < HEAL_AT_S:
+            self.cut_noticed = {side: self.noticed(side) for side in (True, False)}
         hashes = {
             n.view.view_hash for i, n in self.nodes.items() if not self.is_down(i)
         }
@@ -299,13 +304,24 @@
         elif self.equal_at is None:
             self.equal_at = self.now
 
+    def noticed(self, in_minority: bool) -> float:
+        """Return the share of the other side that one side holds unreachable."""
+        found = [
+            member.state is MemberState.UNREACHABLE
+            for index, node in self.nodes.items()
+            if (index < N_MINORITY) is in_minority
+            for member in node.view.members_by_id.values()
+            if (int(member.host.daemon_id[1:]) < N_MINORITY) is not in_minority
+        ]
+        return sum(found) / len(found)
+
     def is_cut(self, first: int, second: int) -> bool:
         """Return whether two members are on different sides of a cut."""
         during = FAULT_AT_S <= self.now < HEAL_AT_S + 5
         return (
             self.fault.name.startswith("cut")
             and during
-            and ((first < 13) != (second < 13))
+            and ((first < N_MINORITY) != (second < N_MINORITY))
         )
 
     def restart_some(self) -> None:
@@ -327,15 +343,20 @@
 def run(variant: Variant, fault: Fault, seed: int) -> dict[str, float | None]:
     """Run one variant on one fault and return its figures."""
     group = Group(variant, fault, seed)
+    sampled_at = 0.0
     while group.now < RUN_S:
         group.restart_some()
         group.step()
-        group.observe()
+        if group.now >= sampled_at + SAMPLE_S:
+            sampled_at = group.now
+            group.observe()
     n_live = N_MEMBERS - len(fault.gone)
     expected = len(fault.gone) * n_live
     found = [at - FAULT_AT_S for at in group.found_at.values()]
     complete = expected > 0 and len(found) == expected
     return {
+        "minority_notices": group.cut_noticed.get(True),
+        "majority_notices": group.cut_noticed.get(False),
         "false_member_s": group.false_s,
         "detect_p50": statistics.median(found) if found else None,
         "detect_max": max(found) if complete else None,
