Let daemons that all start at once share the rate of the table

Cause: a scan that went over the table's rate was given up and begun anew, so forty daemons that started together against 3,200 items at 2,000 rows a second were not all serving after 60 s (virtual time). Change: a daemon whose first try fails starts at a random moment within 10 s, waits out the rate page by page, and stops once a peer gave it the items.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/configuration.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/configuration.py
@@ -58,6 +58,7 @@
 _ACCEPT_POLL_S: Final = 0.02
 _PULL_INTERVAL_S: Final = 0.25
 _RELOAD_INTERVAL_S: Final = 30.0
+_LOAD_SPREAD_S: Final = 10.0
 _REPAIR_INTERVAL_S: Final = 0.5
 _MAX_REPAIRS: Final = 64
 _WATCH_S: Final = 60.0
@@ -145,8 +146,9 @@
         bus.subscribe(CONFIGURATION_TOPIC, self._on_message)
 
     async def start(self) -> None:
-        """Load from the table if it answers, and keep up from then on."""
-        await self.load_from_table()
+        """Load from the table if it answers at once, and keep up from then on."""
+        if not await self.load_from_table():
+            self._run(self._load_until_loaded())
         self._run(self._read_head_forever())
         self._run(self._repair_forever())
 
@@ -274,10 +276,23 @@
             self._ids = list(self._hosts_by_id)
         return self._ids
 
-    async def load_from_table(self) -> bool:
+    async def _load_until_loaded(self) -> None:
+        """Try again at random times, until the table or a peer gave the items.
+
+        When all daemons start at once, a few read the whole table and the others
+        get the items from them.
+        """
+        while not self._is_loaded:
+            await asyncio.sleep(self._rng.uniform(0, _LOAD_SPREAD_S))
+            if not self._is_loaded:
+                await self.load_from_table(lambda: not self._is_loaded)
+
+    async def load_from_table(
+        self, goes_on: Callable[[], bool] = lambda: False
+    ) -> bool:
         """Read every item from the table; return False if it does not answer."""
         asked_at = self._clock.monotonic()
-        snapshot = await self.table.load()
+        snapshot = await self.table.load(goes_on)
         if isinstance(snapshot, StoreUnavailable):
             self._events.emit(HeadReadFailed(snapshot.detail))
             return False
@@ -292,8 +307,6 @@
             await asyncio.sleep(head_read_delay_s(n_daemons, rate, self._rng))
             if self._is_loaded:
                 await self.read_head()
-            else:
-                await self.load_from_table()
 
     async def read_head(self) -> None:
         """Read the head revision, and the changes that are missing here."""
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/configuration_table.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/configuration_table.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Final, TypeAlias
 
@@ -55,6 +55,7 @@
 _PUBLISH_TIMEOUT_S: Final = 10.0
 _RETRY_S: Final = 0.05
 _RETRY_MAX_S: Final = 1.0
+_OVER_RATE_S: Final = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,16 +115,23 @@
             return answer
         return revision_of_row(answer.rows[0]) or Revision(0)
 
-    async def load(self) -> Snapshot | StoreUnavailable:
+    async def load(
+        self, goes_on: Callable[[], bool] = lambda: False
+    ) -> Snapshot | StoreUnavailable:
         """Return every item at the newest revision.
 
         The pages of a scan are read at different moments, so the changes made
         meanwhile are applied on top.
+
+        Parameters
+        ----------
+        goes_on : callable
+            Whether to wait and go on with a scan that is over the table's rate.
         """
         first = await self.head()
         if isinstance(first, StoreUnavailable):
             return first
-        rows = await self._scan(ITEM_PREFIX)
+        rows = await self._scan(ITEM_PREFIX, goes_on)
         if isinstance(rows, StoreUnavailable):
             return rows
         last = await self.head()
@@ -264,13 +272,18 @@
         first, second, third = (newer.get(row.key, row) for row in rows)
         return ChangeNotWritten("the table kept changing"), (first, second, third)
 
-    async def _scan(self, prefix: str) -> list[Row] | StoreUnavailable:
+    async def _scan(
+        self, prefix: str, goes_on: Callable[[], bool]
+    ) -> list[Row] | StoreUnavailable:
         rows: list[Row] = []
         after = ""
         while True:
             page = await self._table.scan(prefix, after, _PAGE_ROWS)
             if not isinstance(page, RowsRead):
-                return page
+                if not page.over_rate or not goes_on():
+                    return page
+                await asyncio.sleep(_OVER_RATE_S * self._rng.uniform(0.5, 1.5))
+                continue
             rows += page.rows
             if len(page.rows) < _PAGE_ROWS:
                 return rows
--- a/packages/aspendrift-daemon/tests/configuration/conftest.py
+++ b/packages/aspendrift-daemon/tests/configuration/conftest.py
@@ -116,6 +116,8 @@
         self.is_down = False
         self.delay_s = 0.001
         self.loses_answers = False
+        self.rows_per_s = 0.0
+        self._rows_left_at = 0.0
         self.on_commit: Callable[[], None] = lambda: None
 
     def _row(self, key: str) -> Row:
@@ -126,9 +128,22 @@
         await asyncio.sleep(self.delay_s)
         return not self.is_down
 
+    def _is_over_rate(self, n_rows: int) -> bool:
+        """Take rows from a budget that fills up within a second."""
+        if not self.rows_per_s:
+            return False
+        now = asyncio.get_running_loop().time()
+        earliest = max(self._rows_left_at, now - 1.0)
+        if earliest + n_rows / self.rows_per_s > now:
+            return True
+        self._rows_left_at = earliest + n_rows / self.rows_per_s
+        return False
+
     async def read(self, keys: Sequence[str]) -> RowsRead | StoreUnavailable:
         if not await self._reachable():
             return StoreUnavailable("down")
+        if self._is_over_rate(len(keys)):
+            return StoreUnavailable("over rate", over_rate=True)
         return RowsRead(tuple(self._row(key) for key in keys))
 
     async def scan(
@@ -137,7 +152,10 @@
         if not await self._reachable():
             return StoreUnavailable("down")
         keys = [k for k in sorted(self.rows) if k.startswith(prefix) and k > after]
-        return RowsRead(tuple(self.rows[key] for key in keys[:limit]))
+        keys = keys[:limit]
+        if self._is_over_rate(len(keys)):
+            return StoreUnavailable("over rate", over_rate=True)
+        return RowsRead(tuple(self.rows[key] for key in keys))
 
     async def transact(
         self, conditions: Sequence[Condition], writes: Sequence[Write]
--- a/packages/aspendrift-daemon/tests/configuration/test_configuration.py
+++ b/packages/aspendrift-daemon/tests/configuration/test_configuration.py
@@ -350,3 +350,31 @@
         assert sorted(each.revision for each in outcomes) == list(range(1, 21))
 
     world.run(scenario())
+
+
+@pytest.mark.fault("store slow", "daemon starting")
+@pytest.mark.fault("burst", "daemon starting")
+def test_all_daemons_starting_at_once_share_the_rate_of_the_table(world: Any) -> None:
+    """Forty daemons would read 128,000 rows; the table gives 2,000 a second."""
+
+    async def scenario() -> None:
+        await world.start("d0")
+        keeper = world.daemons["d0"].keeper
+        rows = world.table.rows
+        await keeper.publish(world.change("c1"))
+        change = rows["config/item/account/x"]
+        for i in range(3200):
+            key = f"config/item/account/x{i:04}"
+            value = change.value.replace('"x"', f'"x{i:04}"')
+            rows[key] = type(change)(key, change.version, value)
+        await world.kill("d0")
+        world.table.rows_per_s = 2000.0
+        started = world.now()
+        names = [f"d{i}" for i in range(40)]
+        await world.start(*names)
+        await world.until(lambda: world.all_hold(1) and world.all_serve(), 60)
+        assert world.now() - started < 45
+        for daemon in world.daemons.values():
+            assert len(daemon.keeper.log.items_by_key) == 3201
+
+    world.run(scenario())
