--- a/packages/aspendrift-policy/src/aspendrift_policy/fairness.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/fairness.py
@@ -21,7 +21,8 @@
     "name_hash",
 ]
 
-_WINDOW_S: Final = 3.0
+_ACCOUNT_WINDOW_S: Final = 3.0
+_DEMAND_WINDOW_S: Final = 10.0
 _DIGEST_MAX_AGE_S: Final = 6.0
 _MAX_ACCOUNTS_IN_DIGEST: Final = 16
 _MAX_ACCOUNTS: Final = 4096
@@ -68,8 +69,8 @@
     __slots__ = ("admitted", "offered")
 
     def __init__(self) -> None:
-        self.offered = DecayedRate(_WINDOW_S)
-        self.admitted = DecayedRate(_WINDOW_S)
+        self.offered = DecayedRate(_ACCOUNT_WINDOW_S)
+        self.admitted = DecayedRate(_ACCOUNT_WINDOW_S)
 
 
 def fair_level(
@@ -123,7 +124,9 @@
 
     def asked(self, key: str, work_s: float, now: float) -> None:
         """Count work asked of a pool or a model, admitted or not, in slot-seconds."""
-        rate = self._demand_by_key.setdefault(name_hash(key), DecayedRate(_WINDOW_S))
+        rate = self._demand_by_key.setdefault(
+            name_hash(key), DecayedRate(_DEMAND_WINDOW_S)
+        )
         rate.add(work_s, now)
 
     def system_demand(self, key: str, n_daemons: int, now: float) -> float:
--- a/packages/aspendrift-policy/tests/test_fairness.py
+++ b/packages/aspendrift-policy/tests/test_fairness.py
@@ -67,22 +67,22 @@
 
 def test_share_of_a_pool_follows_the_demand_of_each_daemon() -> None:
     here = FairShares()
-    use(here, "ann", 3.0, 10.0)
-    assert here.share_of_pool(POOL, 4, 4, 10.0) == pytest.approx(0.25)
+    use(here, "ann", 3.0, 40.0)
+    assert here.share_of_pool(POOL, 4, 4, 40.0) == pytest.approx(0.25)
     other = FairShares()
-    use(other, "ann", 1.0, 10.0)
+    use(other, "ann", 1.0, 40.0)
     for peer in range(3):
-        here.heard(DaemonId(f"d{peer}"), other.digest(10.0), 10.0)
-    assert here.share_of_pool(POOL, 4, 4, 10.0) == pytest.approx(0.5, rel=0.05)
+        here.heard(DaemonId(f"d{peer}"), other.digest(40.0), 40.0)
+    assert here.share_of_pool(POOL, 4, 4, 40.0) == pytest.approx(0.5, rel=0.05)
 
 
 def test_slots_that_nobody_asks_for_are_divided_evenly() -> None:
     here = FairShares()
     for peer in range(3):
-        here.heard(DaemonId(f"d{peer}"), FairShares().digest(10.0), 10.0)
-    assert here.share_of_pool(POOL, 100, 4, 10.0) == pytest.approx(0.25)
-    use(here, "ann", 20.0, 10.0)
-    assert here.share_of_pool(POOL, 100, 4, 10.0) == pytest.approx(0.4, rel=0.05)
+        here.heard(DaemonId(f"d{peer}"), FairShares().digest(40.0), 40.0)
+    assert here.share_of_pool(POOL, 100, 4, 40.0) == pytest.approx(0.25)
+    use(here, "ann", 20.0, 40.0)
+    assert here.share_of_pool(POOL, 100, 4, 40.0) == pytest.approx(0.4, rel=0.05)
 
 
 @pytest.mark.fault("peer link cut", "request admitted")
