--- a/packages/aspendrift-standins/src/aspendrift_standins/demo_report.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/demo_report.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from aspendrift_client.output import format_table
+from aspendrift_standins.expected import AnswerFault
 from aspendrift_standins.load_report import LatencyFigures, LoadSummary
 
 __all__ = ["DemoResult", "report_lines", "verdict_lines"]
@@ -21,10 +22,13 @@
     ----------
     runs_by_id : mapping
         How often each request that is not idempotent ran at the services.
+    command_fault : AnswerFault or None
+        What is wrong with the answer that the command line got.
     """
 
     summary: LoadSummary
     runs_by_id: Mapping[str, int]
+    command_fault: AnswerFault | None = None
 
     @property
     def n_doubled(self) -> int:
@@ -43,7 +47,9 @@
     def passed(self) -> bool:
         """Whether every answer was whole and its own, and none ran twice."""
         faults = self.summary.n_cut + self.summary.n_crossed + self.n_doubled
-        return not faults and not self.silent_profiles and bool(self.summary.n_answered)
+        if faults or self.command_fault is not None:
+            return False
+        return not self.silent_profiles and bool(self.summary.n_answered)
 
 
 def report_lines(result: DemoResult) -> Iterator[str]:
@@ -51,7 +57,7 @@
     summary = result.summary
     yield _section("attainment and latency by profile")
     rows = [
-        (name, share, *_figures(summary.latency_by_profile.get(name)))
+        (name, f"{share:.4f}", *_figures(summary.latency_by_profile.get(name)))
         for name, share in summary.attainment_by_profile.items()
     ]
     yield format_table(("profile", "attainment", "answered", *_PERCENTILES), rows)
@@ -80,6 +86,8 @@
         f"{summary.n_crossed}, calls that ran twice {result.n_doubled} "
         f"of {len(result.runs_by_id)}"
     )
+    if result.command_fault is not None:
+        yield f"wrong answer of the command line: {result.command_fault}"
     if result.silent_profiles:
         yield f"no answer at all for: {', '.join(result.silent_profiles)}"
     yield "passed" if result.passed else "FAILED"
