--- a/packages/aspendrift-standins/src/aspendrift_standins/surge_result.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/surge_result.py
@@ -17,6 +17,8 @@
 _MAX_US: Final = 600_000_000
 _GENERATING: Final = "pipeline"
 _BIN_S: Final = 1.0
+_BACK_WINDOW_S: Final = 3
+_BACK_SHARE: Final = 0.95
 
 
 class StageFigures(msgspec.Struct):
@@ -30,11 +32,14 @@
 class RunFigures(msgspec.Struct, frozen=True):
     """What one scenario gave under one strategy.
 
-    ``bound`` is the share that the capacity allows when what is queued at the
-    end is still served; ``plain_bound`` is min(1, capacity / offered).
+    ``bound`` is min(1, capacity / offered) for the requests that need engines, 1
+    for the others; ``bound_with_tail`` also counts what is queued when the surge
+    ends and served until the deadlines.
     ``engine_s_per_answer`` counts held engine-seconds for each pipeline request
     that was answered whole and in time. ``sender_lag_p99_ms`` is how late the
-    load sender's own loop ran, as a check on the machine.
+    load sender's own loop ran, as a check on the machine. ``back_after_s`` is the
+    time from the end of an outage to the first second from which on at least 95
+    of 100 requests sent within three seconds are answered.
     """
 
     scenario: str
@@ -42,14 +47,16 @@
     n_requests: int
     attainment: float
     bound: float
-    plain_bound: float
+    bound_with_tail: float
     of_bound: float
+    of_bound_with_tail: float
     small_attainment: float
     p50_ms: float
     p95_ms: float
     p99_ms: float
     engine_s_per_answer: float
     sender_lag_p99_ms: float
+    back_after_s: int | None
     n_faulty: int
     attainment_by_account: dict[str, float]
     outcomes: dict[str, int]
@@ -109,7 +116,7 @@
         """Return the figures; ``surge_s`` is how long requests were sent."""
         n_requests = self._n_by_profile.total()
         attained = self._attained_by_profile.total()
-        bound, plain_bound = self._bounds(surge_s)
+        bound, with_tail = self._bounds(surge_s)
         attainment = attained / max(1, n_requests)
         p50, p95, p99 = (
             self._latency.get_value_at_percentile(p) / 1e3 for p in (50, 95, 99)
@@ -126,14 +133,16 @@
             n_requests,
             round(attainment, 4),
             round(bound, 4),
-            round(plain_bound, 4),
+            round(with_tail, 4),
             round(attainment / bound, 4),
+            round(attainment / with_tail, 4),
             round(self._small_attainment(), 4),
             round(p50, 1),
             round(p95, 1),
             round(p99, 1),
             round(generate.held_s / slots / answered, 4),
             round(self._sender_lag.get_value_at_percentile(99) / 1e3, 1),
+            self._back_after_s(),
             self._n_faulty,
             {
                 name: round(self._attained_by_account[name] / n, 4)
@@ -152,9 +161,25 @@
         n_generating = max(1, self._n_by_profile[_GENERATING])
         rest_s = max(0.0, deployment.deadline_s - deployment.unloaded_s)
         share = n_generating / max(1, self._n_by_profile.total())
-        whole = min(1.0, per_s * (surge_s + rest_s) / n_generating)
-        plain = min(1.0, per_s * surge_s / n_generating)
-        return share * whole + 1 - share, share * plain + 1 - share
+        up_s = surge_s - scenario.out_s
+        up_share = up_s / surge_s
+        whole = min(1.0, up_share + rest_s / surge_s)
+        whole = min(whole, per_s * (up_s + rest_s) / n_generating)
+        plain = min(up_share, per_s * up_s / n_generating)
+        return share * plain + 1 - share, share * whole + 1 - share
+
+    def _back_after_s(self) -> int | None:
+        out_s = self._scenario.out_s
+        if not out_s:
+            return None
+        back_at = int(self._from_s + out_s)
+        for second in range(back_at, max(self._offered_by_s, default=0)):
+            window = range(second, second + _BACK_WINDOW_S)
+            offered = sum(self._offered_by_s[s] for s in window)
+            attained = sum(self._attained_by_s[s] for s in window)
+            if attained >= _BACK_SHARE * offered:
+                return second - back_at
+        return None
 
     def _small_attainment(self) -> float:
         small = self._scenario.deployment.small_accounts
