--- a/packages/aspendrift-client/src/aspendrift_client/exchange.py
+++ b/packages/aspendrift-client/src/aspendrift_client/exchange.py
@@ -10,6 +10,7 @@
 from aspendrift_client.resend import Broken, NotSent, Reply
 from aspendrift_model.digests import TokenDigest
 from aspendrift_model.states import OutcomeStatus
+from aspendrift_model.unreadable import UNREADABLE
 from aspendrift_model.wire_caller import (
     AddressAnswer,
     EndEvent,
@@ -24,7 +25,6 @@
 _JSON = {"content-type": "application/json"}
 _STREAM_TYPE = "application/x-ndjson"
 _NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
-_UNREADABLE = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
 _EVENTS: msgspec.json.Decoder[StreamEvent] = msgspec.json.Decoder(StreamEvent)
 _OUTCOMES = msgspec.json.Decoder(OutcomeBody)
 _ADDRESSES = msgspec.json.Decoder(AddressAnswer)
@@ -127,7 +127,7 @@
     try:
         response = await client.get(f"{url}/v1/addresses", timeout=timeout_s)
         return _ADDRESSES.decode(response.content)
-    except (httpx.HTTPError, *_UNREADABLE):
+    except (httpx.HTTPError, *UNREADABLE):
         return None
 
 
@@ -137,7 +137,7 @@
             continue
         try:
             event = _EVENTS.decode(line)
-        except _UNREADABLE:
+        except UNREADABLE:
             return Broken("an event that can't be read")
         reply = stream.take(event)
         if reply is not None:
@@ -148,7 +148,7 @@
 def _outcome(content: bytes, request_id: str) -> Reply:
     try:
         outcome = _OUTCOMES.decode(content)
-    except _UNREADABLE:
+    except UNREADABLE:
         return Broken("an outcome that can't be read")
     if outcome.request_id not in (request_id, ""):
         return Broken("the outcome of another request")
