Use the addresses at hand while no daemon answers the question

Cause: each call put the question to every daemon again, a second or two each, out of its own deadline. Change: the question is put again after a second; a test that failed before.

--- a/packages/aspendrift-client/src/aspendrift_client/address_book.py
+++ b/packages/aspendrift-client/src/aspendrift_client/address_book.py
@@ -14,6 +14,7 @@
 
 _FIRST_EJECTION_S: Final = 0.5
 _MAX_EJECTION_S: Final = 30.0
+_RETRY_S: Final = 1.0
 _EARLY_REFRESH_SHARE: Final = 0.2
 
 
@@ -63,6 +64,10 @@
         """Have the addresses asked for again before the next request."""
         self._refresh_at = None
 
+    def postpone(self, now: float) -> None:
+        """Use the addresses as they are for a while, since no daemon gave any."""
+        self._refresh_at = now + _RETRY_S
+
     def choose(
         self, now: float, rng: random.Random, avoided: frozenset[str] = frozenset()
     ) -> str | None:
--- a/packages/aspendrift-client/src/aspendrift_client/caller.py
+++ b/packages/aspendrift-client/src/aspendrift_client/caller.py
@@ -34,7 +34,7 @@
 
 _DEFAULT_DEADLINE_MS: Final = 60_000
 _GRACE_S: Final = 1.0
-_ADDRESS_TIMEOUT_S: Final = 2.0
+_ADDRESS_TIMEOUT_S: Final = 1.0
 _MIN_SEND_S: Final = 0.005
 _FIRST_BACKOFF_S: Final = 0.05
 _MAX_BACKOFF_S: Final = 2.0
@@ -153,6 +153,7 @@
                 self._book.update(answer, now, self._rng)
                 return answer
             self._book.report_failure(url, now)
+        self._book.postpone(self._monotonic())
         return None
 
     async def send(self, call: Call, sink: TokenSink | None = None) -> CallResult:
--- a/packages/aspendrift-client/tests/test_caller.py
+++ b/packages/aspendrift-client/tests/test_caller.py
@@ -39,9 +39,14 @@
     sent: list[RequestBody] = field(default_factory=list)
     hosts: list[str] = field(default_factory=list)
     n_asked: int = 0
+    n_address_queries: int = 0
+    mute: bool = False
 
     def answer(self, request: httpx.Request) -> httpx.Response:
         if request.url.path == "/v1/addresses":
+            self.n_address_queries += 1
+            if self.mute:
+                raise httpx.ReadTimeout("mute")
             addresses = tuple(Address(url, url, "a") for url in URLS)
             return json_response(200, AddressAnswer(addresses, 60.0))
         if request.method == "GET":
@@ -122,6 +127,19 @@
 END = end(["a", "b"])
 
 
+def test_calls_go_on_without_an_address_answer() -> None:
+    daemons = Daemons([answer] * 3, mute=True)
+
+    async def send_some() -> list[CallResult]:
+        transport = httpx.MockTransport(daemons.answer)
+        async with httpx.AsyncClient(transport=transport) as client:
+            caller = Caller(URLS, client, random.Random(7), lambda: 100.0)
+            return [await caller.send(Call("r", "p", "x")) for _ in range(3)]
+
+    assert all(result.answered for result in asyncio.run(send_some()))
+    assert daemons.n_address_queries == len(URLS)
+
+
 def test_refused_connection_goes_to_the_other_daemon() -> None:
     daemons = Daemons([unconnected, answer])
     result = daemons.send(Call("r", "p", "x"))
