--- a/packages/aspendrift-policy/tests/test_placement.py
+++ b/packages/aspendrift-policy/tests/test_placement.py
@@ -82,6 +82,7 @@
     assert PlacementReason.LEARNING in {plan.reason for plan in plans.values()}
 
 
+@pytest.mark.fault("burst", "order sent")
 def test_burst_without_history_is_followed() -> None:
     targets = engines(6)
     states = all_with(targets)
