--- a/packages/aspendrift-standins/src/aspendrift_standins/measure_config.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/measure_config.py
@@ -86,7 +86,8 @@
 async def _run(
     n_daemons: int, lost_share: float, n_changes: int, interval_s: float
 ) -> SpreadFigures:
-    async with daemon_fleet(n_daemons, {"test_drop_share": lost_share}) as fleet:
+    settings = {"peers": {"test_drop_share": lost_share}}
+    async with daemon_fleet(n_daemons, settings) as fleet:
         client = ControlClient(fleet)
         started = time.monotonic()
         await _settled(fleet, client, n_daemons)
--- a/packages/aspendrift-standins/src/aspendrift_standins/measure_control.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/measure_control.py
@@ -83,15 +83,18 @@
 @click.command()
 @click.option("--daemons", "sizes", default="4,16,48,96", help="Numbers of daemons.")
 @click.option("--seconds", "window_s", default=20.0, help="Length of each window.")
+@click.option("--settings", default="{}", help="Settings that differ, as JSON.")
 @click.option("--view/--no-view", default=True, help="Measure filled views as well.")
-def main(sizes: str, window_s: float, view: bool) -> None:
+def main(sizes: str, window_s: float, settings: str, view: bool) -> None:
     """Run each number of daemons, idle and loaded, one after the other."""
+    overlay: dict[str, Any] = json.loads(settings)
     runs: list[ControlFigures] = []
     for n_daemons in (int(size) for size in sizes.split(",")):
-        run = functools.partial(_run, n_daemons, window_s)
+        run = functools.partial(_run, n_daemons, window_s, overlay)
         runs.append(run_with_retries(run))
         click.echo(asdict(runs[-1]))
     result: dict[str, Any] = {
+        "settings": overlay,
         "runs": [asdict(run) for run in runs],
         "line": _lines(runs),
         "limits": [_CORE_LIMIT, _BYTES_LIMIT, _MEMORY_LIMIT],
@@ -101,8 +104,10 @@
     print_result(result)
 
 
-async def _run(n_daemons: int, window_s: float) -> ControlFigures:
-    async with daemon_fleet(n_daemons, {}) as fleet:
+async def _run(
+    n_daemons: int, window_s: float, settings: dict[str, Any]
+) -> ControlFigures:
+    async with daemon_fleet(n_daemons, settings) as fleet:
         client = ControlClient(fleet)
         await asyncio.sleep(_SETTLE_S)
         first = await _read(fleet, client)
--- a/packages/aspendrift-standins/src/aspendrift_standins/measure_support.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/measure_support.py
@@ -98,13 +98,15 @@
 
 
 @asynccontextmanager
-async def daemon_fleet(n_daemons: int, peers: dict[str, Any]) -> AsyncIterator[Fleet]:
+async def daemon_fleet(
+    n_daemons: int, settings: dict[str, Any]
+) -> AsyncIterator[Fleet]:
     """Start a table and daemons that spread over regions and availability zones.
 
     Parameters
     ----------
-    peers : dict
-        Peer settings that differ from the defaults.
+    settings : dict
+        Settings that differ from the defaults.
     """
     async with Fleet(stop_grace_s=_STOP_GRACE_S) as fleet:
         await fleet.start_stand_ins([StandInSpec(_TABLE, "table")])
@@ -113,7 +115,7 @@
                 f"d{index:03}",
                 f"zone-{index % _N_ZONES}",
                 f"region-{index % _N_ZONES % _N_REGIONS}",
-                {"peers": peers},
+                settings,
             )
             for index in range(n_daemons)
         ]
