--- a/packages/aspendrift-daemon/tests/request_path/test_poison.py
+++ b/packages/aspendrift-daemon/tests/request_path/test_poison.py
@@ -24,6 +24,7 @@
         self.box = box
         self.crashed = []
         self.poison_s = 0.01
+        self.n_tokens_first = 0
         self.alive = {name: asyncio.Event() for name in names}
         for name in names:
             net.targets.scripts[name] = [self.engine(name)]
@@ -31,6 +32,10 @@
     def engine(self, name):
         async def generate(call):
             died = self.alive[name]
+            if POISON in call.input and self.n_tokens_first:
+                until = len(call.prefix_tokens) + self.n_tokens_first
+                async for item in self.box.tokens(call, until=until):
+                    yield item
             work_s = self.poison_s if POISON in call.input else WORK_S
             try:
                 async with asyncio.timeout(work_s):
@@ -70,10 +75,13 @@
     return box.body(request_id, profile=profile, text=text)
 
 
-@pytest.mark.fault("poison", "request sent")
-def test_fifty_resends_cost_two_targets(box):
+@pytest.mark.fault("poison", "request admitted", "request sent")
+@pytest.mark.fault("poison", "request partly answered")
+@pytest.mark.parametrize("n_tokens_first", [0, 2])
+def test_fifty_resends_cost_two_targets(box, n_tokens_first):
     async def scenario():
         net, engines = world(box)
+        engines.n_tokens_first = n_tokens_first
         rng = random.Random(1)
         async with net:
             outcomes = []
@@ -164,7 +172,7 @@
     box.run(scenario())
 
 
-@pytest.mark.fault("poison", "request sent")
+@pytest.mark.fault("poison", "request claimed", "request sent")
 def test_poison_that_may_not_be_repeated_is_convicted_by_its_second_send(box):
     async def scenario():
         net, engines = world(box)
--- a/packages/aspendrift-daemon/tests/test_dispatch.py
+++ b/packages/aspendrift-daemon/tests/test_dispatch.py
@@ -243,3 +243,34 @@
     answer = world.dispatcher.admit(world.offer(1))
     assert answer is not None
     assert answer.reason is RefusalReason.NO_TARGET
+
+
+@pytest.mark.fault("target slow", "drain finishing")
+@pytest.mark.fault("target failing", "drain finishing")
+@pytest.mark.fault("target crashing", "drain finishing")
+@pytest.mark.parametrize(
+    "end", [AttemptEnd.TIMED_OUT, AttemptEnd.REJECTED, AttemptEnd.BROKEN]
+)
+def test_retry_of_an_attempt_on_a_draining_target_goes_elsewhere(
+    end: AttemptEnd,
+) -> None:
+    async def run() -> None:
+        world = World([target("t1"), target("t2")])
+        first_query = world.query(1)
+        first = await world.dispatcher.acquire(first_query)
+        assert isinstance(first, RouteChoice)
+        drained = replace(first.target, state=TargetState.DRAINING)
+        other = "t2" if first.target.target_id == "t1" else "t1"
+        world.configuration.set([drained, target(other)])
+        assert world.dispatcher.n_in_flight(first.target.target_id) == 1
+        world.dispatcher.release(first_query, first, AttemptResult(end, 0.1, 0.0))
+        assert world.dispatcher.n_in_flight(first.target.target_id) == 0
+        for number in range(2, 6):
+            query = replace(world.query(number), is_retry=number == 2)
+            choice = await world.dispatcher.acquire(query)
+            assert isinstance(choice, RouteChoice)
+            assert choice.target.target_id == other
+            ended = AttemptResult(AttemptEnd.ANSWERED, 0.01, 0.01)
+            world.dispatcher.release(query, choice, ended)
+
+    asyncio.run(run())
