Part the shutdown from the assembly; close connections while leaving

Cause: app.py held three jobs; and an idle keep-alive connection that closes at the end of a shutdown leaves a caller who sends at that moment not knowing whether its request ran. Change: shutdown.py, ready_file.py and connection_close.py; every answer of a leaving daemon carries 'connection: close'; the membership list's client is closed. Conclusion: callers move on between two requests, never within one.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/app.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/app.py
@@ -3,15 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import random
 import signal
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, ClassVar, Final, Protocol
 
-import msgspec
-
 from aspendrift_daemon.address_routes import AddressBook, address_routes
 from aspendrift_daemon.authentication import AccountAuthenticator
 from aspendrift_daemon.cache_events import CacheEventReader
@@ -23,7 +20,6 @@
 from aspendrift_daemon.front_door import caller_routes
 from aspendrift_daemon.health_routes import UnreadyReason, health_handlers
 from aspendrift_daemon.http_server import HttpServer, listen
-from aspendrift_daemon.interfaces import MembershipList
 from aspendrift_daemon.load_poller import LoadPoller
 from aspendrift_daemon.logs import connect_event_log
 from aspendrift_daemon.membership import MembershipKeeper
@@ -35,11 +31,14 @@
 from aspendrift_daemon.placement import PlacementService
 from aspendrift_daemon.placement_routes import placement_handlers
 from aspendrift_daemon.platform_clients import (
+    list_client,
     membership_list,
     platform_client,
 )
 from aspendrift_daemon.platform_http import HttpTableService
+from aspendrift_daemon.ready_file import write_ready_file
 from aspendrift_daemon.requests import RequestService
+from aspendrift_daemon.shutdown import Shutdown
 from aspendrift_daemon.target_probes import probe_client
 from aspendrift_daemon.target_survey import TargetSurvey
 from aspendrift_daemon.targets import TargetClient
@@ -47,12 +46,11 @@
 from aspendrift_model.ids import DaemonId, Incarnation, RegionName, ZoneName
 from aspendrift_model.settings import DaemonSettings
 from aspendrift_model.states import RefusalReason
-from aspendrift_policy.leaving import LeavePhase, LeaveProcedure, LeaveTimes
+from aspendrift_policy.leaving import LeaveProcedure, LeaveTimes
 
-__all__ = ["Daemon", "DaemonReady", "LeavePhaseChanged", "RequestsCut", "serve"]
+__all__ = ["Daemon", "DaemonReady", "serve"]
 
 _MS_PER_S: Final = 1000
-_LEAVE_POLL_S: Final = 0.05
 _UNREADY_BY_REASON: Final = {
     RefusalReason.LEAVING: UnreadyReason.LEAVING,
     RefusalReason.ISOLATED: UnreadyReason.ISOLATED,
@@ -69,32 +67,6 @@
     peer_endpoint: str
 
 
-@dataclass(frozen=True, slots=True)
-class LeavePhaseChanged(Event):
-    """A shutdown moved on."""
-
-    name: ClassVar[str] = "leave_phase_changed"
-    phase: LeavePhase
-    n_open: int
-
-
-@dataclass(frozen=True, slots=True)
-class RequestsCut(Event):
-    """A shutdown ended before these requests did."""
-
-    name: ClassVar[str] = "requests_cut"
-    request_ids: tuple[str, ...]
-
-
-class ReadyFile(msgspec.Struct, frozen=True):
-    """Content of the ready file."""
-
-    daemon_id: str
-    url: str
-    peer_endpoint: str
-    pid: int
-
-
 class Part(Protocol):
     """A part of the daemon with background work."""
 
@@ -138,9 +110,15 @@
         self.keeper = ConfigurationKeeper(
             table, self.link, self.clock, events, rng, peers, daemon_id
         )
-        listing: MembershipList | None = membership_list(settings.platform)
+        self._list_client = list_client(settings.platform)
         self.membership = MembershipKeeper(
-            self.link, listing, peers, self.clock, events, rng, self.keeper
+            self.link,
+            membership_list(self._list_client),
+            peers,
+            self.clock,
+            events,
+            rng,
+            self.keeper,
         )
         self.dispatcher = DaemonDispatcher(
             settings.routing,
@@ -198,13 +176,13 @@
             self.book.urls,
             self.keeper.may_serve,
         )
+        self.shutdown = self._make_shutdown()
         self.server = self._make_server()
-        times = LeaveTimes(
-            peers.address_keep_s, settings.leaving.margin_s, settings.leaving.bound_s
-        )
-        self.leave = LeaveProcedure(times)
         self.metrics.gauge(
-            "requests.open", "1", "Requests without an outcome", self._n_open
+            "requests.open",
+            "1",
+            "Requests without an outcome",
+            lambda: self.requests.n_open,
         )
 
     def _parts(self) -> tuple[Part, ...]:
@@ -220,9 +198,6 @@
             self.server,
         )
 
-    def _n_open(self) -> int:
-        return self.requests.n_open
-
     def _make_host(self) -> Host:
         settings = self.settings
         port = self._socket.getsockname()[1]
@@ -237,6 +212,20 @@
             settings.peers.bind,
         )
 
+    def _make_shutdown(self) -> Shutdown:
+        leaving = self.settings.leaving
+        times = LeaveTimes(
+            self.settings.peers.address_keep_s, leaving.margin_s, leaving.bound_s
+        )
+        return Shutdown(
+            LeaveProcedure(times),
+            self.requests,
+            self.membership.begin_leaving,
+            self.keeper.begin_leaving,
+            self.clock,
+            self.events,
+        )
+
     def _make_server(self) -> HttpServer:
         answers = OperatorAnswers(self.keeper, self.link, self.clock)
         survey = TargetSurvey(
@@ -266,6 +255,7 @@
             routes,
             self.events,
             self.settings.requests.max_body_bytes,
+            self.shutdown.is_leaving,
         )
 
     def _unready(self) -> tuple[UnreadyReason, ...]:
@@ -279,8 +269,8 @@
         for part in self._parts():
             await part.start()
         host = self.link.host
-        ready = ReadyFile(host.daemon_id, host.url, host.peer_endpoint, os.getpid())
-        self._write_ready_file(ready)
+        if self.settings.ready_file:
+            write_ready_file(Path(self.settings.ready_file), host)
         self.events.emit(DaemonReady(host.daemon_id, host.url, host.peer_endpoint))
 
     async def stop(self) -> None:
@@ -289,43 +279,10 @@
             await part.stop()
         await self.targets.close()
         await self._table_client.aclose()
+        if self._list_client is not None:
+            await self._list_client.aclose()
         self.metrics.close()
 
-    def signalled(self) -> None:
-        """Begin to leave; a second call leaves at once."""
-        now = self.clock.monotonic()
-        if self.leave.phase is not LeavePhase.SERVING:
-            self.leave.cut()
-            return
-        self.leave.announce(now)
-        self.membership.begin_leaving()
-
-    async def run_until_left(self) -> None:
-        """Return when a shutdown that was signalled has come to its end."""
-        phase = self.leave.phase
-        while phase is not LeavePhase.EXITED:
-            await asyncio.sleep(_LEAVE_POLL_S)
-            now = self.clock.monotonic()
-            reached = self.leave.step(self._n_open(), now)
-            if reached is phase:
-                continue
-            phase = reached
-            self.events.emit(LeavePhaseChanged(phase, self._n_open()))
-            if phase is LeavePhase.DRAINING:
-                self.keeper.begin_leaving()
-                self.requests.begin_leaving()
-        self.requests.begin_leaving()
-        if self._n_open():
-            self.events.emit(RequestsCut(self.requests.open_ids()))
-
-    def _write_ready_file(self, ready: ReadyFile) -> None:
-        if not self.settings.ready_file:
-            return
-        path = Path(self.settings.ready_file)
-        partial = path.with_name(path.name + ".partial")
-        partial.write_bytes(msgspec.json.encode(ready))
-        partial.replace(path)
-
 
 async def serve(settings: DaemonSettings) -> None:
     """Run a daemon until SIGTERM or SIGINT and the end of its requests."""
@@ -334,9 +291,9 @@
     daemon = Daemon(settings, events, random.Random())
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, daemon.signalled)
+        loop.add_signal_handler(number, daemon.shutdown.signalled)
     await daemon.start()
     try:
-        await daemon.run_until_left()
+        await daemon.shutdown.wait()
     finally:
         await daemon.stop()
--- /dev/null
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/connection_close.py
@@ -0,0 +1,45 @@
+"""Closes callers' connections one answer at a time while the daemon leaves."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final
+
+from litestar.types import ASGIApp, Message, Receive, Scope, Send
+
+__all__ = ["CloseWhenLeaving"]
+
+_CLOSE: Final = (b"connection", b"close")
+
+
+class CloseWhenLeaving:
+    """ASGI middleware that asks callers to close after the answer.
+
+    A connection that idles at the end of a shutdown could be closed just as its
+    caller sends the next request, and the caller would not know whether it ran.
+
+    Parameters
+    ----------
+    app : ASGIApp
+        The application behind it.
+    is_leaving : callable
+        Tells whether the daemon was told to leave.
+    """
+
+    def __init__(self, app: ASGIApp, is_leaving: Callable[[], bool]) -> None:
+        self._app = app
+        self._is_leaving = is_leaving
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        if not self._is_leaving():
+            await self._app(scope, receive, send)
+            return
+
+        async def send_and_close(message: Message) -> None:
+            if message["type"] == "http.response.start":
+                headers = [*message.get("headers", ()), _CLOSE]
+                message = {**message, "headers": headers}
+            await send(message)
+
+        await self._app(scope, receive, send_and_close)
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/http_server.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/http_server.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import ClassVar, Final
@@ -15,6 +15,7 @@
 from litestar.handlers import HTTPRouteHandler
 from litestar.openapi import OpenAPIConfig
 
+from aspendrift_daemon.connection_close import CloseWhenLeaving
 from aspendrift_daemon.events import Event, EventHub
 from aspendrift_daemon.front_door import exception_handlers
 from aspendrift_daemon.limits import (
@@ -83,6 +84,8 @@
         Socket from :func:`listen`.
     max_body_bytes : int
         Largest request body.
+    is_leaving : callable
+        Tells whether the daemon was told to leave.
     """
 
     def __init__(
@@ -92,6 +95,7 @@
         routes: Sequence[HTTPRouteHandler],
         events: EventHub,
         max_body_bytes: int,
+        is_leaving: Callable[[], bool],
     ) -> None:
         self._settings = settings
         self._socket = sock
@@ -105,7 +109,9 @@
             debug=False,
         )
         config = uvicorn.Config(
-            BodyLimits(app, max_body_bytes, settings.body_timeout_s),
+            CloseWhenLeaving(
+                BodyLimits(app, max_body_bytes, settings.body_timeout_s), is_leaving
+            ),
             loop="asyncio",
             http=limited_protocol(ConnectionLimits.from_settings(settings)),
             ws="none",
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/platform_clients.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/platform_clients.py
@@ -12,7 +12,7 @@
 from aspendrift_daemon.platform_http import HttpMembershipList
 from aspendrift_model.settings_platform import PlatformSettings
 
-__all__ = ["membership_list", "platform_client"]
+__all__ = ["list_client", "membership_list", "platform_client"]
 
 
 class _FileToken(httpx.Auth):
@@ -48,8 +48,13 @@
     )
 
 
-def membership_list(settings: PlatformSettings) -> MembershipList | None:
-    """Return the platform's membership list, or None without one."""
+def list_client(settings: PlatformSettings) -> httpx.AsyncClient | None:
+    """Return a client for the membership list, or None without one."""
     if not settings.membership_url:
         return None
-    return HttpMembershipList(platform_client(settings, settings.membership_url))
+    return platform_client(settings, settings.membership_url)
+
+
+def membership_list(client: httpx.AsyncClient | None) -> MembershipList | None:
+    """Return the platform's membership list, or None without a client."""
+    return None if client is None else HttpMembershipList(client)
--- a/packages/aspendrift-daemon/tests/test_leaving_processes.py
+++ b/packages/aspendrift-daemon/tests/test_leaving_processes.py
@@ -46,6 +46,11 @@
     return msgspec.json.decode(response.content, type=OutcomeBody)
 
 
+async def closes_connections(client, url):
+    response = await client.get(f"{url}/livez")
+    return response.headers.get("connection") == "close"
+
+
 def events(fleet, name, event):
     lines = fleet.child(name).log_text().splitlines()
     parsed = [json.loads(line) for line in lines if line.startswith("{")]
@@ -85,9 +90,11 @@
             httpx.AsyncClient(timeout=WAIT_S, trust_env=False) as client,
         ):
             url, open_requests = await started(fleet, client)
+            assert not await closes_connections(client, url)
             fleet.terminate("daemon-1")
             phase = {"phase": "announced"}
             await wait_for_event(fleet, "daemon-1", "leave_phase_changed", **phase)
+            assert await closes_connections(client, url)
             other = await client.get(f"{fleet.url('daemon-2')}/v1/addresses")
             phase = {"phase": "draining"}
             await wait_for_event(fleet, "daemon-1", "leave_phase_changed", **phase)
--- /dev/null
+++ b/packages/aspendrift-daemon/tests/test_shutdown.py
@@ -0,0 +1,102 @@
+"""Tests of the run of a graceful shutdown, in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+
+from aspendrift_daemon.events import EventHub
+from aspendrift_daemon.shutdown import RequestsCut, Shutdown
+from aspendrift_policy.leaving import LeaveProcedure, LeaveTimes
+from aspendrift_standins.virtual_time import VirtualClock, run_virtual
+
+TIMES = LeaveTimes(keep_s=10.0, margin_s=1.0, bound_s=30.0)
+
+
+class Requests:
+    def __init__(self, ids):
+        self.ids = ids
+        self.refuses = False
+
+    @property
+    def n_open(self):
+        return len(self.ids)
+
+    def open_ids(self):
+        return self.ids
+
+    def begin_leaving(self):
+        self.refuses = True
+
+
+class Scene:
+    def __init__(self, ids=()):
+        self.calls = []
+        self.events = []
+        hub = EventHub()
+        hub.connect_all(self.events.append)
+        self.requests = Requests(list(ids))
+        self.clock = VirtualClock(asyncio.get_running_loop())
+        self.shutdown = Shutdown(
+            LeaveProcedure(TIMES),
+            self.requests,
+            lambda: self.calls.append("announce"),
+            lambda: self.calls.append("refuse"),
+            self.clock,
+            hub,
+        )
+
+
+def test_new_work_is_refused_only_after_the_address_answers_expired():
+    async def main():
+        scene = Scene(["r1"])
+        waiting = asyncio.create_task(scene.shutdown.wait())
+        scene.shutdown.signalled()
+        assert scene.calls == ["announce"]
+        await asyncio.sleep(10.5)
+        assert not scene.requests.refuses
+        await asyncio.sleep(1.0)
+        assert scene.requests.refuses
+        scene.requests.ids.clear()
+        await waiting
+        return scene
+
+    scene = run_virtual(main())
+    assert not [e for e in scene.events if isinstance(e, RequestsCut)]
+
+
+def test_bound_names_what_it_cuts():
+    async def main():
+        scene = Scene(["r1", "r2"])
+        scene.shutdown.signalled()
+        await scene.shutdown.wait()
+        return scene, scene.clock.monotonic()
+
+    scene, ended_at = run_virtual(main())
+    assert ended_at >= TIMES.bound_s
+    (cut,) = [e for e in scene.events if isinstance(e, RequestsCut)]
+    assert cut.request_ids == ("r1", "r2")
+
+
+def test_second_signal_ends_the_wait_at_once():
+    async def main():
+        scene = Scene(["r1"])
+        scene.shutdown.signalled()
+        scene.shutdown.signalled()
+        await scene.shutdown.wait()
+        return scene, scene.clock.monotonic()
+
+    scene, ended_at = run_virtual(main())
+    assert ended_at < 1.0
+    assert scene.calls == ["announce", "refuse"]
+
+
+def test_daemon_that_was_not_told_stays():
+    async def main():
+        scene = Scene()
+        waiting = asyncio.create_task(scene.shutdown.wait())
+        await asyncio.sleep(1000.0)
+        assert not waiting.done()
+        assert not scene.shutdown.is_leaving()
+        waiting.cancel()
+
+    run_virtual(main())
