--- a/packages/aspendrift-daemon/src/aspendrift_daemon/requests.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/requests.py
@@ -8,9 +8,11 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
+import msgspec
 import structlog
 
 from aspendrift_daemon.claims import Claim, Claims, Replayed
+from aspendrift_daemon.dispatch_witnesses import DispatchWitnesses, Testimony
 from aspendrift_daemon.events import EventHub
 from aspendrift_daemon.interfaces import (
     Clock,
@@ -22,6 +24,7 @@
 from aspendrift_daemon.poison import PoisonGuard
 from aspendrift_daemon.request_events import OutcomeStoreDelayed, RequestEnded
 from aspendrift_daemon.request_runs import RequestRun, RunPorts, Targets
+from aspendrift_daemon.slot_source import SlotSource
 from aspendrift_daemon.streams import NoTokens, TokenSink
 from aspendrift_model.accounts import ClientAccount
 from aspendrift_model.digests import content_fingerprint
@@ -38,19 +41,17 @@
 from aspendrift_model.profiles import Profile
 from aspendrift_model.settings_requests import RequestSettings
 from aspendrift_model.states import (
+    CallerAction,
     OutcomeStatus,
     ProfileState,
     Ran,
     RefusalReason,
 )
 from aspendrift_model.wire_caller import OutcomeBody, RequestBody
+from aspendrift_policy.claims import claim_key
 from aspendrift_policy.interfaces import Dispatcher, Offer
 from aspendrift_policy.poison import Standing
-from aspendrift_policy.request_engine import (
-    EngineLimits,
-    RequestEngine,
-    RequestFacts,
-)
+from aspendrift_policy.request_engine import EngineLimits, RequestEngine, RequestFacts
 
 __all__ = ["RequestService"]
 
@@ -58,6 +59,13 @@
 _PREFIX_LENGTH: Final = 512
 _OUTCOME_RESERVE_S: Final = 0.02
 _STOP_TIMEOUT_S: Final = 5.0
+_OF_THIS_SEND: Final = frozenset({RefusalReason.REQUEST_ID_REUSED})
+_OF_A_CUT_OFF_DAEMON: Final = frozenset(
+    {RefusalReason.ISOLATED, RefusalReason.NOT_READY}
+)
+_NO_RECORD: Final = frozenset(
+    {RefusalReason.NOT_FOUND, RefusalReason.STORE_UNAVAILABLE}
+)
 
 _logger = structlog.get_logger("aspendrift.requests")
 
@@ -138,11 +146,13 @@
         self.claims = Claims(
             settings, daemon_id, self._process, clock, table, bus, rng, self._spawn
         )
+        self.witnesses = DispatchWitnesses(settings, daemon_id, clock, bus)
         self.poison = PoisonGuard(
             settings, daemon_id, clock, table, bus, events, rng, self._spawn
         )
+        slots = SlotSource(clock, dispatcher, self.poison)
         self._ports = RunPorts(
-            clock, dispatcher, targets, events, self.poison, self._spawn
+            clock, dispatcher, slots, targets, events, self.poison, self._spawn
         )
 
     @property
@@ -157,6 +167,7 @@
     async def start(self) -> None:
         """Start the background work."""
         await self.claims.writer.start()
+        self.witnesses.start()
         await self.poison.start()
 
     async def stop(self) -> None:
@@ -184,19 +195,38 @@
         that may not be repeated and was sent then goes on without a caller,
         and its outcome is stored.
         """
+        request_id = RequestId(body.request_id)
         now = self._clock.monotonic()
-        accepted = self._accept(account, body, now)
-        if isinstance(accepted, Refused):
-            return self._body(RequestId(body.request_id), accepted)
-        if self.poison.standing(accepted.fingerprint) is Standing.CONVICTED:
-            convicted = Refused(RefusalReason.POISON)
-            return self._body(accepted.request_id, convicted)
-        if accepted.profile.contract.idempotent:
-            return await self._follow(accepted, sink or NoTokens())
-        other = self._claimed_by_key.get(accepted.key)
-        if other is not None:
-            return await self._join(accepted, other)
-        return await self._follow(accepted, sink or NoTokens())
+        request = self._resolve(account, body, now)
+        if request is None:
+            unknown = Refused(RefusalReason.UNKNOWN_PROFILE, body.profile)
+            return self._body(request_id, self._unfit(now) or unknown)
+        known = await self._known(request)
+        if known is not None:
+            return known
+        refusal = self._unfit(now) or self._poison_refusal(request)
+        if refusal is not None:
+            return await self._confirmed(request, self._body(request_id, refusal))
+        ended = await self._follow(request, sink or NoTokens())
+        return await self._confirmed(request, ended)
+
+    async def _confirmed(self, request: _Request, body: OutcomeBody) -> OutcomeBody:
+        """Take back "not run" if an earlier send of the request may have run."""
+        repeatable = request.profile.contract.idempotent
+        if repeatable or body.ran is not Ran.NO or body.reason in _OF_THIS_SEND:
+            return body
+        testimony = await self.witnesses.ask(claim_key(*request.key))
+        cut_off = body.reason in _OF_A_CUT_OFF_DAEMON
+        silent = testimony is Testimony.NO_REPLY
+        if testimony is Testimony.NOT_SEEN or (silent and cut_off):
+            return body
+        return msgspec.structs.replace(
+            body,
+            status=OutcomeStatus.FAILED,
+            ran=Ran.UNKNOWN,
+            action=CallerAction.ASK_OUTCOME,
+            retry_after_ms=body.retry_after_ms or self._retry_after_ms(),
+        )
 
     async def look_up(
         self, account: ClientAccount, request_id: RequestId
@@ -205,7 +235,12 @@
         if (account.account_id, request_id) in self._claimed_by_key:
             running = Failed(RefusalReason.CLAIM_HELD, Ran.UNKNOWN)
             return self._body(request_id, running)
-        found = await self.claims.look_up(account.account_id, request_id)
+        return await self._recorded(account.account_id, request_id)
+
+    async def _recorded(
+        self, account_id: AccountId, request_id: RequestId
+    ) -> OutcomeBody:
+        found = await self.claims.look_up(account_id, request_id)
         if isinstance(found, Replayed):
             return found.outcome
         return self._body(request_id, found)
@@ -215,20 +250,51 @@
         self._background.add(task)
         task.add_done_callback(self._background.discard)
 
-    def _accept(
-        self, account: ClientAccount, body: RequestBody, now: float
-    ) -> _Request | Refused:
+    def _unfit(self, now: float) -> Refused | None:
+        """Return why this daemon takes no new request, or None."""
         if self._leaving:
             return Refused(RefusalReason.LEAVING)
-        unfit = self._may_serve(now)
-        if unfit is not None:
-            return Refused(unfit)
+        reason = self._may_serve(now)
+        if reason is not None:
+            return Refused(reason)
         if self.n_open >= self._settings.max_open:
-            return Refused(RefusalReason.OVERLOADED, "too many open requests", 1000)
+            return Refused(RefusalReason.OVERLOADED, "too many open requests")
+        return None
+
+    def _poison_refusal(self, request: _Request) -> Refused | None:
+        if self.poison.standing(request.fingerprint) is Standing.CONVICTED:
+            return Refused(RefusalReason.POISON)
+        return None
+
+    async def _known(self, request: _Request) -> OutcomeBody | None:
+        """Return the outcome of an earlier send that this daemon knows of.
+
+        It goes before every refusal: what has run is not told "not run".
+        """
+        if request.profile.contract.idempotent:
+            return None
+        other = self._claimed_by_key.get(request.key)
+        if other is not None:
+            return await self._join(request, other)
+        content = self._claim_fingerprint(request)
+        ended = self.claims.recall(request.account_id, request.request_id, content)
+        if isinstance(ended, Replayed):
+            return ended.outcome
+        if ended is not None:
+            return self._body(request.request_id, ended)
+        if self._poison_refusal(request) is None:
+            return None
+        found = await self._recorded(request.account_id, request.request_id)
+        return found if found.reason not in _NO_RECORD else None
+
+    def _resolve(
+        self, account: ClientAccount, body: RequestBody, now: float
+    ) -> _Request | None:
+        """Find the profile of a request; None if there is none in force."""
         configuration = self._configuration.current()
         profile = configuration.profiles_by_name.get(ProfileName(body.profile))
         if profile is None or profile.state is not ProfileState.PUBLISHED:
-            return Refused(RefusalReason.UNKNOWN_PROFILE, body.profile)
+            return None
         deadline_ms = profile.contract.deadline_ms
         if body.deadline_ms is not None:
             deadline_ms = min(deadline_ms, body.deadline_ms)
@@ -245,15 +311,21 @@
             deadline_at=now + deadline_ms / _MS_PER_S,
         )
 
-    async def _join(self, request: _Request, other: _OpenClaimed) -> OutcomeBody:
-        """Wait for the end of the same request on this daemon."""
+    async def _join(self, request: _Request, other: _OpenClaimed) -> OutcomeBody | None:
+        """Wait for the end of the same request on this daemon.
+
+        None means that the other send ended before it ran, because its caller
+        had gone.
+        """
         if self._claim_fingerprint(request) != other.fingerprint:
             reused = Refused(RefusalReason.REQUEST_ID_REUSED)
             return self._body(request.request_id, reused)
         remaining_s = request.deadline_at - self._clock.monotonic()
         done, _ = await asyncio.wait({other.task}, timeout=max(0.0, remaining_s))
         if done and not other.task.cancelled():
-            return other.task.result()
+            ended = other.task.result()
+            was_left = ended.reason is RefusalReason.CALLER_GONE
+            return None if was_left and ended.ran is Ran.NO else ended
         held = Failed(RefusalReason.CLAIM_HELD, Ran.UNKNOWN)
         return self._body(request.request_id, held)
 
@@ -338,6 +410,7 @@
             return answer.outcome
         if not isinstance(answer, Claim):
             return self._body(request.request_id, answer)
+        self.witnesses.note(answer.key)
         try:
             outcome = await run.drive()
         except BaseException:
@@ -351,6 +424,7 @@
         """Store an outcome, or release the claim if nothing ran."""
         body = self._run_body(request, run, outcome)
         if isinstance(outcome, Refused):
+            self.witnesses.note(claim.key, undone=True)
             self.claims.release(claim)
         elif not await self.claims.finish(claim, body):
             self._events.emit(
--- a/packages/aspendrift-standins/src/aspendrift_standins/errors.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/errors.py
@@ -4,7 +4,15 @@
 
 from collections.abc import Sequence
 
-__all__ = ["FleetError", "NotReady", "ProcessEnded", "PublishError", "UnknownProcess"]
+__all__ = [
+    "AlreadyRunning",
+    "FleetError",
+    "NotReady",
+    "ProcessEnded",
+    "PublishError",
+    "SenderFailed",
+    "UnknownProcess",
+]
 
 
 class FleetError(Exception):
@@ -50,3 +58,19 @@
     def __init__(self, item: str, detail: str) -> None:
         super().__init__(f"{item}: {detail}")
         self.item = item
+
+
+class SenderFailed(FleetError):
+    """A load sender that ended without its records."""
+
+    def __init__(self, name: str, log_tail: str) -> None:
+        super().__init__(f"{name}:\n{log_tail}")
+        self.name = name
+
+
+class AlreadyRunning(FleetError):
+    """A process that was to be started although it runs."""
+
+    def __init__(self, name: str, pid: int) -> None:
+        super().__init__(f"{name} runs as {pid}")
+        self.name = name
--- a/packages/aspendrift-standins/src/aspendrift_standins/load_report.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/load_report.py
@@ -31,6 +31,9 @@
     max_ms: float
 
 
+_NO_TIMES: Final = LatencyFigures(0, 0.0, 0.0, 0.0, 0.0)
+
+
 class StageCost(msgspec.Struct):
     """Seconds of target slots held and of work done, over a run."""
 
@@ -60,6 +63,7 @@
     cost_by_stage: dict[str, StageCost]
     first_token: LatencyFigures
     token_gap: LatencyFigures
+    sent_late: LatencyFigures = _NO_TIMES
 
 
 class _Times:
@@ -81,7 +85,7 @@
         """Return the percentiles of one name."""
         histogram = self._histograms_by_name.get(name)
         if histogram is None:
-            return LatencyFigures(0, 0.0, 0.0, 0.0, 0.0)
+            return _NO_TIMES
         values = (histogram.get_value_at_percentile(p) for p in (50, 95, 99, 100))
         p50, p95, p99, top = (round(value / _US_PER_MS, 3) for value in values)
         return LatencyFigures(histogram.get_total_count(), p50, p95, p99, top)
@@ -104,12 +108,13 @@
         self._by_account = _Times()
         self._queue_by_stage = _Times()
         self._held_by_stage = _Times()
-        self._streams = _Times()
+        self._others = _Times()
         self._cost_by_stage: defaultdict[str, StageCost] = defaultdict(StageCost)
 
     def add(self, record: RequestRecord) -> None:
         """Take the record of one request."""
         self._counts["requests"] += 1
+        self._others.add("late", record.sent_late_s)
         for fault in (record.fault, record.resent_fault):
             if fault is not None:
                 self._counts["cut" if fault.cut else "crossed"] += 1
@@ -146,8 +151,9 @@
             self._queue_by_stage.all_figures(),
             self._held_by_stage.all_figures(),
             dict(self._cost_by_stage),
-            self._streams.figures("first"),
-            self._streams.figures("gap"),
+            self._others.figures("first"),
+            self._others.figures("gap"),
+            self._others.figures("late"),
         )
 
     def _add_result(self, record: RequestRecord, result: CallResult) -> None:
@@ -172,9 +178,9 @@
         self._by_profile.add(record.request.profile.name, record.latency_s)
         self._by_account.add(record.request.account.account_id, record.latency_s)
         if record.first_token_s is not None:
-            self._streams.add("first", record.first_token_s)
+            self._others.add("first", record.first_token_s)
         for gap_s in record.token_gaps_s:
-            self._streams.add("gap", gap_s)
+            self._others.add("gap", gap_s)
 
     def _add_stages(self, outcome: OutcomeBody) -> None:
         for timing in outcome.stages:
