--- a/packages/aspendrift-daemon/tests/test_logs.py
+++ b/packages/aspendrift-daemon/tests/test_logs.py
@@ -29,10 +29,12 @@
 
 
 @pytest.fixture
-def stderr(monkeypatch: pytest.MonkeyPatch) -> io.BytesIO:
+def stderr(monkeypatch: pytest.MonkeyPatch) -> Iterator[io.BytesIO]:
     written = io.BytesIO()
-    monkeypatch.setattr(sys, "stderr", io.TextIOWrapper(written))
-    return written
+    wrapper = io.TextIOWrapper(written)
+    monkeypatch.setattr(sys, "stderr", wrapper)
+    yield written
+    wrapper.detach()
 
 
 @pytest.fixture
