--- a/packages/aspendrift-daemon/tests/request_path/conftest.py
+++ b/packages/aspendrift-daemon/tests/request_path/conftest.py
@@ -148,7 +148,6 @@
         self.awake = asyncio.Event()
         self.awake.set()
         self.killed = False
-        self.cut_off = False
 
     async def gate(self):
         if self.killed:
@@ -162,6 +161,7 @@
     def __init__(self, table, state):
         self.table = table
         self.state = state
+        self.cut_off = False
 
     async def _through(self, call, *args):
         await self.state.gate()
@@ -170,17 +170,17 @@
         return result
 
     async def read(self, keys):
-        if self.state.cut_off:
+        if self.cut_off:
             return StoreUnavailable("cut off")
         return await self._through(self.table.read, keys)
 
     async def scan(self, prefix, after="", limit=500):
-        if self.state.cut_off:
+        if self.cut_off:
             return StoreUnavailable("cut off")
         return await self._through(self.table.scan, prefix, after, limit)
 
     async def transact(self, conditions, writes):
-        if self.state.cut_off:
+        if self.cut_off:
             return NotWritten("cut off")
         return await self._through(self.table.transact, conditions, writes)
 
@@ -457,6 +457,7 @@
         self.events = []
         self.services = []
         self.hosts = []
+        self.views = []
         self.account = ClientAccount("kaapwind", "")
         for _ in range(n_daemons):
             self.add_daemon()
@@ -465,6 +466,8 @@
         number = len(self.services) + 1
         host_state = HostState()
         self.hosts.append(host_state)
+        view = DaemonView(self.table, host_state)
+        self.views.append(view)
         host = Host(f"d{number}", 1, Location("z1", "r1"), "http://x", "tcp://x")
         bus = FakeBus(self, host)
         self.buses.append(bus)
@@ -483,7 +486,7 @@
             self.settings,
             host.daemon_id,
             VirtualClock(1000.0 * number),
-            DaemonView(self.table, host_state),
+            view,
             bus,
             FakeConfiguration(configuration),
             dispatcher,
--- a/packages/aspendrift-daemon/tests/request_path/test_outcomes_under_faults.py
+++ b/packages/aspendrift-daemon/tests/request_path/test_outcomes_under_faults.py
@@ -189,10 +189,10 @@
 
 def region_cut(course):
     net = course.net
-    net.hosts[0].cut_off = True
+    net.views[0].cut_off = True
     net.buses[0].cut = True
     net.buses[0].state = MemberState.UNREACHABLE
-    later(OUTAGE_S, setattr, net.hosts[0], "cut_off", False)
+    later(OUTAGE_S, setattr, net.views[0], "cut_off", False)
 
 
 def poison(course):
