--- a/packages/aspendrift-daemon/src/aspendrift_daemon/configuration.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/configuration.py
@@ -357,6 +357,8 @@
             return
         if isinstance(message, ChangePush):
             self._take([message.change], DaemonId(message.confirm_to), message.hops)
+            if self._log.has_gap():
+                self._pull_from(origin, self._clock.monotonic())
         elif isinstance(message, Changes):
             self._take(message.changes, None)
         elif isinstance(message, Held):
--- a/packages/aspendrift-daemon/tests/configuration/test_configuration.py
+++ b/packages/aspendrift-daemon/tests/configuration/test_configuration.py
@@ -378,3 +378,27 @@
             assert len(daemon.keeper.log.items_by_key) == 3201
 
     world.run(scenario())
+
+
+@pytest.mark.fault("peer link lossy", "change spreading")
+def test_push_that_shows_a_gap_is_followed_by_a_pull_at_once(world: Any) -> None:
+    async def scenario() -> None:
+        await settled(world, 3)
+        link = world.daemons["d2"].link
+        receive = link.receive
+
+        def without_configuration(origin: str, topic: str, payload: bytes) -> None:
+            if topic != "c":
+                receive(origin, topic, payload)
+
+        def only_configuration(origin: str, topic: str, payload: bytes) -> None:
+            if topic == "c":
+                receive(origin, topic, payload)
+
+        link.receive = without_configuration
+        await world.daemons["d0"].keeper.publish(world.change("c1", "x1"))
+        link.receive = only_configuration
+        await world.daemons["d0"].keeper.publish(world.change("c2", "x2"))
+        await world.until(lambda: world.all_hold(2), 0.1)
+
+    world.run(scenario())
