Take a holder that left the view for gone

Cause: the peer link no longer lists dead daemons, so a resend was told claim_held for good. Change: a holder missing from a view that is older than claim_view_age_s is gone; in a younger view it may not have been met yet.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/claims.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/claims.py
@@ -106,6 +106,7 @@
         self._rng = rng
         self._spawn = spawn
         self._n_tokens = 0
+        self._began_at = clock.monotonic()
         self._abandoned_tokens: set[str] = set()
         self._unsettled_by_key: dict[str, ClaimRecord] = {}
         self.n_unsettled = 0
@@ -397,7 +398,12 @@
                 replaced = 0 < found.incarnation < host.incarnation
                 gone = replaced or state is MemberState.DEAD
                 return HolderView.GONE if gone else HolderView.IN_VIEW
-        return HolderView.NOT_IN_VIEW
+        return HolderView.GONE if self._knows_peers() else HolderView.NOT_IN_VIEW
+
+    def _knows_peers(self) -> bool:
+        """Whether a daemon that is missing from the view is gone."""
+        age_s = self._clock.monotonic() - self._began_at
+        return age_s >= self._settings.claim_view_age_s
 
     def _incarnation(self) -> int:
         for host, _ in self._bus.members():
--- a/packages/aspendrift-daemon/tests/request_path/conftest.py
+++ b/packages/aspendrift-daemon/tests/request_path/conftest.py
@@ -248,7 +248,11 @@
             handler(self.host.daemon_id, payload)
 
     def members(self):
-        return [(bus.host, bus.state) for bus in self.network.buses]
+        return [
+            (bus.host, bus.state)
+            for bus in self.network.buses
+            if bus.state is not MemberState.DEAD
+        ]
 
     state = MemberState.LIVE
 
@@ -451,7 +455,10 @@
         self.buses = []
         self.targets = FakeTargets()
         self.settings = settings or RequestSettings(
-            claim_held_wait_ms=200, outcome_store_wait_ms=50, claim_timeout_ms=300
+            claim_held_wait_ms=200,
+            outcome_store_wait_ms=50,
+            claim_timeout_ms=300,
+            claim_view_age_s=0.0,
         )
         self.dispatchers = []
         self.events = []
--- a/packages/aspendrift-daemon/tests/request_path/test_claims.py
+++ b/packages/aspendrift-daemon/tests/request_path/test_claims.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 
 import pytest
 
@@ -584,3 +585,25 @@
         assert (outcome.reason, outcome.ran) == (R.STORE_UNAVAILABLE, Ran.UNKNOWN)
 
     box.run(scenario())
+
+
+@pytest.mark.fault("daemon killed", "request sent")
+@pytest.mark.fault("daemon killed", "daemon starting")
+def test_daemon_that_has_just_started_does_not_take_a_stranger_for_dead(box):
+    async def scenario():
+        async with box.network(2) as net:
+            net.settings = dataclasses.replace(net.settings, claim_view_age_s=10.0)
+            gate = slow_service(net)
+            sent = asyncio.create_task(net.send(deposit(box)))
+            await gate.entered.wait()
+            net.buses[0].state = MemberState.DEAD
+            fresh = net.add_daemon()
+            await fresh.start()
+            early = await net.send(deposit(box), daemon=2)
+            await asyncio.sleep(10)
+            late = await net.send(deposit(box), daemon=2)
+            sent.cancel()
+        assert (early.reason, early.ran) == (R.CLAIM_HELD, Ran.UNKNOWN)
+        assert (late.reason, late.ran) == (R.OUTCOME_UNKNOWN, Ran.UNKNOWN)
+
+    box.run(scenario())
--- a/packages/aspendrift-model/src/aspendrift_model/settings_requests.py
+++ b/packages/aspendrift-model/src/aspendrift_model/settings_requests.py
@@ -55,6 +55,13 @@
         doc="Longest wait for the end of the same request on another daemon.",
         minimum=0,
     )
+    claim_view_age_s: float = setting(
+        10.0,
+        unit="s",
+        doc="Time after its start for which a daemon takes an unknown holder of a "
+        "claim for one that it has not met yet.",
+        minimum=0,
+    )
     outcome_store_wait_ms: int = setting(
         250, unit="ms", doc="Longest wait of an answer for the table.", minimum=0
     )
