Survive deeply nested input wherever outside bytes are decoded

Cause: a decoder ends deep nesting in an unknown field with RecursionError, which is no MsgspecError: one such peer message ended the receive loop of a daemon. Change: every decoder of outside input catches what UNREADABLE lists. Before: the new test of the peer link fails (the next message is never read). After: it passes for four kinds of malformed message. Conclusion: a malformed message costs one rejection event.

--- a/packages/aspendrift-client/src/aspendrift_client/commands_placement.py
+++ b/packages/aspendrift-client/src/aspendrift_client/commands_placement.py
@@ -16,6 +16,7 @@
 from aspendrift_client.errors import InvalidInput, Unreached
 from aspendrift_client.exchange import fetch_addresses
 from aspendrift_client.run_async import fail, run
+from aspendrift_model.unreadable import UNREADABLE
 from aspendrift_model.wire_placement import (
     CostBody,
     CostRow,
@@ -168,7 +169,7 @@
     try:
         response = await client.get(url)
         return msgspec.json.decode(response.content, type=kind)
-    except (httpx.HTTPError, msgspec.MsgspecError):
+    except (httpx.HTTPError, *UNREADABLE):
         return None
 
 
--- a/packages/aspendrift-client/src/aspendrift_client/operator_api.py
+++ b/packages/aspendrift-client/src/aspendrift_client/operator_api.py
@@ -13,6 +13,7 @@
 from aspendrift_client.errors import RefusedByDaemon, Unreached
 from aspendrift_model.ids import ChangeId
 from aspendrift_model.states import ItemKind, RefusalReason
+from aspendrift_model.unreadable import UNREADABLE
 from aspendrift_model.wire_operator import (
     ChangeAnswer,
     ChangeList,
@@ -152,10 +153,10 @@
 def _decoded(response: httpx.Response, kind: type[_T]) -> _T | None:
     try:
         return msgspec.json.decode(response.content, type=kind)
-    except msgspec.MsgspecError:
+    except UNREADABLE:
         pass
     try:
         refusal = msgspec.json.decode(response.content, type=OperatorRefusal)
-    except msgspec.MsgspecError:
+    except UNREADABLE:
         return None
     raise CallRefused(refusal.reason, refusal.detail)
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/cache_events.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/cache_events.py
@@ -17,6 +17,7 @@
 from aspendrift_model.settings_routing import RoutingSettings
 from aspendrift_model.states import TargetKind
 from aspendrift_model.targets import Target
+from aspendrift_model.unreadable import UNREADABLE
 from aspendrift_model.wire_target import CacheEvents
 from aspendrift_policy.affinity import CacheHints
 
@@ -137,6 +138,6 @@
                 timeout=self._settings.load_poll_timeout_s,
             )
             answer = msgspec.json.decode(response.content, type=CacheEvents)
-        except (httpx.HTTPError, msgspec.MsgspecError):
+        except (httpx.HTTPError, *UNREADABLE):
             return
         self.take(target.target_id, answer)
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/configuration.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/configuration.py
@@ -27,6 +27,7 @@
 from aspendrift_model.ids import DaemonId
 from aspendrift_model.settings_peers import PeerSettings
 from aspendrift_model.states import MemberState, RefusalReason
+from aspendrift_model.unreadable import UNREADABLE
 from aspendrift_model.wire_operator import ChangeRequest
 from aspendrift_model.wire_peer import (
     ChangePush,
@@ -353,7 +354,7 @@
     def _on_message(self, origin: DaemonId, payload: bytes) -> None:
         try:
             message = self._decoder.decode(payload)
-        except msgspec.MsgspecError:
+        except UNREADABLE:
             return
         if isinstance(message, ChangePush):
             self._take([message.change], DaemonId(message.confirm_to), message.hops)
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/dispatch_witnesses.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/dispatch_witnesses.py
@@ -18,6 +18,7 @@
 from aspendrift_daemon.interfaces import Clock, PeerBus
 from aspendrift_model.ids import DaemonId
 from aspendrift_model.settings_requests import RequestSettings
+from aspendrift_model.unreadable import UNREADABLE
 from aspendrift_policy.witnesses import choose_witnesses, witness_ids
 
 __all__ = ["DispatchWitnesses", "Testimony"]
@@ -174,5 +175,5 @@
 def _decode(payload: bytes, kind: type[_M]) -> _M | None:
     try:
         return msgspec.msgpack.decode(payload, type=kind)
-    except msgspec.MsgspecError:
+    except UNREADABLE:
         return None
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/engine_orders.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/engine_orders.py
@@ -7,6 +7,7 @@
 
 from aspendrift_daemon.placement_events import OrderResult
 from aspendrift_model.targets import Target
+from aspendrift_model.unreadable import UNREADABLE
 from aspendrift_model.wire_target import EngineState, Order
 
 __all__ = ["EngineLink"]
@@ -34,7 +35,7 @@
                 f"{target.url}/v1/state", timeout=timeout_s
             )
             return msgspec.json.decode(response.content, type=EngineState)
-        except (httpx.HTTPError, msgspec.MsgspecError):
+        except (httpx.HTTPError, *UNREADABLE):
             return None
 
     async def order(
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/front_door.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/front_door.py
@@ -22,6 +22,7 @@
 from aspendrift_model.outcomes import Failed, Refused
 from aspendrift_model.settings_requests import RequestSettings
 from aspendrift_model.states import Ran, RefusalReason
+from aspendrift_model.unreadable import UNREADABLE
 from aspendrift_model.wire_caller import OutcomeBody, RequestBody
 
 __all__ = ["caller_routes", "exception_handlers"]
@@ -177,7 +178,7 @@
 def _decode(content: bytes) -> RequestBody:
     try:
         return _BODIES.decode(content)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+    except UNREADABLE as error:
         refusal = Refused(RefusalReason.BAD_REQUEST, str(error))
         raise _Rejected(refusal) from error
 
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/lease.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/lease.py
@@ -12,6 +12,7 @@
     RowsRead,
     TableService,
 )
+from aspendrift_model.unreadable import UNREADABLE
 from aspendrift_model.wire_platform import Condition, Row, Write
 from aspendrift_policy.leases import (
     Lease,
@@ -121,5 +122,5 @@
         return None
     try:
         return msgspec.json.decode(row.value, type=LeaseRecord)
-    except msgspec.MsgspecError:
+    except UNREADABLE:
         return None
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/load_poller.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/load_poller.py
@@ -15,6 +15,7 @@
 from aspendrift_model.ids import ModelName, TargetId
 from aspendrift_model.settings_routing import RoutingSettings
 from aspendrift_model.targets import LoadReport, Target
+from aspendrift_model.unreadable import UNREADABLE
 from aspendrift_model.wire_target import LoadBody
 
 __all__ = ["LoadPoller", "LoadSink"]
@@ -124,7 +125,7 @@
                 f"{target.url}/v1/load", timeout=self._settings.load_poll_timeout_s
             )
             body = msgspec.json.decode(response.content, type=LoadBody)
-        except (httpx.HTTPError, msgspec.MsgspecError):
+        except (httpx.HTTPError, *UNREADABLE):
             self._sink.load_missed(target.target_id)
             return
         one_way_s = (self._clock.monotonic() - sent_at) / 2
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/membership.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/membership.py
@@ -16,6 +16,7 @@
 from aspendrift_model.ids import DaemonId
 from aspendrift_model.settings_peers import PeerSettings
 from aspendrift_model.states import MemberState
+from aspendrift_model.unreadable import UNREADABLE
 from aspendrift_model.wire_peer import (
     Ack,
     BucketHashes,
@@ -209,7 +210,7 @@
     def _on_message(self, origin: DaemonId, payload: bytes) -> None:
         try:
             message = self._decoder.decode(payload)
-        except msgspec.MsgspecError:
+        except UNREADABLE:
             return
         now = self._clock.monotonic()
         if isinstance(message, Probe):
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/operator_routes.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/operator_routes.py
@@ -23,6 +23,7 @@
 from aspendrift_model.outcomes import REFUSAL_RULES
 from aspendrift_model.settings_http import OperatorRole
 from aspendrift_model.states import ItemKind, RefusalReason
+from aspendrift_model.unreadable import UNREADABLE
 from aspendrift_model.wire_operator import (
     ChangeAnswer,
     ChangeList,
@@ -227,7 +228,7 @@
         raise _Refusal(RefusalReason.TOO_LARGE)
     try:
         return msgspec.json.decode(content, type=ChangeRequest)
-    except msgspec.MsgspecError as error:
+    except UNREADABLE as error:
         raise _Refusal(RefusalReason.BAD_REQUEST, str(error)) from error
 
 
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/peer_use.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/peer_use.py
@@ -14,6 +14,7 @@
 from aspendrift_model.settings_routing import RoutingSettings
 from aspendrift_model.states import MemberState
 from aspendrift_model.targets import LoadReport
+from aspendrift_model.unreadable import UNREADABLE
 from aspendrift_policy.fairness import FairShares, UseDigest, name_hash
 
 __all__ = ["PeerUse", "SharedLoad", "TargetNames", "UseMessage"]
@@ -163,7 +164,7 @@
     def _received(self, origin: DaemonId, payload: bytes) -> None:
         try:
             message = msgspec.msgpack.decode(payload, type=UseMessage)
-        except msgspec.MsgspecError:
+        except UNREADABLE:
             return
         if message.version != _VERSION or origin == self._daemon_id:
             return
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/peers.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/peers.py
@@ -26,6 +26,7 @@
 from aspendrift_model.ids import DaemonId, Incarnation, RegionName, ZoneName
 from aspendrift_model.settings_peers import PeerSettings
 from aspendrift_model.states import MemberState
+from aspendrift_model.unreadable import UNREADABLE
 from aspendrift_model.wire_peer import PEER_PROTOCOL_VERSION, Envelope
 from aspendrift_policy.membership import Member, MemberView
 from aspendrift_policy.spread import SeenMessages, push_peers
@@ -374,7 +375,7 @@
         self.counters.bytes_received += len(encoded)
         try:
             envelope = self._decoder.decode(encoded)
-        except msgspec.MsgspecError:
+        except UNREADABLE:
             self._reject("", PeerRejection.MALFORMED)
             return
         origin = DaemonId(envelope.origin)
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/placement.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/placement.py
@@ -32,6 +32,7 @@
     TargetState,
 )
 from aspendrift_model.targets import Target
+from aspendrift_model.unreadable import UNREADABLE
 from aspendrift_model.wire_placement import PlacementBody
 from aspendrift_model.wire_platform import Condition, Write
 from aspendrift_policy.fairness import model_key
@@ -272,7 +273,7 @@
                 stored = msgspec.json.decode(
                     row.value or "{}", type=dict[str, ForecastRow]
                 )
-            except msgspec.MsgspecError:
+            except UNREADABLE:
                 continue
             self._forecast.restore(stored)
 
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/poison.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/poison.py
@@ -22,6 +22,7 @@
 from aspendrift_daemon.request_events import ContentConvicted, TargetCrashed
 from aspendrift_model.ids import DaemonId, Fingerprint, RequestId, TargetId
 from aspendrift_model.settings_requests import RequestSettings
+from aspendrift_model.unreadable import UNREADABLE
 from aspendrift_model.wire_platform import Condition, Row, Write
 from aspendrift_policy.poison import (
     PoisonLimits,
@@ -326,7 +327,7 @@
     def _take_row(self, row: Row) -> None:
         try:
             record = msgspec.json.decode(row.value or "", type=ConvictionRecord)
-        except msgspec.MsgspecError:
+        except UNREADABLE:
             return
         age_s = self.clock.unix() - record.at_unix_ms / _MS_PER_S
         if age_s < self.settings.poison_conviction_s:
@@ -388,5 +389,5 @@
 def _decode(payload: bytes, kind: type[_M]) -> _M | None:
     try:
         return msgspec.msgpack.decode(payload, type=kind)
-    except msgspec.MsgspecError:
+    except UNREADABLE:
         return None
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/target_survey.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/target_survey.py
@@ -11,6 +11,7 @@
 
 from aspendrift_daemon.interfaces import PeerBus
 from aspendrift_model.ids import DaemonId, TargetId
+from aspendrift_model.unreadable import UNREADABLE
 from aspendrift_model.wire_operator import InFlightBody
 from aspendrift_model.wire_peer import InFlightCount, InFlightMessage, InFlightQuery
 
@@ -88,7 +89,7 @@
     def _on_message(self, origin: DaemonId, payload: bytes) -> None:
         try:
             message = self._decoder.decode(payload)
-        except msgspec.MsgspecError:
+        except UNREADABLE:
             return
         if isinstance(message, InFlightQuery):
             count = self._count(TargetId(message.target_id))
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/targets.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/targets.py
@@ -17,6 +17,7 @@
 from aspendrift_model.ids import AttemptId, TargetId
 from aspendrift_model.settings_requests import RequestSettings
 from aspendrift_model.targets import Target
+from aspendrift_model.unreadable import UNREADABLE
 from aspendrift_model.wire_target import (
     GeneratedEnd,
     GeneratedEvent,
@@ -302,7 +303,7 @@
             return Broken("the stream has no last event", down)
         try:
             return _EVENTS.decode(line)
-        except msgspec.MsgspecError:
+        except UNREADABLE:
             return Broken("an event that can't be read")
 
 
@@ -322,7 +323,7 @@
         return _rejection(call, response.status_code, response.content)
     try:
         answer = msgspec.json.decode(response.content, type=StageAnswer)
-    except msgspec.MsgspecError:
+    except UNREADABLE:
         return Broken("an answer that can't be read")
     if (answer.request_id, answer.attempt_id) != (call.request_id, call.attempt_id):
         return ForeignAnswer(AttemptId(answer.attempt_id))
@@ -336,6 +337,6 @@
         return Broken(detail)
     try:
         echo = msgspec.json.decode(content, type=StageRejection)
-    except msgspec.MsgspecError:
+    except UNREADABLE:
         return Broken(detail)
     return Rejected(detail) if echo.attempt_id == call.attempt_id else Broken(detail)
--- a/packages/aspendrift-daemon/tests/configuration/test_peers.py
+++ b/packages/aspendrift-daemon/tests/configuration/test_peers.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
+import msgspec
 import pytest
 import zmq
 
@@ -127,15 +128,24 @@
     asyncio.run(scenario())
 
 
-def test_malformed_message_is_rejected() -> None:
+def nested_envelope() -> bytes:
+    """Return an envelope whose extra field nests deeper than a decoder can go."""
+    known = msgspec.msgpack.encode([1, "d2", 1, "t", b"", 1])
+    deep = b"\x91" * 5000 + b"\xc0"
+    return bytes([known[0] + 1]) + known[1:] + deep
+
+
+@pytest.mark.parametrize("message", [b"", b"\xff\xff", b"\xc0", nested_envelope()])
+def test_malformed_message_is_rejected_and_the_next_one_read(message: bytes) -> None:
     async def scenario() -> None:
         node = Node("d1")
         await node.link.start()
         context = zmq.Context()
         socket = context.socket(zmq.PUSH)
         socket.connect(node.link.endpoint)
+        socket.send(message)
         socket.send(b"\xff\xff")
-        await until(lambda: bool(node.rejected))
+        await until(lambda: len(node.rejected) == 2)
         assert node.rejected[0].reason is PeerRejection.MALFORMED
         socket.close(linger=0)
         context.term()
--- a/packages/aspendrift-policy/src/aspendrift_policy/claims.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/claims.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from aspendrift_model.ids import AccountId, DaemonId, RequestId
+from aspendrift_model.unreadable import UNREADABLE
 from aspendrift_model.wire_caller import OutcomeBody
 
 __all__ = [
@@ -148,7 +149,7 @@
     """Return the record in a row, or None if it can't be read."""
     try:
         return _DECODER.decode(value)
-    except msgspec.MsgspecError:
+    except UNREADABLE:
         return None
 
 
--- a/packages/aspendrift-policy/src/aspendrift_policy/configuration_log.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/configuration_log.py
@@ -15,6 +15,7 @@
 from aspendrift_model.profiles import Profile
 from aspendrift_model.states import ItemKind, ProfileState
 from aspendrift_model.targets import Target
+from aspendrift_model.unreadable import UNREADABLE
 from aspendrift_model.wire_peer import ChangeRecord, ItemRecord, Snapshot
 
 __all__ = ["ConfigurationLog", "InvalidItem", "Item", "decode_item", "encode_item"]
@@ -44,7 +45,7 @@
     """
     try:
         item = msgspec.json.decode(body, type=_TYPE_BY_KIND[kind])
-    except msgspec.MsgspecError as error:
+    except UNREADABLE as error:
         raise InvalidItem(str(error)) from error
     if _name_of(item) != name:
         raise InvalidItem(f"the body names {_name_of(item)!r}")
