--- a/packages/aspendrift-daemon/src/aspendrift_daemon/targets.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/targets.py
@@ -42,6 +42,8 @@
 _KEEPALIVE_S: Final = 2.0
 _CANCEL_TIMEOUT_S: Final = 1.0
 _PROBE_TIMEOUT_S: Final = 0.25
+_PROBE_PAUSE_S: Final = 0.02
+_MAX_PROBES: Final = 5
 _READ_OUT_S: Final = 0.02
 _REJECTING_STATUSES: Final = frozenset({*range(400, 500), 503})
 _NEVER_SENT: Final = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
@@ -155,7 +157,7 @@
         stream = self._stream(target, call, path, b"", after, timeout_s)
         async with aclosing(stream):
             async for item in stream:
-                yield item
+                yield _crash(item) if isinstance(item, NotSent) else item
 
     async def cancel(self, target: Target, attempt_id: AttemptId) -> bool:
         """Cancel an attempt; False if the target did not confirm it."""
@@ -169,14 +171,23 @@
         return response.is_success
 
     async def is_down(self, target: Target) -> bool:
-        """Whether the target refuses connections now."""
-        try:
-            await self._client(target).get("/v1/load", timeout=_PROBE_TIMEOUT_S)
-        except httpx.ConnectError:
-            return True
-        except httpx.HTTPError:
-            return False
-        return False
+        """Whether the target refuses connections, after one broke off.
+
+        A process that exits closes its connections one after the other, so one
+        that is accepted and then breaks proves nothing: it is tried again.
+        """
+        for _ in range(_MAX_PROBES):
+            try:
+                await self._client(target).get("/v1/load", timeout=_PROBE_TIMEOUT_S)
+            except httpx.ConnectError:
+                return True
+            except (httpx.NetworkError, httpx.RemoteProtocolError):
+                await asyncio.sleep(_PROBE_PAUSE_S)
+            except httpx.HTTPError:
+                return False
+            else:
+                return False
+        return True
 
     async def close(self) -> None:
         """Close every connection."""
@@ -306,6 +317,13 @@
             return Broken("an event that can't be read")
 
 
+def _crash(failure: NotSent) -> AttemptFailure:
+    """Return what it means that a target can't be reached after a break."""
+    if failure.detail == httpx.ConnectError.__name__:
+        return Broken(failure.detail, crashed=True)
+    return failure
+
+
 async def _read_out(lines: AsyncIterator[str]) -> None:
     """Read the end of the body, without which the connection can't be reused."""
     try:
--- a/packages/aspendrift-daemon/tests/request_path/conftest.py
+++ b/packages/aspendrift-daemon/tests/request_path/conftest.py
@@ -459,6 +459,7 @@
             outcome_store_wait_ms=50,
             claim_timeout_ms=300,
             claim_view_age_s=0.0,
+            poison_settle_ms=30,
         )
         self.dispatchers = []
         self.events = []
--- a/packages/aspendrift-daemon/tests/request_path/test_targets.py
+++ b/packages/aspendrift-daemon/tests/request_path/test_targets.py
@@ -160,6 +160,8 @@
 
 def streaming(body, paths=None):
     async def handler(request):
+        if request.url.path == "/v1/load":
+            return httpx.Response(200)
         if paths is not None:
             paths.append(str(request.url.raw_path.decode()))
         return httpx.Response(200, stream=body)
@@ -227,3 +229,23 @@
 def test_refused_stream_is_rejected():
     items = run_stream(answering(503, StageRejection("a.1")))
     assert items == [Rejected("status 503")]
+
+
+@pytest.mark.fault("target crashing", "request sent", "request partly answered")
+def test_exiting_target_that_still_accepts_is_probed_again():
+    errors = [httpx.ReadError("cut"), httpx.RemoteProtocolError("closed")]
+
+    async def handler(request):
+        if request.url.path == "/v1/load":
+            raise errors.pop(0) if errors else httpx.ConnectError("refused")
+        raise httpx.ReadError("cut")
+
+    assert run_call(handler) == Broken("ReadError", crashed=True)
+
+
+@pytest.mark.fault("target crashing", "request partly answered")
+def test_target_that_refuses_a_resume_has_crashed():
+    async def handler(request):
+        raise httpx.ConnectError("refused")
+
+    assert run_stream(handler, resume=True) == [Broken("ConnectError", crashed=True)]
