--- a/packages/aspendrift-daemon/src/aspendrift_daemon/dispatch.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/dispatch.py
@@ -6,12 +6,12 @@
 import contextlib
 import dataclasses
 import random
-from dataclasses import dataclass
 from typing import Final
 
 from aspendrift_daemon.events import EventHub
 from aspendrift_daemon.interfaces import Clock, ConfigurationSource, PeerBus
 from aspendrift_daemon.peer_use import PeerUse
+from aspendrift_daemon.pool_directory import Pool, PoolDirectory, Ticket
 from aspendrift_daemon.routing_events import (
     AdmissionRefused,
     AttemptReleased,
@@ -29,8 +29,8 @@
 )
 from aspendrift_model.outcomes import Refused, refused
 from aspendrift_model.settings_routing import RoutingSettings, RoutingStrategy
-from aspendrift_model.states import AttemptEnd, Priority, RefusalReason, TargetState
-from aspendrift_model.targets import LoadReport, Target
+from aspendrift_model.states import AttemptEnd, Priority, RefusalReason
+from aspendrift_model.targets import LoadReport
 from aspendrift_policy.admission import (
     AdmissionController,
     PoolCapacity,
@@ -47,10 +47,9 @@
     RouteChoice,
     RouteQuery,
 )
-from aspendrift_policy.queueing import PoolQueue, Rank, Waiting
+from aspendrift_policy.queueing import Rank, Waiting
 from aspendrift_policy.retry_budget import RetryBudgets, backoff_s
-from aspendrift_policy.router import Router, TargetPool, TwoChoiceRouter
-from aspendrift_policy.subsets import choose_subset
+from aspendrift_policy.router import Router, TwoChoiceRouter
 
 __all__ = ["DaemonDispatcher"]
 
@@ -59,28 +58,6 @@
 _N_BUDGET_TRIES: Final = 4
 
 
-@dataclass(slots=True)
-class _Ticket:
-    query: RouteQuery
-    answer: asyncio.Future[RouteAnswer]
-    since: float
-
-
-class _Pool:
-    """A pool's targets, its queue and the timer of the queue's next expiry."""
-
-    def __init__(self, targets: TargetPool) -> None:
-        self.targets = targets
-        self.queue: PoolQueue[_Ticket] = PoolQueue()
-        self.share = 1.0
-        self.timer: asyncio.TimerHandle | None = None
-
-    def capacity(self) -> PoolCapacity:
-        return PoolCapacity(
-            self.targets.n_open_slots, self.share, self.targets.next_probe_at()
-        )
-
-
 class DaemonDispatcher:
     """Dispatcher of a daemon; see `aspendrift_policy.interfaces.Dispatcher`.
 
@@ -116,15 +93,10 @@
         daemon_id: DaemonId | None = None,
     ) -> None:
         self._settings = settings
-        self._location = location
         self._clock = clock
-        self._configuration = configuration
         self._events = events
         self._rng = rng
-        self._salt = rng.getrandbits(64)
-        self._pools_by_name: dict[PoolName, _Pool] = {}
-        self._pool_of_target: dict[TargetId, _Pool] = {}
-        self._target_by_hash: dict[int, TargetId] = {}
+        self._pools = PoolDirectory(settings, location, rng)
         self._weights: dict[int, float] = {}
         self._times = ServiceTimes()
         self._admission = AdmissionController(self._times)
@@ -163,7 +135,7 @@
         now = self._clock.monotonic()
         pools: dict[PoolName, PoolCapacity] = {}
         for stage in offer.profile.stages:
-            pool = self._pools_by_name.get(stage.pool)
+            pool = self._pools.pools_by_name.get(stage.pool)
             if pool is None:
                 detail = f"stage {stage.name}: pool {stage.pool} has no target"
                 answer = refused(RefusalReason.NO_TARGET, detail)
@@ -193,7 +165,7 @@
     async def acquire(self, query: RouteQuery) -> RouteAnswer:
         """Wait, within the deadline, for a slot on a target and take it."""
         now = self._clock.monotonic()
-        pool = self._pools_by_name.get(query.stage.pool)
+        pool = self._pools.pools_by_name.get(query.stage.pool)
         if pool is None:
             detail = f"pool {query.stage.pool} has no target"
             return self._refuse(query, RefusalReason.NO_TARGET, detail, now, now)
@@ -237,7 +209,7 @@
             self._learn(query, target_id, result, now)
         else:
             self._admission.stage_stopped(query.request_id, query.stage)
-        pool = self._pool_of_target.get(target_id)
+        pool = self._pools.pools_by_target.get(target_id)
         if pool is None:
             return
         pool.targets.ended(target_id, now)
@@ -252,14 +224,11 @@
 
     def uses(self, target_id: TargetId) -> bool:
         """Return whether this daemon sends requests to a target."""
-        return target_id in self._pool_of_target
+        return target_id in self._pools.pools_by_target
 
     def n_in_flight(self, target_id: TargetId) -> int:
         """Return how many attempts of this daemon hold a slot on a target."""
-        pool = self._pool_of_target.get(target_id)
-        if pool is None:
-            return 0
-        candidate = pool.targets.candidates_by_id.get(target_id)
+        candidate = self._pools.candidate(target_id)
         return 0 if candidate is None else candidate.load.own_active
 
     def load_reported(self, report: LoadReport) -> None:
@@ -270,13 +239,13 @@
 
     def load_missed(self, target_id: TargetId) -> None:
         """Take in that a target did not answer a load poll."""
-        pool = self._pool_of_target.get(target_id)
+        pool = self._pools.pools_by_target.get(target_id)
         if pool is not None:
             pool.targets.poll_missed(target_id, self._clock.monotonic())
 
     def target_named(self, name_hash: int) -> TargetId | None:
         """Return the target in use whose id has a hash."""
-        return self._target_by_hash.get(name_hash)
+        return self._pools.target_hashed(name_hash)
 
     def _make_router(self) -> Router:
         if self._settings.strategy is RoutingStrategy.ROUND_ROBIN:
@@ -287,18 +256,9 @@
 
     def _configured(self, configuration: Configuration) -> None:
         now = self._clock.monotonic()
-        targets_by_pool: dict[PoolName, list[Target]] = {}
-        for target in configuration.targets_by_id.values():
-            if target.state is not TargetState.REMOVED:
-                targets_by_pool.setdefault(target.pool, []).append(target)
-        for name in self._pools_by_name:
-            targets_by_pool.setdefault(name, [])
-        self._pool_of_target.clear()
-        for name, targets in targets_by_pool.items():
-            self._configure_pool(name, targets, now)
-        self._target_by_hash = {
-            name_hash(target_id): target_id for target_id in self._pool_of_target
-        }
+        self._pools.configure(configuration.targets_by_id.values(), now)
+        for pool in self._pools.pools_by_name.values():
+            self._serve(pool, now)
         weights = {
             account.account_id: account.share
             for account in configuration.accounts_by_id.values()
@@ -306,21 +266,6 @@
         self._admission.weights_by_account = weights
         self._weights = {name_hash(name): share for name, share in weights.items()}
 
-    def _configure_pool(
-        self, name: PoolName, targets: list[Target], now: float
-    ) -> None:
-        pool = self._pools_by_name.get(name)
-        if pool is None:
-            pool = _Pool(TargetPool(self._settings, self._location, self._rng))
-            self._pools_by_name[name] = pool
-        subset = choose_subset(
-            targets, self._settings.subset_size, self._location, self._salt
-        )
-        pool.targets.configure(subset, now)
-        for target in subset:
-            self._pool_of_target[target.target_id] = pool
-        self._serve(pool, now)
-
     def _refused_at_door(self, offer: Offer, answer: Refused) -> Refused:
         self._events.emit(
             AdmissionRefused(
@@ -360,7 +305,7 @@
         return None
 
     def _choose(
-        self, pool: _Pool, query: RouteQuery, since: float, now: float
+        self, pool: Pool, query: RouteQuery, since: float, now: float
     ) -> RouteChoice | None:
         time = self._times.predict(query.profile, query.stage, query.max_tokens, now)
         choice = self._router.choose(pool.targets, query, time.mean_s, now)
@@ -380,7 +325,7 @@
 
     def _within_budget(
         self,
-        pool: _Pool,
+        pool: Pool,
         query: RouteQuery,
         choice: RouteChoice | None,
         service_s: float,
@@ -398,7 +343,7 @@
             choice = self._router.choose(pool.targets, query, service_s, now)
         return None
 
-    def _can_wait(self, pool: _Pool, query: RouteQuery, now: float) -> bool:
+    def _can_wait(self, pool: Pool, query: RouteQuery, now: float) -> bool:
         if not any(pool.targets.tiers):
             return False
         if self._is_baseline or self._admission.has_started(query.request_id):
@@ -406,10 +351,10 @@
         return pool.targets.may_serve(query, now)
 
     async def _wait(
-        self, pool: _Pool, query: RouteQuery, latest_start: float, now: float
+        self, pool: Pool, query: RouteQuery, latest_start: float, now: float
     ) -> RouteAnswer:
         loop = asyncio.get_running_loop()
-        ticket = _Ticket(query, loop.create_future(), now)
+        ticket = Ticket(query, loop.create_future(), now)
         waiting = pool.queue.push(self._rank(query, latest_start, now), ticket, now)
         self._serve(pool, now)
         self._arm(pool, now)
@@ -429,7 +374,7 @@
         priority = query.priority if is_unstarted else Priority.URGENT
         return Rank(is_unstarted, is_over, priority, latest_start, latest_start)
 
-    def _abandon(self, pool: _Pool, waiting: Waiting[_Ticket]) -> None:
+    def _abandon(self, pool: Pool, waiting: Waiting[Ticket]) -> None:
         pool.queue.remove(waiting)
         answer = waiting.ticket.answer
         if answer.cancelled() or not answer.done():
@@ -439,11 +384,11 @@
             unused = AttemptResult(AttemptEnd.CANCELLED, 0.0, 0.0)
             self.release(waiting.ticket.query, choice, unused)
 
-    def _serve(self, pool: _Pool, now: float) -> None:
+    def _serve(self, pool: Pool, now: float) -> None:
         if not len(pool.queue):
             return
 
-        def give(ticket: _Ticket) -> bool:
+        def give(ticket: Ticket) -> bool:
             if ticket.answer.done():
                 return True
             choice = self._choose(pool, ticket.query, ticket.since, now)
@@ -453,14 +398,14 @@
 
         pool.queue.serve(give, _N_SKIPS)
 
-    def _expire(self, pool: _Pool, now: float) -> None:
+    def _expire(self, pool: Pool, now: float) -> None:
         for waiting in pool.queue.expire(now):
             ticket = waiting.ticket
             if not ticket.answer.done():
                 answer = self._refuse_late(ticket.query, ticket.since, now)
                 ticket.answer.set_result(answer)
 
-    def _arm(self, pool: _Pool, now: float) -> None:
+    def _arm(self, pool: Pool, now: float) -> None:
         if pool.timer is not None:
             pool.timer.cancel()
             pool.timer = None
@@ -470,7 +415,7 @@
             delay_s = max(0.0, expiry - now) + 0.001
             pool.timer = loop.call_later(delay_s, self._timer_fired, pool)
 
-    def _timer_fired(self, pool: _Pool) -> None:
+    def _timer_fired(self, pool: Pool) -> None:
         now = self._clock.monotonic()
         pool.timer = None
         self._expire(pool, now)
@@ -486,14 +431,14 @@
 
     def _tick(self, now: float) -> None:
         n_daemons = self._peers.n_daemons()
-        for name, pool in self._pools_by_name.items():
+        for name, pool in self._pools.pools_by_name.items():
             n_slots = pool.targets.n_open_slots
             pool.share = self._shares.share_of_pool(name, n_slots, n_daemons, now)
             pool.targets.refresh(pool.share, self._peers.rank(), now)
             self._serve(pool, now)
             self._refuse_unserved(pool, now)
 
-    def _refuse_unserved(self, pool: _Pool, now: float) -> None:
+    def _refuse_unserved(self, pool: Pool, now: float) -> None:
         if pool.targets.n_open_slots:
             return
         for waiting in pool.queue.waiting():
@@ -515,16 +460,13 @@
         predicted_s = self._times.predict(*args, now).mean_s
         self._times.observe(*args, result.held_s, now)
         self._admission.stage_ended(query.request_id, query.stage)
-        pool = self._pool_of_target.get(target_id)
-        if pool is None or predicted_s <= 0.0:
-            return
-        candidate = pool.targets.candidates_by_id.get(target_id)
-        if candidate is not None:
+        candidate = self._pools.candidate(target_id)
+        if candidate is not None and predicted_s > 0.0:
             candidate.learn_speed(result.held_s / predicted_s)
 
     def take_report(self, report: LoadReport, now: float) -> None:
         """Take in a load report, polled here or by a peer."""
-        pool = self._pool_of_target.get(report.target_id)
+        pool = self._pools.pools_by_target.get(report.target_id)
         if pool is not None:
             pool.targets.reported(report, now)
             self._serve(pool, now)
@@ -537,7 +479,7 @@
         return self._refuse(query, reason, detail, since, now)
 
     def _refuse_closed(
-        self, pool: _Pool, query: RouteQuery, since: float, now: float
+        self, pool: Pool, query: RouteQuery, since: float, now: float
     ) -> Refused:
         opens_at = pool.targets.next_probe_at()
         wait_s = 1.0 if opens_at is None else max(0.0, opens_at - now)
--- a/packages/aspendrift-standins/tests/test_surge_result.py
+++ b/packages/aspendrift-standins/tests/test_surge_result.py
@@ -18,6 +18,7 @@
 from aspendrift_standins.surge_scenarios import SCENARIOS, Scenario
 
 STEADY = next(each for each in SCENARIOS if each.name == "steady")
+HOUR = next(each for each in SCENARIOS if each.name == "hour 3x")
 OUT = next(each for each in SCENARIOS if each.out_s)
 
 
@@ -72,9 +73,13 @@
 def test_report_draws_every_figure(tmp_path: Path) -> None:
     runs = []
     for strategy in ("aspendrift", "round_robin", "random_limit"):
-        collector = ScenarioCollector(STEADY, strategy, 0.0)
-        collector.add(record(STEADY, 0, True), 1.0)
-        runs.append(collector.figures(10.0))
+        for scenario, sent_at_s in ((HOUR, 1.0), (STEADY, 2.0)):
+            collector = ScenarioCollector(scenario, strategy, 0.0)
+            collector.add(record(scenario, 0, True), sent_at_s)
+            runs.append(collector.figures(10.0))
     paths = draw_report(SurgeResult(10.0, 1, tuple(runs)), tmp_path)
-    assert len(paths) == 4
-    assert all("<svg" in path.read_text() for path in paths)
+    drawn = [path for path in paths if path.suffix == ".svg"]
+    assert len(drawn) == 4
+    assert all("<svg" in path.read_text() for path in drawn)
+    table = (tmp_path / "surge-figures.md").read_text()
+    assert "| steady | round_robin | 1 | 1.000 |" in table
