--- a/packages/aspendrift-daemon/tests/request_path/conftest.py
+++ b/packages/aspendrift-daemon/tests/request_path/conftest.py
@@ -161,6 +161,7 @@
     def __init__(self, table, state):
         self.table = table
         self.state = state
+        self.cut_off = False
 
     async def _through(self, call, *args):
         await self.state.gate()
@@ -169,12 +170,18 @@
         return result
 
     async def read(self, keys):
+        if self.cut_off:
+            return StoreUnavailable("cut off")
         return await self._through(self.table.read, keys)
 
     async def scan(self, prefix, after="", limit=500):
+        if self.cut_off:
+            return StoreUnavailable("cut off")
         return await self._through(self.table.scan, prefix, after, limit)
 
     async def transact(self, conditions, writes):
+        if self.cut_off:
+            return NotWritten("cut off")
         return await self._through(self.table.transact, conditions, writes)
 
 
@@ -216,24 +223,36 @@
         self.host = host
         self.handlers = {}
         self.cut = False
+        self.mute = False
+        self.lossy = None
 
     def subscribe(self, topic, handler):
         self.handlers.setdefault(topic, []).append(handler)
 
     def broadcast(self, topic, payload):
         for bus in self.network.buses:
-            if bus is not self and not (bus.cut or self.cut):
-                for handler in bus.handlers.get(topic, ()):
-                    handler(self.host.daemon_id, payload)
+            if bus is not self:
+                self._deliver(bus, topic, payload)
 
     def send(self, daemon_id, topic, payload):
         for bus in self.network.buses:
-            if bus.host.daemon_id == daemon_id and not (bus.cut or self.cut):
-                for handler in bus.handlers.get(topic, ()):
-                    handler(self.host.daemon_id, payload)
+            if bus.host.daemon_id == daemon_id:
+                self._deliver(bus, topic, payload)
+
+    def _deliver(self, bus, topic, payload):
+        if self.cut or bus.cut or self.mute:
+            return
+        if self.lossy is not None and self.lossy.random() < 0.5:
+            return
+        for handler in bus.handlers.get(topic, ()):
+            handler(self.host.daemon_id, payload)
 
     def members(self):
-        return [(bus.host, bus.state) for bus in self.network.buses]
+        return [
+            (bus.host, bus.state)
+            for bus in self.network.buses
+            if bus.state is not MemberState.DEAD
+        ]
 
     state = MemberState.LIVE
 
@@ -436,12 +455,16 @@
         self.buses = []
         self.targets = FakeTargets()
         self.settings = settings or RequestSettings(
-            claim_held_wait_ms=200, outcome_store_wait_ms=50, claim_timeout_ms=300
+            claim_held_wait_ms=200,
+            outcome_store_wait_ms=50,
+            claim_timeout_ms=300,
+            claim_view_age_s=0.0,
         )
         self.dispatchers = []
         self.events = []
         self.services = []
         self.hosts = []
+        self.views = []
         self.account = ClientAccount("kaapwind", "")
         for _ in range(n_daemons):
             self.add_daemon()
@@ -450,6 +473,8 @@
         number = len(self.services) + 1
         host_state = HostState()
         self.hosts.append(host_state)
+        view = DaemonView(self.table, host_state)
+        self.views.append(view)
         host = Host(f"d{number}", 1, Location("z1", "r1"), "http://x", "tcp://x")
         bus = FakeBus(self, host)
         self.buses.append(bus)
@@ -468,7 +493,7 @@
             self.settings,
             host.daemon_id,
             VirtualClock(1000.0 * number),
-            DaemonView(self.table, host_state),
+            view,
             bus,
             FakeConfiguration(configuration),
             dispatcher,
