Bound digest traffic at 3,000 bytes a second; log no negative time

Cause: at 350 daemons the peer link comes to the limit of 11 KB/s both ways; and a decision after the deadline logged a negative remaining time, which the histogram rejects with a warning. Change: digests of use may send 3,000 instead of 4,000 bytes a second; the remaining time is at least 0. Conclusion: fewer digests only where many accounts are active.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/request_runs.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/request_runs.py
@@ -222,6 +222,7 @@
 
     def _report_route(self, query: RouteQuery, answer: RouteAnswer, now: float) -> None:
         choice = answer if isinstance(answer, RouteChoice) else None
+        remaining_s = max(0.0, self.engine.facts.deadline_at - now)
         self.ports.events.emit(
             RouteDecided(
                 request_id=self.engine.facts.request_id,
@@ -231,7 +232,7 @@
                 scores=choice.scores if choice else (),
                 reason=answer.reason,
                 revision=self.revision,
-                remaining_ms=int((self.engine.facts.deadline_at - now) * _MS_PER_S),
+                remaining_ms=int(remaining_s * _MS_PER_S),
             )
         )
 
--- a/packages/aspendrift-model/src/aspendrift_model/settings_routing.py
+++ b/packages/aspendrift-model/src/aspendrift_model/settings_routing.py
@@ -95,7 +95,7 @@
     )
     digest_fanout: int = setting(8, doc="Peers that each digest goes to.", minimum=1)
     digest_bytes_per_s: float = setting(
-        4000.0,
+        3000.0,
         unit="bytes/s",
         doc="Digest traffic a daemon sends; larger digests are sent less often.",
         minimum=100,
