--- a/packages/aspendrift-daemon/tests/request_path/conftest.py
+++ b/packages/aspendrift-daemon/tests/request_path/conftest.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-import selectors
 from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
@@ -39,35 +38,7 @@
 from aspendrift_model.wire_target import GeneratedEnd, GeneratedToken
 from aspendrift_policy.claims import decode_claim
 from aspendrift_policy.interfaces import CandidateScore, RouteChoice, RouteReason
-
-
-class _JumpingSelector(selectors.SelectSelector):
-    """Selector that moves the loop's time on instead of waiting."""
-
-    def __init__(self):
-        super().__init__()
-        self.now = 0.0
-
-    def select(self, timeout=None):
-        assert timeout is not None, "every task waits for ever"
-        self.now += max(0.0, timeout)
-        return super().select(0)
-
-
-class VirtualTimeLoop(asyncio.SelectorEventLoop):
-    """Event loop whose time jumps to the next timer: no test waits."""
-
-    def __init__(self):
-        self._jumping = _JumpingSelector()
-        super().__init__(self._jumping)
-
-    def time(self):
-        return self._jumping.now
-
-
-def run_in_virtual_time(scenario):
-    with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
-        return runner.run(scenario)
+from aspendrift_standins.virtual_time import run_virtual
 
 
 class VirtualClock:
@@ -549,7 +520,7 @@
     network: Callable[..., Network] = Network
     body: Callable[..., RequestBody] = staticmethod(body)
     tokens: Callable[..., Any] = staticmethod(tokens)
-    run: Callable[[Coroutine[Any, Any, Any]], Any] = staticmethod(run_in_virtual_time)
+    run: Callable[[Coroutine[Any, Any, Any]], Any] = staticmethod(run_virtual)
 
     @staticmethod
     def engines(names):
