Run the reads of targets in one place

Cause: load polls and cache events each had the same loop, start, stop and handling of changed targets. Change: target_readers.py holds it once; both keep what is their own. Conclusion: no change of behaviour is meant.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/cache_events.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/cache_events.py
@@ -2,17 +2,15 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 from collections.abc import Callable
-from typing import Final
 
 import httpx
 import msgspec
 
 from aspendrift_daemon.interfaces import ConfigurationSource
 from aspendrift_daemon.load_poller import LoadSink
-from aspendrift_model.configuration import Configuration
+from aspendrift_daemon.target_readers import TargetReaders
 from aspendrift_model.ids import PrefixKey, TargetId
 from aspendrift_model.settings_routing import RoutingSettings
 from aspendrift_model.states import TargetKind
@@ -23,8 +21,6 @@
 
 __all__ = ["CacheEventReader"]
 
-_JITTER_SHARE: Final = 0.2
-
 
 class CacheEventReader:
     """Follows the cache events of each engine in use.
@@ -58,31 +54,32 @@
         rng: random.Random,
     ) -> None:
         self._settings = settings
-        self._configuration = configuration
-        self._client_factory = client_factory
         self._hints = hints
         self._sink = sink
-        self._rng = rng
-        self._client: httpx.AsyncClient | None = None
-        self._tasks_by_url: dict[tuple[TargetId, str], asyncio.Task[None]] = {}
+        self._readers = TargetReaders(self, configuration, client_factory, rng)
         self._seq_by_id: dict[TargetId, int] = {}
 
     async def start(self) -> None:
         """Start to read."""
-        self._client = self._client_factory()
-        self._configuration.on_change(self._configured)
-        self._configured(self._configuration.current())
+        await self._readers.start()
 
     async def stop(self) -> None:
         """Stop every read and close the client."""
-        client, self._client = self._client, None
-        tasks = list(self._tasks_by_url.values())
-        self._tasks_by_url.clear()
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-        if client is not None:
-            await client.aclose()
+        await self._readers.stop()
+
+    def wants(self, target: Target) -> bool:
+        """Return whether a target is an engine in use."""
+        return target.kind is TargetKind.ENGINE and self._sink.uses(target.target_id)
+
+    def interval_s(self, n_targets: int) -> float:
+        """Return the time between two reads of one engine, in seconds."""
+        settings = self._settings
+        return max(settings.cache_poll_s, 2.0 * n_targets / settings.max_polls_per_s)
+
+    def dropped(self, target_id: TargetId) -> None:
+        """Forget what is known of an engine that is not read any more."""
+        self._hints.forget([target_id])
+        self._seq_by_id.pop(target_id, None)
 
     def take(self, target_id: TargetId, answer: CacheEvents) -> None:
         """Take in one answer of an engine."""
@@ -101,35 +98,8 @@
                 self._hints.evicted(target_id, key)
         self._seq_by_id[target_id] = seen
 
-    def _interval_s(self) -> float:
-        spread_s = len(self._tasks_by_url) / self._settings.max_polls_per_s
-        return max(self._settings.cache_poll_s, 2.0 * spread_s)
-
-    def _configured(self, configuration: Configuration) -> None:
-        if self._client is None:
-            return
-        wanted = {
-            (target.target_id, target.url): target
-            for target in configuration.targets_by_id.values()
-            if target.kind is TargetKind.ENGINE and self._sink.uses(target.target_id)
-        }
-        for key in [key for key in self._tasks_by_url if key not in wanted]:
-            self._tasks_by_url.pop(key).cancel()
-            self._hints.forget([key[0]])
-            self._seq_by_id.pop(key[0], None)
-        for key, target in wanted.items():
-            if key not in self._tasks_by_url:
-                task = asyncio.create_task(self._read_forever(target))
-                self._tasks_by_url[key] = task
-
-    async def _read_forever(self, target: Target) -> None:
-        await asyncio.sleep(self._interval_s() * self._rng.random())
-        while self._client is not None:
-            await self._read(self._client, target)
-            jitter = 1.0 + _JITTER_SHARE * (2.0 * self._rng.random() - 1.0)
-            await asyncio.sleep(self._interval_s() * jitter)
-
-    async def _read(self, client: httpx.AsyncClient, target: Target) -> None:
+    async def read(self, client: httpx.AsyncClient, target: Target) -> None:
+        """Read an engine's events once."""
         after = self._seq_by_id.get(target.target_id, 0)
         try:
             response = await client.get(
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/load_poller.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/load_poller.py
@@ -2,16 +2,15 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 from collections.abc import Callable
-from typing import Final, Protocol
+from typing import Protocol
 
 import httpx
 import msgspec
 
 from aspendrift_daemon.interfaces import Clock, ConfigurationSource
-from aspendrift_model.configuration import Configuration
+from aspendrift_daemon.target_readers import TargetReaders
 from aspendrift_model.ids import ModelName, TargetId
 from aspendrift_model.settings_routing import RoutingSettings
 from aspendrift_model.targets import LoadReport, Target
@@ -20,8 +19,6 @@
 
 __all__ = ["LoadPoller", "LoadSink"]
 
-_JITTER_SHARE: Final = 0.2
-
 
 class LoadSink(Protocol):
     """Takes in what the polls learn."""
@@ -66,59 +63,30 @@
     ) -> None:
         self._settings = settings
         self._clock = clock
-        self._configuration = configuration
-        self._client_factory = client_factory
         self._sink = sink
-        self._rng = rng or random.Random()
-        self._client: httpx.AsyncClient | None = None
-        self._tasks_by_url: dict[tuple[TargetId, str], asyncio.Task[None]] = {}
+        self._readers = TargetReaders(
+            self, configuration, client_factory, rng or random.Random()
+        )
 
     async def start(self) -> None:
         """Start to poll."""
-        self._client = self._client_factory()
-        self._configuration.on_change(self._configured)
-        self._configured(self._configuration.current())
+        await self._readers.start()
 
     async def stop(self) -> None:
         """Stop every poll and close the client."""
-        client, self._client = self._client, None
-        tasks = list(self._tasks_by_url.values())
-        self._tasks_by_url.clear()
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-        if client is not None:
-            await client.aclose()
-
-    def interval_s(self) -> float:
+        await self._readers.stop()
+
+    def wants(self, target: Target) -> bool:
+        """Return whether a target's load is of interest."""
+        return self._sink.uses(target.target_id)
+
+    def interval_s(self, n_targets: int) -> float:
         """Return the time between two polls of one target, in seconds."""
         settings = self._settings
-        spread_s = len(self._tasks_by_url) / settings.max_polls_per_s
-        return max(settings.load_poll_s, spread_s)
+        return max(settings.load_poll_s, n_targets / settings.max_polls_per_s)
 
-    def _configured(self, configuration: Configuration) -> None:
-        if self._client is None:
-            return
-        wanted = {
-            (target.target_id, target.url): target
-            for target in configuration.targets_by_id.values()
-            if self._sink.uses(target.target_id)
-        }
-        for key in [key for key in self._tasks_by_url if key not in wanted]:
-            self._tasks_by_url.pop(key).cancel()
-        for key, target in wanted.items():
-            if key not in self._tasks_by_url:
-                task = asyncio.create_task(self._poll_forever(target))
-                self._tasks_by_url[key] = task
-
-    async def _poll_forever(self, target: Target) -> None:
-        await asyncio.sleep(self.interval_s() * self._rng.random())
-        while self._client is not None:
-            await self._poll(self._client, target)
-            jitter = 1.0 + _JITTER_SHARE * (2.0 * self._rng.random() - 1.0)
-            await asyncio.sleep(self.interval_s() * jitter)
-
-    async def _poll(self, client: httpx.AsyncClient, target: Target) -> None:
+    async def read(self, client: httpx.AsyncClient, target: Target) -> None:
+        """Poll a target once."""
         sent_at = self._clock.monotonic()
         try:
             response = await client.get(
@@ -131,6 +99,9 @@
         one_way_s = (self._clock.monotonic() - sent_at) / 2
         self._sink.load_reported(_report(target, body, one_way_s))
 
+    def dropped(self, target_id: TargetId) -> None:
+        """Take in that a target is not polled any more."""
+
 
 def _report(target: Target, body: LoadBody, one_way_s: float) -> LoadReport:
     return LoadReport(
