Give the service of the HTTP property tests the new refusal

Cause: the front door asks the service how to refuse an unknown token; the fake did not know, and any wrong token ended in a 500 in that test. After: the property tests pass again. Conclusion: the fault was in the fake; the real service has its own test.

--- a/packages/aspendrift-daemon/tests/test_http_input.py
+++ b/packages/aspendrift-daemon/tests/test_http_input.py
@@ -14,8 +14,10 @@
 
 from aspendrift_daemon.front_door import caller_routes, exception_handlers
 from aspendrift_daemon.limits import BodyLimits
+from aspendrift_daemon.outcome_bodies import outcome_body
 from aspendrift_model.accounts import ClientAccount
-from aspendrift_model.ids import AccountId
+from aspendrift_model.ids import AccountId, DaemonId, RequestId, Revision
+from aspendrift_model.outcomes import Refused
 from aspendrift_model.settings_requests import RequestSettings
 from aspendrift_model.states import OutcomeStatus, Ran, RefusalReason
 from aspendrift_model.wire_caller import OutcomeBody, RequestBody
@@ -41,6 +43,12 @@
         reason = RefusalReason.NOT_FOUND
         return OutcomeBody(request_id, OutcomeStatus.FAILED, Ran.UNKNOWN, reason=reason)
 
+    def unknown_account(self) -> OutcomeBody:
+        refusal = Refused(RefusalReason.UNAUTHENTICATED)
+        return outcome_body(
+            RequestId(""), refusal, daemon_id=DaemonId("d"), revision=Revision(1)
+        )
+
 
 class OneAccount:
     """Knows one token."""
