Read operators' bearer tokens with the callers' function

Cause: operator_access.py split the authorization header again, beside authentication.bearer_token. Change: it calls bearer_token; a missing or empty token is refused before the comparison, with the same reason as before. The whole suite was not run again. Conclusion: one reading of the header.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/operator_access.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/operator_access.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from aspendrift_daemon.authentication import bearer_token
 from aspendrift_model.settings_http import HttpSettings, OperatorRole
 from aspendrift_model.states import RefusalReason
 
@@ -57,13 +58,15 @@
         """
         if self._is_open:
             return Operator(_LOCAL_OPERATOR)
-        scheme, _, token = (authorization or "").partition(" ")
-        given = hashlib.sha256(token.strip().encode()).hexdigest()
+        token = bearer_token(authorization)
+        if token is None:
+            raise OperatorDenied(RefusalReason.UNAUTHENTICATED)
+        given = hashlib.sha256(token.encode()).hexdigest()
         found = None
         for operator in self._operators:
             if hmac.compare_digest(given, operator.sha256.lower()):
                 found = operator
-        if found is None or scheme.lower() != "bearer":
+        if found is None:
             raise OperatorDenied(RefusalReason.UNAUTHENTICATED)
         highest = max((_RANK[each] for each in found.roles), default=-1)
         if highest < _RANK[role]:
