Answer requests that outlast a leaving gateway truthfully

Before: 500 for a request in its stages, for one at a target and for one whose body was still coming (new scene on the emulated platform, fails without the change). After: 503, 502 and 503; a begun stream is cut.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/front.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/front.py
@@ -129,6 +129,10 @@
         except _TooLarge:
             await self._reject(answer, RefusalReason.TOO_LARGE, "")
             return
+        except asyncio.CancelledError:
+            # The server ends before the request has come whole.
+            await self._reject(answer, RefusalReason.LEAVING, "")
+            return
         target_path = scope["raw_path"]
         if scope["query_string"]:
             target_path += b"?" + scope["query_string"]
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -154,7 +154,6 @@
             codec.caller,
             self.clock,
             events,
-            rng,
             self._refuses_new,
         )
         self.leaving = LeaveProcedure(
@@ -200,8 +199,9 @@
         )
 
     async def stop(self) -> None:
-        """Stop the servers, then every other part in reverse order."""
+        """End open requests, stop the servers, then the parts in reverse order."""
         self.events.emit(GatewayStopped(self.settings.daemon_id, self.path.n_open))
+        self.path.end_open()
         # Together, since each waits for connections that are still open.
         await asyncio.gather(*(server.stop() for server in self.servers))
         for part in reversed(self._parts()):
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import random
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
@@ -62,8 +62,10 @@
 
     request: OpaqueRequest
     arrived_at: float
+    task: asyncio.Task[None] | None
     route: Route | None = None
     n_attempts: int = 0
+    is_ended_early: bool = False
 
 
 class _Progress:
@@ -114,7 +116,6 @@
         codec: CallerCodec,
         clock: Clock,
         events: EventHub,
-        rng: random.Random,
         refuses_new: Callable[[OpaqueRequest, float], Refusal | None],
     ) -> None:
         self._state = state
@@ -125,7 +126,6 @@
         self._codec = codec
         self._clock = clock
         self._events = events
-        self._rng = rng
         self._refuses_new = refuses_new
         self._ages = RequestAges()
         self._open: dict[int, _Open] = {}
@@ -143,15 +143,22 @@
     def begin_leaving(self) -> None:
         """Do nothing: ``refuses_new`` refuses new requests, open ones go on."""
 
+    def end_open(self) -> None:
+        """End what is open with an answer that is true of it; the process ends."""
+        for opened in self._open.values():
+            if opened.task is not None:
+                opened.is_ended_early = True
+                opened.task.cancel()
+
     async def serve(self, request: OpaqueRequest, answer: CallerAnswer) -> None:
         """Serve a request to its final answer."""
         self._sequence += 1
         number = self._sequence
-        opened = _Open(request, self._clock.monotonic())
+        opened = _Open(request, self._clock.monotonic(), asyncio.current_task())
         self._open[number] = opened
         outcome: Served | Refusal = Refusal(RefusalReason.CALLER_GONE)
         try:
-            outcome = await self._serve(opened, answer)
+            outcome = await self._serve_or_end(opened, answer)
             if isinstance(outcome, Refusal):
                 await self._refuse(request, outcome, answer)
             elif outcome.is_cut:
@@ -160,6 +167,22 @@
             del self._open[number]
             self._log_end(opened, outcome)
 
+    async def _serve_or_end(
+        self, opened: _Open, answer: CallerAnswer
+    ) -> Served | Refusal:
+        """Serve a request; if :meth:`end_open` cancels it, say what became of it."""
+        try:
+            return await self._serve(opened, answer)
+        except asyncio.CancelledError:
+            if not opened.is_ended_early or opened.task is None:
+                raise
+            opened.task.uncancel()
+        if answer.has_begun:
+            return Served(200, is_cut=True, detail="leaving")
+        if opened.n_attempts:
+            return Refusal(RefusalReason.OUTCOME_UNKNOWN, "leaving")
+        return Refusal(RefusalReason.LEAVING, "", 0.0)
+
     async def _serve(self, opened: _Open, answer: CallerAnswer) -> Served | Refusal:
         request, now = opened.request, opened.arrived_at
         refusal = self._refuses_new(request, now)
--- a/tests/aspendrift_platform/test_on_emulator.py
+++ b/tests/aspendrift_platform/test_on_emulator.py
@@ -305,6 +305,34 @@
     play(scene, n_gateways=2)
 
 
+def test_requests_that_outlast_a_leaving_gateway_end_truthfully(play):
+    async def scene(world):
+        (gateway,) = world.gateways
+        for name in ("second-0", "desk-0", "desk-1"):
+            world.platform.targets_by_name[name].work_s = PATIENCE_S
+        staged = asyncio.create_task(world.stream(gateway))
+        sent = asyncio.create_task(world.call(gateway, "/once/a"))
+        host, _, port = gateway.settings.front_address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(b"POST /once/b HTTP/1.1\r\nHost: h.example\r\n")
+        writer.write(b"Content-Length: 9\r\n\r\nhalf")
+        desks = ("desk-0", "desk-1")
+        await world.until(
+            lambda: sum(
+                world.platform.targets_by_name[name].n_requests for name in desks
+            )
+        )
+        await world.until(lambda: gateway.path.n_open == 2)
+        await gateway.stop()
+        world.gateways_by_name.clear()
+        statuses = [(await each)[1].status_code for each in (staged, sent)]
+        assert statuses == [503, 502]
+        assert (await reader.readline()).startswith(b"HTTP/1.1 503")
+        writer.close()
+
+    play(scene)
+
+
 def test_store_outage_does_not_stop_requests(play):
     async def scene(world):
         (gateway,) = world.gateways
