--- a/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
@@ -27,6 +27,8 @@
     "StageCallSent",
     "StageJobEnded",
     "StageJobSent",
+    "StageRoomLearned",
+    "StageUpkeepFailed",
     "TargetChanged",
 ]
 
@@ -190,6 +192,34 @@
     took_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class StageRoomLearned(Event):
+    """A target told how much memory for results it has left.
+
+    ``foreign_bytes`` is what is held that this daemon knows nothing of.
+    """
+
+    name: ClassVar[str] = "stage_room_learned"
+    target_id: str
+    pool: str
+    free_bytes: float
+    foreign_bytes: float
+
+
+@dataclass(frozen=True, slots=True)
+class StageUpkeepFailed(Event):
+    """A call that frees results or asks for room failed; ``path`` tells which.
+
+    Results that could not be freed take memory until their time is over.
+    """
+
+    name: ClassVar[str] = "stage_upkeep_failed"
+    target_id: str
+    pool: str
+    path: str
+    detail: str
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptSent(Event):
     """A request was sent to a target."""
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
@@ -8,8 +8,13 @@
 
 from aspendrift_daemon.events import EventHub
 from aspendrift_daemon.interfaces import Clock
-from aspendrift_gateway.events import StageCallEnded, StageCallSent
-from aspendrift_gateway.interfaces import TargetCodec
+from aspendrift_gateway.events import (
+    StageCallEnded,
+    StageCallSent,
+    StageRoomLearned,
+    StageUpkeepFailed,
+)
+from aspendrift_gateway.interfaces import HttpCall, TargetCodec
 from aspendrift_gateway.target_client import Broken, NotSent, TargetClient, WholeAnswer
 from aspendrift_model.ids import PoolName, TargetId
 from aspendrift_model.pieces import Handle, PieceFailure, PieceOutcome
@@ -32,7 +37,8 @@
 _CALL_TIMEOUT_S: Final = 1.0
 # Frees that come within this time travel together.
 _FREE_DELAY_S: Final = 0.01
-_FREE_TIMEOUT_S: Final = 1.0
+# A target that does not answer small calls within this time is cut off or hangs.
+_SHORT_TIMEOUT_S: Final = 1.0
 _OK: Final = 200
 
 
@@ -117,6 +123,8 @@
             self._on_news(news)
         for call in self.scheduler.plan(now):
             self._run(self._call(call))
+        for entry in self.scheduler.rooms_to_ask(now):
+            self._run(self._ask_room(entry))
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
@@ -169,8 +177,6 @@
             news, unneeded = self.scheduler.ended(call.call_id, key, outcomes, now)
             if unneeded:
                 self.free(unneeded)
-            if PieceFailure.NO_ROOM in outcomes:
-                await self._ask_room(call.target)
         verdict = "full" if is_full else "failed" if outcomes is None else "made"
         self._events.emit(
             StageCallEnded(
@@ -203,22 +209,41 @@
         return outcomes, False, ",".join(failures)
 
     async def _ask_room(self, entry: TargetEntry) -> None:
-        """Ask a target how much room it has, since somebody else uses it too."""
+        """Ask a target how much room it has, since others fill some of it."""
+        answer = await self._send_soon(entry, self._codec.report())
+        if not isinstance(answer, WholeAnswer):
+            return
+        room = self._codec.room(answer.body)
+        if room is None:
+            return
+        now = self._clock.monotonic()
+        foreign_bytes = self.scheduler.set_free_room(entry.key, room.free_bytes, now)
+        self._events.emit(
+            StageRoomLearned(
+                entry.key.target_id, self.pool, room.free_bytes, foreign_bytes
+            )
+        )
+        self.pump()
+
+    async def _send_soon(
+        self, entry: TargetEntry, call: HttpCall
+    ) -> WholeAnswer | NotSent | Broken:
+        """Make a call that is answered at once or not worth waiting for."""
         headers = self._codec.stage_headers(entry.key.target_id)
         now = self._clock.monotonic()
+        answer: WholeAnswer | NotSent | Broken
         try:
-            async with asyncio.timeout(_FREE_TIMEOUT_S):
-                answer = await self._client.send_whole(
-                    entry, self._codec.report(), headers, now
-                )
+            async with asyncio.timeout(_SHORT_TIMEOUT_S):
+                answer = await self._client.send_whole(entry, call, headers, now)
         except TimeoutError:
-            return
-        if isinstance(answer, WholeAnswer):
-            room = self._codec.room(answer.body)
-            if room is not None:
-                now = self._clock.monotonic()
-                self.scheduler.set_free_room(entry.key, room.free_bytes, now)
-                self.pump()
+            answer = Broken("timeout")
+        if not isinstance(answer, WholeAnswer):
+            self._events.emit(
+                StageUpkeepFailed(
+                    entry.key.target_id, self.pool, call.target_path, answer.detail
+                )
+            )
+        return answer
 
     def _free_now(self) -> None:
         handles, self._freeing = self._freeing, []
@@ -234,16 +259,8 @@
             self._run(self._free_at(found[target_id], held))
 
     async def _free_at(self, entry: TargetEntry, handles: Sequence[Handle]) -> None:
-        headers = self._codec.stage_headers(entry.key.target_id)
-        call = self._codec.stage_free(handles)
-        try:
-            async with asyncio.timeout(_FREE_TIMEOUT_S):
-                answer = await self._client.send_whole(
-                    entry, call, headers, self._clock.monotonic()
-                )
-        except TimeoutError:
-            # The target frees results by itself when their time is over.
-            return
+        # A target frees results by itself when their time is over.
+        answer = await self._send_soon(entry, self._codec.stage_free(handles))
         if isinstance(answer, WholeAnswer) and answer.status == _OK:
             self.scheduler.freed(handles)
             self.pump()
--- a/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
@@ -50,6 +50,9 @@
 _MAX_REST_S: Final = 2.0
 # Time for which a full target is left alone.
 _FULL_REST_S: Final = 0.05
+# Pause between questions about room: part of a usual call, after which results of
+# others may be gone.
+_ROOM_CHECK_S: Final = 0.25
 # A job that would move at least this much between zones waits for a target of its
 # zone while it has time: the transfer costs more than the wait.
 _LARGE_BYTES: Final = 500_000
@@ -146,7 +149,9 @@
     n_failures: int = 0
     calls_by_id: dict[int, _Call] = field(default_factory=dict)
     foreign_bytes: float = 0.0
-    foreign_until: float = 0.0
+    is_room_doubtful: bool = False
+    room_asked_at: float = -math.inf
+    room_known_at: float = -math.inf
 
 
 @dataclass(slots=True)
@@ -207,14 +212,34 @@
         for handle in handles:
             self._release(handle)
 
-    def set_free_room(self, key: TargetKey, free_bytes: float, now: float) -> None:
-        """Learn from a target how much room it has; the rest is held by others."""
+    def rooms_to_ask(self, now: float) -> list[TargetEntry]:
+        """Return the targets that have to be asked for their room now.
+
+        Results that others left, an owner before this one for example, fill the
+        memory of a target until they are freed or expire. Nothing tells when.
+        """
+        if not self._needs_room():
+            return []
+        due = [
+            target
+            for key, target in self._targets_by_key.items()
+            if key in self._usable and self._room_check_at(target) <= now
+        ]
+        for target in due:
+            target.room_asked_at = now
+        return [target.entry for target in due]
+
+    def set_free_room(self, key: TargetKey, free_bytes: float, now: float) -> float:
+        """Learn from a target how much room it has; return what others hold."""
         target = self._targets_by_key.get(key)
-        if target is not None:
-            ours = self._held_by_key.get(key, 0.0)
-            used = self.limits.room_bytes - free_bytes - ours
-            target.foreign_bytes = max(0.0, used)
-            target.foreign_until = now + self.limits.keep_s
+        if target is None:
+            return 0.0
+        ours = self._held_by_key.get(key, 0.0)
+        used = self.limits.room_bytes - free_bytes - ours
+        target.foreign_bytes = max(0.0, used)
+        target.room_known_at = now
+        target.is_room_doubtful = False
+        return target.foreign_bytes
 
     def plan(self, now: float) -> list[PlannedCall]:
         """Return the calls to send now, each noted as sent."""
@@ -256,6 +281,7 @@
         self._learn(key, call, now)
         if PieceFailure.NO_ROOM in outcomes:
             self._targets_by_key[key].rests_until = now + _FULL_REST_S
+            self._targets_by_key[key].is_room_doubtful = True
         news: list[JobNews] = []
         unneeded: list[Handle] = []
         results_by_job: dict[JobId, list[tuple[PieceId, Handle]]] = {}
@@ -329,6 +355,12 @@
                 if target.rests_until > now
             ]
             times += [result.until for result in self._results_by_handle.values()]
+        if self._needs_room():
+            times += [
+                at
+                for target in self._targets_by_key.values()
+                if (at := self._room_check_at(target)) < math.inf
+            ]
         return min(times, default=None)
 
     def backlog(self) -> Mapping[int, int]:
@@ -454,8 +486,21 @@
             return False
         return min(begins) - now <= _ZONE_WAIT_S
 
+    def _needs_room(self) -> bool:
+        return any(
+            job.queued and job.spec.result_bytes > 0
+            for job in self._jobs_by_id.values()
+        )
+
+    def _room_check_at(self, target: _Target) -> float:
+        """Return when to ask a target for its room; never, if ours are all."""
+        if target.is_room_doubtful or target.foreign_bytes > 0:
+            return target.room_asked_at + _ROOM_CHECK_S
+        return math.inf
+
     def _room(self, target: _Target, now: float) -> float:
-        foreign = target.foreign_bytes if target.foreign_until > now else 0.0
+        is_kept = target.room_known_at + self.limits.keep_s > now
+        foreign = target.foreign_bytes if is_kept else 0.0
         held = self._held_by_key.get(target.entry.key, 0.0)
         return self.limits.room_bytes - held - foreign
 
--- a/packages/aspendrift-policy/tests/test_stage_scheduler.py
+++ b/packages/aspendrift-policy/tests/test_stage_scheduler.py
@@ -112,6 +112,47 @@
     assert len(found.plan(0.3)) == 1
 
 
+def no_room(found, call, now):
+    """Let a call find no room for any of its pieces."""
+    outcomes = [PieceFailure.NO_ROOM for _ in call.works]
+    return found.ended(call.call_id, call.target.key, outcomes, now)
+
+
+def test_room_that_others_fill_is_asked_for_until_it_is_free():
+    found = scheduler()
+    found.submit(job("a", 2, result_bytes=6e6))
+    (call,) = found.plan(0.0)
+    assert found.rooms_to_ask(0.0) == []
+    no_room(found, call, 0.2)
+    (asked,) = found.rooms_to_ask(0.2)
+    assert found.set_free_room(asked.key, 0.0, 0.2) == 18e6
+    assert found.plan(0.3) == []
+    assert found.rooms_to_ask(0.3) == []
+    assert found.next_due(0.3) <= 0.45
+    (asked,) = found.rooms_to_ask(0.45)
+    assert found.set_free_room(asked.key, 18e6, 0.45) == 0.0
+    assert found.plan(0.45)
+    assert found.rooms_to_ask(9.0) == []
+
+
+def test_target_that_does_not_tell_its_room_is_asked_again():
+    found = scheduler()
+    found.submit(job("a", 2, result_bytes=6e6))
+    (call,) = found.plan(0.0)
+    no_room(found, call, 0.2)
+    assert len(found.rooms_to_ask(0.2)) == 1
+    assert len(found.rooms_to_ask(0.5)) == 1
+
+
+def test_nobody_is_asked_for_room_that_no_piece_needs():
+    found = scheduler()
+    found.submit(job("a", 2, result_bytes=6e6))
+    (call,) = found.plan(0.0)
+    no_room(found, call, 0.2)
+    found.cancel(JobId("a"))
+    assert found.rooms_to_ask(0.2) == []
+
+
 def test_results_that_expired_make_room():
     found = scheduler()
     found.submit(job("a", 4, result_bytes=4e6))
