--- a/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
@@ -121,10 +121,10 @@
         self.scheduler.set_targets(self._entries())
         for news in self.scheduler.step(now):
             self._on_news(news)
-        for call in self.scheduler.plan(now):
-            self._run(self._call(call))
         for entry in self.scheduler.rooms_to_ask(now):
             self._run(self._ask_room(entry))
+        for call in self.scheduler.plan(now):
+            self._run(self._call(call))
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
@@ -210,11 +210,13 @@
 
     async def _ask_room(self, entry: TargetEntry) -> None:
         """Ask a target how much room it has, since others fill some of it."""
-        answer = await self._send_soon(entry, self._codec.report())
+        call = self._codec.report()
+        answer = await self._send_soon(entry, call)
         if not isinstance(answer, WholeAnswer):
             return
         room = self._codec.room(answer.body)
         if room is None:
+            self._upkeep_failed(entry, call, "unreadable report")
             return
         now = self._clock.monotonic()
         foreign_bytes = self.scheduler.set_free_room(entry.key, room.free_bytes, now)
@@ -238,13 +240,15 @@
         except TimeoutError:
             answer = Broken("timeout")
         if not isinstance(answer, WholeAnswer):
-            self._events.emit(
-                StageUpkeepFailed(
-                    entry.key.target_id, self.pool, call.target_path, answer.detail
-                )
-            )
+            self._upkeep_failed(entry, call, answer.detail)
         return answer
 
+    def _upkeep_failed(self, entry: TargetEntry, call: HttpCall, detail: str) -> None:
+        target_id = entry.key.target_id
+        self._events.emit(
+            StageUpkeepFailed(target_id, self.pool, call.target_path, detail)
+        )
+
     def _free_now(self) -> None:
         handles, self._freeing = self._freeing, []
         entries_by_address = {entry.address: entry for entry in self._entries()}
--- a/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
@@ -53,6 +53,8 @@
 # Pause between questions about room: part of a usual call, after which results of
 # others may be gone.
 _ROOM_CHECK_S: Final = 0.25
+# Time for the answer: some round trips. A call that finds no room is a turn lost.
+_ROOM_ANSWER_S: Final = 0.05
 # A job that would move at least this much between zones waits for a target of its
 # zone while it has time: the transfer costs more than the wait.
 _LARGE_BYTES: Final = 500_000
@@ -149,7 +151,7 @@
     n_failures: int = 0
     calls_by_id: dict[int, _Call] = field(default_factory=dict)
     foreign_bytes: float = 0.0
-    is_room_doubtful: bool = False
+    is_room_doubtful: bool = True
     room_asked_at: float = -math.inf
     room_known_at: float = -math.inf
 
@@ -395,6 +397,8 @@
 
     def _free_at(self, target: _Target, now: float) -> float:
         at = max(now, target.rests_until)
+        if target.is_room_doubtful:
+            at = max(at, target.room_asked_at + _ROOM_ANSWER_S)
         for call in target.calls_by_id.values():
             due = call.sent_at + call.plan.expected_s
             late = now + call.plan.expected_s if call.is_overdue else now
