Use every slot of a stage target

Also one place for the time of a call (`PieceLimits`), which was computed in five. Test: test_target_works_on_as_many_calls_as_it_can fails without the change.

--- a/packages/aspendrift-model/src/aspendrift_model/routes.py
+++ b/packages/aspendrift-model/src/aspendrift_model/routes.py
@@ -124,6 +124,25 @@
     room_bytes: float
     keep_s: float
 
+    @property
+    def full_call_s(self) -> float:
+        """Time of a call with as many pieces as it may have."""
+        return self.work_s(self.batch)
+
+    @property
+    def turn_pieces(self) -> int:
+        """Pieces that one target works on at the same time, at most."""
+        return self.n_slots * self.batch
+
+    @property
+    def pieces_per_s(self) -> float:
+        """Pieces that one target makes in a second if all calls are full."""
+        return self.turn_pieces / self.full_call_s
+
+    def work_s(self, n_pieces: int) -> float:
+        """Return the time of one call with this many pieces."""
+        return self.call_s + n_pieces * self.piece_s
+
 
 @dataclass(frozen=True, slots=True)
 class ModelPool:
--- a/packages/aspendrift-policy/src/aspendrift_policy/chain_admission.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/chain_admission.py
@@ -205,7 +205,8 @@
         if now - measured_at > _MEASURES_S or spec is None or spec.pieces is None:
             return False
         n_waiting = sum(each.n_waiting for each in measures.loads if each.rank <= rank)
-        return n_waiting > spec.pieces.batch * max(1, n_targets) * _BACKLOG_SHARE
+        a_turn = spec.pieces.turn_pieces * max(1, n_targets)
+        return n_waiting > a_turn * _BACKLOG_SHARE
 
     def retry_s(self, wait_s: float = 0.0) -> float:
         """Return when to come back, given the wait that there is now."""
@@ -223,9 +224,7 @@
         measured_at, measures = self._measures_by_pool.get(pool, _NOTHING)
         if now - measured_at > _MEASURES_S or spec is None or spec.pieces is None:
             return 0.0
-        limits = spec.pieces
-        full_s = limits.call_s + limits.batch * limits.piece_s
-        return measures.wait_s(rank, max(1, n_targets) * limits.batch / full_s)
+        return measures.wait_s(rank, max(1, n_targets) * spec.pieces.pieces_per_s)
 
 
 _NOTHING: Final = (float("-inf"), PoolMeasures(0.0, ()))
@@ -235,5 +234,4 @@
     """Return the time to make pieces once they have a turn, without a wait."""
     if spec is None or spec.pieces is None:
         return 0.0
-    limits = spec.pieces
-    return limits.call_s + min(n_pieces, limits.batch) * limits.piece_s
+    return spec.pieces.work_s(min(n_pieces, spec.pieces.batch))
--- a/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
@@ -5,8 +5,9 @@
 target's memory before its time runs out. One scheduler counts turns and bytes of
 every target, whatever daemon a job came from.
 
-A target gets its next call when it has finished the one before. The call is made
-of the most urgent pieces of any job, as many as its batch and its memory allow.
+A target gets its next call when it has finished one, up to as many at a time as it
+can work on. The call is made of the most urgent pieces of any job, as many as its
+batch and its memory allow.
 A job starts only while the pool has memory for all of its results, and a job that
 has results already goes before those that have none.
 """
@@ -16,7 +17,7 @@
 import math
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
-from typing import Final, NewType
+from typing import Final, NewType, TypeAlias
 
 from aspendrift_model.ids import ZoneName
 from aspendrift_model.pieces import (
@@ -38,6 +39,8 @@
 ]
 
 JobId = NewType("JobId", str)
+# One of the calls that a target can work on at the same time.
+_Turn: TypeAlias = tuple[TargetKey, int]
 
 # Weight of the newest call in a target's learned slowness.
 _LEARN_WEIGHT: Final = 0.3
@@ -60,6 +63,8 @@
 _LARGE_BYTES: Final = 500_000
 # Longest such wait: a third of a usual call.
 _ZONE_WAIT_S: Final = 0.1
+# A call that is due now ends this much later at the soonest.
+_SOON_S: Final = 0.001
 # A piece that failed this often fails its job.
 _MAX_FAILURES: Final = 3
 
@@ -248,28 +253,27 @@
         self._expire_results(now)
         waiting = self._in_order(now)
         free_at = {
-            key: self._free_at(target, now)
+            (key, number): at
             for key, target in self._targets_by_key.items()
             if key in self._usable
+            for number, at in enumerate(self._free_at(target, now))
         }
         limit = self._call_size(waiting, free_at, now)
         calls: list[PlannedCall] = []
         while waiting and free_at:
-            key = self._soonest(free_at)
-            if key is None:
-                break
-            target = self._targets_by_key[key]
+            turn = self._soonest(free_at)
+            target = self._targets_by_key[turn[0]]
             # What the best target would take waits for it if it is busy.
-            is_free = free_at[key] <= now
+            is_free = free_at[turn] <= now
             taken = self._take(waiting, target, free_at, now, limit, is_free)
             if not taken:
-                del free_at[key]
+                del free_at[turn]
                 continue
             expected_s = self._expected_s(target, len(taken))
             if is_free:
                 calls.append(self._send(target, taken, expected_s, now))
-            free_at[key] = max(free_at[key], now) + expected_s
-            if all(at > now + self._full_call_s() for at in free_at.values()):
+            free_at[turn] = max(free_at[turn], now) + expected_s
+            if all(at > now + self.limits.full_call_s for at in free_at.values()):
                 break
         return calls
 
@@ -374,7 +378,7 @@
         return by_rank
 
     def _call_size(
-        self, jobs: Sequence[_Job], free_at: Mapping[TargetKey, float], now: float
+        self, jobs: Sequence[_Job], free_at: Mapping[_Turn, float], now: float
     ) -> int:
         """Return the most pieces for a call.
 
@@ -391,36 +395,35 @@
 
     def _in_order(self, now: float) -> list[_Job]:
         jobs = [job for job in self._jobs_by_id.values() if job.queued]
-        done_at = now + self._full_call_s()
+        done_at = now + self.limits.full_call_s
         jobs.sort(key=lambda job: _urgency(job, done_at))
         return jobs
 
-    def _free_at(self, target: _Target, now: float) -> float:
+    def _free_at(self, target: _Target, now: float) -> list[float]:
+        """Return from when on a target can work on each of its calls at a time."""
         at = max(now, target.rests_until)
         if target.is_room_doubtful:
             at = max(at, target.room_asked_at + _ROOM_ANSWER_S)
-        for call in target.calls_by_id.values():
-            due = call.sent_at + call.plan.expected_s
-            late = now + call.plan.expected_s if call.is_overdue else now
-            at = max(at, due, late + 0.001)
-        return at
-
-    def _soonest(self, free_at: Mapping[TargetKey, float]) -> TargetKey | None:
-        full_s = self._full_call_s()
+        n_slots = self.limits.n_slots
+        ends = sorted(_ends_at(call, now) for call in target.calls_by_id.values())
+        busy = [max(at, end) for end in ends[-n_slots:]]
+        return [at] * (n_slots - len(busy)) + busy
+
+    def _soonest(self, free_at: Mapping[_Turn, float]) -> _Turn:
+        full_s = self.limits.full_call_s
         return min(
             free_at,
-            key=lambda key: (
-                free_at[key] + full_s * self._targets_by_key[key].slowness,
-                key,
+            key=lambda turn: (
+                free_at[turn] + full_s * self._targets_by_key[turn[0]].slowness,
+                turn,
             ),
-            default=None,
         )
 
     def _take(
         self,
         jobs: list[_Job],
         target: _Target,
-        free_at: Mapping[TargetKey, float],
+        free_at: Mapping[_Turn, float],
         now: float,
         limit: int,
         real: bool,
@@ -457,7 +460,7 @@
         self,
         job: _Job,
         target: _Target,
-        free_at: Mapping[TargetKey, float],
+        free_at: Mapping[_Turn, float],
         now: float,
     ) -> bool:
         """Return whether a target may work on a job."""
@@ -469,7 +472,7 @@
         self,
         job: _Job,
         target: _Target,
-        free_at: Mapping[TargetKey, float],
+        free_at: Mapping[_Turn, float],
         now: float,
     ) -> bool:
         """Return whether a job is better done in its zone.
@@ -482,9 +485,9 @@
         if spec.moved_bytes < _LARGE_BYTES:
             return False
         begins = [
-            free_at[key]
-            for key in free_at
-            if self._targets_by_key[key].entry.zone == spec.zone
+            free_at[turn]
+            for turn in free_at
+            if self._targets_by_key[turn[0]].entry.zone == spec.zone
         ]
         if not begins:
             return False
@@ -552,9 +555,7 @@
         if target is None:
             return
         target.n_failures = 0
-        n_pieces = len(call.plan.works)
-        nominal_s = self.limits.call_s + n_pieces * self.limits.piece_s
-        ratio = (now - call.sent_at) / nominal_s
+        ratio = (now - call.sent_at) / self.limits.work_s(len(call.plan.works))
         target.slowness += _LEARN_WEIGHT * (max(0.5, ratio) - target.slowness)
 
     def _piece_failed(
@@ -626,11 +627,7 @@
             self._release(handle)
 
     def _expected_s(self, target: _Target, n_pieces: int) -> float:
-        nominal_s = self.limits.call_s + n_pieces * self.limits.piece_s
-        return nominal_s * target.slowness
-
-    def _full_call_s(self) -> float:
-        return self.limits.call_s + self.limits.batch * self.limits.piece_s
+        return self.limits.work_s(n_pieces) * target.slowness
 
 
 def _out_of_time(job: _Job, now: float) -> PieceFailure | None:
@@ -656,5 +653,12 @@
     )
 
 
+def _ends_at(call: _Call, now: float) -> float:
+    """Return when a call is expected to end; later than now."""
+    due_at = call.sent_at + call.plan.expected_s
+    late_s = call.plan.expected_s if call.is_overdue else 0.0
+    return max(due_at, now + late_s + _SOON_S)
+
+
 def _overdue_s(call: _Call) -> float:
     return call.plan.expected_s * _OVERDUE_FACTOR + _OVERDUE_S
--- a/packages/aspendrift-policy/src/aspendrift_policy/stage_times.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/stage_times.py
@@ -68,4 +68,4 @@
 def _full_call_s(spec: PoolSpec | None) -> float:
     if spec is None or spec.pieces is None:
         return 0.0
-    return spec.pieces.call_s + spec.pieces.batch * spec.pieces.piece_s
+    return spec.pieces.full_call_s
--- a/packages/aspendrift-policy/tests/test_stage_scheduler.py
+++ b/packages/aspendrift-policy/tests/test_stage_scheduler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 
 import pytest
 
@@ -164,6 +165,19 @@
     assert found.rooms_to_ask(0.2) == []
 
 
+def test_target_works_on_as_many_calls_as_it_can():
+    found = scheduler(limits=replace(LIMITS, n_slots=2))
+    found.submit(job("a", 12))
+    first, second = found.plan(0.0)
+    assert [len(first.works), len(second.works)] == [4, 4]
+    assert found.plan(0.1) == []
+    answer(found, first, 0.27)
+    (third,) = found.plan(0.27)
+    assert len(third.works) == 4
+    answer(found, second, 0.28)
+    assert found.plan(0.28) == []
+
+
 def test_results_that_expired_make_room():
     found = scheduler()
     found.submit(job("a", 4, result_bytes=4e6))
