Learn of memory that others hold from answers alone

Reports tell room in whole megabytes, floored; after any answer without room the owner took all memory that it did not hold itself as held by others for four seconds. Change: an answer without room means that the rest is full now; it counts for 0.2 s, most of a call, and what is freed meanwhile is used at once. A call that finds no room is answered within milliseconds and costs no turn. Reports are not asked any more, and failed calls that free results have a line in the log. Such answers are cheap; idle targets are not.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
@@ -25,10 +25,9 @@
     "SettingsReloaded",
     "StageCallEnded",
     "StageCallSent",
+    "StageFreeFailed",
     "StageJobEnded",
     "StageJobSent",
-    "StageRoomLearned",
-    "StageUpkeepFailed",
     "TargetChanged",
 ]
 
@@ -193,30 +192,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StageRoomLearned(Event):
-    """A target told how much memory for results it has left.
+class StageFreeFailed(Event):
+    """Results could not be freed; they take memory until their time is over."""
 
-    ``foreign_bytes`` is what is held that this daemon knows nothing of.
-    """
-
-    name: ClassVar[str] = "stage_room_learned"
-    target_id: str
-    pool: str
-    free_bytes: float
-    foreign_bytes: float
-
-
-@dataclass(frozen=True, slots=True)
-class StageUpkeepFailed(Event):
-    """A call that frees results or asks for room failed; ``path`` tells which.
-
-    Results that could not be freed take memory until their time is over.
-    """
-
-    name: ClassVar[str] = "stage_upkeep_failed"
+    name: ClassVar[str] = "stage_free_failed"
     target_id: str
     pool: str
-    path: str
+    n_results: int
     detail: str
 
 
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/interfaces.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/interfaces.py
@@ -27,7 +27,6 @@
     "LoadReport",
     "MemberRecord",
     "PlatformCodec",
-    "RoomReport",
     "StoreCodec",
     "StoreRow",
     "StoreRows",
@@ -143,13 +142,6 @@
     keep_alive_s: float | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class RoomReport:
-    """Free memory for results at a target of a stage pool."""
-
-    free_bytes: float
-
-
 class TargetCodec(Protocol):
     """Calls to targets."""
 
@@ -159,10 +151,8 @@
     def answer_head(self, status: int, headers: Headers) -> AnswerHead:
         """Decode the head of an answer."""
 
-    def stage_run(
-        self, works: Sequence[PieceWork], lefts_s: Sequence[float | None]
-    ) -> HttpCall:
-        """Encode a call that makes pieces, each with the time left for it."""
+    def stage_run(self, works: Sequence[PieceWork]) -> HttpCall:
+        """Encode a call that makes pieces."""
 
     def stage_headers(self, target_id: TargetId) -> Headers:
         """Return the headers of a call that makes or frees pieces."""
@@ -178,12 +168,6 @@
     def holder(self, handle: Handle) -> str:
         """Return the address of the target that holds a result."""
 
-    def report(self) -> HttpCall:
-        """Encode a question for a target's own report."""
-
-    def room(self, body: bytes) -> RoomReport | None:
-        """Decode the report of a target of a stage pool."""
-
 
 # The store.
 
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
@@ -11,10 +11,9 @@
 from aspendrift_gateway.events import (
     StageCallEnded,
     StageCallSent,
-    StageRoomLearned,
-    StageUpkeepFailed,
+    StageFreeFailed,
 )
-from aspendrift_gateway.interfaces import HttpCall, TargetCodec
+from aspendrift_gateway.interfaces import TargetCodec
 from aspendrift_gateway.target_client import Broken, NotSent, TargetClient, WholeAnswer
 from aspendrift_model.ids import PoolName, TargetId
 from aspendrift_model.pieces import Handle, PieceFailure, PieceOutcome
@@ -37,8 +36,7 @@
 _CALL_TIMEOUT_S: Final = 1.0
 # Frees that come within this time travel together.
 _FREE_DELAY_S: Final = 0.01
-# A target that does not answer small calls within this time is cut off or hangs.
-_SHORT_TIMEOUT_S: Final = 1.0
+_FREE_TIMEOUT_S: Final = 1.0
 _OK: Final = 200
 
 
@@ -121,8 +119,6 @@
         self.scheduler.set_targets(self._entries())
         for news in self.scheduler.step(now):
             self._on_news(news)
-        for entry in self.scheduler.rooms_to_ask(now):
-            self._run(self._ask_room(entry))
         for call in self.scheduler.plan(now):
             self._run(self._call(call))
         if self._timer is not None:
@@ -155,7 +151,7 @@
                 call.expected_s,
             )
         )
-        encoded = self._codec.stage_run(call.works, [None] * len(call.works))
+        encoded = self._codec.stage_run(call.works)
         headers = self._codec.stage_headers(target_id)
         timeout_s = call.expected_s * _CALL_TIMEOUT_FACTOR + _CALL_TIMEOUT_S
         try:
@@ -208,47 +204,6 @@
         failures = [each.value for each in outcomes if isinstance(each, PieceFailure)]
         return outcomes, False, ",".join(failures)
 
-    async def _ask_room(self, entry: TargetEntry) -> None:
-        """Ask a target how much room it has, since others fill some of it."""
-        call = self._codec.report()
-        answer = await self._send_soon(entry, call)
-        if not isinstance(answer, WholeAnswer):
-            return
-        room = self._codec.room(answer.body)
-        if room is None:
-            self._upkeep_failed(entry, call, "unreadable report")
-            return
-        now = self._clock.monotonic()
-        foreign_bytes = self.scheduler.set_free_room(entry.key, room.free_bytes, now)
-        self._events.emit(
-            StageRoomLearned(
-                entry.key.target_id, self.pool, room.free_bytes, foreign_bytes
-            )
-        )
-        self.pump()
-
-    async def _send_soon(
-        self, entry: TargetEntry, call: HttpCall
-    ) -> WholeAnswer | NotSent | Broken:
-        """Make a call that is answered at once or not worth waiting for."""
-        headers = self._codec.stage_headers(entry.key.target_id)
-        now = self._clock.monotonic()
-        answer: WholeAnswer | NotSent | Broken
-        try:
-            async with asyncio.timeout(_SHORT_TIMEOUT_S):
-                answer = await self._client.send_whole(entry, call, headers, now)
-        except TimeoutError:
-            answer = Broken("timeout")
-        if not isinstance(answer, WholeAnswer):
-            self._upkeep_failed(entry, call, answer.detail)
-        return answer
-
-    def _upkeep_failed(self, entry: TargetEntry, call: HttpCall, detail: str) -> None:
-        target_id = entry.key.target_id
-        self._events.emit(
-            StageUpkeepFailed(target_id, self.pool, call.target_path, detail)
-        )
-
     def _free_now(self) -> None:
         handles, self._freeing = self._freeing, []
         entries_by_address = {entry.address: entry for entry in self._entries()}
@@ -263,8 +218,22 @@
             self._run(self._free_at(found[target_id], held))
 
     async def _free_at(self, entry: TargetEntry, handles: Sequence[Handle]) -> None:
-        # A target frees results by itself when their time is over.
-        answer = await self._send_soon(entry, self._codec.stage_free(handles))
+        headers = self._codec.stage_headers(entry.key.target_id)
+        call = self._codec.stage_free(handles)
+        now = self._clock.monotonic()
+        answer: WholeAnswer | NotSent | Broken
+        try:
+            async with asyncio.timeout(_FREE_TIMEOUT_S):
+                answer = await self._client.send_whole(entry, call, headers, now)
+        except TimeoutError:
+            answer = Broken("timeout")
         if isinstance(answer, WholeAnswer) and answer.status == _OK:
             self.scheduler.freed(handles)
             self.pump()
+            return
+        if isinstance(answer, WholeAnswer):
+            detail = f"status {answer.status}"
+        else:
+            detail = answer.detail
+        target_id = entry.key.target_id
+        self._events.emit(StageFreeFailed(target_id, self.pool, len(handles), detail))
--- a/packages/aspendrift-gateway/tests/test_stage_work.py
+++ b/packages/aspendrift-gateway/tests/test_stage_work.py
@@ -9,7 +9,7 @@
 import pytest
 
 from aspendrift_daemon.events import EventHub
-from aspendrift_gateway.interfaces import AnswerHead, HttpCall, RoomReport
+from aspendrift_gateway.interfaces import AnswerHead, HttpCall
 from aspendrift_gateway.stage_work import StageWork
 from aspendrift_gateway.system_state import SystemState
 from aspendrift_gateway.target_client import WholeAnswer
@@ -95,8 +95,6 @@
         content = json.loads(call.body)
         if "free" in content:
             self.freed += content["free"]
-        elif "pieces" not in content:
-            await asyncio.sleep(0.001)
         else:
             await asyncio.sleep(CALL_S)
             self.made += content["pieces"]
@@ -105,19 +103,13 @@
 
 
 class FakeCodec:
-    def stage_run(self, works, lefts_s):
+    def stage_run(self, works):
         pieces = [[w.piece_id.attempt_id, w.piece_id.piece] for w in works]
         return HttpCall("POST", "/", json.dumps({"pieces": pieces}).encode())
 
     def stage_free(self, handles):
         return HttpCall("POST", "/", json.dumps({"free": list(handles)}).encode())
 
-    def report(self):
-        return HttpCall("GET", "/", b"{}")
-
-    def room(self, body):
-        return RoomReport(LIMITS.room_bytes)
-
     def stage_headers(self, target_id):
         return ()
 
--- a/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
@@ -53,11 +53,9 @@
 _MAX_REST_S: Final = 2.0
 # Time for which a full target is left alone.
 _FULL_REST_S: Final = 0.05
-# Pause between questions about room: part of a usual call, after which results of
-# others may be gone.
-_ROOM_CHECK_S: Final = 0.25
-# Time for the answer: some round trips. A call that finds no room is a turn lost.
-_ROOM_ANSWER_S: Final = 0.05
+# Time for which a target that had no room counts as full, but for what is freed: most
+# of a usual call. A call that finds no room is answered at once.
+_NO_ROOM_S: Final = 0.2
 # A job that would move at least this much between zones waits for a target of its
 # zone while it has time: the transfer costs more than the wait.
 _LARGE_BYTES: Final = 500_000
@@ -156,9 +154,7 @@
     n_failures: int = 0
     calls_by_id: dict[int, _Call] = field(default_factory=dict)
     foreign_bytes: float = 0.0
-    is_room_doubtful: bool = True
-    room_asked_at: float = -math.inf
-    room_known_at: float = -math.inf
+    foreign_until: float = 0.0
 
 
 @dataclass(slots=True)
@@ -219,35 +215,6 @@
         for handle in handles:
             self._release(handle)
 
-    def rooms_to_ask(self, now: float) -> list[TargetEntry]:
-        """Return the targets that have to be asked for their room now.
-
-        Results that others left, an owner before this one for example, fill the
-        memory of a target until they are freed or expire. Nothing tells when.
-        """
-        if not self._needs_room():
-            return []
-        due = [
-            target
-            for key, target in self._targets_by_key.items()
-            if key in self._usable and self._room_check_at(target) <= now
-        ]
-        for target in due:
-            target.room_asked_at = now
-        return [target.entry for target in due]
-
-    def set_free_room(self, key: TargetKey, free_bytes: float, now: float) -> float:
-        """Learn from a target how much room it has; return what others hold."""
-        target = self._targets_by_key.get(key)
-        if target is None:
-            return 0.0
-        ours = self._held_by_key.get(key, 0.0)
-        used = self.limits.room_bytes - free_bytes - ours
-        target.foreign_bytes = max(0.0, used)
-        target.room_known_at = now
-        target.is_room_doubtful = False
-        return target.foreign_bytes
-
     def plan(self, now: float) -> list[PlannedCall]:
         """Return the calls to send now, each noted as sent."""
         self._expire_results(now)
@@ -285,9 +252,6 @@
         if call is None:
             return [], []
         self._learn(key, call, now)
-        if PieceFailure.NO_ROOM in outcomes:
-            self._targets_by_key[key].rests_until = now + _FULL_REST_S
-            self._targets_by_key[key].is_room_doubtful = True
         news: list[JobNews] = []
         unneeded: list[Handle] = []
         results_by_job: dict[JobId, list[tuple[PieceId, Handle]]] = {}
@@ -303,6 +267,8 @@
                 results_by_job.setdefault(job_id, []).append((work.piece_id, outcome))
             else:
                 unneeded.append(outcome)
+        if PieceFailure.NO_ROOM in outcomes:
+            self._had_no_room(key, now)
         for job_id, results in results_by_job.items():
             is_done = job_id not in self._jobs_by_id
             news.append(JobNews(job_id, tuple(results), is_done))
@@ -360,13 +326,12 @@
                 for target in self._targets_by_key.values()
                 if target.rests_until > now
             ]
-            times += [result.until for result in self._results_by_handle.values()]
-        if self._needs_room():
             times += [
-                at
+                target.foreign_until
                 for target in self._targets_by_key.values()
-                if (at := self._room_check_at(target)) < math.inf
+                if target.foreign_until > now
             ]
+            times += [result.until for result in self._results_by_handle.values()]
         return min(times, default=None)
 
     def backlog(self) -> Mapping[int, int]:
@@ -402,8 +367,6 @@
     def _free_at(self, target: _Target, now: float) -> list[float]:
         """Return from when on a target can work on each of its calls at a time."""
         at = max(now, target.rests_until)
-        if target.is_room_doubtful:
-            at = max(at, target.room_asked_at + _ROOM_ANSWER_S)
         n_slots = self.limits.n_slots
         ends = sorted(_ends_at(call, now) for call in target.calls_by_id.values())
         busy = [max(at, end) for end in ends[-n_slots:]]
@@ -493,24 +456,24 @@
             return False
         return min(begins) - now <= _ZONE_WAIT_S
 
-    def _needs_room(self) -> bool:
-        return any(
-            job.queued and job.spec.result_bytes > 0
-            for job in self._jobs_by_id.values()
-        )
-
-    def _room_check_at(self, target: _Target) -> float:
-        """Return when to ask a target for its room; never, if ours are all."""
-        if target.is_room_doubtful or target.foreign_bytes > 0:
-            return target.room_asked_at + _ROOM_CHECK_S
-        return math.inf
-
     def _room(self, target: _Target, now: float) -> float:
-        is_kept = target.room_known_at + self.limits.keep_s > now
-        foreign = target.foreign_bytes if is_kept else 0.0
+        foreign = target.foreign_bytes if target.foreign_until > now else 0.0
         held = self._held_by_key.get(target.entry.key, 0.0)
         return self.limits.room_bytes - held - foreign
 
+    def _had_no_room(self, key: TargetKey, now: float) -> None:
+        """Note that what is not known to be held here is held by others.
+
+        Results that an owner before this one left fill memory until they expire, and
+        sizes are approximate. Reports tell room in whole megabytes, of which some
+        targets have less than one.
+        """
+        target = self._targets_by_key.get(key)
+        if target is not None:
+            held = self._held_by_key.get(key, 0.0)
+            target.foreign_bytes = max(0.0, self.limits.room_bytes - held)
+            target.foreign_until = now + _NO_ROOM_S
+
     def _fits_pool(self, job: _Job, now: float) -> bool:
         """Return whether the pool has memory for every result of a job."""
         size = job.spec.result_bytes
--- a/packages/aspendrift-policy/tests/test_stage_scheduler.py
+++ b/packages/aspendrift-policy/tests/test_stage_scheduler.py
@@ -119,50 +119,28 @@
     return found.ended(call.call_id, call.target.key, outcomes, now)
 
 
-def test_room_that_others_fill_is_asked_for_until_it_is_free():
+def test_memory_that_others_fill_is_tried_again_within_a_call():
     found = scheduler()
     found.submit(job("a", 2, result_bytes=6e6))
     (call,) = found.plan(0.0)
-    no_room(found, call, 0.2)
-    (asked,) = found.rooms_to_ask(0.2)
-    assert found.set_free_room(asked.key, 0.0, 0.2) == 18e6
-    assert found.plan(0.3) == []
-    assert found.rooms_to_ask(0.3) == []
-    assert found.next_due(0.3) <= 0.45
-    (asked,) = found.rooms_to_ask(0.45)
-    assert found.set_free_room(asked.key, 18e6, 0.45) == 0.0
-    assert found.plan(0.45)
-    assert found.rooms_to_ask(9.0) == []
-
-
-def test_new_owner_learns_what_the_one_before_left_before_its_first_call():
-    found = scheduler()
-    found.submit(job("a", 2, result_bytes=6e6))
-    (asked,) = found.rooms_to_ask(0.0)
-    assert found.plan(0.0) == []
-    found.set_free_room(asked.key, 6e6, 0.002)
-    assert found.plan(0.002) == []
-    found.rooms_to_ask(0.3)
-    found.set_free_room(asked.key, 12e6, 0.302)
-    assert found.plan(0.302)
-
-
-def test_target_that_does_not_tell_its_room_is_asked_again():
-    found = scheduler()
-    found.submit(job("a", 2, result_bytes=6e6))
-    (call,) = found.plan(0.0)
-    no_room(found, call, 0.2)
-    assert len(found.rooms_to_ask(0.2)) == 1
-    assert len(found.rooms_to_ask(0.5)) == 1
+    no_room(found, call, 0.004)
+    assert found.plan(0.1) == []
+    due = found.next_due(0.1)
+    assert due <= 0.004 + LIMITS.full_call_s
+    (call,) = found.plan(due)
+    assert pieces(call) == [("a", 0), ("a", 1)]
 
 
-def test_nobody_is_asked_for_room_that_no_piece_needs():
+def test_results_that_are_freed_make_room_beside_what_others_hold():
     found = scheduler()
-    found.submit(job("a", 2, result_bytes=6e6))
+    found.submit(job("a", 3, result_bytes=6e6))
     (call,) = found.plan(0.0)
-    no_room(found, call, 0.2)
-    found.cancel(JobId("a"))
-    assert found.rooms_to_ask(0.2) == []
+    handles = [Handle("t1:1/a.0"), Handle("t1:1/a.1"), PieceFailure.NO_ROOM]
+    found.ended(call.call_id, call.target.key, handles, 0.2)
+    assert found.plan(0.21) == []
+    found.freed([Handle("t1:1/a.0")])
+    (call,) = found.plan(0.22)
+    assert pieces(call) == [("a", 2)]
 
 
 def test_target_works_on_as_many_calls_as_it_can():
--- a/tests/aspendrift_platform/test_targets.py
+++ b/tests/aspendrift_platform/test_targets.py
@@ -16,10 +16,10 @@
 def test_pieces_are_sent_with_a_key_or_their_inputs():
     first = PieceWork(PieceId(AttemptId("a"), 0, 2), "key", ())
     second = PieceWork(PieceId(AttemptId("b"), 2, 0), "", (Handle("10.0.0.1:1/x"),))
-    call = CODEC.stage_run([first, second], [0.9, None])
+    call = CODEC.stage_run([first, second])
     assert (call.method, call.target_path) == ("POST", "/-/stage-run")
     assert json.loads(call.body)["items"] == [
-        {"id": "a", "stage": 0, "piece": 2, "remainingMs": 900, "key": "key"},
+        {"id": "a", "stage": 0, "piece": 2, "key": "key"},
         {"id": "b", "stage": 2, "piece": 0, "inputs": ["10.0.0.1:1/x"]},
     ]
 
@@ -52,7 +52,5 @@
     assert CODEC.stage_outcomes(body, 1) is None
 
 
-def test_holder_of_a_result_and_its_room():
+def test_holder_of_a_result():
     assert CODEC.holder(Handle("10.0.0.1:8080/91bd")) == "10.0.0.1:8080"
-    assert CODEC.room(b'{"freeMb":1.5,"busy":true}').free_bytes == 1.5e6
-    assert CODEC.room(b"{}") is None
