--- a/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
@@ -118,6 +118,7 @@
     name: ClassVar[str] = "target_changed"
     target_id: str
     pool: str
+    zone: str
     change: RegistryChangeKind
     version: int
     problem: str
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/system_state.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/system_state.py
@@ -129,11 +129,12 @@
 
     def _report(self, changes: list[RegistryChange]) -> None:
         for change in changes:
-            pool = "" if change.entry is None else change.entry.pool
+            entry = change.entry
             self._events.emit(
                 TargetChanged(
                     change.target_id,
-                    pool,
+                    "" if entry is None else entry.pool,
+                    "" if entry is None else entry.zone,
                     change.kind,
                     self.targets_version,
                     change.problem,
