--- a/packages/aspendrift-gateway/src/aspendrift_gateway/stage_run.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/stage_run.py
@@ -227,31 +227,34 @@
         return until
 
     def _place(self, stage: int, n_pieces: int) -> tuple[ZoneName | None, float]:
-        """Return the zone to work in, and the bytes that another one would move.
+        """Return the zone to work in, and the bytes worth a wait for it.
 
         Each piece fetches all of its inputs; the results of the last stages go to
         the target of the request. While a pool that holds the memory is pressed,
-        its results go to whoever is free first.
+        no target waits for the sake of a zone.
         """
         stages = self._demand.route.stages
         inputs = self._plan.inputs_of(stage)
+        zone: ZoneName | None = None
+        moved_bytes = 0.0
+        if inputs:
+            handles = [handle for each in inputs for handle in self._plan.handles(each)]
+            zones = Counter(self._runner.work.zone_of(handle) for handle in handles)
+            zone = zones.most_common(1)[0][0]
+            fetched = sum(
+                stages[each].result_bytes * self._plan.n_pieces[each] for each in inputs
+            )
+            moved_bytes = fetched * n_pieces
+        elif stage in self._plan.last_stages:
+            zone = self._demand.zone
+            moved_bytes = stages[stage].result_bytes * n_pieces
         holders = [stages[each].pool for each in inputs] or [stages[stage].pool]
-        pools_by_name = self._demand.pools_by_name
-        rank = self._demand.rank
-        if any(
-            self._runner.times.is_pressed(each, rank, pools_by_name) for each in holders
-        ):
-            return None, 0.0
-        if not inputs:
-            if stage not in self._plan.last_stages:
-                return None, 0.0
-            return self._demand.zone, stages[stage].result_bytes * n_pieces
-        handles = [handle for each in inputs for handle in self._plan.handles(each)]
-        zones = Counter(self._runner.work.zone_of(handle) for handle in handles)
-        fetched = sum(
-            stages[each].result_bytes * self._plan.n_pieces[each] for each in inputs
-        )
-        return zones.most_common(1)[0][0], fetched * n_pieces
+        is_pressed = any(self._is_pressed(pool) for pool in holders)
+        return zone, 0.0 if is_pressed else moved_bytes
+
+    def _is_pressed(self, pool: PoolName) -> bool:
+        demand = self._demand
+        return self._runner.times.is_pressed(pool, demand.rank, demand.pools_by_name)
 
     def _take(self, news: JobNews) -> StagesFailed | None:
         job = self._job(news.job_id)
--- a/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
@@ -131,6 +131,8 @@
     unmade: set[PieceId]
     n_failures: int = 0
     has_begun: bool = False
+    # What orders it before its time does; set when the jobs are put in order.
+    kind: tuple[bool, bool, int] = (False, False, 0)
 
     @property
     def n_queued(self) -> int:
@@ -361,7 +363,9 @@
     def _in_order(self, now: float) -> list[_Job]:
         jobs = [job for job in self._jobs_by_id.values() if job.queued]
         done_at = now + self.limits.full_call_s
-        jobs.sort(key=lambda job: _urgency(job, done_at))
+        for job in jobs:
+            job.kind = _kind(job, done_at)
+        jobs.sort(key=lambda job: (job.kind, job.spec.objective_at))
         return jobs
 
     def _free_at(self, target: _Target, now: float) -> list[float]:
@@ -398,7 +402,7 @@
         """
         room = self._room(target, now)
         taken: list[tuple[_Job, PieceWork]] = []
-        for job in list(jobs):
+        for job in self._near_first(jobs, target):
             if len(taken) == limit:
                 break
             if not self._may_take(job, target, free_at, now):
@@ -419,6 +423,25 @@
                 jobs.remove(job)
         return taken
 
+    def _near_first(self, jobs: Sequence[_Job], target: _Target) -> list[_Job]:
+        """Return the jobs in order, but those of the target's zone first.
+
+        Only jobs that get a turn within about one call, at whichever target, change
+        their order, and none goes before one that is more urgent by kind.
+        """
+        n_turns = self.limits.n_slots * len(self._usable)
+        n_left = n_turns * self.limits.batch
+        n_soon = 0
+        for job in jobs:
+            if n_left <= 0:
+                break
+            n_soon += 1
+            n_left -= job.n_queued
+        soon = sorted(
+            jobs[:n_soon], key=lambda job: (job.kind, not _is_near(job, target))
+        )
+        return [*soon, *jobs[n_soon:]]
+
     def _may_take(
         self,
         job: _Job,
@@ -601,19 +624,18 @@
     return None
 
 
-def _urgency(job: _Job, done_at: float) -> tuple[bool, bool, int, float]:
+def _kind(job: _Job, done_at: float) -> tuple[bool, bool, int]:
     """Return what orders jobs: begun ones, then those still on time, by rank.
 
     ``done_at`` is when a job that starts now is done; a job that is late then makes
     way for those that are not, or else all of them end a little late.
     """
     spec = job.spec
-    return (
-        not job.has_begun,
-        spec.objective_at < done_at,
-        spec.rank,
-        spec.objective_at,
-    )
+    return (not job.has_begun, spec.objective_at < done_at, spec.rank)
+
+
+def _is_near(job: _Job, target: _Target) -> bool:
+    return job.spec.zone is None or job.spec.zone == target.entry.zone
 
 
 def _ends_at(call: _Call, now: float) -> float:
