Choose a target of the zone among those that end a call equally soon

Cause: with several idle targets the choice went by learned slowness alone, whose noise of some per cent decided, never the zone. Change: targets whose expected ends differ by under 50 ms count as equal, and one in the zone of the first job is taken.

--- a/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
@@ -63,6 +63,8 @@
 _ZONE_WAIT_S: Final = 0.1
 # A call that is due now ends this much later at the soonest.
 _SOON_S: Final = 0.001
+# Calls whose expected ends differ by less are equal: learned times vary by as much.
+_EQUAL_END_S: Final = 0.05
 # A piece that failed this often fails its job.
 _MAX_FAILURES: Final = 3
 
@@ -230,7 +232,7 @@
         limit = self._call_size(waiting, free_at, now)
         calls: list[PlannedCall] = []
         while waiting and free_at:
-            turn = self._soonest(free_at)
+            turn = self._best_turn(free_at, waiting[0])
             target = self._targets_by_key[turn[0]]
             # What the best target would take waits for it if it is busy.
             is_free = free_at[turn] <= now
@@ -376,12 +378,19 @@
         busy = [max(at, end) for end in ends[-n_slots:]]
         return [at] * (n_slots - len(busy)) + busy
 
-    def _soonest(self, free_at: Mapping[_Turn, float]) -> _Turn:
+    def _best_turn(self, free_at: Mapping[_Turn, float], job: _Job) -> _Turn:
+        """Return the turn that ends a call soonest; of equal ones, one near a job."""
         full_s = self.limits.full_call_s
+        ends_at = {
+            turn: at + full_s * self._targets_by_key[turn[0]].slowness
+            for turn, at in free_at.items()
+        }
+        latest = min(ends_at.values()) + _EQUAL_END_S
         return min(
-            free_at,
+            (turn for turn, at in ends_at.items() if at <= latest),
             key=lambda turn: (
-                free_at[turn] + full_s * self._targets_by_key[turn[0]].slowness,
+                not _is_near(job, self._targets_by_key[turn[0]]),
+                ends_at[turn],
                 turn,
             ),
         )
--- a/packages/aspendrift-policy/tests/test_stage_scheduler.py
+++ b/packages/aspendrift-policy/tests/test_stage_scheduler.py
@@ -167,6 +167,13 @@
     }
 
 
+def test_first_job_goes_to_an_idle_target_of_its_zone():
+    found = scheduler(target("t1", "z1"), target("t2", "z2"))
+    found.submit(job("a", 2, zone=ZoneName("z2")))
+    (call,) = found.plan(0.0)
+    assert call.target.zone == "z2"
+
+
 def test_zone_does_not_go_before_a_rank_or_an_earlier_turn():
     found = scheduler(target("t1", "z1"))
     found.submit(job("low", 4, rank=1, zone=ZoneName("z1")))
