--- a/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
@@ -133,8 +133,6 @@
     unmade: set[PieceId]
     n_failures: int = 0
     has_begun: bool = False
-    # What orders it before its time does; set when the jobs are put in order.
-    kind: tuple[bool, bool, int] = (False, False, 0)
 
     @property
     def n_queued(self) -> int:
@@ -365,9 +363,7 @@
     def _in_order(self, now: float) -> list[_Job]:
         jobs = [job for job in self._jobs_by_id.values() if job.queued]
         done_at = now + self.limits.full_call_s
-        for job in jobs:
-            job.kind = _kind(job, done_at)
-        jobs.sort(key=lambda job: (job.kind, job.spec.objective_at))
+        jobs.sort(key=lambda job: _urgency(job, done_at))
         return jobs
 
     def _free_at(self, target: _Target, now: float) -> list[float]:
@@ -411,7 +407,7 @@
         """
         room = self._room(target, now)
         taken: list[tuple[_Job, PieceWork]] = []
-        for job in self._near_first(jobs, target):
+        for job in list(jobs):
             if len(taken) == limit:
                 break
             if not self._may_take(job, target, free_at, now):
@@ -432,25 +428,6 @@
                 jobs.remove(job)
         return taken
 
-    def _near_first(self, jobs: Sequence[_Job], target: _Target) -> list[_Job]:
-        """Return the jobs in order, but those of the target's zone first.
-
-        Only jobs that get a turn within about one call, at whichever target, change
-        their order, and none goes before one that is more urgent by kind.
-        """
-        n_turns = self.limits.n_slots * len(self._usable)
-        n_left = n_turns * self.limits.batch
-        n_soon = 0
-        for job in jobs:
-            if n_left <= 0:
-                break
-            n_soon += 1
-            n_left -= job.n_queued
-        soon = sorted(
-            jobs[:n_soon], key=lambda job: (job.kind, not _is_near(job, target))
-        )
-        return [*soon, *jobs[n_soon:]]
-
     def _may_take(
         self,
         job: _Job,
@@ -633,14 +610,19 @@
     return None
 
 
-def _kind(job: _Job, done_at: float) -> tuple[bool, bool, int]:
+def _urgency(job: _Job, done_at: float) -> tuple[bool, bool, int, float]:
     """Return what orders jobs: begun ones, then those still on time, by rank.
 
     ``done_at`` is when a job that starts now is done; a job that is late then makes
     way for those that are not, or else all of them end a little late.
     """
     spec = job.spec
-    return (not job.has_begun, spec.objective_at < done_at, spec.rank)
+    return (
+        not job.has_begun,
+        spec.objective_at < done_at,
+        spec.rank,
+        spec.objective_at,
+    )
 
 
 def _is_near(job: _Job, target: _Target) -> bool:
