Refuse late requests that made way for a second

Cause: a late request waited for its pools until its caller gave up, 5 to 9 s, only to be refused then. Change: the decision is code of its own (`late_door`); after a second in all the request is refused, as what can't be served is to be refused at once.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/stage_run.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/stage_run.py
@@ -18,6 +18,7 @@
 from aspendrift_model.pieces import PieceFailure
 from aspendrift_model.routes import PoolSpec, Route
 from aspendrift_policy.chain_admission import ChainAdmission
+from aspendrift_policy.late_door import DoorVerdict, LateDoor
 from aspendrift_policy.stage_plan import StagePlan
 from aspendrift_policy.stage_scheduler import JobId, JobNews, StageJob
 from aspendrift_policy.stage_times import StageTimesBook
@@ -30,8 +31,6 @@
 _EARLY_S: Final = 0.1
 # Inputs count as gone this long before their time: a call has to begin before.
 _KEEP_MARGIN_S: Final = 0.2
-# Pause of a late request before it looks again whether its pools have a backlog.
-_DOOR_S: Final = 0.15
 # Time from the last stage to the first event of an idle model engine.
 _AFTER_STAGES_S: Final = 0.3
 
@@ -125,11 +124,14 @@
         self._news: asyncio.Queue[JobNews] = asyncio.Queue()
         self._n_redone = 0
         self._has_begun = False
+        self._door = LateDoor(runner.rng)
 
     async def finish(self) -> StagesMade | StagesFailed:
         """Hand over jobs and take in news until all is made."""
         while not self._plan.is_done:
             wait_s = self._begin_ready()
+            if wait_s is None:
+                return StagesFailed(self._plan.ready_stages()[0], PieceFailure.LATE)
             try:
                 async with asyncio.timeout(wait_s):
                     news = await self._news.get()
@@ -149,8 +151,11 @@
             self._runner.work.cancel(job.job_id)
         self._jobs_by_stage.clear()
 
-    def _begin_ready(self) -> float:
-        """Hand over the stages that are due; return how long to wait for news."""
+    def _begin_ready(self) -> float | None:
+        """Hand over the stages that are due; return how long to wait for news.
+
+        None if the request is not worth a wait any more.
+        """
         now = self._runner.clock.monotonic()
         demand = self._demand
         times = self._runner.times.times(
@@ -160,9 +165,11 @@
         for stage in self._plan.ready_stages():
             if stage in self._jobs_by_stage:
                 continue
-            if self._waits_at_door(now):
-                wait_s = min(wait_s, _DOOR_S * self._runner.rng.uniform(0.7, 1.3))
-                continue
+            verdict = self._pass_door(now)
+            if verdict is DoorVerdict.REFUSE:
+                return None
+            if verdict is DoorVerdict.WAIT:
+                return min(wait_s, self._door.pause_s())
             slack_s = self._plan.slack_s(stage, times) - _EARLY_S
             if slack_s > 0:
                 wait_s = min(wait_s, slack_s)
@@ -171,21 +178,19 @@
             self._begin(stage, after_s, now)
         return wait_s
 
-    def _waits_at_door(self, now: float) -> bool:
-        """Return whether a late request that has not begun makes way.
-
-        It would hold results in memory, or lose them, while it waits for a pool
-        that is busy with requests that can be on time.
-        """
+    def _pass_door(self, now: float) -> DoorVerdict:
+        """Let a request that has not begun begin, wait, or end."""
         if self._has_begun:
-            return False
+            return DoorVerdict.BEGIN
         demand = self._demand
         is_late = now + _AFTER_STAGES_S > demand.objective_at
         pools = {spec.pool for spec in self._plan.specs_by_index.values()}
-        if is_late and any(self._runner.is_backlogged(each, demand) for each in pools):
-            return True
-        self._has_begun = True
-        return False
+        is_backlogged = is_late and any(
+            self._runner.is_backlogged(each, demand) for each in pools
+        )
+        verdict = self._door.decide(is_late, is_backlogged, now)
+        self._has_begun = verdict is DoorVerdict.BEGIN
+        return verdict
 
     def _begin(self, stage: int, after_s: float, now: float) -> None:
         demand = self._demand
--- a/packages/aspendrift-gateway/tests/test_stage_run.py
+++ b/packages/aspendrift-gateway/tests/test_stage_run.py
@@ -84,22 +84,35 @@
         return 1
 
 
+class Backlog(ChainAdmission):
+    """Pools that have a backlog until a time."""
+
+    def __init__(self, until):
+        super().__init__(random.Random(0))
+        self._until = until or 0.0
+
+    def is_backlogged(self, pool, spec, n_targets, rank, now):
+        return now < self._until
+
+
 @pytest.fixture
 def play():
-    def run(work, n_pieces=(1, 2), deadline_s=10.0):
+    def run(work, n_pieces=(1, 2), deadline_s=10.0, objective_s=5.0, backlog=None):
         async def main():
             clock = VirtualClock(asyncio.get_running_loop())
             runner = StagesRunner(
                 work,
                 StageTimesBook(),
-                ChainAdmission(random.Random(0)),
+                Backlog(backlog),
                 clock,
                 EventHub(),
                 random.Random(0),
             )
             plan = StagePlan(AttemptId("a1"), ROUTE.stages, n_pieces, "key")
-            demand = StageDemand(ROUTE, {}, 0, 5.0, deadline_s)
-            return plan, await runner.run(plan, demand)
+            demand = StageDemand(ROUTE, {}, 0, objective_s, deadline_s)
+            outcome = await runner.run(plan, demand)
+            run.ended_at = clock.monotonic()
+            return plan, outcome
 
         return run_virtual(main())
 
@@ -144,3 +157,17 @@
     _, outcome = play(work, deadline_s=0.05)
     assert outcome == StagesFailed(0, PieceFailure.LATE)
     assert work.cancelled == ["j1"]
+
+
+def test_late_request_begins_when_the_backlog_ends_soon(play):
+    work = FakeWork()
+    _, outcome = play(work, objective_s=0.0, backlog=0.5)
+    assert outcome == StagesMade()
+
+
+def test_late_request_is_not_held_while_its_pools_stay_busy(play):
+    work = FakeWork()
+    _, outcome = play(work, objective_s=0.0, backlog=60.0, deadline_s=8.0)
+    assert outcome == StagesFailed(0, PieceFailure.LATE)
+    assert work.submitted == []
+    assert play.ended_at < 1.5
