Tell callers refused on the way to come back after the present wait

Cause: a request that was refused after its first stage or its wait for others got the least time to come back, 0.5 s, into the same surge. Change: the time is the longest wait of its pools now, as for a refusal at the door. What is asked of a chain has one type (`Chain`).

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
@@ -34,7 +34,7 @@
 from aspendrift_model.routes import KeyedAccount, Route
 from aspendrift_model.states import RefusalReason
 from aspendrift_policy.caller_patience import patience_s, silence_s
-from aspendrift_policy.chain_admission import Admit, ChainAdmission
+from aspendrift_policy.chain_admission import Admit, Chain, ChainAdmission
 from aspendrift_policy.poison import Standing, SuspectBook
 from aspendrift_policy.request_ages import RequestAges
 from aspendrift_policy.route_table import RouteTable
@@ -237,7 +237,8 @@
             if isinstance(outcome, InputsGone):
                 return Refusal(RefusalReason.NO_TARGET, "inputs gone", _SOON_S)
             return outcome
-        refusal = self._refuse_chain(table, sendable)
+        chain = self._chain(table, sendable)
+        refusal = self._refuse_chain(chain, sendable)
         if refusal is not None:
             return refusal
         plan = StagePlan(
@@ -245,38 +246,42 @@
         )
         delivery.progress = _Progress(opened, lambda: self._stages.release(plan, route))
         try:
-            return await self._run_stages(opened, table, delivery, plan)
+            return await self._run_stages(opened, chain, delivery, plan)
         finally:
             self._stages.release(plan, route)
 
-    def _refuse_chain(self, table: RouteTable, sendable: Sendable) -> Refusal | None:
-        """Refuse a request whose stages can't be made in time."""
-        route = sendable.route
-        now = self._clock.monotonic()
+    def _chain(self, table: RouteTable, sendable: Sendable) -> Chain:
         registry = self._state.registry
-        verdict = self._admission.decide(
-            route,
+        return Chain(
+            sendable.route,
             sendable.request.pieces,
             sendable.rank,
-            sendable.first_by - now - _AFTER_STAGES_S,
-            {each.pool: len(registry.usable(each.pool)) for each in route.stages},
+            {
+                stage.pool: len(registry.usable(stage.pool))
+                for stage in sendable.route.stages
+            },
             table.configuration.pools_by_name,
-            now,
         )
+
+    def _refuse_chain(self, chain: Chain, sendable: Sendable) -> Refusal | None:
+        """Refuse a request whose stages can't be made in time."""
+        now = self._clock.monotonic()
+        left_s = sendable.first_by - now - _AFTER_STAGES_S
+        verdict = self._admission.decide(chain, left_s, now)
         if isinstance(verdict, Admit):
             return None
         detail = f"predicted {verdict.predicted_s:.2f} s"
         return Refusal(RefusalReason.OVERLOADED, detail, verdict.retry_after_s)
 
     async def _run_stages(
-        self, opened: _Open, table: RouteTable, delivery: Delivery, plan: StagePlan
+        self, opened: _Open, chain: Chain, delivery: Delivery, plan: StagePlan
     ) -> Served | Refusal:
         """Make the stages and send the request, again if results were lost."""
         sendable = delivery.sendable
         route = sendable.route
         demand = StageDemand(
             route,
-            table.configuration.pools_by_name,
+            chain.pools_by_name,
             sendable.rank,
             sendable.sent_at + route.objective_s,
             sendable.first_by,
@@ -285,7 +290,7 @@
         while True:
             made = await self._stages.run(plan, demand)
             if isinstance(made, StagesFailed):
-                return self._stage_refusal(made, delivery)
+                return self._stage_refusal(made, chain, delivery)
             delivery.inputs = tuple(plan.final_inputs())
             outcome = await self._sender.send(delivery)
             if not isinstance(outcome, InputsGone):
@@ -317,12 +322,13 @@
         return Refusal(reason)
 
     def _stage_refusal(
-        self, failed: StagesFailed, delivery: Delivery
+        self, failed: StagesFailed, chain: Chain, delivery: Delivery
     ) -> Served | Refusal:
         """Return how a request ends whose stages can't be made."""
         detail = f"stage {failed.stage}: {failed.failure.value}"
         if failed.failure is PieceFailure.LATE and not delivery.n_run:
-            return Refusal(RefusalReason.OVERLOADED, detail, self._admission.retry_s())
+            retry_s = self._admission.retry_s(chain, self._clock.monotonic())
+            return Refusal(RefusalReason.OVERLOADED, detail, retry_s)
         return self._given_up(delivery, detail)
 
     def _given_up(self, delivery: Delivery, detail: str) -> Served | Refusal:
--- a/packages/aspendrift-policy/src/aspendrift_policy/chain_admission.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/chain_admission.py
@@ -14,16 +14,17 @@
 
 import math
 import random
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Final
 
 from aspendrift_model.ids import PoolName
-from aspendrift_model.routes import PoolSpec, Route
+from aspendrift_model.routes import PoolSpec, Route, StageSpec
 from aspendrift_policy.load_estimate import DecayedRate
 
 __all__ = [
     "Admit",
+    "Chain",
     "ChainAdmission",
     "PoolMeasures",
     "PoolMeter",
@@ -129,6 +130,31 @@
         return 0.0 if rate is None else rate.per_s(now)
 
 
+@dataclass(frozen=True, slots=True)
+class Chain:
+    """The stages that a request needs, and the pools that make them.
+
+    Parameters
+    ----------
+    n_pieces : sequence of int
+        Pieces of each stage, by its index.
+    targets_by_pool : mapping
+        Usable targets of each pool.
+    """
+
+    route: Route
+    n_pieces: Sequence[int]
+    rank: int
+    targets_by_pool: Mapping[PoolName, int]
+    pools_by_name: Mapping[PoolName, PoolSpec]
+
+    def stages(self) -> Iterator[tuple[StageSpec, int]]:
+        """Return each stage with its number of pieces."""
+        for stage in self.route.stages:
+            has_count = stage.index < len(self.n_pieces)
+            yield stage, self.n_pieces[stage.index] if has_count else 0
+
+
 @dataclass(frozen=True, slots=True)
 class Admit:
     """The request can be done; the prediction is for the log."""
@@ -155,42 +181,27 @@
         """Take in the measures of a pool."""
         self._measures_by_pool[pool] = (now, measures)
 
-    def decide(
-        self,
-        route: Route,
-        n_pieces: Sequence[int],
-        rank: int,
-        left_s: float,
-        targets_by_pool: Mapping[PoolName, int],
-        pools_by_name: Mapping[PoolName, PoolSpec],
-        now: float,
-    ) -> Admit | RefuseChain:
+    def decide(self, chain: Chain, left_s: float, now: float) -> Admit | RefuseChain:
         """Admit or refuse a request before its first piece.
 
         Parameters
         ----------
         left_s : float
             Time left for the stages.
-        targets_by_pool : mapping
-            Usable targets of each pool.
         """
         done_s: dict[int, float] = {}
-        longest_wait_s = 0.0
-        for stage in route.stages:
+        for stage, count in chain.stages():
             begins_s = max((done_s.get(each, 0.0) for each in stage.after), default=0.0)
-            count = n_pieces[stage.index] if stage.index < len(n_pieces) else 0
             if count == 0:
                 done_s[stage.index] = begins_s
                 continue
-            spec = pools_by_name.get(stage.pool)
-            n_targets = targets_by_pool.get(stage.pool, 0)
-            wait_s = self._wait_s(stage.pool, spec, n_targets, rank, now)
-            longest_wait_s = max(longest_wait_s, wait_s)
+            spec = chain.pools_by_name.get(stage.pool)
+            wait_s = self._wait_s(chain, stage.pool, now)
             done_s[stage.index] = begins_s + wait_s + _make_s(spec, count)
         predicted_s = max(done_s.values(), default=0.0)
         if predicted_s <= left_s * _TIME_SHARE:
             return Admit(predicted_s)
-        return RefuseChain(predicted_s, self.retry_s(longest_wait_s))
+        return RefuseChain(predicted_s, self.retry_s(chain, now))
 
     def is_backlogged(
         self,
@@ -208,23 +219,25 @@
         a_turn = spec.pieces.turn_pieces * max(1, n_targets)
         return n_waiting > a_turn * _BACKLOG_SHARE
 
-    def retry_s(self, wait_s: float = 0.0) -> float:
-        """Return when to come back, given the wait that there is now."""
-        bounded = min(_MOST_RETRY_S, max(_LEAST_RETRY_S, wait_s))
-        return bounded * self._rng.uniform(1 - _RETRY_SPREAD, 1 + _RETRY_SPREAD)
-
-    def _wait_s(
-        self,
-        pool: PoolName,
-        spec: PoolSpec | None,
-        n_targets: int,
-        rank: int,
-        now: float,
-    ) -> float:
+    def retry_s(self, chain: Chain, now: float) -> float:
+        """Return when to come back: after the longest wait that there is now."""
+        waits_s = [
+            self._wait_s(chain, stage.pool, now)
+            for stage, count in chain.stages()
+            if count
+        ]
+        wait_s = max(waits_s, default=0.0)
+        bounded_s = min(_MOST_RETRY_S, max(_LEAST_RETRY_S, wait_s))
+        return bounded_s * self._rng.uniform(1 - _RETRY_SPREAD, 1 + _RETRY_SPREAD)
+
+    def _wait_s(self, chain: Chain, pool: PoolName, now: float) -> float:
+        """Return the expected wait for a turn in a pool."""
+        spec = chain.pools_by_name.get(pool)
         measured_at, measures = self._measures_by_pool.get(pool, _NOTHING)
         if now - measured_at > _MEASURES_S or spec is None or spec.pieces is None:
             return 0.0
-        return measures.wait_s(rank, max(1, n_targets) * spec.pieces.pieces_per_s)
+        n_targets = max(1, chain.targets_by_pool.get(pool, 0))
+        return measures.wait_s(chain.rank, n_targets * spec.pieces.pieces_per_s)
 
 
 _NOTHING: Final = (float("-inf"), PoolMeasures(0.0, ()))
--- a/packages/aspendrift-policy/tests/test_chain_admission.py
+++ b/packages/aspendrift-policy/tests/test_chain_admission.py
@@ -17,6 +17,7 @@
 )
 from aspendrift_policy.chain_admission import (
     Admit,
+    Chain,
     ChainAdmission,
     PoolMeasures,
     PoolMeter,
@@ -46,8 +47,12 @@
     return ChainAdmission(random.Random(0))
 
 
+def chain(rank=1, n_pieces=(1, 8)):
+    return Chain(ROUTE, n_pieces, rank, TARGETS, POOLS)
+
+
 def decide(found, rank=1, left_s=6.0, n_pieces=(1, 8), now=0.0):
-    return found.decide(ROUTE, n_pieces, rank, left_s, TARGETS, POOLS, now)
+    return found.decide(chain(rank, n_pieces), left_s, now)
 
 
 def measures(*loads, made_per_s=50.0):
@@ -104,6 +109,14 @@
     assert max(retries) - min(retries) > 1.0
 
 
+def test_caller_comes_back_after_the_wait_there_is():
+    found = admission()
+    assert found.retry_s(chain(), 0.0) < 1.0
+    found.measured(SECOND, measures((1, 100, 20.0)), 0.0)
+    assert 1.4 < found.retry_s(chain(), 0.0) < 2.6
+    assert found.retry_s(chain(n_pieces=(1, 0)), 0.0) < 1.0
+
+
 def test_meter_measures_what_a_saturated_pool_makes():
     meter = PoolMeter()
     now = 0.0
