--- a/packages/aspendrift-client/src/aspendrift_client/log_explain.py
+++ b/packages/aspendrift-client/src/aspendrift_client/log_explain.py
@@ -27,6 +27,8 @@
     "deadline_exceeded": "its time was over while a target worked on it",
     "target_failed": "its target broke off or gave no usable answer",
 }
+# Reasons that come from the configuration alone.
+_DENIALS: Final = frozenset({"unauthenticated", "not_found"})
 _TARGET_EVENTS: Final = frozenset({"target_changed"})
 
 
@@ -54,12 +56,18 @@
         Lines that touched it, in order.
     cause : str
         Why it ended as it did, in one line.
+    kind : str
+        The cause in a word or two, to count by.
+    is_explained : bool
+        Whether the lines show the cause, not only the end.
     n_unreadable : int
         Lines that are no structured lines.
     """
 
     lines: tuple[LogLine, ...]
     cause: str
+    kind: str
+    is_explained: bool
     n_unreadable: int
 
 
@@ -94,7 +102,10 @@
     own = [line for line in known if _touches(line, request_id)]
     beside = [line for line in known if _explains(line, own)]
     ordered = tuple(sorted([*own, *beside], key=lambda line: _order(line.at)))
-    return Explanation(ordered, _cause(own), n_unreadable)
+    cause = _cause(sorted(own, key=lambda line: _order(line.at)), known)
+    return Explanation(
+        ordered, cause.text, cause.kind, cause.is_explained, n_unreadable
+    )
 
 
 def _read(name: str, line: str) -> LogLine | None:
@@ -145,21 +156,72 @@
         return 0.0, at
 
 
-def _cause(lines: list[LogLine]) -> str:
-    if not lines:
-        return "no line names this request; it reached no daemon whose log is here"
-    ended = [line for line in lines if line.event == "request_ended"]
+@dataclass(frozen=True, slots=True)
+class _Cause:
+    text: str
+    kind: str
+    is_explained: bool = True
+
+
+def _cause(own: list[LogLine], known: list[LogLine]) -> _Cause:
+    if not own:
+        text = "no line names this request; it reached no daemon whose log is here"
+        return _Cause(text, "no line", is_explained=False)
+    ended = [line for line in own if line.event == "request_ended"]
     if not ended:
-        return f"it has no end; the daemon {lines[-1].source} ended while it was open"
+        return _cause_without_end(own[-1], known)
     end = ended[-1].fields
-    reason = end.get("reason")
+    status, reason = end.get("status"), end.get("reason")
     detail = f" ({end['detail']})" if end.get("detail") else ""
+    before = _last_failures(own)
+    if reason in _DENIALS:
+        version = _configuration_of(ended[-1], known)
+        text = f"status {status}: {_REFUSALS[str(reason)]}{version}"
+        return _Cause(text, str(reason), is_explained=bool(version))
     if reason is not None:
         said = _REFUSALS.get(str(reason), str(reason))
-        return f"status {end.get('status')}: {said}{detail}{_last_failures(lines)}"
+        text = f"status {status}: {said}{detail}{before}"
+        return _Cause(text, str(reason), is_explained=str(reason) in _REFUSALS)
     if detail:
-        return f"its answer was cut{detail}{_last_failures(lines)}"
-    return f"a target answered with status {end.get('status')}"
+        return _Cause(f"its answer was cut{detail}{before}", "cut")
+    return _Cause(f"a target answered with status {status}", "status of a target")
+
+
+def _cause_without_end(last: LogLine, known: list[LogLine]) -> _Cause:
+    """Return why a request has no end: its daemon ended, or nothing shows why."""
+    begun = [
+        line
+        for line in known
+        if line.source == last.source
+        and line.event == "gateway_ready"
+        and _order(line.at) > _order(last.at)
+    ]
+    if begun:
+        text = f"the daemon {last.source} ended while it was open, and began again"
+        return _Cause(text, "daemon ended")
+    after = [line for line in known if _order(line.at) > _order(last.at)]
+    if after and not any(line.source == last.source for line in after):
+        text = f"the daemon {last.source} ended while it was open; it has no later line"
+        return _Cause(text, "daemon ended")
+    text = f"it has no end, and the daemon {last.source} went on"
+    return _Cause(text, "no end", is_explained=False)
+
+
+def _configuration_of(end: LogLine, known: list[LogLine]) -> str:
+    """Return which configuration a daemon had at the end of a request."""
+    applied = [
+        line
+        for line in known
+        if line.event == "configuration_applied"
+        and line.source == end.source
+        and _order(line.at) <= _order(end.at)
+    ]
+    if not applied:
+        return ""
+    newest = max(applied, key=lambda line: _order(line.at))
+    return (
+        f" in configuration {newest.fields.get('version')}, in force since {newest.at}"
+    )
 
 
 def _last_failures(lines: list[LogLine]) -> str:
--- a/packages/aspendrift-client/tests/test_log_explain.py
+++ b/packages/aspendrift-client/tests/test_log_explain.py
@@ -86,7 +86,34 @@
 
 def test_request_without_an_end_points_at_its_daemon():
     found = explained("b", REFUSED)
-    assert found.cause == "it has no end; the daemon d1 ended while it was open"
+    assert found.cause == "it has no end, and the daemon d1 went on"
+    assert not found.is_explained
+    elsewhere = [line("request_routed", 9.0, "d2", request_id="c", route="r")]
+    found = explained("b", REFUSED[:3], elsewhere)
+    assert found.cause == (
+        "the daemon d1 ended while it was open; it has no later line"
+    )
+    assert found.is_explained
+    found = explained("b", REFUSED, [line("gateway_ready", 9.0, "d1")])
+    assert found.cause == "the daemon d1 ended while it was open, and began again"
+    assert (found.kind, found.is_explained) == ("daemon ended", True)
+
+
+def test_denied_request_names_the_configuration_that_its_daemon_had():
+    denied = line(
+        "request_ended", 5.0, "d1", request_id="k", status=401, reason="unauthenticated"
+    )
+    applied = [
+        line("configuration_applied", 1.0, "d1", version=3),
+        line("configuration_applied", 4.0, "d1", version=7),
+        line("configuration_applied", 4.5, "d2", version=8),
+        line("configuration_applied", 6.0, "d1", version=9),
+    ]
+    found = explained("k", [denied], applied)
+    assert found.cause == (
+        "status 401: no account holds its key in configuration 7, in force since 4.0"
+    )
+    assert not explained("k", [denied]).is_explained
 
 
 def test_unknown_request_says_so():
