--- a/packages/aspendrift-daemon/src/aspendrift_daemon/logs.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/logs.py
@@ -5,7 +5,9 @@
 import dataclasses
 import logging
 import sys
-from typing import Any, BinaryIO, Protocol, cast
+import time
+from collections.abc import Callable
+from typing import Any, BinaryIO, Final, Protocol, cast
 
 import msgspec
 import structlog
@@ -14,6 +16,9 @@
 
 __all__ = ["LineSink", "configure_logging", "connect_event_log"]
 
+# An event that repeats is written again after this time, with its count.
+_FOLD_S: Final = 5.0
+
 
 def configure_logging(level: str, file: BinaryIO | LineSink | None = None) -> None:
     """Send structlog's JSON lines to a file from a level upwards.
@@ -61,21 +66,50 @@
         )
 
 
-def connect_event_log(hub: EventHub) -> None:
-    """Write a line at level info for every event of a hub."""
+def connect_event_log(
+    hub: EventHub, clock: Callable[[], float] = time.monotonic
+) -> None:
+    """Write a line at level info for every event of a hub.
+
+    An event that is equal to the latest of its type and comes soon after it is
+    counted, not written; the count stands in the line after (``n_repeats``).
+    """
     logger = structlog.get_logger("aspendrift")
     names_by_type: dict[type[Event], tuple[str, ...]] = {}
+    latest_by_type: dict[type[Event], _Latest] = {}
 
     def write(event: Event) -> None:
+        now = clock()
+        latest = latest_by_type.get(type(event))
+        if latest is not None and latest.folds(event, now):
+            latest.n_repeats += 1
+            return
+        latest_by_type[type(event)] = _Latest(event, now)
         names = names_by_type.get(type(event))
         if names is None:
             names = tuple(field.name for field in dataclasses.fields(event))
             names_by_type[type(event)] = names
-        logger.info(event.name, **{name: getattr(event, name) for name in names})
+        values = {name: getattr(event, name) for name in names}
+        if latest is not None and latest.n_repeats:
+            values["n_repeats"] = latest.n_repeats
+        logger.info(event.name, **values)
 
     hub.connect_all(write)
 
 
+@dataclasses.dataclass(slots=True)
+class _Latest:
+    """The event of one type that was written last."""
+
+    event: Event
+    written_at: float
+    n_repeats: int = 0
+
+    def folds(self, event: Event, now: float) -> bool:
+        """Return whether an event says nothing beyond this one."""
+        return now - self.written_at < _FOLD_S and event == self.event
+
+
 def _encode(line: dict[str, Any], **options: Any) -> bytes:
     """Return a line as JSON; what is of no JSON type is shown by its repr.
 
--- a/packages/aspendrift-daemon/tests/test_logs.py
+++ b/packages/aspendrift-daemon/tests/test_logs.py
@@ -77,3 +77,19 @@
     hub.emit(Sample(Ran.NO, (), None))
     assert logged(stderr) == []
     structlog.reset_defaults()
+
+
+def test_repeated_event_is_folded_and_counted_in_the_line_after(stderr) -> None:
+    configure_logging("info", stderr)
+    hub, now = EventHub(), 0.0
+    connect_event_log(hub, lambda: now)
+    for _ in range(40):
+        hub.emit(Sample(Ran.NO, (), "same"))
+        now += 0.01
+    hub.emit(Sample(Ran.NO, (), "other"))
+    hub.emit(Sample(Ran.NO, (), "other"))
+    now += 6.0
+    hub.emit(Sample(Ran.NO, (), "other"))
+    lines = [(line["extra"], line.get("n_repeats")) for line in logged(stderr)]
+    assert lines == [("same", None), ("other", 39), ("other", 1)]
+    structlog.reset_defaults()
--- a/packages/aspendrift-gateway/tests/test_log_stream.py
+++ b/packages/aspendrift-gateway/tests/test_log_stream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import fcntl
+import json
 import os
 
 import pytest
@@ -58,6 +59,24 @@
     assert rest.endswith(b"after\n")
 
 
+def test_ten_times_the_load_stays_within_the_bound_and_is_told(pipe):
+    read_end, write_end = pipe
+    now = 0.0
+    stream = LogStream(write_end, max_bytes_per_s=10_000, clock=lambda: now)
+    line = b"x" * 99 + b"\n"
+    found = b""
+    for _ in range(10_000):
+        now += 0.001
+        stream.write(line)
+        stream.flush()
+        found += drain(read_end)
+    assert len(found) <= 10_000 * (10 + 2) + 10_000
+    assert len(found) >= 10_000 * 10
+    told = [each for each in found.split(b"\n") if b"log_lines_dropped" in each]
+    n_told = sum(json.loads(each)["n_lines"] for each in told)
+    assert n_told + stream.n_dropped + found.count(line) == 10_000
+
+
 def test_closed_reader_is_no_error(pipe):
     read_end, write_end = pipe
     stream = LogStream(write_end)
