Read a changed settings file without a signal, pace reads of the store by its rate

The settings file may change without any signal; only SIGHUP was obeyed. Bounds of leaving and of reading follow the settings now.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 import signal
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from typing import Any, Final, Protocol
 
 from aspendrift_daemon.clock import SystemClock
@@ -16,7 +16,7 @@
 from aspendrift_daemon.peers import PeerLink
 from aspendrift_daemon.shutdown import Shutdown
 from aspendrift_gateway.attempts import AttemptSender
-from aspendrift_gateway.events import GatewayReady, GatewayStopped, SettingsReloaded
+from aspendrift_gateway.events import GatewayReady, GatewayStopped
 from aspendrift_gateway.front import ControlApp, FrontApp, FrontServer
 from aspendrift_gateway.interfaces import AddressQuery, PlatformCodec
 from aspendrift_gateway.member_rows import MemberRows
@@ -24,6 +24,7 @@
 from aspendrift_gateway.refusals import Refusal
 from aspendrift_gateway.request_path import RequestPath
 from aspendrift_gateway.settings import GatewaySettings
+from aspendrift_gateway.settings_watch import SettingsSource, SettingsWatch
 from aspendrift_gateway.stage_run import StagesRunner
 from aspendrift_gateway.stage_work import StageWork
 from aspendrift_gateway.store_client import StoreClient
@@ -104,7 +105,7 @@
         self.metrics = Metrics()
         self.metrics.connect(events)
         self.state = SystemState(codec, events)
-        self.store = StoreClient(settings.store.address, codec.store)
+        self.store = StoreClient(settings.store_address, codec.store)
         self.client = TargetClient(codec.target)
         peers = _peer_settings(settings)
         self.link = PeerLink(peers, self._host(), self.clock, events, rng)
@@ -117,7 +118,13 @@
             self.link, self.rows, peers, self.clock, events, rng, self.peer_state
         )
         self.reader = StoreReader(
-            self.store, self.state, settings.drain_s, self.clock, events, rng
+            self.store,
+            self.state,
+            lambda: self.settings,
+            lambda: max(1, len(self.link.members())),
+            self.clock,
+            events,
+            rng,
         )
         self.admission = ChainAdmission(rng)
         self.work = StageWork(
@@ -156,11 +163,7 @@
             events,
             self._refuses_new,
         )
-        self.leaving = LeaveProcedure(
-            LeaveTimes(
-                _LEAVE_KEEP_S, _LEAVE_MARGIN_S, settings.grace_s - _LEAVE_SPARE_S
-            )
-        )
+        self.leaving = LeaveProcedure(_leave_times(settings))
         self.shutdown = Shutdown(
             self.leaving,
             self.path,
@@ -215,6 +218,7 @@
     def take_settings(self, settings: GatewaySettings) -> None:
         """Use changed bounds from now on; addresses stay as they were at the start."""
         self.settings = settings
+        self.leaving.times = _leave_times(settings)
         self._share_limits()
 
     def addresses(self, query: AddressQuery) -> Sequence[str]:
@@ -320,6 +324,11 @@
         self.suspects.report_crash(life, [Fingerprint(note.fingerprint)], now)
 
 
+def _leave_times(settings: GatewaySettings) -> LeaveTimes:
+    bound_s = settings.grace_s - _LEAVE_SPARE_S
+    return LeaveTimes(_LEAVE_KEEP_S, _LEAVE_MARGIN_S, bound_s)
+
+
 def _peer_settings(settings: GatewaySettings) -> PeerSettings:
     return PeerSettings(
         bind=f"tcp://{settings.ip}:{settings.peer_ports[0]}",
@@ -328,35 +337,18 @@
     )
 
 
-async def serve(
-    read: Callable[[], GatewaySettings], codec: PlatformCodec, events: EventHub
-) -> None:
-    """Run a gateway until SIGTERM and the end of its requests.
-
-    Parameters
-    ----------
-    read : callable
-        Reads the settings; called again at SIGHUP.
-    """
-    gateway = Gateway(read(), codec, events, random.Random())
+async def serve(source: SettingsSource, codec: PlatformCodec, events: EventHub) -> None:
+    """Run a gateway until SIGTERM and the end of its requests."""
+    gateway = Gateway(source.read(), codec, events, random.Random())
+    watch = SettingsWatch(source, gateway.take_settings, events)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, gateway.shutdown.signalled)
-    loop.add_signal_handler(signal.SIGHUP, _reload, read, gateway)
+    loop.add_signal_handler(signal.SIGHUP, watch.reload)
     await gateway.start()
+    watch.start()
     try:
         await gateway.shutdown.wait()
     finally:
+        await watch.stop()
         await gateway.stop()
-
-
-def _reload(read: Callable[[], GatewaySettings], gateway: Gateway) -> None:
-    """Take what may change while running from the settings file."""
-    problem = ""
-    try:
-        settings = read()
-    except (OSError, ValueError) as error:
-        problem = str(error)
-    else:
-        gateway.take_settings(settings)
-    gateway.events.emit(SettingsReloaded(problem))
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/settings.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/settings.py
@@ -7,24 +7,7 @@
 from aspendrift_model.hosts import Location
 from aspendrift_model.ids import DaemonId
 
-__all__ = ["GatewaySettings", "StoreLimits"]
-
-
-@dataclass(frozen=True, slots=True)
-class StoreLimits:
-    """Where the platform's store is and what all daemons may ask of it.
-
-    Parameters
-    ----------
-    address : str
-        IP address and port.
-    reads_per_s, writes_per_s : float
-        Calls of all daemons together.
-    """
-
-    address: str
-    reads_per_s: float
-    writes_per_s: float
+__all__ = ["GatewaySettings"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,10 +22,12 @@
         Port of the metrics, on the address of the host.
     peer_ports : tuple of int
         First and last port for traffic between daemons.
+    store_address : str
+        IP address and port of the platform's store.
+    store_reads_per_s : float
+        Reads that the store takes from all daemons together.
     drain_s : float
         Time from a target's leaving to its last new request.
-    apply_s : float
-        Time from a change of the configuration to its effect.
     grace_s : float
         Time from SIGTERM to SIGKILL.
     address_keep_s : float
@@ -60,9 +45,9 @@
     directory_address: str
     metrics_port: int
     peer_ports: tuple[int, int]
-    store: StoreLimits
+    store_address: str
+    store_reads_per_s: float
     drain_s: float
-    apply_s: float
     grace_s: float
     address_keep_s: float
     retry_share: float
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/store_reader.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/store_reader.py
@@ -11,6 +11,7 @@
 from aspendrift_daemon.interfaces import Clock
 from aspendrift_gateway.events import Dependency, DependencyChanged
 from aspendrift_gateway.interfaces import StoreRows
+from aspendrift_gateway.settings import GatewaySettings
 from aspendrift_gateway.store_client import HistoryGone, StoreClient, StoreFailure
 from aspendrift_gateway.system_state import SystemState
 
@@ -22,6 +23,9 @@
 # Entries change all the time, so their feed is read at a pace: half of the time in
 # which a target's leaving has to be known, at most this.
 _MAX_TARGETS_PACE_S: Final = 1.0
+# Share of the store's reads for the feed of targets; the rest is for the other
+# tables, and for whole reads after an outage.
+_READS_SHARE: Final = 0.5
 # Pause after a failed call, so that an outage is noticed to end soon without
 # pressing on a store that is in trouble.
 _RETRY_S: Final = 0.4
@@ -56,22 +60,26 @@
 
     Parameters
     ----------
-    drain_s : float
-        Time in which a target's leaving has to be known.
+    settings : callable
+        Returns the settings in force.
+    n_daemons : callable
+        Returns the daemons in view.
     """
 
     def __init__(
         self,
         store: StoreClient,
         state: SystemState,
-        drain_s: float,
+        settings: Callable[[], GatewaySettings],
+        n_daemons: Callable[[], int],
         clock: Clock,
         events: EventHub,
         rng: random.Random,
     ) -> None:
         self._store = store
         self._state = state
-        self._pace_s = min(_MAX_TARGETS_PACE_S, drain_s / 2)
+        self._settings = settings
+        self._n_daemons = n_daemons
         self._clock = clock
         self._rng = rng
         self._configuration = DependencyWatch(Dependency.STORE_CONFIGURATION, events)
@@ -159,4 +167,14 @@
         if result.rows or is_whole:
             self._changed_at = now
         state.targets_confirmed_at = asked_at
-        return self._pace_s - (now - asked_at) if now - asked_at < self._pace_s else 0.0
+        return max(0.0, self._pace_s() - (now - asked_at))
+
+    def _pace_s(self) -> float:
+        """Return the time between two reads of the targets.
+
+        Beyond the store's rate every daemon would be turned away at times.
+        """
+        settings = self._settings()
+        share_per_s = settings.store_reads_per_s * _READS_SHARE / self._n_daemons()
+        wanted_s = min(_MAX_TARGETS_PACE_S, settings.drain_s / 2)
+        return max(wanted_s, 1 / share_per_s)
--- /dev/null
+++ b/packages/aspendrift-gateway/tests/test_settings_watch.py
@@ -0,0 +1,71 @@
+"""Tests of settings that change while a process runs."""
+
+from __future__ import annotations
+
+import asyncio
+
+from aspendrift_daemon.events import EventHub
+from aspendrift_gateway.settings_watch import SettingsWatch
+from aspendrift_standins.virtual_time import run_virtual
+
+
+class File:
+    """A settings file; None for one that is gone, an error for one that is bad."""
+
+    def __init__(self):
+        self.content = "first"
+
+    def stamp(self):
+        if self.content is None:
+            raise FileNotFoundError("gone")
+        return str(self.content)
+
+    def read(self):
+        if self.content is None:
+            raise FileNotFoundError("gone")
+        if isinstance(self.content, Exception):
+            raise self.content
+        return self.content
+
+
+def play(scene):
+    async def main():
+        file, taken, hub, problems = File(), [], EventHub(), []
+        hub.connect_all(lambda event: problems.append(event.problem))
+        watch = SettingsWatch(file, taken.append, hub)
+        watch.start()
+        await scene(file, watch)
+        await watch.stop()
+        return taken, problems
+
+    return run_virtual(main())
+
+
+def test_change_without_a_signal_is_taken_once():
+    async def scene(file, watch):
+        await asyncio.sleep(3.0)
+        file.content = "second"
+        await asyncio.sleep(5.0)
+
+    assert play(scene) == (["second"], [""])
+
+
+def test_signal_is_obeyed_at_once_and_not_repeated():
+    async def scene(file, watch):
+        file.content = "second"
+        watch.reload()
+        await asyncio.sleep(5.0)
+
+    assert play(scene) == (["second"], [""])
+
+
+def test_bad_or_missing_file_changes_nothing_and_is_told_once():
+    async def scene(file, watch):
+        file.content = ValueError("no address")
+        await asyncio.sleep(5.0)
+        file.content = None
+        await asyncio.sleep(5.0)
+        file.content = "third"
+        await asyncio.sleep(5.0)
+
+    assert play(scene) == (["third"], ["no address", "gone", ""])
--- a/packages/aspendrift-policy/src/aspendrift_policy/leaving.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/leaving.py
@@ -45,7 +45,7 @@
     """
 
     def __init__(self, times: LeaveTimes) -> None:
-        self._times = times
+        self.times = times
         self._announced_at = 0.0
         self.phase = LeavePhase.SERVING
 
@@ -64,8 +64,8 @@
         if self.phase in (LeavePhase.SERVING, LeavePhase.EXITED):
             return self.phase
         elapsed_s = now - self._announced_at
-        if elapsed_s >= self._times.bound_s:
+        if elapsed_s >= self.times.bound_s:
             self.phase = LeavePhase.EXITED
-        elif elapsed_s >= self._times.keep_s + self._times.margin_s:
+        elif elapsed_s >= self.times.keep_s + self.times.margin_s:
             self.phase = LeavePhase.DRAINING if n_open else LeavePhase.EXITED
         return self.phase
--- a/packages/aspendrift-policy/src/aspendrift_policy/target_registry.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/target_registry.py
@@ -62,11 +62,6 @@
         """Return the targets of a pool that take new work."""
         return self._by_pool.get(pool, ())
 
-    def is_current(self, key: TargetKey) -> bool:
-        """Return whether a life of a target is the one that is listed."""
-        entry = self.entries_by_id.get(key.target_id)
-        return entry is not None and entry.key == key
-
     def replace(
         self, entries: Iterable[TargetEntry | UnreadableEntry], now: float
     ) -> list[RegistryChange]:
@@ -98,12 +93,6 @@
         changes += self._expire(now)
         return self._finish(changes)
 
-    def mark_gone(self, key: TargetKey) -> list[RegistryChange]:
-        """Drop a life of which there is proof that it ended."""
-        if not self.is_current(key):
-            return []
-        return self._finish(self._drop(key.target_id))
-
     def _note_reading(self, now: float) -> None:
         if now - self._read_at > _OUTAGE_S:
             self._outage_ended_at = now
