--- a/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
@@ -180,6 +180,7 @@
         events: EventHub,
         rng: random.Random,
         on_broken: Callable[[TargetEntry, Fingerprint], None],
+        make_chooser: Callable[[EjectionRules, random.Random], PoolChooser],
     ) -> None:
         self._zone = zone
         self._state = state
@@ -190,6 +191,7 @@
         self._events = events
         self._rng = rng
         self._on_broken = on_broken
+        self._make_chooser = make_chooser
         self._choosers_by_pool: dict[PoolName, PoolChooser] = {}
         self._no_early_free_until = float("-inf")
 
@@ -197,7 +199,7 @@
         """Return what is known of the load and health of a pool."""
         chooser = self._choosers_by_pool.get(pool)
         if chooser is None:
-            chooser = PoolChooser(_EJECTION, self._rng)
+            chooser = self._make_chooser(_EJECTION, self._rng)
             self._choosers_by_pool[pool] = chooser
         return chooser
 
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -21,6 +21,7 @@
 from aspendrift_gateway.interfaces import AddressQuery, PlatformCodec
 from aspendrift_gateway.member_rows import MemberRows
 from aspendrift_gateway.peer_state import PeerState
+from aspendrift_gateway.policies import POLICIES_BY_KIND
 from aspendrift_gateway.refusals import Refusal
 from aspendrift_gateway.request_path import RequestPath
 from aspendrift_gateway.settings import GatewaySettings
@@ -39,7 +40,6 @@
 from aspendrift_model.states import MemberState, RefusalReason
 from aspendrift_model.target_entries import TargetEntry
 from aspendrift_model.wire_work import CrashNote
-from aspendrift_policy.chain_admission import ChainAdmission
 from aspendrift_policy.leaving import LeavePhase, LeaveProcedure, LeaveTimes
 from aspendrift_policy.poison import PoisonLimits, SuspectBook
 from aspendrift_policy.retry_budget import RetryBudgets
@@ -126,7 +126,8 @@
             events,
             rng,
         )
-        self.admission = ChainAdmission(rng)
+        policies = POLICIES_BY_KIND[settings.policies]
+        self.admission = policies.admission(rng)
         self.work = StageWork(
             self.link,
             self.state,
@@ -135,6 +136,7 @@
             self.admission,
             self.clock,
             events,
+            policies.scheduler,
         )
         self.budgets: RetryBudgets[PoolName] = RetryBudgets(
             settings.retry_share * _BUDGET_SHARE, 0.0
@@ -149,6 +151,7 @@
             events,
             rng,
             self._on_broken,
+            policies.chooser,
         )
         self.path = RequestPath(
             self.state,
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
@@ -17,7 +17,6 @@
 from aspendrift_gateway.target_client import Broken, NotSent, TargetClient, WholeAnswer
 from aspendrift_model.ids import PoolName, TargetId
 from aspendrift_model.pieces import Handle, PieceFailure, PieceOutcome
-from aspendrift_model.routes import PieceLimits
 from aspendrift_model.target_entries import TargetEntry
 from aspendrift_policy.chain_admission import PoolMeasures, PoolMeter
 from aspendrift_policy.stage_scheduler import (
@@ -54,7 +53,7 @@
     def __init__(
         self,
         pool: PoolName,
-        limits: PieceLimits,
+        scheduler: StageScheduler,
         entries: Callable[[], Sequence[TargetEntry]],
         client: TargetClient,
         codec: TargetCodec,
@@ -63,7 +62,7 @@
         on_news: Callable[[JobNews], None],
     ) -> None:
         self.pool = pool
-        self.scheduler = StageScheduler(limits)
+        self.scheduler = scheduler
         self.meter = PoolMeter()
         self._entries = entries
         self._client = client
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/settings.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/settings.py
@@ -3,11 +3,19 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 
 from aspendrift_model.hosts import Location
 from aspendrift_model.ids import DaemonId
 
-__all__ = ["GatewaySettings"]
+__all__ = ["GatewaySettings", "PolicyKind"]
+
+
+class PolicyKind(Enum):
+    """Which policies decide: the product's, or naive ones to compare with."""
+
+    LEARNED = "learned"
+    NAIVE = "naive"
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,3 +62,4 @@
     retry_window_s: float
     retry_extra: float
     max_files: int
+    policies: PolicyKind = PolicyKind.LEARNED
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/stage_work.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/stage_work.py
@@ -23,6 +23,7 @@
 from aspendrift_gateway.target_client import TargetClient
 from aspendrift_model.ids import AttemptId, DaemonId, PoolName, ZoneName
 from aspendrift_model.pieces import Handle, PieceFailure, PieceId, PieceWork
+from aspendrift_model.routes import PieceLimits
 from aspendrift_model.states import MemberState
 from aspendrift_model.unreadable import UNREADABLE
 from aspendrift_model.wire_work import (
@@ -42,7 +43,7 @@
     RankLoad,
 )
 from aspendrift_policy.owner_choice import owners_in_order
-from aspendrift_policy.stage_scheduler import JobId, JobNews, StageJob
+from aspendrift_policy.stage_scheduler import JobId, JobNews, StageJob, StageScheduler
 
 __all__ = ["WORK_TOPIC", "NewsListener", "StageWork"]
 
@@ -89,8 +90,10 @@
         admission: ChainAdmission,
         clock: Clock,
         events: EventHub,
+        make_scheduler: Callable[[PieceLimits], StageScheduler],
     ) -> None:
         self._link = link
+        self._make_scheduler = make_scheduler
         self._admission = admission
         self._state = state
         self._client = client
@@ -265,7 +268,7 @@
         if runner is None:
             runner = PoolRunner(
                 pool,
-                spec.pieces,
+                self._make_scheduler(spec.pieces),
                 lambda: self._state.registry.usable(pool),
                 self._client,
                 self._codec,
@@ -274,7 +277,7 @@
                 lambda news: self._on_news(pool, news),
             )
             self._runners_by_pool[pool] = runner
-        runner.scheduler.limits = spec.pieces
+        runner.scheduler.set_limits(spec.pieces)
         return runner
 
     def _on_news(self, pool: PoolName, news: JobNews) -> None:
--- a/packages/aspendrift-gateway/tests/conftest.py
+++ b/packages/aspendrift-gateway/tests/conftest.py
@@ -24,6 +24,7 @@
 from aspendrift_model.opaque_requests import OpaqueRequest
 from aspendrift_model.routes import RequestKind, Route, WeightedPool
 from aspendrift_model.target_entries import TargetEntry, TargetKey
+from aspendrift_policy.pool_choice import PoolChooser
 from aspendrift_policy.retry_budget import RetryBudgets
 from aspendrift_standins.virtual_time import VirtualClock
 
@@ -229,6 +230,7 @@
             self.events,
             random.Random(0),
             lambda target, fingerprint: self.broken.append(target.key.target_id),
+            PoolChooser,
         )
 
     def delivery(self, found_route=None, inputs=()):
--- a/packages/aspendrift-gateway/tests/test_stage_work.py
+++ b/packages/aspendrift-gateway/tests/test_stage_work.py
@@ -27,7 +27,7 @@
 from aspendrift_model.states import MemberState
 from aspendrift_policy.chain_admission import ChainAdmission
 from aspendrift_policy.route_table import RouteTable
-from aspendrift_policy.stage_scheduler import JobId, StageJob
+from aspendrift_policy.stage_scheduler import JobId, StageJob, StageScheduler
 from aspendrift_standins.virtual_time import VirtualClock, run_virtual
 
 from .conftest import entry
@@ -160,6 +160,7 @@
                     ChainAdmission(random.Random(0)),
                     clock,
                     EventHub(),
+                    StageScheduler,
                 )
                 await work.start()
                 works[link.host.daemon_id] = work
--- a/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
@@ -175,8 +175,11 @@
         What one target can do.
     """
 
+    # Whether jobs go in the order in which they came.
+    is_first_in_first_out = False
+
     def __init__(self, limits: PieceLimits) -> None:
-        self.limits = limits
+        self.set_limits(limits)
         self._targets_by_key: dict[TargetKey, _Target] = {}
         self._jobs_by_id: dict[JobId, _Job] = {}
         self._results_by_handle: dict[Handle, _Result] = {}
@@ -189,6 +192,10 @@
         """Jobs that are not done."""
         return len(self._jobs_by_id)
 
+    def set_limits(self, limits: PieceLimits) -> None:
+        """Use these limits from now on."""
+        self.limits = limits
+
     def set_targets(self, entries: Iterable[TargetEntry]) -> None:
         """Use these targets from now on; calls at others are still waited for."""
         by_key = {entry.key: entry for entry in entries}
@@ -363,7 +370,8 @@
     def _in_order(self, now: float) -> list[_Job]:
         jobs = [job for job in self._jobs_by_id.values() if job.queued]
         done_at = now + self.limits.full_call_s
-        jobs.sort(key=lambda job: _urgency(job, done_at))
+        if not self.is_first_in_first_out:
+            jobs.sort(key=lambda job: _urgency(job, done_at))
         return jobs
 
     def _free_at(self, target: _Target, now: float) -> list[float]:
