End open requests of a leaving gateway in the last tenth of its grace time

Cause: since open requests get their answer before the servers stop, they ended at grace - 1.5 s, where the servers had waited a second more before; the platform excuses what ends in the last sixth only. Change: the time is a tenth of the grace time, whatever that is. Test of the times for four grace times.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -55,8 +55,6 @@
 # keep addresses longer than told still find it.
 _LEAVE_KEEP_S: Final = 3.0
 _LEAVE_MARGIN_S: Final = 0.2
-# Time before the process is killed in which it closes what is left.
-_LEAVE_SPARE_S: Final = 1.5
 _LIST_INTERVAL_S: Final = 10.0
 _MAX_ADDRESSES: Final = 64
 _METRICS_PATH: Final = "/metrics"
@@ -328,8 +326,7 @@
 
 
 def _leave_times(settings: GatewaySettings) -> LeaveTimes:
-    bound_s = settings.grace_s - _LEAVE_SPARE_S
-    return LeaveTimes(_LEAVE_KEEP_S, _LEAVE_MARGIN_S, bound_s)
+    return LeaveTimes.within(settings.grace_s, _LEAVE_KEEP_S, _LEAVE_MARGIN_S)
 
 
 def _peer_settings(settings: GatewaySettings) -> PeerSettings:
--- a/packages/aspendrift-policy/src/aspendrift_policy/leaving.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/leaving.py
@@ -4,9 +4,14 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import Final
 
 __all__ = ["LeavePhase", "LeaveProcedure", "LeaveTimes"]
 
+# Share of the grace time in which a process ends what is open and exits. Callers
+# lose what ends earlier than it has to, and the platform allows a sixth.
+_EXIT_SHARE: Final = 0.1
+
 
 class LeavePhase(Enum):
     """How far a daemon is on its way out."""
@@ -35,6 +40,11 @@
     margin_s: float
     bound_s: float
 
+    @classmethod
+    def within(cls, grace_s: float, keep_s: float, margin_s: float) -> LeaveTimes:
+        """Return the times of a process that is killed ``grace_s`` after the signal."""
+        return cls(keep_s, margin_s, grace_s * (1 - _EXIT_SHARE))
+
 
 class LeaveProcedure:
     """Phases of a shutdown; moves forward only.
--- a/packages/aspendrift-policy/tests/test_leaving.py
+++ b/packages/aspendrift-policy/tests/test_leaving.py
@@ -55,3 +55,15 @@
 
 def test_serving_daemon_stays() -> None:
     assert LeaveProcedure(TIMES).step(0, 1e9) is LeavePhase.SERVING
+
+
+@pytest.mark.parametrize("grace_s", [3.0, 6.0, 8.0, 30.0])
+def test_open_requests_go_on_until_the_last_sixth_of_the_grace_time(
+    grace_s: float,
+) -> None:
+    times = LeaveTimes.within(grace_s, 1.0, 0.2)
+    assert grace_s * 5 / 6 <= times.bound_s < grace_s
+    leave = LeaveProcedure(times)
+    leave.announce(10.0)
+    assert leave.step(1, 10.0 + grace_s * 5 / 6) is not LeavePhase.EXITED
+    assert leave.step(1, 10.0 + grace_s * 0.95) is LeavePhase.EXITED
