--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 .PHONY: venv demo test check lint types unit pages fault-matrix report \
 	measure-capacity measure-config measure-control measure-outcomes \
-	measure-path measure-security measure-surge compare-detection
+	measure-path measure-security measure-surge compare-detection \
+	platform-score platform-hunt
 
 VENV ?= .venv
 PYTHON ?= python3
@@ -79,3 +80,12 @@
 report: venv
 	$(BIN)/python -m aspendrift_standins.report \
 		docs/measurements/surge.json docs/measurements
+
+DAYS ?= 40
+JOBS ?= 4
+
+platform-score: venv
+	$(BIN)/python tools/platform_bench.py score --jobs $(JOBS)
+
+platform-hunt: venv
+	$(BIN)/python tools/platform_bench.py hunt --days $(DAYS) --jobs $(JOBS)
