--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -339,14 +339,14 @@
 
 async def serve(source: SettingsSource, codec: PlatformCodec, events: EventHub) -> None:
     """Run a gateway until SIGTERM and the end of its requests."""
+    watch = SettingsWatch(source, events)
     gateway = Gateway(source.read(), codec, events, random.Random())
-    watch = SettingsWatch(source, gateway.take_settings, events)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, gateway.shutdown.signalled)
     loop.add_signal_handler(signal.SIGHUP, watch.reload)
     await gateway.start()
-    watch.start()
+    watch.start(gateway.take_settings)
     try:
         await gateway.shutdown.wait()
     finally:
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/log_stream.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/log_stream.py
@@ -62,7 +62,7 @@
     def write(self, line: bytes) -> int:
         """Take a line, or drop it if it is over a bound."""
         is_held_full = len(self._held) + len(line) > self._max_held_bytes
-        if is_held_full or not self._is_allowed(len(line), self._clock()):
+        if is_held_full or not self._take_allowance(len(line), self._clock()):
             self.n_dropped += 1
             return len(line)
         if self.n_dropped:
@@ -74,7 +74,7 @@
         self._held += line
         return len(line)
 
-    def _is_allowed(self, n_bytes: int, now: float) -> bool:
+    def _take_allowance(self, n_bytes: int, now: float) -> bool:
         earned = (now - self._allowed_at) * self._max_bytes_per_s
         most = self._max_bytes_per_s * _BURST_S
         self._allowance = min(most, self._allowance + earned)
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/settings_watch.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/settings_watch.py
@@ -30,26 +30,19 @@
 class SettingsWatch:
     """Reads the settings again when their stamp differs, or when told to.
 
-    Parameters
-    ----------
-    take : callable
-        Receives settings that differ from those in force.
+    Made before the first reading, so that a change right after it is noticed.
     """
 
-    def __init__(
-        self,
-        source: SettingsSource,
-        take: Callable[[GatewaySettings], None],
-        events: EventHub,
-    ) -> None:
+    def __init__(self, source: SettingsSource, events: EventHub) -> None:
         self._source = source
-        self._take = take
         self._events = events
         self._stamp = self._look()
+        self._take: Callable[[GatewaySettings], None] | None = None
         self._task: asyncio.Task[None] | None = None
 
-    def start(self) -> None:
-        """Begin to look at the stamp."""
+    def start(self, take: Callable[[GatewaySettings], None]) -> None:
+        """Begin to look; ``take`` receives settings that were read again."""
+        self._take = take
         self._task = asyncio.create_task(self._look_forever())
 
     async def stop(self) -> None:
@@ -67,7 +60,8 @@
         except (OSError, ValueError) as error:
             problem = str(error)
         else:
-            self._take(settings)
+            if self._take is not None:
+                self._take(settings)
         self._events.emit(SettingsReloaded(problem))
 
     async def _look_forever(self) -> None:
--- a/packages/aspendrift-gateway/tests/test_settings_watch.py
+++ b/packages/aspendrift-gateway/tests/test_settings_watch.py
@@ -32,8 +32,8 @@
     async def main():
         file, taken, hub, problems = File(), [], EventHub(), []
         hub.connect_all(lambda event: problems.append(event.problem))
-        watch = SettingsWatch(file, taken.append, hub)
-        watch.start()
+        watch = SettingsWatch(file, hub)
+        watch.start(taken.append)
         await scene(file, watch)
         await watch.stop()
         return taken, problems
