Don't blame contents that run to their end for crashes of targets

Cause: a content in flight on two targets whose connections broke was refused everywhere for an hour. Requests with one content, such as those without a body, are in flight on every target that fails, and nothing took the suspicion back. Change: a content that ran to its end is cleared, and not suspected again for 120 s.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
@@ -222,7 +222,10 @@
         standing = self._suspects.standing(sendable.fingerprint, now)
         if standing is Standing.CONVICTED:
             return Refusal(RefusalReason.POISON, "", _POISON_RETRY_S)
-        return await self._run(opened, table, sendable, answer)
+        outcome = await self._run(opened, table, sendable, answer)
+        if isinstance(outcome, Served) and not outcome.is_cut:
+            self._suspects.ran_to_end(sendable.fingerprint, self._clock.monotonic())
+        return outcome
 
     async def _run(
         self, opened: _Open, table: RouteTable, sendable: Sendable, answer: CallerAnswer
--- a/packages/aspendrift-policy/src/aspendrift_policy/poison.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/poison.py
@@ -35,6 +35,8 @@
     suspicion_s: float = 120.0
     conviction_s: float = 3600.0
     same_crash_s: float = 5.0
+    max_sound: int = 4096
+    sound_s: float = 120.0
 
 
 @dataclass(slots=True)
@@ -53,6 +55,7 @@
         self._limits = limits
         self._crashes: list[_Crash] = []
         self._convicted_until: OrderedDict[Fingerprint, float] = OrderedDict()
+        self._sound_until: OrderedDict[Fingerprint, float] = OrderedDict()
 
     @property
     def n_crashes(self) -> int:
@@ -70,7 +73,12 @@
         self._expire(now)
         crash = self._crash(target_id, now)
         room = self._limits.max_suspects_per_crash - len(crash.suspects)
-        crash.suspects.update(sorted(set(contents) - crash.suspects)[: max(0, room)])
+        doubtful = {
+            content
+            for content in contents
+            if self._sound_until.get(content, now) <= now
+        }
+        crash.suspects.update(sorted(doubtful - crash.suspects)[: max(0, room)])
         convicted = sorted(self._common_to_two(crash))
         for content in convicted:
             self.convict(content, now)
@@ -94,6 +102,18 @@
                 was_suspect = True
         return was_suspect
 
+    def ran_to_end(self, content: Fingerprint, now: float) -> None:
+        """Drop the suspicion of a content that ran to its end, and raise none soon.
+
+        Many requests with one content, such as those without a body, are in flight on
+        every target that crashes or loses a connection.
+        """
+        self.clear(content)
+        self._sound_until[content] = now + self._limits.sound_s
+        self._sound_until.move_to_end(content)
+        while len(self._sound_until) > self._limits.max_sound:
+            self._sound_until.popitem(last=False)
+
     def standing(self, content: Fingerprint, now: float) -> Standing:
         """Return what is known of a content."""
         if self._convicted_until.get(content, now) > now:
--- a/packages/aspendrift-policy/tests/test_poison.py
+++ b/packages/aspendrift-policy/tests/test_poison.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from aspendrift_model.ids import Fingerprint, TargetId
 from aspendrift_policy.poison import (
     PoisonLimits,
     Standing,
@@ -120,3 +121,21 @@
     trials.hear(Trial("a", "t1", "d2", running=True), 0.0)
     assert trials.is_tried("a", 29.0)
     assert not trials.is_tried("a", 31.0)
+
+
+def test_content_that_runs_to_its_end_elsewhere_is_not_blamed_for_crashes() -> None:
+    book = SuspectBook(PoisonLimits())
+    content = Fingerprint("no body")
+    book.ran_to_end(content, 0.0)
+    book.report_crash(TargetId("t1"), [content], 1.0)
+    assert book.report_crash(TargetId("t2"), [content], 2.0) == ()
+    assert book.standing(content, 2.0) is Standing.CLEAN
+
+
+def test_end_of_a_run_takes_suspicion_back() -> None:
+    book = SuspectBook(PoisonLimits(sound_s=10.0))
+    content = Fingerprint("a")
+    book.report_crash(TargetId("t1"), [content], 0.0)
+    book.ran_to_end(content, 1.0)
+    assert book.report_crash(TargetId("t2"), [content], 20.0) == ()
+    assert book.report_crash(TargetId("t3"), [content], 21.0) == (content,)
--- /dev/null
+++ b/tests/aspendrift_platform/emulated_world.py
@@ -0,0 +1,101 @@
+"""Some gateways on the emulated platform, and a caller."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from collections.abc import Callable
+
+import httpx
+from platform_emulator import Platform, free_address, settings
+
+from aspendrift_daemon.events import EventHub
+from aspendrift_gateway.gateway import Gateway
+from aspendrift_platform.codec import UserPlatform
+from aspendrift_platform.settings import decode_settings
+
+# Longest wait for something that has to happen; only a failing test waits so long.
+PATIENCE_S = 20.0
+
+
+class World:
+    """Some gateways on one platform, and a caller."""
+
+    def __init__(self):
+        self.platform = Platform()
+        self.gateways_by_name = {}
+        self.events = []
+        self._sequence = 0
+        self.caller = httpx.AsyncClient(timeout=PATIENCE_S, trust_env=False)
+
+    async def start(self, n_gateways=1):
+        await self.platform.start()
+        for service, n_targets in (("desk", 2), ("model", 2), ("first", 2)):
+            for number in range(n_targets):
+                await self.platform.add_target(f"{service}-{number}", service)
+        await self.platform.add_target("second-0", "second")
+        self.platform.configure(1)
+        for number in range(n_gateways):
+            await self.add_gateway(f"g{number}")
+        await self.until(lambda: all(g.is_ready() for g in self.gateways))
+        await self.until(
+            lambda: all(len(self.live(g)) == n_gateways for g in self.gateways)
+        )
+
+    async def stop(self):
+        await self.caller.aclose()
+        self.platform.store.end()
+        await asyncio.gather(*(self.stop_gateway(n) for n in self.gateways_by_name))
+        await self.platform.stop()
+
+    @property
+    def gateways(self):
+        return list(self.gateways_by_name.values())
+
+    def live(self, gateway):
+        return [each for each, state in gateway.link.members() if state.value == "live"]
+
+    async def add_gateway(self, name):
+        port = int(free_address().rpartition(":")[2])
+        found = settings(name, self.platform.store.address, [port, port])
+        metrics_port = int(free_address().rpartition(":")[2])
+        decoded = decode_settings(json.dumps(found).encode(), metrics_port)
+        hub = EventHub()
+        hub.connect_all(self.events.append)
+        gateway = Gateway(decoded, UserPlatform(), hub, random.Random(name))
+        await gateway.start()
+        self.gateways_by_name[name] = gateway
+        return gateway
+
+    async def stop_gateway(self, name):
+        await self.gateways_by_name[name].stop()
+
+    async def until(self, holds: Callable[[], bool]):
+        async with asyncio.timeout(PATIENCE_S):
+            while not holds():  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
+
+    async def call(self, gateway, path, method="POST", key="key", **headers):
+        self._sequence += 1
+        attempt_id = f"{self._sequence:016x}"
+        sent = {
+            "Host": "h.example",
+            "Attempt-Id": attempt_id,
+            "Deadline-Ms": "5000",
+            **({"Credential": key} if key else {}),
+            **headers,
+        }
+        address = gateway.settings.front_address
+        answer = await self.caller.request(
+            method, f"http://{address}{path}", headers=sent, content=b"body"
+        )
+        return attempt_id, answer
+
+    async def stream(self, gateway, path="/model/x", pieces="3,5,1"):
+        stages = {"Pieces": pieces, "Piece-Key": "k"} if pieces else {}
+        return await self.call(gateway, path, **{"X-Kind": "stream", **stages})
+
+
+def whole_stream(attempt_id):
+    return "".join(f"id: {n}\ndata: {attempt_id} {n}\n\n" for n in range(1, 8))
