--- a/packages/aspendrift-gateway/tests/test_event_relay.py
+++ b/packages/aspendrift-gateway/tests/test_event_relay.py
@@ -37,3 +37,16 @@
     relay.feed(b"id: 1\ndata: x")
     assert relay.rest() == b"id: 1\ndata: x"
     assert not relay.has_partial
+
+
+@given(st.lists(st.integers(0, len(STREAM)), max_size=6))
+def test_runs_that_break_anywhere_and_go_on_give_the_stream_once(lengths):
+    relay = EventRelay()
+    out = b""
+    for length in [*lengths, len(STREAM)]:
+        relay.restart()
+        n_had = int(relay.last_event_id or 0)
+        rest = b"".join(STREAM.split(b"\n\n")[n] + b"\n\n" for n in range(n_had, 7))
+        out += relay.feed(rest[:length])
+        assert STREAM.startswith(out)
+    assert out == STREAM
