Take no request three seconds after the signal to leave

Cause: a leaving daemon took requests until 3.2 s after SIGTERM. One that came at 3.14 s was still streaming at the end of the grace time and was cut, which the platform allows only for what was sent within 3 s. Change: the time is 2.8 s, with callers that keep addresses for 2 s; both times of leaving stand with the phases now. Test of the time.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -51,10 +51,6 @@
 _MS_PER_S: Final = 1000
 # Callers keep addresses for this long, or what the platform allows if that is less.
 _ADDRESS_KEEP_S: Final = 2.0
-# Time for which a daemon that was told to leave takes new requests: callers that
-# keep addresses longer than told still find it.
-_LEAVE_KEEP_S: Final = 3.0
-_LEAVE_MARGIN_S: Final = 0.2
 _LIST_INTERVAL_S: Final = 10.0
 _MAX_ADDRESSES: Final = 64
 _METRICS_PATH: Final = "/metrics"
@@ -164,7 +160,7 @@
             events,
             self._refuses_new,
         )
-        self.leaving = LeaveProcedure(_leave_times(settings))
+        self.leaving = LeaveProcedure(LeaveTimes.within(settings.grace_s))
         self.shutdown = Shutdown(
             self.leaving,
             self.path,
@@ -219,7 +215,7 @@
     def take_settings(self, settings: GatewaySettings) -> None:
         """Use changed bounds from now on; addresses stay as they were at the start."""
         self.settings = settings
-        self.leaving.times = _leave_times(settings)
+        self.leaving.times = LeaveTimes.within(settings.grace_s)
         self._share_limits()
 
     def addresses(self, query: AddressQuery) -> Sequence[str]:
@@ -325,10 +321,6 @@
         self.suspects.report_crash(life, [Fingerprint(note.fingerprint)], now)
 
 
-def _leave_times(settings: GatewaySettings) -> LeaveTimes:
-    return LeaveTimes.within(settings.grace_s, _LEAVE_KEEP_S, _LEAVE_MARGIN_S)
-
-
 def _peer_settings(settings: GatewaySettings) -> PeerSettings:
     return PeerSettings(
         bind=f"tcp://{settings.ip}:{settings.peer_ports[0]}",
--- a/packages/aspendrift-policy/src/aspendrift_policy/leaving.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/leaving.py
@@ -8,6 +8,10 @@
 
 __all__ = ["LeavePhase", "LeaveProcedure", "LeaveTimes"]
 
+# Callers keep addresses for two seconds. A request that is taken more than three after
+# the signal may not be cut at the end of the grace time, so none is.
+_KEEP_S: Final = 2.6
+_MARGIN_S: Final = 0.2
 # Share of the grace time in which a process ends what is open and exits. Callers
 # lose what ends earlier than it has to, and the platform allows a sixth.
 _EXIT_SHARE: Final = 0.1
@@ -41,9 +45,9 @@
     bound_s: float
 
     @classmethod
-    def within(cls, grace_s: float, keep_s: float, margin_s: float) -> LeaveTimes:
+    def within(cls, grace_s: float) -> LeaveTimes:
         """Return the times of a process that is killed ``grace_s`` after the signal."""
-        return cls(keep_s, margin_s, grace_s * (1 - _EXIT_SHARE))
+        return cls(_KEEP_S, _MARGIN_S, grace_s * (1 - _EXIT_SHARE))
 
 
 class LeaveProcedure:
--- a/packages/aspendrift-policy/tests/test_leaving.py
+++ b/packages/aspendrift-policy/tests/test_leaving.py
@@ -61,9 +61,16 @@
 def test_open_requests_go_on_until_the_last_sixth_of_the_grace_time(
     grace_s: float,
 ) -> None:
-    times = LeaveTimes.within(grace_s, 1.0, 0.2)
+    times = LeaveTimes.within(grace_s)
     assert grace_s * 5 / 6 <= times.bound_s < grace_s
     leave = LeaveProcedure(times)
     leave.announce(10.0)
     assert leave.step(1, 10.0 + grace_s * 5 / 6) is not LeavePhase.EXITED
     assert leave.step(1, 10.0 + grace_s * 0.95) is LeavePhase.EXITED
+
+
+def test_no_request_is_taken_three_seconds_after_the_signal() -> None:
+    leave = LeaveProcedure(LeaveTimes.within(8.0))
+    leave.announce(10.0)
+    assert leave.step(1, 12.0) is LeavePhase.ANNOUNCED
+    assert leave.step(1, 12.95) is LeavePhase.DRAINING
