--- a/tools/generate_events_page.py
+++ b/tools/generate_events_page.py
@@ -7,6 +7,8 @@
 from pathlib import Path
 from typing import Final, get_type_hints
 
+from generated_page import write_or_check
+
 from aspendrift_daemon.events import Event
 from aspendrift_daemon.membership import MemberChanged
 from aspendrift_daemon.peers import PeerMessageRejected
@@ -50,13 +52,7 @@
 
 def main() -> int:
     """Write the page, or with ``--check`` tell whether it is current."""
-    if "--check" not in sys.argv:
-        PAGE.write_text(page())
-        return 0
-    if PAGE.exists() and PAGE.read_text() == page():
-        return 0
-    print(f"{PAGE}: stale; run tools/generate_events_page.py", file=sys.stderr)
-    return 1
+    return write_or_check(PAGE, page(), "generate_events_page.py")
 
 
 if __name__ == "__main__":
--- a/tools/generate_index_page.py
+++ b/tools/generate_index_page.py
@@ -6,6 +6,8 @@
 from pathlib import Path
 from typing import Final
 
+from generated_page import write_or_check
+
 DOCS: Final = Path(__file__).resolve().parent.parent / "docs"
 PAGE: Final = DOCS / "index.md"
 HEAD: Final = """# aspendrift
@@ -43,13 +45,7 @@
 
 def main() -> int:
     """Write the page, or with ``--check`` tell whether it is current."""
-    if "--check" not in sys.argv:
-        PAGE.write_text(page())
-        return 0
-    if PAGE.exists() and PAGE.read_text() == page():
-        return 0
-    print(f"{PAGE}: stale; run tools/generate_index_page.py", file=sys.stderr)
-    return 1
+    return write_or_check(PAGE, page(), "generate_index_page.py")
 
 
 if __name__ == "__main__":
--- a/tools/generate_outcomes_page.py
+++ b/tools/generate_outcomes_page.py
@@ -6,6 +6,8 @@
 from pathlib import Path
 from typing import Final
 
+from generated_page import write_or_check
+
 from aspendrift_model.outcomes import REFUSAL_RULES
 from aspendrift_model.states import CallerAction
 
@@ -48,13 +50,7 @@
 
 def main() -> int:
     """Write the page, or with ``--check`` tell whether it is current."""
-    if "--check" not in sys.argv:
-        PAGE.write_text(page())
-        return 0
-    if PAGE.exists() and PAGE.read_text() == page():
-        return 0
-    print(f"{PAGE}: stale; run tools/generate_outcomes_page.py", file=sys.stderr)
-    return 1
+    return write_or_check(PAGE, page(), "generate_outcomes_page.py")
 
 
 if __name__ == "__main__":
--- a/tools/generate_settings_page.py
+++ b/tools/generate_settings_page.py
@@ -7,6 +7,8 @@
 from pathlib import Path
 from typing import Final
 
+from generated_page import write_or_check
+
 from aspendrift_model.settings import DaemonSettings
 from aspendrift_model.settings_base import SettingInfo, list_settings
 
@@ -45,13 +47,7 @@
 
 def main() -> int:
     """Write the page, or with ``--check`` tell whether it is current."""
-    if "--check" not in sys.argv:
-        PAGE.write_text(page())
-        return 0
-    if PAGE.exists() and PAGE.read_text() == page():
-        return 0
-    print(f"{PAGE}: stale; run tools/generate_settings_page.py", file=sys.stderr)
-    return 1
+    return write_or_check(PAGE, page(), "generate_settings_page.py")
 
 
 if __name__ == "__main__":
