--- a/packages/aspendrift-daemon/src/aspendrift_daemon/peers.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/peers.py
@@ -12,13 +12,12 @@
 from dataclasses import dataclass, replace
 from enum import Enum
 from pathlib import Path
-from typing import ClassVar, Final, Protocol
+from typing import TYPE_CHECKING, ClassVar, Final, Protocol
 from urllib.parse import urlsplit
 
 import msgspec
 import zmq
 import zmq.asyncio
-import zmq.auth.asyncio
 
 from aspendrift_daemon.events import Event, EventHub
 from aspendrift_daemon.interfaces import Clock, MessageHandler, Topic
@@ -31,6 +30,9 @@
 from aspendrift_policy.gossip_push import SeenMessages, push_peers
 from aspendrift_policy.membership import Member, MemberView
 
+if TYPE_CHECKING:
+    from zmq.auth.asyncio import AsyncioAuthenticator
+
 __all__ = [
     "LinkCounters",
     "LinkDirection",
@@ -148,7 +150,7 @@
         self._secret_key = b""
         self._context: zmq.asyncio.Context | None = None
         self._receive_task: asyncio.Task[None] | None = None
-        self._authenticator: zmq.auth.asyncio.AsyncioAuthenticator | None = None
+        self._authenticator: AsyncioAuthenticator | None = None
         self._in: zmq.asyncio.Socket | None = None
         self._cached_members: tuple[Member, ...] = ()
         self._hosts: Sequence[tuple[Host, MemberState]] = ()
@@ -341,7 +343,10 @@
             self._secret_key = text.strip().encode()
 
     def _authenticate(self, socket: zmq.asyncio.Socket) -> None:
-        authenticator = zmq.auth.asyncio.AsyncioAuthenticator(self._context)
+        # Imported here since most links are not encrypted and a start should be short.
+        from zmq.auth.asyncio import AsyncioAuthenticator
+
+        authenticator = AsyncioAuthenticator(self._context)
         authenticator.start()
         allowed = _AllowedKeys(self._settings.allowed_keys)
         authenticator.configure_curve_callback("*", allowed)
