--- a/packages/aspendrift-daemon/src/aspendrift_daemon/clock.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/clock.py
@@ -4,7 +4,7 @@
 
 import time
 
-__all__ = ["SystemClock"]
+__all__ = ["SystemClock", "suspended_s"]
 
 
 class SystemClock:
@@ -17,3 +17,8 @@
     def unix(self) -> float:
         """Return seconds since the epoch; for timestamps, never for decisions."""
         return time.time()
+
+
+def suspended_s() -> float:
+    """Return for how long the host has been suspended since its boot, in seconds."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/membership.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/membership.py
@@ -180,8 +180,13 @@
             hosts = await self._listing.hosts()
             if not isinstance(hosts, StoreUnavailable):
                 self._host_list.update(hosts, self._view, self._clock.monotonic())
-            delay_s = self._settings.list_interval_s * self._rng.uniform(0.75, 1.25)
-            await asyncio.sleep(delay_s)
+            await asyncio.sleep(self._list_interval_s() * self._rng.uniform(0.75, 1.25))
+
+    def _list_interval_s(self) -> float:
+        """Return the interval that keeps all daemons within the rate of list reads."""
+        settings = self._settings
+        n_live = sum(each.state is MemberState.LIVE for each in self._view.members())
+        return max(settings.list_interval_s, n_live / settings.list_reads_per_s)
 
     def _act(self, action: ProbeAction, now: float) -> None:
         if isinstance(action, ProbeMember):
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
@@ -28,6 +28,7 @@
     "StageFreeFailed",
     "StageJobEnded",
     "StageJobSent",
+    "StateSourceChanged",
     "TargetChanged",
 ]
 
@@ -92,6 +93,23 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class StateSourceChanged(Event):
+    """The source of configuration and targets changed: the store or a peer.
+
+    ``peer_id`` is the daemon that is queried next. Ages are those of the state held;
+    None if it was never confirmed.
+    """
+
+    name: ClassVar[str] = "state_source_changed"
+    source: str
+    peer_id: str
+    reason: str
+    configuration_version: int
+    configuration_age_s: float | None
+    targets_age_s: float | None
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigurationApplied(Event):
     """A newer configuration is in force; ``source`` tells where it came from."""
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -8,7 +8,7 @@
 from collections.abc import Sequence
 from typing import Any, Final, Protocol
 
-from aspendrift_daemon.clock import SystemClock
+from aspendrift_daemon.clock import SystemClock, suspended_s
 from aspendrift_daemon.events import EventHub
 from aspendrift_daemon.interfaces import Clock
 from aspendrift_daemon.membership import MembershipManager
@@ -106,22 +106,31 @@
         peers = _peer_settings(settings)
         self.link = PeerLink(peers, self._host(), self.clock, events, rng)
         self.suspects = SuspectTracker(PoisonLimits())
-        self.peer_state = PeerState(
-            self.link, self.state, self.clock, rng, self.is_ready, self._on_crash_report
-        )
-        self.rows = MemberRows(self.store, events, rng)
-        self.membership = MembershipManager(
-            self.link, self.rows, peers, self.clock, events, rng, self.peer_state
-        )
         self.reader = StoreReader(
             self.store,
             self.state,
             lambda: self.settings,
-            lambda: max(1, len(self.link.members())),
+            lambda: self.peer_state.n_readers(),
             self.clock,
             events,
             rng,
         )
+        self.peer_state = PeerState(
+            self.link,
+            self.state,
+            self.reader,
+            lambda: self.settings,
+            self.clock,
+            events,
+            rng,
+            suspended_s,
+            self.is_ready,
+            self._on_crash_report,
+        )
+        self.rows = MemberRows(self.store, events, rng)
+        self.membership = MembershipManager(
+            self.link, self.rows, peers, self.clock, events, rng, self.peer_state
+        )
         policies = POLICIES_BY_KIND[settings.policies]
         self.admission = policies.admission(rng)
         self.dispatcher = StageDispatcher(
@@ -166,6 +175,7 @@
             self.clock,
             events,
             self._refuses_new,
+            lambda: self.settings.configuration_s,
         )
         self.leaving = LeaveProcedure(LeaveTimes.within(settings.grace_s))
         self.shutdown = Shutdown(
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/interfaces.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/interfaces.py
@@ -14,6 +14,7 @@
 from aspendrift_model.opaque_requests import Headers, OpaqueRequest
 from aspendrift_model.pieces import Handle, PieceOutcome, PieceWork
 from aspendrift_model.routes import RoutingConfiguration
+from aspendrift_model.store_rows import StoreRow
 from aspendrift_model.target_entries import TargetEntry, UnreadableEntry
 
 __all__ = [
@@ -25,7 +26,6 @@
     "ForwardMetadata",
     "HttpCall",
     "LoadReport",
-    "MemberRecord",
     "PlatformCodec",
     "StoreCodec",
     "StoreRow",
@@ -173,15 +173,6 @@
 # The store.
 
 
-@dataclass(frozen=True, slots=True)
-class StoreRow:
-    """One row; ``value`` is None for a row that was removed."""
-
-    key: str
-    version: int
-    value: bytes | None
-
-
 @dataclass(frozen=True, slots=True)
 class StoreRows:
     """Rows as of one point in time, and the store's newest version then."""
@@ -191,19 +182,6 @@
     is_truncated: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class MemberRecord:
-    """Record with which a daemon announces itself to the others."""
-
-    daemon_id: str
-    incarnation: int
-    url: str
-    peer_endpoint: str
-    zone: str
-    region: str
-    peer_key: str = ""
-
-
 class StoreCodec(Protocol):
     """Encodes calls to the platform's store and decodes their answers."""
 
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/peer_state.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/peer_state.py
@@ -1,53 +1,95 @@
 """Shares the state read from the store among daemons.
 
-A daemon that can't read the store pulls the state from a peer that can, so that
-operators' changes and leaving targets are known everywhere as long as one daemon
-reads them.
+A few daemons follow the store. The others query one of them at short intervals, and
+are sent changes at once. Whether a daemon follows, and whom it queries, is decided in
+`aspendrift_policy.state_sources`.
 """
 
 from __future__ import annotations
 
 import asyncio
 import random
-from collections.abc import Callable
-from typing import Final
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from typing import Any, Final
 
 import msgspec
 
+from aspendrift_daemon.events import EventHub
 from aspendrift_daemon.interfaces import Clock
 from aspendrift_daemon.peers import PeerLink
+from aspendrift_gateway.events import StateSourceChanged
+from aspendrift_gateway.settings import GatewaySettings
+from aspendrift_gateway.store_reader import (
+    StoreReader,
+    long_poll_s,
+    targets_interval_s,
+)
 from aspendrift_gateway.system_state import SystemState
 from aspendrift_model.decode_errors import DECODE_ERRORS
 from aspendrift_model.ids import DaemonId
 from aspendrift_model.states import MemberState
+from aspendrift_model.store_rows import StoreRow
 from aspendrift_model.wire_peer import RevisionDigest
 from aspendrift_model.wire_work import (
     CrashReport,
     StateMessage,
-    StatePull,
-    StateSnapshot,
+    StateQuery,
+    StateUpdate,
+)
+from aspendrift_policy.state_sources import (
+    QuerySource,
+    SourceStep,
+    SourceTimes,
+    StateFollower,
+    readers_in_order,
 )
+from aspendrift_policy.target_registry import RegistryChange
 
 __all__ = ["STATE_TOPIC", "PeerState"]
 
 STATE_TOPIC: Final = "g"
 
 _MS_PER_S: Final = 1000.0
-_CHECK_INTERVAL_S: Final = 0.25
-# The store is read every second; state that is older than this is stale.
-_STALE_AFTER_S: Final = 1.4
-# Minimum interval between pulls; short, so that a lost answer is pulled again soon.
+_CHECK_INTERVAL_S: Final = 0.1
+# As long as a probe of the failure detector waits.
+_ANSWER_TIMEOUT_S: Final = 0.4
+# Interval between direct reads while the store rejects them.
+_STORE_RETRY_S: Final = 2.0
+# Margin for the call to the store in the age of a reader's state.
+_READ_MARGIN_S: Final = 0.2
+# Changes are sent without a query for this number of query intervals after the last
+# query.
+_SUBSCRIPTION_INTERVALS: Final = 3.0
+# Minimum interval between queries for a newer configuration seen in a digest.
 _MIN_PULL_INTERVAL_S: Final = 0.4
+# A longer suspension of the host makes the age of its state unknown.
+_MAX_SUSPENSION_S: Final = 0.2
 _UNKNOWN_AGE_MS: Final = 1 << 30
+_NEVER: Final = float("-inf")
+
+
+@dataclass(slots=True)
+class _Subscriber:
+    """A daemon that queries this one, and the versions that it was last sent."""
+
+    asked_at: float
+    configuration_version: int
+    targets_version: int
 
 
 class PeerState:
-    """Pulls missing state from peers and answers their pulls.
+    """Keeps the state current through the store or a peer, and answers peers.
 
     Provides the digest that membership probes carry.
 
     Parameters
     ----------
+    settings : callable
+        Returns the settings in force.
+    suspended_s : callable
+        Returns the total time for which the host has been suspended, in seconds; the
+        monotonic clock does not count it.
     is_ready : callable
         Returns whether this daemon accepts requests.
     on_crash : callable
@@ -58,37 +100,56 @@
         self,
         link: PeerLink,
         state: SystemState,
+        reader: StoreReader,
+        settings: Callable[[], GatewaySettings],
         clock: Clock,
+        events: EventHub,
         rng: random.Random,
+        suspended_s: Callable[[], float],
         is_ready: Callable[[], bool],
         on_crash: Callable[[CrashReport], None],
     ) -> None:
         self._link = link
         self._state = state
+        self._reader = reader
+        self._settings = settings
         self._clock = clock
+        self._events = events
         self._rng = rng
+        self._suspended_s = suspended_s
         self._is_ready = is_ready
         self._on_crash = on_crash
-        self._pulled_at = float("-inf")
+        self._follower = StateFollower()
+        self._known_members: object = None
+        self._is_reader = True
+        self._known_suspended_s = suspended_s()
+        self._pulled_at = _NEVER
+        self._subscribers_by_id: dict[DaemonId, _Subscriber] = {}
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(StateMessage)
-        self._task: asyncio.Task[None] | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
         link.subscribe(STATE_TOPIC, self._on_message)
+        state.on_change(self._on_state_change)
 
     async def start(self) -> None:
-        """Start the task that pulls from peers while the state is stale."""
-        self._task = asyncio.create_task(self._pull_forever())
+        """Start the task that keeps the state current."""
+        self._run(self._check_forever())
 
     async def stop(self) -> None:
-        """Stop pulling."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        """Stop it."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     def broadcast_crash(self, report: CrashReport) -> None:
         """Notify every daemon that a target broke while it ran a request."""
         self._link.broadcast(STATE_TOPIC, self._encoder.encode(report))
 
+    def n_readers(self) -> int:
+        """Return the number of daemons that follow the store."""
+        return max(1, len(readers_in_order(self._live_ids())))
+
     # State that membership probes carry.
 
     def digest(self, now: float, is_answer: bool) -> RevisionDigest:
@@ -102,7 +163,7 @@
         )
 
     def needs_refresh(self, now: float) -> bool:
-        """Return False: pulls are separate messages and need no extra probes."""
+        """Return False: queries are separate messages and need no extra probes."""
         return False
 
     def apply_digest(
@@ -113,37 +174,116 @@
         views_agree: bool,
         now: float,
     ) -> None:
-        """Pull from a peer that holds a newer configuration."""
-        if digest.revision > self._state.configuration_version:
-            self._pull(daemon_id, now)
+        """Query a peer that holds a newer configuration."""
+        is_newer = digest.revision > self._state.configuration_version
+        if is_newer and now - self._pulled_at >= _MIN_PULL_INTERVAL_S:
+            self._pulled_at = now
+            self._send_query(daemon_id, 0)
 
     def is_serving(self, now: float) -> bool:
         """Return whether this daemon accepts requests."""
         return self._is_ready()
 
-    async def _pull_forever(self) -> None:
+    # The own state.
+
+    def step(self, now: float) -> None:
+        """Perform what is due; called by the task and by tests."""
+        self._check_suspension()
+        self._update_role()
+        if self._reader.is_following and not self._is_stale(now):
+            return
+        self._perform(self._follower.steps(now, self._times()), now)
+
+    async def _check_forever(self) -> None:
         while True:
-            await asyncio.sleep(_CHECK_INTERVAL_S)
-            now = self._clock.monotonic()
-            if now - self._state.confirmed_at() > _STALE_AFTER_S:
-                self._pull_from_any(now)
+            self.step(self._clock.monotonic())
+            await asyncio.sleep(_CHECK_INTERVAL_S * self._rng.uniform(0.9, 1.1))
+
+    def _update_role(self) -> None:
+        """Follow the store if this daemon is a reader or knows no state yet."""
+        members = self._link.members()
+        if members is not self._known_members:
+            self._known_members = members
+            live_ids = self._live_ids()
+            own_id = self._link.host.daemon_id
+            self._is_reader = own_id in readers_in_order(live_ids)
+            self._follower.set_members(own_id, live_ids)
+        is_wanted = self._is_reader or not self._state.is_complete
+        if is_wanted != self._reader.is_following:
+            self._reader.follow(is_wanted)
+            self._report("store" if is_wanted else "peer", "readers changed")
 
-    def _pull_from_any(self, now: float) -> None:
-        peers = [
+    def _live_ids(self) -> list[DaemonId]:
+        return [
             host.daemon_id
             for host, state in self._link.members()
-            if state is MemberState.LIVE and host.daemon_id != self._link.host.daemon_id
+            if state is MemberState.LIVE
         ]
-        if peers:
-            self._pull(self._rng.choice(peers), now)
 
-    def _pull(self, daemon_id: DaemonId, now: float) -> None:
-        if now - self._pulled_at < _MIN_PULL_INTERVAL_S:
-            return
-        self._pulled_at = now
+    def _times(self) -> SourceTimes:
+        settings = self._settings()
+        interval_s = targets_interval_s(settings)
+        return SourceTimes(
+            interval_s,
+            _ANSWER_TIMEOUT_S,
+            _STORE_RETRY_S,
+            long_poll_s(settings) + _READ_MARGIN_S,
+            interval_s + _READ_MARGIN_S,
+        )
+
+    def _is_stale(self, now: float) -> bool:
+        times = self._times()
+        state = self._state
+        return (
+            now - state.configuration_confirmed_at > times.max_configuration_age_s
+            or now - state.targets_confirmed_at > times.max_targets_age_s
+        )
+
+    def _perform(self, steps: list[SourceStep], now: float) -> None:
+        for step in steps:
+            if isinstance(step, QuerySource):
+                self._send_query(step.daemon_id, step.number)
+                continue
+            if step.failure is not None:
+                self._report("peer", f"{step.source_id} {step.failure.value}")
+            if not self._reader.is_following:
+                self._run(self._read_store())
+
+    async def _read_store(self) -> None:
+        if not await self._reader.read_once():
+            self._follower.query_now()
+
+    def _check_suspension(self) -> None:
+        """Treat the state as unconfirmed after a suspension of the host."""
+        suspended_s = self._suspended_s()
+        if suspended_s - self._known_suspended_s > _MAX_SUSPENSION_S:
+            self._state.configuration_confirmed_at = _NEVER
+            self._state.targets_confirmed_at = _NEVER
+            self._follower.query_now()
+        self._known_suspended_s = suspended_s
+
+    def _report(self, source: str, reason: str) -> None:
+        now = self._clock.monotonic()
         state = self._state
-        message = StatePull(state.configuration_version, state.targets_version)
-        self._send(daemon_id, message)
+        self._events.emit(
+            StateSourceChanged(
+                source,
+                self._follower.source_id or "",
+                reason,
+                state.configuration_version,
+                _known_age_s(state.configuration_confirmed_at, now),
+                _known_age_s(state.targets_confirmed_at, now),
+            )
+        )
+
+    # Messages.
+
+    def _send_query(self, daemon_id: DaemonId, number: int) -> None:
+        state = self._state
+        query = StateQuery(
+            number, state.configuration_version, state.targets_version, number > 0
+        )
+        self._send(daemon_id, query)
 
     def _send(self, daemon_id: DaemonId, message: StateMessage) -> None:
         self._link.send(daemon_id, STATE_TOPIC, self._encoder.encode(message))
@@ -154,39 +294,109 @@
         except DECODE_ERRORS:
             return
         now = self._clock.monotonic()
-        if isinstance(message, StatePull):
-            self._send(origin, self._snapshot(message, now))
-        elif isinstance(message, StateSnapshot):
-            self._apply(message, now)
+        if isinstance(message, StateQuery):
+            self._on_query(origin, message, now)
+        elif isinstance(message, StateUpdate):
+            self._on_update(origin, message, now)
         else:
             self._on_crash(message)
 
-    def _snapshot(self, pull: StatePull, now: float) -> StateSnapshot:
+    def _on_query(self, origin: DaemonId, query: StateQuery, now: float) -> None:
+        self._check_suspension()
+        subscriber = _Subscriber(
+            now, query.configuration_version, query.targets_version
+        )
+        self._send_update(origin, subscriber, query.number, now)
+        if query.subscribes:
+            self._subscribers_by_id[origin] = subscriber
+
+    def _on_state_change(self, changes: list[RegistryChange]) -> None:
+        """Send a change to the daemons that queried this one lately."""
+        now = self._clock.monotonic()
+        kept_s = targets_interval_s(self._settings()) * _SUBSCRIPTION_INTERVALS
+        for daemon_id, subscriber in list(self._subscribers_by_id.items()):
+            if now - subscriber.asked_at > kept_s:
+                del self._subscribers_by_id[daemon_id]
+            else:
+                self._send_update(daemon_id, subscriber, 0, now)
+
+    def _send_update(
+        self, daemon_id: DaemonId, recipient: _Subscriber, number: int, now: float
+    ) -> None:
+        """Send what a daemon lacks, and record that it has it."""
         state = self._state
-        is_newer = state.configuration_version > pull.configuration_version
-        has_targets = state.targets_version > pull.targets_version
-        return StateSnapshot(
+        is_newer = state.configuration_version > recipient.configuration_version
+        changes = state.target_changes(recipient.targets_version)
+        update = StateUpdate(
+            number,
             state.configuration_version,
             _age_ms(state.configuration_confirmed_at, now),
             state.configuration_value if is_newer else b"",
             state.targets_version,
             _age_ms(state.targets_confirmed_at, now),
-            tuple(state.target_values_by_key.items()) if has_targets else (),
+            changes.after,
+            tuple((row.key, row.version, row.value) for row in changes.rows),
         )
+        self._send(daemon_id, update)
+        if is_newer:
+            recipient.configuration_version = state.configuration_version
+        recipient.targets_version = max(
+            recipient.targets_version, state.targets_version
+        )
+
+    def _on_update(self, origin: DaemonId, update: StateUpdate, now: float) -> None:
+        self._apply_targets(update, now)
+        if update.configuration:
+            self._state.apply_configuration(update.configuration, f"peer {origin}")
+        asked_at, steps = self._follower.answered(
+            update.number,
+            update.configuration_age_ms / _MS_PER_S,
+            update.targets_age_ms / _MS_PER_S,
+            now,
+            self._times(),
+        )
+        if asked_at is not None:
+            self._confirm(update, asked_at, now)
+        self._perform(steps, now)
+
+    def _apply_targets(self, update: StateUpdate, now: float) -> None:
+        state = self._state
+        rows = [StoreRow(*row) for row in update.targets]
+        if not rows or update.targets_version <= state.targets_version:
+            return
+        if update.targets_after < 0:
+            present = [(row.key, row.value) for row in rows if row.value is not None]
+            state.replace_targets(present, update.targets_version, now)
+        elif update.targets_after <= state.targets_version:
+            state.update_targets(rows, update.targets_version, now)
+        else:
+            # An earlier change was lost on its way.
+            self._follower.query_now()
 
-    def _apply(self, snapshot: StateSnapshot, now: float) -> None:
+    def _confirm(self, update: StateUpdate, asked_at: float, now: float) -> None:
+        """Record as of when the state is known to be current."""
         state = self._state
-        if snapshot.configuration:
-            state.apply_configuration(snapshot.configuration, "peer")
-        if snapshot.configuration_version == state.configuration_version >= 0:
-            at = now - snapshot.configuration_age_ms / _MS_PER_S
+        if update.configuration_version == state.configuration_version >= 0:
+            at = asked_at - update.configuration_age_ms / _MS_PER_S
             state.configuration_confirmed_at = max(state.configuration_confirmed_at, at)
-        if snapshot.targets and snapshot.targets_version > state.targets_version:
-            state.replace_targets(snapshot.targets, snapshot.targets_version, now)
-        if snapshot.targets_version == state.targets_version >= 0:
-            at = now - snapshot.targets_age_ms / _MS_PER_S
+        age_s = update.targets_age_ms / _MS_PER_S
+        is_unchanged = not update.targets and update.targets_after >= 0
+        if is_unchanged and age_s <= self._times().max_targets_age_s:
+            # The registry tells an outage by the time without such updates.
+            state.update_targets((), update.targets_version, now)
+        if update.targets_version == state.targets_version >= 0:
+            at = asked_at - age_s
             state.targets_confirmed_at = max(state.targets_confirmed_at, at)
 
+    def _run(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
 
 def _age_ms(at: float, now: float) -> int:
     return int(min((now - at) * _MS_PER_S, _UNKNOWN_AGE_MS))
+
+
+def _known_age_s(at: float, now: float) -> float | None:
+    return None if at == _NEVER else now - at
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
@@ -44,9 +44,6 @@
 
 # Time in which a daemon that just started, or whose state is stale, becomes current.
 _SHORT_RETRY_AFTER_S: Final = 0.3
-# An unknown route or key is denied only if the configuration was confirmed within
-# this time.
-_MAX_DENIAL_STATE_AGE_S: Final = 2.0
 # Time reserved for sending a refusal before the caller times out.
 _ANSWER_MARGIN_S: Final = 0.03
 _POISON_RETRY_AFTER_S: Final = 60.0
@@ -105,6 +102,9 @@
         Contents suspected of crashing targets.
     refuses_new : callable
         Returns why a new request is refused, or None.
+    max_denial_age_s : callable
+        Returns the age of the configuration up to which an unknown route or key is
+        denied: the time in which a new configuration must be in force.
     """
 
     def __init__(
@@ -118,6 +118,7 @@
         clock: Clock,
         events: EventHub,
         refuses_new: Callable[[OpaqueRequest, float], Refusal | None],
+        max_denial_age_s: Callable[[], float],
     ) -> None:
         self._state = state
         self._stages = stages
@@ -128,6 +129,7 @@
         self._clock = clock
         self._events = events
         self._refuses_new = refuses_new
+        self._max_denial_age_s = max_denial_age_s
         self._ages = RequestAges()
         self._open: dict[int, _OpenRequest] = {}
         self._sequence = 0
@@ -333,7 +335,8 @@
 
     def _deny(self, reason: RefusalReason, now: float) -> Refusal:
         """Deny an unknown route or key, unless a newer configuration may contain it."""
-        if now - self._state.configuration_confirmed_at > _MAX_DENIAL_STATE_AGE_S:
+        age_s = now - self._state.configuration_confirmed_at
+        if age_s > self._max_denial_age_s():
             return Refusal(RefusalReason.ISOLATED, reason.value, _SHORT_RETRY_AFTER_S)
         return Refusal(reason)
 
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/settings.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/settings.py
@@ -36,6 +36,8 @@
         Reads per second that the store accepts from all daemons together.
     drain_s : float
         Time from the start of a target's draining to its last new request.
+    configuration_s : float
+        Time in which an accepted configuration must be in force at each daemon.
     grace_s : float
         Time from SIGTERM to SIGKILL.
     address_keep_s : float
@@ -56,6 +58,7 @@
     store_address: str
     store_reads_per_s: float
     drain_s: float
+    configuration_s: float
     grace_s: float
     address_keep_s: float
     retry_share: float
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/store_reader.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/store_reader.py
@@ -15,13 +15,17 @@
 from aspendrift_gateway.store_client import HistoryGone, StoreClient, StoreFailure
 from aspendrift_gateway.system_state import SystemState
 
-__all__ = ["DependencyWatch", "StoreReader"]
+__all__ = ["DependencyWatch", "StoreReader", "long_poll_s", "targets_interval_s"]
 
-# Long-poll time of the configuration feed, which answers at once on a change. A dead
+# Long-poll time of the configuration feed, which answers at once on a change: a share
+# of the time within which a configuration must be in force, at most this. A dead
 # connection is detected after this time plus the timeout of the call.
-_CONFIGURATION_LONG_POLL_S: Final = 2.0
-# Entries change constantly, so their feed is polled at an interval: half of the time
-# within which a draining target must be known, at most this.
+_LONG_POLL_SHARE: Final = 0.5
+_MAX_LONG_POLL_S: Final = 2.0
+# Entries change constantly, so their feed is polled at an interval: a share of the time
+# within which a draining target must be known, at most this. The other shares are for
+# the daemons that follow a reader, and for replacing one.
+_TARGETS_INTERVAL_SHARE: Final = 0.25
 _MAX_TARGETS_INTERVAL_S: Final = 1.0
 # Share of the store's reads for the feed of targets; the rest is for the other tables
 # and for full reads after an outage.
@@ -55,15 +59,27 @@
             self._events.emit(DependencyChanged(self._dependency, False, ""))
 
 
+def long_poll_s(settings: GatewaySettings) -> float:
+    """Return the time that one call of the configuration feed waits for a change."""
+    return min(_MAX_LONG_POLL_S, settings.configuration_s * _LONG_POLL_SHARE)
+
+
+def targets_interval_s(settings: GatewaySettings) -> float:
+    """Return the interval between reads of the targets."""
+    return min(_MAX_TARGETS_INTERVAL_S, settings.drain_s * _TARGETS_INTERVAL_SHARE)
+
+
 class StoreReader:
-    """Follows the operators' configuration and the list of targets.
+    """Reads the operators' configuration and the list of targets.
+
+    It follows both while this is asked of it; otherwise it reads them on request.
 
     Parameters
     ----------
     settings : callable
         Returns the settings in force.
-    n_daemons : callable
-        Returns the number of daemons in view.
+    n_readers : callable
+        Returns the number of daemons that follow the store.
     """
 
     def __init__(
@@ -71,7 +87,7 @@
         store: StoreClient,
         state: SystemState,
         settings: Callable[[], GatewaySettings],
-        n_daemons: Callable[[], int],
+        n_readers: Callable[[], int],
         clock: Clock,
         events: EventHub,
         rng: random.Random,
@@ -79,15 +95,36 @@
         self._store = store
         self._state = state
         self._settings = settings
-        self._n_daemons = n_daemons
+        self._n_readers = n_readers
         self._clock = clock
         self._rng = rng
         self._configuration = DependencyWatch(Dependency.STORE_CONFIGURATION, events)
         self._targets = DependencyWatch(Dependency.STORE_TARGETS, events)
         self._feed_version = -1
         self._changed_at = float("-inf")
+        self._following = asyncio.Event()
+        self._following.set()
         self._tasks: list[asyncio.Task[None]] = []
 
+    @property
+    def is_following(self) -> bool:
+        """Whether the tables are followed."""
+        return self._following.is_set()
+
+    def follow(self, is_wanted: bool) -> None:
+        """Start or stop following both tables."""
+        if is_wanted and not self.is_following:
+            self._changed_at = self._clock.monotonic()
+            self._following.set()
+        elif not is_wanted:
+            self._following.clear()
+
+    async def read_once(self) -> bool:
+        """Read what changed in both tables; return whether the store answered."""
+        if not await self._update_configuration(0.0):
+            return False
+        return await self._update_targets(is_checked=False)
+
     async def start(self) -> None:
         """Start reading both tables."""
         self._run(self._follow(self._read_configuration))
@@ -104,58 +141,71 @@
 
     async def _follow(self, step: Callable[[], Awaitable[float]]) -> None:
         while True:
+            await self._following.wait()
             delay_s = await step()
             await asyncio.sleep(delay_s * self._rng.uniform(0.9, 1.1))
 
     async def _read_configuration(self) -> float:
-        """Read the configuration once; return the delay before the next read."""
+        """Wait for a change of the configuration; return the delay before the next."""
+        if not await self._update_configuration(long_poll_s(self._settings())):
+            return _RETRY_DELAY_S
+        return _RETRY_DELAY_S if self._state.table is None else 0.0
+
+    async def _read_targets(self) -> float:
+        """Read the targets; return the delay before the next read."""
+        started_at = self._clock.monotonic()
+        if not await self._update_targets(is_checked=True):
+            return _RETRY_DELAY_S
+        return max(0.0, self._interval_s() - (self._clock.monotonic() - started_at))
+
+    async def _update_configuration(self, wait_s: float) -> bool:
+        """Read the configuration; return whether the store answered."""
         codec = self._store.codec
         table = codec.configuration_table
-        if self._feed_version < 0:
-            result = await self._store.read_key(table, codec.configuration_key)
-        else:
-            result = await self._store.feed(
-                table, self._feed_version, _CONFIGURATION_LONG_POLL_S
-            )
+        result: StoreRows | HistoryGone | StoreFailure = HistoryGone()
+        requested_at = self._clock.monotonic()
+        if self._feed_version >= 0:
+            result = await self._store.feed(table, self._feed_version, wait_s)
         if isinstance(result, HistoryGone):
-            self._feed_version = -1
-            return 0.0
-        if isinstance(result, StoreFailure):
-            self._configuration.failed(result.detail)
-            return _RETRY_DELAY_S
+            requested_at = self._clock.monotonic()
+            result = await self._store.read_key(table, codec.configuration_key)
+        if not isinstance(result, StoreRows):
+            detail = getattr(result, "detail", "history gone")
+            self._configuration.failed(detail)
+            return False
         self._configuration.succeeded()
-        self._apply_configuration(result)
-        if self._state.table is None:
-            return _RETRY_DELAY_S
-        self._feed_version = result.version
-        return 0.0
-
-    def _apply_configuration(self, result: StoreRows) -> None:
         for row in result.rows:
-            if row.key == self._store.codec.configuration_key and row.value is not None:
+            if row.key == codec.configuration_key and row.value is not None:
                 self._state.apply_configuration(row.value, "store")
-        self._state.configuration_confirmed_at = self._clock.monotonic()
+        # A long poll returns what was current at its answer.
+        read_at = self._clock.monotonic() if wait_s > 0 else requested_at
+        state = self._state
+        state.configuration_confirmed_at = max(
+            state.configuration_confirmed_at, read_at
+        )
+        self._feed_version = result.version if self._state.table is not None else -1
+        return True
 
-    async def _read_targets(self) -> float:
-        """Read the list of targets once; return the delay before the next read."""
+    async def _update_targets(self, is_checked: bool) -> bool:
+        """Read the targets; return whether the store answered.
+
+        If the list is followed, ``is_checked`` verifies a feed without changes by
+        reading the complete list.
+        """
         state = self._state
         table = self._store.codec.targets_table
         requested_at = self._clock.monotonic()
-        if (
-            state.targets_version < 0
-            or requested_at - self._changed_at > _FULL_READ_AFTER_S
-        ):
-            result = await self._store.read_table(table)
-            is_full_read = True
-        else:
+        is_suspect = is_checked and requested_at - self._changed_at > _FULL_READ_AFTER_S
+        result: StoreRows | HistoryGone | StoreFailure = HistoryGone()
+        if state.targets_version >= 0 and not is_suspect:
             result = await self._store.feed(table, state.targets_version, 0.0)
-            is_full_read = False
-        if isinstance(result, HistoryGone):
-            self._changed_at = float("-inf")
-            return 0.0
-        if isinstance(result, StoreFailure):
-            self._targets.failed(result.detail)
-            return _RETRY_DELAY_S
+        is_full_read = isinstance(result, HistoryGone)
+        if is_full_read:
+            requested_at = self._clock.monotonic()
+            result = await self._store.read_table(table)
+        if not isinstance(result, StoreRows):
+            self._targets.failed(getattr(result, "detail", "history gone"))
+            return False
         self._targets.succeeded()
         now = self._clock.monotonic()
         if is_full_read:
@@ -169,18 +219,17 @@
             state.update_targets(result.rows, result.version, now)
         if result.rows or is_full_read:
             self._changed_at = now
-        state.targets_confirmed_at = requested_at
-        return max(0.0, self._targets_interval_s() - (now - requested_at))
+        state.targets_confirmed_at = max(state.targets_confirmed_at, requested_at)
+        return True
 
-    def _targets_interval_s(self) -> float:
+    def _interval_s(self) -> float:
         """Return the interval between reads of the targets.
 
-        It keeps the daemons together within the store's rate limit; beyond it, the
+        It keeps the readers together within the store's rate limit; beyond it, the
         store would reject reads of every daemon at times.
         """
         settings = self._settings()
         share_per_s = (
-            settings.store_reads_per_s * _TARGETS_READS_SHARE / self._n_daemons()
+            settings.store_reads_per_s * _TARGETS_READS_SHARE / self._n_readers()
         )
-        desired_s = min(_MAX_TARGETS_INTERVAL_S, settings.drain_s / 2)
-        return max(desired_s, 1 / share_per_s)
+        return max(targets_interval_s(settings), 1 / share_per_s)
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/system_state.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/system_state.py
@@ -15,12 +15,11 @@
     ConfigurationRejected,
     TargetChanged,
 )
-from aspendrift_gateway.interfaces import (
-    ConfigurationUnreadable,
-    PlatformCodec,
-    StoreRow,
-)
+from aspendrift_gateway.interfaces import ConfigurationUnreadable, PlatformCodec
 from aspendrift_model.ids import TargetId, ZoneName
+from aspendrift_model.store_rows import StoreRow
+from aspendrift_model.target_entries import TargetEntry, UnreadableEntry
+from aspendrift_policy.change_log import ChangeLog, Changes
 from aspendrift_policy.route_table import RouteTable
 from aspendrift_policy.target_registry import (
     RegistryChange,
@@ -49,7 +48,8 @@
         self.configuration_value = b""
         self.configuration_confirmed_at = _NEVER
         self.registry = TargetRegistry()
-        self.target_values_by_key: dict[str, bytes] = {}
+        self._targets = ChangeLog()
+        self._entry_by_key: dict[str, TargetEntry | UnreadableEntry] = {}
         self.targets_version = -1
         self.targets_confirmed_at = _NEVER
 
@@ -98,38 +98,58 @@
         self._events.emit(ConfigurationApplied(found.version, previous, source))
         self._notify([])
 
+    def target_changes(self, after: int) -> Changes:
+        """Return the entries whose meaning changed after a version."""
+        return self._targets.since(after)
+
     def replace_targets(
         self, values: Iterable[tuple[str, bytes]], version: int, now: float
     ) -> None:
         """Apply a complete list of targets unless it is older."""
         if version < self.targets_version:
             return
-        self.target_values_by_key = dict(values)
+        value_by_key = dict(values)
         entries = [
-            self._codec.target_entry(key, value)
-            for key, value in self.target_values_by_key.items()
+            self._record_entry(key, value, version)
+            for key, value in value_by_key.items()
         ]
+        for key in self._targets.retain(value_by_key, version):
+            del self._entry_by_key[key]
         self.targets_version = version
         self._report(self.registry.replace(entries, now))
 
     def update_targets(
         self, rows: Iterable[StoreRow], version: int, now: float
     ) -> None:
-        """Apply changed entries of the list unless they are older."""
+        """Apply changed entries of the list unless they are older.
+
+        Call it without rows when the list is known to be unchanged.
+        """
         if version < self.targets_version:
             return
         entries = []
         removed: list[TargetId] = []
         for row in rows:
             if row.value is None:
-                self.target_values_by_key.pop(row.key, None)
+                self._targets.remove(row.key, row.version)
+                self._entry_by_key.pop(row.key, None)
                 removed.append(TargetId(row.key))
             else:
-                self.target_values_by_key[row.key] = row.value
-                entries.append(self._codec.target_entry(row.key, row.value))
+                entries.append(self._record_entry(row.key, row.value, row.version))
         self.targets_version = version
         self._report(self.registry.update(entries, removed, now))
 
+    def _record_entry(
+        self, key: str, value: bytes, version: int
+    ) -> TargetEntry | UnreadableEntry:
+        known = self._entry_by_key.get(key)
+        if known is not None and self._targets.value_by_key[key] == value:
+            return known
+        entry = self._codec.target_entry(key, value)
+        self._entry_by_key[key] = entry
+        self._targets.put(key, value, version, entry != known)
+        return entry
+
     def _report(self, changes: list[RegistryChange]) -> None:
         for change in changes:
             entry = change.entry
--- a/packages/aspendrift-gateway/tests/conftest.py
+++ b/packages/aspendrift-gateway/tests/conftest.py
@@ -5,25 +5,37 @@
 import asyncio
 import random
 from dataclasses import dataclass, field
+from types import SimpleNamespace
 
 import httpx
 import pytest
 
 from aspendrift_daemon.events import EventHub
 from aspendrift_gateway.attempts import AttemptSender, Delivery, RoutedRequest
-from aspendrift_gateway.interfaces import AnswerHead
+from aspendrift_gateway.interfaces import AnswerHead, StoreRow, StoreRows
+from aspendrift_gateway.store_client import HistoryGone, StoreFailure
 from aspendrift_gateway.system_state import SystemState
 from aspendrift_gateway.target_client import Answer, Broken, NotSent
+from aspendrift_model.hosts import Host, Location
 from aspendrift_model.ids import (
     AttemptId,
+    DaemonId,
     Fingerprint,
+    Incarnation,
     PoolName,
+    RegionName,
     TargetId,
     ZoneName,
 )
 from aspendrift_model.opaque_requests import OpaqueRequest
-from aspendrift_model.routes import RequestKind, Route, WeightedPool
-from aspendrift_model.target_entries import TargetEntry, TargetKey
+from aspendrift_model.routes import (
+    RequestKind,
+    Route,
+    RoutingConfiguration,
+    WeightedPool,
+)
+from aspendrift_model.states import MemberState
+from aspendrift_model.target_entries import TargetEntry, TargetKey, UnreadableEntry
 from aspendrift_policy.pool_choice import PoolChooser
 from aspendrift_policy.retry_budget import RetryBudgets
 from aspendrift_standins.virtual_time import VirtualClock
@@ -32,6 +44,118 @@
 ATTEMPT = AttemptId("a1")
 
 
+class FakeStoreCodec:
+    """Encodes a configuration as its version; a target entry needs only its key."""
+
+    configuration_table = "configuration"
+    configuration_key = "routes"
+    targets_table = "targets"
+
+    def configuration(self, value):
+        return RoutingConfiguration(int(value), (), {})
+
+    def target_entry(self, key, value):
+        if value == b"broken":
+            return UnreadableEntry(TargetId(key), "broken")
+        return entry(key)
+
+
+class FakeStore:
+    """Rows of two tables, and a feed that can lose its history or hide changes."""
+
+    def __init__(self):
+        self.codec = FakeStoreCodec()
+        self.content = SimpleNamespace(version=1, rows={})
+        self.is_down = False
+        self.loses_history = False
+        self.hides_changes = False
+        self.calls = []
+
+    def view(self):
+        """Return a store with the same rows, but failures and calls of its own."""
+        found = FakeStore()
+        found.content = self.content
+        return found
+
+    def put(self, table, key, value):
+        self.content.version += 1
+        row = StoreRow(key, self.content.version, value)
+        self.content.rows[table, key] = row
+
+    async def read_key(self, table, key):
+        return await self._rows("key", table, lambda row: row.key == key)
+
+    async def read_table(self, table):
+        return await self._rows("table", table, lambda row: row.value is not None)
+
+    async def feed(self, table, after, wait_s):
+        if self.loses_history:
+            self.loses_history = False
+            return HistoryGone()
+        found = await self._rows("feed", table, lambda row: row.version > after)
+        if self.hides_changes and isinstance(found, StoreRows):
+            found = StoreRows((), self.content.version)
+        if wait_s and isinstance(found, StoreRows) and not found.rows:
+            await asyncio.sleep(wait_s)
+        return found
+
+    async def _rows(self, kind, table, wanted):
+        self.calls.append(kind)
+        await asyncio.sleep(0.004)
+        if self.is_down:
+            return StoreFailure("down")
+        rows = [row for (name, _), row in self.content.rows.items() if name == table]
+        found = tuple(row for row in rows if wanted(row))
+        return StoreRows(found, self.content.version)
+
+
+class Network:
+    """Delivers messages between daemons, except those that are cut off."""
+
+    def __init__(self):
+        self.links_by_id = {}
+        self.cut_off = set()
+        self.states_by_id = {}
+
+    def link(self, name):
+        found = FakeLink(self, DaemonId(name))
+        self.links_by_id[found.host.daemon_id] = found
+        self.states_by_id[found.host.daemon_id] = MemberState.LIVE
+        return found
+
+
+class FakeLink:
+    def __init__(self, network, daemon_id):
+        self._network = network
+        self._handlers = []
+        location = Location(ZoneName("z1"), RegionName("r"))
+        self.host = Host(daemon_id, Incarnation(1), location, "", "")
+
+    def subscribe(self, topic, handler):
+        self._handlers.append(handler)
+
+    def members(self):
+        states = self._network.states_by_id
+        return [
+            (link.host, states[daemon_id])
+            for daemon_id, link in self._network.links_by_id.items()
+        ]
+
+    def send(self, daemon_id, topic, payload):
+        cut_off = self._network.cut_off
+        if daemon_id in cut_off or self.host.daemon_id in cut_off:
+            return
+        link = self._network.links_by_id[daemon_id]
+        loop = asyncio.get_running_loop()
+        for handler in link._handlers:
+            loop.call_later(0.002, handler, self.host.daemon_id, payload)
+
+    def broadcast(self, topic, payload):
+        for daemon_id in self._network.links_by_id:
+            if daemon_id != self.host.daemon_id:
+                self.send(daemon_id, topic, payload)
+
+
 def entry(name, pool=POOL, zone="z1", born=1):
     key = TargetKey(TargetId(name), born)
     return TargetEntry(key, pool, f"{name}:1", ZoneName(zone), 4, False)
--- a/packages/aspendrift-gateway/tests/test_stage_dispatcher.py
+++ b/packages/aspendrift-gateway/tests/test_stage_dispatcher.py
@@ -13,77 +13,25 @@
 from aspendrift_gateway.stage_dispatcher import StageDispatcher
 from aspendrift_gateway.system_state import SystemState
 from aspendrift_gateway.target_client import CompleteAnswer
-from aspendrift_model.hosts import Host, Location
 from aspendrift_model.ids import (
     AttemptId,
     DaemonId,
-    Incarnation,
     PoolName,
-    RegionName,
-    ZoneName,
 )
 from aspendrift_model.pieces import Handle, PieceId, PieceWork
 from aspendrift_model.routes import PieceLimits, PoolSpec, RoutingConfiguration
-from aspendrift_model.states import MemberState
 from aspendrift_policy.chain_admission import ChainAdmission
 from aspendrift_policy.route_table import RouteTable
 from aspendrift_policy.stage_scheduler import JobId, StageJob, StageScheduler
 from aspendrift_standins.virtual_time import VirtualClock, run_virtual
 
-from .conftest import entry
+from .conftest import Network, entry
 
 POOL = PoolName("p")
 LIMITS = PieceLimits(1, 2, 4, 0.15, 0.03, 18e6, 4.0)
 CALL_S = 0.2
 
 
-class Network:
-    """Delivers messages between daemons, except those that are cut off."""
-
-    def __init__(self):
-        self.links_by_id = {}
-        self.cut_off = set()
-        self.states_by_id = {}
-
-    def link(self, name):
-        found = FakeLink(self, DaemonId(name))
-        self.links_by_id[found.host.daemon_id] = found
-        self.states_by_id[found.host.daemon_id] = MemberState.LIVE
-        return found
-
-
-class FakeLink:
-    def __init__(self, network, daemon_id):
-        self._network = network
-        self._handlers = []
-        location = Location(ZoneName("z1"), RegionName("r"))
-        self.host = Host(daemon_id, Incarnation(1), location, "", "")
-
-    def subscribe(self, topic, handler):
-        self._handlers.append(handler)
-
-    def members(self):
-        states = self._network.states_by_id
-        return [
-            (link.host, states[daemon_id])
-            for daemon_id, link in self._network.links_by_id.items()
-        ]
-
-    def send(self, daemon_id, topic, payload):
-        cut_off = self._network.cut_off
-        if daemon_id in cut_off or self.host.daemon_id in cut_off:
-            return
-        link = self._network.links_by_id[daemon_id]
-        loop = asyncio.get_running_loop()
-        for handler in link._handlers:
-            loop.call_later(0.002, handler, self.host.daemon_id, payload)
-
-    def broadcast(self, topic, payload):
-        for daemon_id in self._network.links_by_id:
-            if daemon_id != self.host.daemon_id:
-                self.send(daemon_id, topic, payload)
-
-
 class FakeTargets:
     """Stage targets that complete every piece and record the freed results."""
 
--- a/packages/aspendrift-gateway/tests/test_store_reader.py
+++ b/packages/aspendrift-gateway/tests/test_store_reader.py
@@ -7,79 +7,17 @@
 from types import SimpleNamespace
 
 from aspendrift_daemon.events import EventHub
-from aspendrift_gateway.interfaces import StoreRow, StoreRows
-from aspendrift_gateway.store_client import HistoryGone, StoreFailure
 from aspendrift_gateway.store_reader import StoreReader
 from aspendrift_gateway.system_state import SystemState
-from aspendrift_model.ids import PoolName, TargetId
-from aspendrift_model.routes import RoutingConfiguration
-from aspendrift_model.target_entries import UnreadableEntry
+from aspendrift_model.ids import PoolName
 from aspendrift_standins.virtual_time import VirtualClock, run_virtual
 
-from .conftest import entry
+from .conftest import FakeStore
 
 POOL = PoolName("p")
 
 
-class FakeCodec:
-    """Encodes a configuration as its version; a target entry needs only its key."""
-
-    configuration_table = "configuration"
-    configuration_key = "routes"
-    targets_table = "targets"
-
-    def configuration(self, value):
-        return RoutingConfiguration(int(value), (), {})
-
-    def target_entry(self, key, value):
-        if value == b"broken":
-            return UnreadableEntry(TargetId(key), "broken")
-        return entry(key)
-
-
-class FakeStore:
-    """Rows of two tables, and a feed that can lose its history or hide changes."""
-
-    def __init__(self):
-        self.codec = FakeCodec()
-        self.version = 1
-        self.rows = {}
-        self.is_down = False
-        self.loses_history = False
-        self.hides_changes = False
-        self.calls = []
-
-    def put(self, table, key, value):
-        self.version += 1
-        self.rows[table, key] = StoreRow(key, self.version, value)
-
-    async def read_key(self, table, key):
-        return await self._rows("key", table, lambda row: row.key == key)
-
-    async def read_table(self, table):
-        return await self._rows("table", table, lambda row: row.value is not None)
-
-    async def feed(self, table, after, wait_s):
-        if self.loses_history:
-            self.loses_history = False
-            return HistoryGone()
-        found = await self._rows("feed", table, lambda row: row.version > after)
-        if self.hides_changes and isinstance(found, StoreRows):
-            found = StoreRows((), self.version)
-        if wait_s and isinstance(found, StoreRows) and not found.rows:
-            await asyncio.sleep(wait_s)
-        return found
-
-    async def _rows(self, kind, table, wanted):
-        self.calls.append(kind)
-        await asyncio.sleep(0.004)
-        if self.is_down:
-            return StoreFailure("down")
-        rows = [row for (name, _), row in self.rows.items() if name == table]
-        return StoreRows(tuple(row for row in rows if wanted(row)), self.version)
-
-
-def run_scenario(scenario, reads_per_s=1000.0, n_daemons=1):
+def run_scenario(scenario, reads_per_s=1000.0, n_readers=1):
     async def main():
         clock = VirtualClock(asyncio.get_running_loop())
         hub = EventHub()
@@ -92,8 +30,10 @@
         reader = StoreReader(
             store,
             state,
-            lambda: SimpleNamespace(drain_s=2.0, store_reads_per_s=reads_per_s),
-            lambda: n_daemons,
+            lambda: SimpleNamespace(
+                drain_s=2.0, configuration_s=4.0, store_reads_per_s=reads_per_s
+            ),
+            lambda: n_readers,
             clock,
             hub,
             random.Random(0),
@@ -135,7 +75,7 @@
         # The feed of the configuration adds one call every 2 s.
         assert n_calls <= 60.5 * 30.0 / 64 + 30 + 4
 
-    run_scenario(scenario, reads_per_s=30.0, n_daemons=64)
+    run_scenario(scenario, reads_per_s=30.0, n_readers=64)
 
 
 def test_configuration_never_goes_back():
--- a/packages/aspendrift-model/src/aspendrift_model/settings_peers.py
+++ b/packages/aspendrift-model/src/aspendrift_model/settings_peers.py
@@ -69,6 +69,12 @@
         doc="Interval between reads of the platform's membership list.",
         minimum=0.1,
     )
+    list_reads_per_s: float = setting(
+        1.0,
+        unit="1/s",
+        doc="Maximum rate of membership list reads by all daemons together.",
+        minimum=0.01,
+    )
     test_drop_share: float = setting(
         0.0, doc="Fraction of messages to drop, for tests.", minimum=0, maximum=1
     )
--- a/packages/aspendrift-model/src/aspendrift_model/target_entries.py
+++ b/packages/aspendrift-model/src/aspendrift_model/target_entries.py
@@ -32,8 +32,6 @@
     ----------
     address : str
         IP address and port, separated by a colon.
-    warm_up_s : float
-        Remaining time of reduced speed after the target's start, in seconds.
     """
 
     key: TargetKey
@@ -42,7 +40,6 @@
     zone: ZoneName
     n_slots: int
     is_draining: bool
-    warm_up_s: float = 0.0
     software: str = ""
 
 
--- a/packages/aspendrift-model/src/aspendrift_model/wire_work.py
+++ b/packages/aspendrift-model/src/aspendrift_model/wire_work.py
@@ -17,8 +17,8 @@
     "OwnerHeartbeat",
     "PoolLoad",
     "StateMessage",
-    "StatePull",
-    "StateSnapshot",
+    "StateQuery",
+    "StateUpdate",
     "SubmitJob",
     "WorkMessage",
 ]
@@ -109,25 +109,36 @@
 )
 
 
-class StatePull(msgspec.Struct, frozen=True, array_like=True, tag="p"):
-    """Requests a peer's copy of the store's state, unless it is up to date."""
+class StateQuery(msgspec.Struct, frozen=True, array_like=True, tag="q"):
+    """Asks a daemon for what it knows of the store, beyond the given versions.
 
+    ``number`` identifies the query; it is 0 if the ages in the answer don't matter.
+    With ``subscribes``, later changes are to be sent without a query for a while.
+    """
+
+    number: int
     configuration_version: int
     targets_version: int
+    subscribes: bool
 
 
-class StateSnapshot(msgspec.Struct, frozen=True, array_like=True, tag="s"):
-    """A peer's copy of the store's state, and the age of the copy.
+class StateUpdate(msgspec.Struct, frozen=True, array_like=True, tag="u"):
+    """What a daemon knows of the store; the answer to a query, or unasked with 0.
 
-    ``configuration`` and ``targets`` are empty if the requester is up to date.
+    Ages are the times since the sender, or the daemon it follows, read the store.
+    ``configuration`` is empty if the recipient has it. Each of ``targets`` is the key,
+    version and value of an entry that changed after ``targets_after``, the value None
+    if it was removed; -1 marks the complete list.
     """
 
+    number: int
     configuration_version: int
     configuration_age_ms: int
     configuration: bytes
     targets_version: int
     targets_age_ms: int
-    targets: tuple[tuple[str, bytes], ...]
+    targets_after: int
+    targets: tuple[tuple[str, int, bytes | None], ...]
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True, tag="c"):
@@ -138,4 +149,4 @@
     fingerprint: str
 
 
-StateMessage = StatePull | StateSnapshot | CrashReport
+StateMessage = StateQuery | StateUpdate | CrashReport
--- /dev/null
+++ b/packages/aspendrift-policy/src/aspendrift_policy/state_sources.py
@@ -0,0 +1,232 @@
+"""Decides which daemons read the store and from whom the others get its state.
+
+Load it answers: hundreds of daemons before one store whose reads are limited and
+priced. A few readers, chosen by rendezvous hashing over the live members, follow the
+store. Every other daemon asks one of them at short intervals, and is sent changes as
+soon as that one sees them. A source that does not answer, or whose own state is old,
+is replaced, and the store is read directly for that interval, so that no daemon
+depends on another one for longer.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from enum import Enum
+from typing import Final, TypeAlias
+
+import xxhash
+
+from aspendrift_model.ids import DaemonId, PoolName
+from aspendrift_policy.owner_choice import owners_in_order
+
+__all__ = [
+    "QuerySource",
+    "ReadStore",
+    "SourceFailure",
+    "SourceStep",
+    "SourceTimes",
+    "StateFollower",
+    "n_readers",
+    "readers_in_order",
+    "sources_in_order",
+]
+
+_READERS: Final = PoolName("state-readers")
+_MIN_READERS: Final = 2
+# Bounds the queries that one reader answers in an interval.
+_MAX_FOLLOWERS_PER_READER: Final = 40
+# A daemon that replaced the readers as source is given up for them after this time.
+_READERS_RETRY_S: Final = 2.0
+
+
+def n_readers(n_daemons: int) -> int:
+    """Return the number of daemons that follow the store."""
+    return max(_MIN_READERS, -(-n_daemons // _MAX_FOLLOWERS_PER_READER))
+
+
+def readers_in_order(daemon_ids: Sequence[DaemonId]) -> list[DaemonId]:
+    """Return the daemons that follow the store, in the same order at all daemons."""
+    return owners_in_order(_READERS, daemon_ids)[: n_readers(len(daemon_ids))]
+
+
+def sources_in_order(
+    own_id: DaemonId, daemon_ids: Sequence[DaemonId]
+) -> tuple[list[DaemonId], int]:
+    """Return the other daemons in order of preference, and the number of readers.
+
+    The readers come first, in an order of each daemon's own so that their followers
+    are spread evenly.
+    """
+    readers = [each for each in readers_in_order(daemon_ids) if each != own_id]
+    others = [each for each in daemon_ids if each != own_id and each not in readers]
+    return _own_order(own_id, readers) + _own_order(own_id, others), len(readers)
+
+
+def _own_order(own_id: DaemonId, ids: Iterable[DaemonId]) -> list[DaemonId]:
+    return sorted(
+        ids, key=lambda each: xxhash.xxh3_64_intdigest(f"{own_id}/{each}".encode())
+    )
+
+
+class SourceFailure(Enum):
+    """Why a source was replaced."""
+
+    SILENT = "silent"
+    STALE = "stale"
+
+
+@dataclass(frozen=True, slots=True)
+class SourceTimes:
+    """Times of a follower, in seconds.
+
+    Parameters
+    ----------
+    interval_s : float
+        Interval between queries.
+    answer_timeout_s : float
+        Time after which a query counts as unanswered.
+    store_retry_s : float
+        Interval between direct reads while the store does not answer.
+    max_configuration_age_s, max_targets_age_s : float
+        Age of a reader's state while the store answers it.
+    """
+
+    interval_s: float
+    answer_timeout_s: float
+    store_retry_s: float
+    max_configuration_age_s: float
+    max_targets_age_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class QuerySource:
+    """Ask a daemon for its state; ``number`` identifies the query."""
+
+    daemon_id: DaemonId
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReadStore:
+    """Read the store, since ``source_id`` failed; None if there is no other daemon."""
+
+    source_id: DaemonId | None
+    failure: SourceFailure | None
+
+
+SourceStep: TypeAlias = QuerySource | ReadStore
+
+
+class StateFollower:
+    """Chooses the source of a daemon that does not follow the store itself."""
+
+    def __init__(self) -> None:
+        self._index = 0
+        self._other_index = -1
+        self._number = 0
+        self._asked_id: DaemonId | None = None
+        self._asked_at = float("-inf")
+        self._query_at = float("-inf")
+        self._read_at = float("-inf")
+        self._left_readers_at = float("-inf")
+        self._sources: list[DaemonId] = []
+        self._n_readers = 0
+
+    @property
+    def source_id(self) -> DaemonId | None:
+        """The daemon that is asked next; None if there is no other daemon."""
+        if not self._sources:
+            return None
+        return self._sources[self._index % len(self._sources)]
+
+    def set_members(self, own_id: DaemonId, daemon_ids: Sequence[DaemonId]) -> None:
+        """Set the live daemons; the current source is kept if it is still a reader."""
+        before = self.source_id
+        self._sources, self._n_readers = sources_in_order(own_id, daemon_ids)
+        readers = self._sources[: self._n_readers]
+        self._index = readers.index(before) if before in readers else 0
+
+    def steps(self, now: float, times: SourceTimes) -> list[SourceStep]:
+        """Return what is due: replacing a silent source, and the next query."""
+        found: list[SourceStep] = []
+        if self._asked_id is not None and now - self._asked_at > times.answer_timeout_s:
+            found += self._replace(SourceFailure.SILENT, now, times)
+        if now >= self._query_at:
+            found += self._query(now, times)
+        return found
+
+    def answered(
+        self,
+        number: int,
+        configuration_age_s: float,
+        targets_age_s: float,
+        now: float,
+        times: SourceTimes,
+    ) -> tuple[float | None, list[SourceStep]]:
+        """Handle an answer with the ages of the source's state.
+
+        Return when the query was sent, or None if the answer does not belong to the
+        open query, and what is due.
+        """
+        if number != self._number or self._asked_id is None:
+            return None, []
+        is_fresh = (
+            configuration_age_s <= times.max_configuration_age_s
+            and targets_age_s <= times.max_targets_age_s
+        )
+        if not is_fresh:
+            return self._asked_at, self._replace(SourceFailure.STALE, now, times)
+        self._asked_id = None
+        return self._asked_at, []
+
+    def query_now(self) -> None:
+        """Make the next query due at once."""
+        self._query_at = float("-inf")
+
+    def _query(self, now: float, times: SourceTimes) -> list[SourceStep]:
+        self._query_at = now + times.interval_s
+        if (
+            self._index >= self._n_readers
+            and now - self._left_readers_at > _READERS_RETRY_S
+        ):
+            self._index = 0
+        source_id = self.source_id
+        if source_id is None:
+            return self._read(None, None, now, times)
+        self._number += 1
+        self._asked_id = source_id
+        self._asked_at = now
+        return [QuerySource(source_id, self._number)]
+
+    def _replace(
+        self, failure: SourceFailure, now: float, times: SourceTimes
+    ) -> list[SourceStep]:
+        failed_id, self._asked_id = self._asked_id, None
+        if self._sources and failed_id == self.source_id:
+            self._index = self._next_index(now)
+        return self._read(failed_id, failure, now, times)
+
+    def _next_index(self, now: float) -> int:
+        """Return the next reader, then the daemon after the last one asked."""
+        if self._index + 1 < self._n_readers:
+            return self._index + 1
+        if self._index < self._n_readers:
+            self._left_readers_at = now
+        n_others = len(self._sources) - self._n_readers
+        if not n_others:
+            return 0
+        self._other_index = (self._other_index + 1) % n_others
+        return self._n_readers + self._other_index
+
+    def _read(
+        self,
+        source_id: DaemonId | None,
+        failure: SourceFailure | None,
+        now: float,
+        times: SourceTimes,
+    ) -> list[SourceStep]:
+        if now - self._read_at < times.store_retry_s:
+            return []
+        self._read_at = now
+        return [ReadStore(source_id, failure)]
