Name a fixed choice of hosts to callers, and send loads of pools directly

An answer of the directory names up to 64 hosts; beyond that, the first 64 by name got all callers. Now each zone gets a fixed choice: its own hosts, then others by a hash.

Owners pushed the load of a pool through random peers to all daemons: at 195 daemons each push crosses the network about 780 times, four times a second, and each daemon ends with links to all others. Owners send it directly now, at most 200 messages a second for a pool; up to 50 daemons that is as often as before. The owner of a pool is worked out once for the same members.

Tests count addresses, messages and recipients at 6 to 350 daemons.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/peers.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/peers.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, replace
 from enum import Enum
 from pathlib import Path
@@ -219,8 +219,15 @@
 
     def send(self, daemon_id: DaemonId, topic: Topic, payload: bytes) -> None:
         """Send a payload to one daemon, best effort."""
-        envelope = self._envelope(topic, payload, 0)
-        self._transmit(daemon_id, self._encoder.encode(envelope))
+        self.send_each((daemon_id,), topic, payload)
+
+    def send_each(
+        self, daemon_ids: Iterable[DaemonId], topic: Topic, payload: bytes
+    ) -> None:
+        """Send a payload to each of some daemons, best effort."""
+        encoded = self._encoder.encode(self._envelope(topic, payload, 0))
+        for daemon_id in daemon_ids:
+            self._transmit(daemon_id, encoded)
 
     def members(self) -> Sequence[tuple[Host, MemberState]]:
         """Return every known daemon that is not dead, this one included.
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -37,9 +37,10 @@
 from aspendrift_model.opaque_requests import OpaqueRequest
 from aspendrift_model.routes import ServerLimits
 from aspendrift_model.settings_peers import PeerSettings
-from aspendrift_model.states import MemberState, RefusalReason
+from aspendrift_model.states import RefusalReason
 from aspendrift_model.target_entries import TargetEntry
 from aspendrift_model.wire_work import CrashReport
+from aspendrift_policy.addresses import stable_choice
 from aspendrift_policy.leaving import LeavePhase, LeaveProcedure, LeaveTimes
 from aspendrift_policy.poison import PoisonLimits, SuspectTracker
 from aspendrift_policy.retry_budget import RetryBudgets
@@ -237,17 +238,15 @@
 
     def addresses(self, query: AddressQuery) -> Sequence[str]:
         """Return the addresses of daemons that accept requests."""
-        found = [
-            member.host.url
-            for member in self.link.view.members()
-            if member.state is MemberState.LIVE
-            and member.is_serving
-            and member.host.url
-            and member.host.daemon_id != self.settings.daemon_id
+        own_id = self.settings.daemon_id
+        is_ready = self.is_ready()
+        members = [
+            each
+            for each in self.link.view.members()
+            if is_ready or each.host.daemon_id != own_id
         ]
-        if self.is_ready():
-            found.append(self.settings.front_address)
-        return found[:_MAX_ADDRESSES]
+        chosen = stable_choice(members, query.zone, _MAX_ADDRESSES)
+        return [member.host.url for member in chosen]
 
     def _components(self) -> tuple[Component, ...]:
         return (self.reader, self.peer_state, self.membership, self.dispatcher)
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -23,6 +23,7 @@
 from aspendrift_gateway.system_state import SystemState
 from aspendrift_gateway.target_client import TargetClient
 from aspendrift_model.decode_errors import DECODE_ERRORS
+from aspendrift_model.hosts import Host
 from aspendrift_model.ids import AttemptId, DaemonId, PoolName, ZoneName
 from aspendrift_model.pieces import Handle, PieceFailure, PieceId, PieceWork
 from aspendrift_model.routes import PieceLimits
@@ -64,6 +65,8 @@
 _HEARTBEAT_INTERVAL_S: Final = 0.25
 _HEARTBEAT_TIMEOUT_S: Final = 0.8
 _SUSPECT_S: Final = 3.0
+# Maximum rate at which an owner sends the load of one pool to the other daemons.
+_LOADS_PER_S: Final = 200.0
 
 
 @dataclass(slots=True)
@@ -106,7 +109,12 @@
         self._origins_by_job: dict[JobId, tuple[DaemonId, PoolName]] = {}
         self._received_at_by_owner: dict[DaemonId, float] = {}
         self._suspected_until: dict[DaemonId, float] = {}
+        # Owners for the members and suspects that they were chosen from.
+        self._owner_by_pool: dict[PoolName, DaemonId] = {}
+        self._members: Sequence[tuple[Host, MemberState]] = ()
+        self._suspects: frozenset[DaemonId] = frozenset()
         self._heartbeat_sent_at = 0.0
+        self._loads_sent_at = 0.0
         self._sequence = 0
         self._task: asyncio.Task[None] | None = None
         self._encoder = msgspec.msgpack.Encoder()
@@ -133,17 +141,27 @@
 
     def owner(self, pool: PoolName, now: float) -> DaemonId:
         """Return the daemon that should schedule a pool."""
+        members = self._link.members()
+        suspects = frozenset(
+            each for each, until in self._suspected_until.items() if until > now
+        )
+        if members is not self._members or suspects != self._suspects:
+            self._members, self._suspects = members, suspects
+            self._owner_by_pool.clear()
+        found = self._owner_by_pool.get(pool)
+        if found is None:
+            found = owners_in_order(pool, self._candidates())[0]
+            self._owner_by_pool[pool] = found
+        return found
+
+    def _candidates(self) -> list[DaemonId]:
         own_id = self._link.host.daemon_id
-        candidates = [
+        return [
             host.daemon_id
-            for host, state in self._link.members()
+            for host, state in self._members
             if host.daemon_id == own_id
-            or (
-                state is MemberState.LIVE
-                and self._suspected_until.get(host.daemon_id, 0.0) <= now
-            )
+            or (state is MemberState.LIVE and host.daemon_id not in self._suspects)
         ]
-        return owners_in_order(pool, candidates)[0]
 
     def submit(self, pool: PoolName, job: StageJob, listener: JobListener) -> DaemonId:
         """Submit a job; the listener receives its updates. Return the owner."""
@@ -226,10 +244,17 @@
             self._heartbeat_sent_at = now
             for origin in {origin for origin, _ in self._origins_by_job.values()}:
                 self._send(origin, OwnerHeartbeat())
-            self._broadcast_loads(now)
+            interval_s = len(self._link.members()) / _LOADS_PER_S
+            if now - self._loads_sent_at >= interval_s:
+                self._loads_sent_at = now
+                self._send_loads(now)
+
+    def _send_loads(self, now: float) -> None:
+        """Send the load of the pools scheduled here to every daemon.
 
-    def _broadcast_loads(self, now: float) -> None:
-        """Send the load of the pools scheduled here to every daemon."""
+        Directly: relayed by daemons that don't know who has it, each message would
+        cross the network several times for each daemon.
+        """
         for pool, runner in self._runners_by_pool.items():
             measures = runner.measures(now)
             if not any(each.n_waiting for each in measures.loads):
@@ -239,8 +264,15 @@
                 (each.rank, each.n_waiting, each.arrivals_per_s)
                 for each in measures.loads
             )
-            message = PoolLoad(pool, measures.completed_per_s, loads)
-            self._link.broadcast(WORK_TOPIC, self._encoder.encode(message))
+            encoded = self._encoder.encode(
+                PoolLoad(pool, measures.completed_per_s, loads)
+            )
+            live_ids = [
+                host.daemon_id
+                for host, state in self._link.members()
+                if state is MemberState.LIVE
+            ]
+            self._link.send_each(live_ids, WORK_TOPIC, encoded)
 
     def _is_lost(self, submitted: _SubmittedJob, now: float) -> bool:
         received_at = self._received_at_by_owner.get(submitted.owner, 0.0)
--- a/packages/aspendrift-gateway/tests/conftest.py
+++ b/packages/aspendrift-gateway/tests/conftest.py
@@ -115,6 +115,7 @@
     def __init__(self):
         self.links_by_id = {}
         self.cut_off = set()
+        self.sent = []
         self.states_by_id = {}
 
     def link(self, name):
@@ -142,6 +143,7 @@
         ]
 
     def send(self, daemon_id, topic, payload):
+        self._network.sent.append((self.host.daemon_id, daemon_id, payload))
         cut_off = self._network.cut_off
         if daemon_id in cut_off or self.host.daemon_id in cut_off:
             return
@@ -150,11 +152,14 @@
         for handler in link._handlers:
             loop.call_later(0.002, handler, self.host.daemon_id, payload)
 
-    def broadcast(self, topic, payload):
-        for daemon_id in self._network.links_by_id:
+    def send_each(self, daemon_ids, topic, payload):
+        for daemon_id in daemon_ids:
             if daemon_id != self.host.daemon_id:
                 self.send(daemon_id, topic, payload)
 
+    def broadcast(self, topic, payload):
+        self.send_each(self._network.links_by_id, topic, payload)
+
 
 def entry(name, pool=POOL, zone="z1", born=1):
     key = TargetKey(TargetId(name), born)
--- a/packages/aspendrift-gateway/tests/test_stage_dispatcher.py
+++ b/packages/aspendrift-gateway/tests/test_stage_dispatcher.py
@@ -6,6 +6,7 @@
 import json
 from dataclasses import dataclass
 
+import msgspec
 import pytest
 
 from aspendrift_daemon.events import EventHub
@@ -20,6 +21,7 @@
 )
 from aspendrift_model.pieces import Handle, PieceId, PieceWork
 from aspendrift_model.routes import PieceLimits, PoolSpec, RoutingConfiguration
+from aspendrift_model.wire_work import PoolLoad, WorkMessage
 from aspendrift_policy.chain_admission import ChainAdmission
 from aspendrift_policy.route_table import RouteTable
 from aspendrift_policy.stage_scheduler import JobId, StageJob, StageScheduler
@@ -271,3 +273,27 @@
         assert len(fleet.targets.freed) == 2
 
     run_scenario(scenario, n_daemons=1)
+
+
+@pytest.mark.parametrize("count", [6, 60, 300])
+def test_every_daemon_knows_the_load_and_messages_stay_within_their_rate(
+    run_scenario, count
+):
+    async def scenario(fleet):
+        owner, others = fleet.owner_and_others()
+        dispatcher = fleet.dispatchers_by_id[owner]
+        for number in range(60):
+            dispatcher.submit(POOL, job(f"j{number}", 4), Listener())
+        fleet.network.sent.clear()
+        started_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(5.0)
+        waited_s = asyncio.get_running_loop().time() - started_at
+        loads = [
+            recipient
+            for _, recipient, payload in fleet.network.sent
+            if isinstance(msgspec.msgpack.decode(payload, type=WorkMessage), PoolLoad)
+        ]
+        assert set(loads) == set(others)
+        assert len(loads) <= waited_s * 200.0 + count
+
+    run_scenario(scenario, n_daemons=count)
--- a/packages/aspendrift-policy/src/aspendrift_policy/addresses.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/addresses.py
@@ -6,12 +6,15 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+import xxhash
+
 from aspendrift_model.hosts import Location
+from aspendrift_model.ids import ZoneName
 from aspendrift_model.states import MemberState
 from aspendrift_model.wire_caller import Address, AddressAnswer
 from aspendrift_policy.membership import Member
 
-__all__ = ["AddressLimits", "choose_addresses"]
+__all__ = ["AddressLimits", "choose_addresses", "stable_choice"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +51,33 @@
     return AddressAnswer(addresses, limits.keep_s)
 
 
+def stable_choice(
+    members: Iterable[Member], zone: ZoneName, limit: int
+) -> list[Member]:
+    """Return the live members that callers of a zone use, the same at every daemon.
+
+    Load it answers: more hosts than an answer names. Callers pick any address of an
+    answer and stop using connections to addresses that a later one lacks, so each zone
+    gets a fixed choice: its own hosts first, then others by a hash that differs from
+    zone to zone, so that all hosts get callers.
+    """
+    usable = [
+        each
+        for each in members
+        if each.state is MemberState.LIVE and each.is_serving and each.host.url
+    ]
+    if len(usable) <= limit:
+        return usable
+    usable.sort(key=lambda each: _zone_order(each, zone))
+    return usable[:limit]
+
+
+def _zone_order(member: Member, zone: ZoneName) -> tuple[bool, int]:
+    host = member.host
+    text = f"{zone}/{host.daemon_id}"
+    return host.location.zone != zone, xxhash.xxh3_64_intdigest(text.encode())
+
+
 def _is_usable(member: Member) -> bool:
     state_allows = member.state in (MemberState.LIVE, MemberState.SUSPECT)
     return state_allows and member.is_serving and bool(member.host.url)
--- a/packages/aspendrift-policy/tests/test_addresses.py
+++ b/packages/aspendrift-policy/tests/test_addresses.py
@@ -10,7 +10,7 @@
 from aspendrift_model.hosts import Host, Location
 from aspendrift_model.ids import DaemonId, Incarnation, RegionName, ZoneName
 from aspendrift_model.states import MemberState
-from aspendrift_policy.addresses import AddressLimits, choose_addresses
+from aspendrift_policy.addresses import AddressLimits, choose_addresses, stable_choice
 from aspendrift_policy.membership import Member
 
 LIMITS = AddressLimits(4, 10.0)
@@ -59,3 +59,45 @@
     )
     assert len(first) == 10
     assert max(first.values()) < 1.25 * n_callers / 10
+
+
+@pytest.mark.parametrize("count", [90, 195, 350])
+def test_all_hosts_of_a_large_site_get_callers(count: int) -> None:
+    members = [member(i) for i in range(count)]
+    named = Counter(
+        each.host.daemon_id
+        for zone in "abc"
+        for each in stable_choice(members, ZoneName(zone), 64)
+    )
+    assert len(named) >= min(count, 3 * 64) * 0.8
+    assert max(named.values()) <= 3
+
+
+def test_callers_keep_their_addresses_when_another_host_leaves() -> None:
+    members = [member(i) for i in range(195)]
+    before = stable_choice(members, ZoneName("a"), 64)
+    left = before[10]
+    after = stable_choice(
+        [each for each in members if each is not left], ZoneName("a"), 64
+    )
+    assert len(set(_ids(before)) - set(_ids(after))) == 1
+
+
+def test_hosts_of_the_callers_zone_come_first() -> None:
+    members = [member(i) for i in range(150)]
+    chosen = stable_choice(members, ZoneName("b"), 64)
+    assert sum(each.host.location.zone == "b" for each in chosen) == 50
+
+
+def test_hosts_that_accept_no_requests_are_not_named() -> None:
+    members = [
+        member(0, MemberState.LEAVING),
+        member(3, serving=False),
+        member(6, MemberState.SUSPECT),
+        member(1),
+    ]
+    assert _ids(stable_choice(members, ZoneName("a"), 64)) == ["d1"]
+
+
+def _ids(members: list[Member]) -> list[DaemonId]:
+    return [each.host.daemon_id for each in members]
--- a/tests/aspendrift_platform/test_on_emulator.py
+++ b/tests/aspendrift_platform/test_on_emulator.py
@@ -8,6 +8,9 @@
 import pytest
 from emulated_world import WAIT_TIMEOUT_S, Cluster, complete_stream
 
+from aspendrift_gateway.interfaces import AddressQuery
+from aspendrift_model.ids import ZoneName
+
 
 @pytest.fixture
 def run_scenario():
@@ -209,7 +212,10 @@
         await cluster.until(lambda: first.path.n_open == 1)
         first.shutdown.handle_signal()
         await cluster.until(
-            lambda: second.addresses(None) == [second.settings.front_address]
+            lambda: (
+                second.addresses(AddressQuery(ZoneName("z")))
+                == [second.settings.front_address]
+            )
         )
         assert not first.is_ready()
         attempt_id, answer = await pending_call
