Owners of pools may be listed daemons that were not reached yet

Now listed members count until they fail to accept a job (0.25 s, then they are suspected). What binds those seconds now is the memory of the targets: results of requests that died keep it for four seconds, and nobody knows their handles.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
@@ -1,9 +1,9 @@
 """Submits stage jobs to the daemon that schedules their pool.
 
-The owner of a pool is the first live daemon in the pool's order. An owner that
-does not accept a job within a short time, or stops sending, is suspected for some
-time: its jobs go to the next daemon in the order, in the worst case to this daemon
-itself.
+The owner of a pool is the first daemon in the pool's order that is live, or listed and
+not yet contacted. An owner that does not accept a job within a short time, or stops
+sending, is suspected for some time: its jobs go to the next daemon in the order, in
+the worst case to this daemon itself.
 """
 
 from __future__ import annotations
@@ -65,6 +65,7 @@
 _HEARTBEAT_INTERVAL_S: Final = 0.25
 _HEARTBEAT_TIMEOUT_S: Final = 0.8
 _SUSPECT_S: Final = 3.0
+_OWNER_STATES: Final = frozenset({MemberState.LIVE, MemberState.JOINING})
 # Maximum rate at which an owner sends the load of one pool to the other daemons.
 _LOADS_PER_S: Final = 200.0
 
@@ -155,12 +156,19 @@
         return found
 
     def _candidates(self) -> list[DaemonId]:
+        """Return the daemons that may own pools.
+
+        Load it answers: the first seconds after many daemons started. All know the
+        list of members before they have reached each other; if only live members
+        counted, each would own every pool for itself, and the results of all would
+        fill the memory of the targets.
+        """
         own_id = self._link.host.daemon_id
         return [
             host.daemon_id
             for host, state in self._members
             if host.daemon_id == own_id
-            or (state is MemberState.LIVE and host.daemon_id not in self._suspects)
+            or (state in _OWNER_STATES and host.daemon_id not in self._suspects)
         ]
 
     def submit(self, pool: PoolName, job: StageJob, listener: JobListener) -> DaemonId:
--- a/packages/aspendrift-gateway/tests/test_stage_dispatcher.py
+++ b/packages/aspendrift-gateway/tests/test_stage_dispatcher.py
@@ -21,6 +21,7 @@
 )
 from aspendrift_model.pieces import Handle, PieceId, PieceWork
 from aspendrift_model.routes import PieceLimits, PoolSpec, RoutingConfiguration
+from aspendrift_model.states import MemberState
 from aspendrift_model.wire_work import PoolLoad, WorkMessage
 from aspendrift_policy.chain_admission import ChainAdmission
 from aspendrift_policy.route_table import RouteTable
@@ -40,12 +41,14 @@
     def __init__(self):
         self.completed = []
         self.freed = []
+        self.n_calls = 0
 
     async def send_and_read(self, target, call, headers, now):
         content = json.loads(call.body)
         if "free" in content:
             self.freed += content["free"]
         else:
+            self.n_calls += 1
             await asyncio.sleep(CALL_S)
             self.completed += content["pieces"]
         head = AnswerHead(None, False, False, False, False)
@@ -297,3 +300,35 @@
         assert len(loads) <= waited_s * 200.0 + count
 
     run_scenario(scenario, n_daemons=count)
+
+
+def test_daemons_that_just_started_agree_on_the_owner(run_scenario):
+    async def scenario(fleet):
+        for daemon_id in fleet.dispatchers_by_id:
+            fleet.network.states_by_id[daemon_id] = MemberState.JOINING
+        owners = {each.owner(POOL, 0.0) for each in fleet.dispatchers_by_id.values()}
+        assert len(owners) == 1
+        listeners = {name: Listener() for name in fleet.dispatchers_by_id}
+        for name, listener in listeners.items():
+            fleet.dispatchers_by_id[name].submit(POOL, job(name), listener)
+        for listener in listeners.values():
+            await listener.done.wait()
+        # Six pieces need two calls of four; three owners would make three calls.
+        assert fleet.targets.n_calls == 2
+
+    run_scenario(scenario)
+
+
+def test_listed_owner_that_does_not_run_delays_a_job_briefly(run_scenario):
+    async def scenario(fleet):
+        owner, others = fleet.owner_and_others()
+        fleet.network.states_by_id[owner] = MemberState.JOINING
+        fleet.network.cut_off.add(owner)
+        listener = Listener()
+        started_at = asyncio.get_running_loop().time()
+        fleet.dispatchers_by_id[others[0]].submit(POOL, job("j"), listener)
+        await listener.done.wait()
+        took_s = asyncio.get_running_loop().time() - started_at
+        assert took_s < CALL_S + 0.5
+
+    run_scenario(scenario)
