Avoid model targets that turn slow, by the paces that all daemons observe

Targets of pools that cache prompts are chosen by prefix and load only: a target that generates slowly kept its prefixes, since its health is good and no single daemon has many requests there. At 195 daemons before 39 targets a daemon sees each target about once a minute, so it can't learn alone.

Daemons now send the mean gap between the events of a stream, after five events and at its end, to the owner of the pool. A target whose last sample (of two within a second the faster one) exceeds twice the pool's median is avoided by all daemons until a faster one, or for three seconds without samples, and while there are others.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
@@ -17,6 +17,7 @@
 from aspendrift_gateway.events import AttemptEnded, AttemptSent, AttemptVerdict
 from aspendrift_gateway.interfaces import ForwardMetadata, HttpCall, TargetCodec
 from aspendrift_gateway.refusals import Refusal
+from aspendrift_gateway.stream_pace import StreamPace
 from aspendrift_gateway.system_state import SystemState
 from aspendrift_gateway.target_client import Answer, Broken, NotSent, TargetClient
 from aspendrift_model.ids import (
@@ -31,7 +32,7 @@
 from aspendrift_model.pieces import Handle
 from aspendrift_model.routes import RequestKind, Route
 from aspendrift_model.states import AttemptEnd, RefusalReason
-from aspendrift_model.target_entries import TargetEntry
+from aspendrift_model.target_entries import TargetEntry, TargetKey
 from aspendrift_policy.outliers import EjectionRules
 from aspendrift_policy.pool_choice import PoolChooser
 from aspendrift_policy.retry_budget import RetryBudgets
@@ -115,6 +116,7 @@
     """A target did not run the request because stage results it needs are gone."""
 
 
+PaceListener: TypeAlias = Callable[[PoolName, TargetKey, float], None]
 RequestOutcome: TypeAlias = Served | Refusal | InputsGone
 
 
@@ -199,6 +201,17 @@
         self._make_chooser = make_chooser
         self._choosers_by_pool: dict[PoolName, PoolChooser] = {}
         self._no_early_free_until = float("-inf")
+        self._on_pace: PaceListener | None = None
+
+    def report_paces(
+        self, on_pace: Callable[[PoolName, TargetKey, float], None]
+    ) -> None:
+        """Report the mean gaps between events of streams, in seconds."""
+        self._on_pace = on_pace
+
+    def avoid(self, pool: PoolName, slow: frozenset[TargetKey], until: float) -> None:
+        """Avoid the slow targets of a pool until some time."""
+        self.chooser(pool).avoid(slow, until)
 
     def chooser(self, pool: PoolName) -> PoolChooser:
         """Return the chooser that tracks the load and health of a pool's targets."""
@@ -439,12 +452,16 @@
             _MIN_STALL_TIMEOUT_S, _STALL_TIMEOUT_FACTOR * routed.route.event_gap_s
         )
         may_resume = routed.route.is_resumable
+        pace = StreamPace(relay.n_events)
         try:
             async for chunk in answer.chunks():
                 if delivery.first_byte_at is None:
                     delivery.first_byte_at = self._clock.monotonic()
                     delivery.progress.inputs_fetched()
                 events = relay.feed(chunk)
+                pace.record(relay.n_events, self._clock.monotonic())
+                if pace.is_due():
+                    self._report_pace(routed.pool, entry, pace)
                 if events:
                     await self._send_events(delivery, answer, events)
                 if may_resume:
@@ -458,8 +475,16 @@
         if relay.has_partial or not delivery.answer.has_begun:
             await self._send_events(delivery, answer, relay.rest())
         await delivery.answer.end()
+        self._report_pace(routed.pool, entry, pace)
         return Served(answer.status)
 
+    def _report_pace(
+        self, pool: PoolName, entry: TargetEntry, pace: StreamPace
+    ) -> None:
+        gap_s = pace.gap_s()
+        if gap_s is not None and self._on_pace is not None:
+            self._on_pace(pool, entry.key, gap_s)
+
     async def _send_events(
         self, delivery: Delivery, answer: Answer, events: bytes
     ) -> None:
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
@@ -23,6 +23,7 @@
     "RequestEnded",
     "RequestRouted",
     "SettingsReloaded",
+    "SlowTargetsChanged",
     "StageCallEnded",
     "StageCallSent",
     "StageFreeFailed",
@@ -93,6 +94,19 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class SlowTargetsChanged(Event):
+    """The targets of a pool that are avoided since they are slow.
+
+    Without a further message of the pool's owner, they are avoided for ``valid_s``.
+    """
+
+    name: ClassVar[str] = "slow_targets_changed"
+    pool: str
+    target_ids: tuple[str, ...]
+    valid_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class StateSourceChanged(Event):
     """The source of configuration and targets changed: the store or a peer.
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -19,6 +19,7 @@
 from aspendrift_gateway.events import GatewayReady, GatewayStopped
 from aspendrift_gateway.interfaces import AddressQuery, PlatformCodec
 from aspendrift_gateway.member_rows import MemberRows
+from aspendrift_gateway.pace_exchange import PaceExchange
 from aspendrift_gateway.peer_state import PeerState
 from aspendrift_gateway.policies import POLICIES_BY_KIND
 from aspendrift_gateway.refusals import Refusal
@@ -159,6 +160,10 @@
             self._on_broken,
             policies.chooser,
         )
+        self.paces = PaceExchange(
+            self.link, self.dispatcher.owner, self.sender.avoid, self.clock, events
+        )
+        self.sender.report_paces(self.paces.record)
         self.path = RequestPath(
             self.state,
             StagesRunner(
@@ -249,7 +254,13 @@
         return [member.host.url for member in chosen]
 
     def _components(self) -> tuple[Component, ...]:
-        return (self.reader, self.peer_state, self.membership, self.dispatcher)
+        return (
+            self.reader,
+            self.peer_state,
+            self.membership,
+            self.dispatcher,
+            self.paces,
+        )
 
     def _host(self) -> Host:
         settings = self.settings
--- /dev/null
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/pace_exchange.py
@@ -0,0 +1,150 @@
+"""Exchanges the paces of model targets, so that all daemons avoid slow ones.
+
+The owner of a pool collects the samples of all daemons and sends the targets that it
+finds slow to every daemon.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+import msgspec
+
+from aspendrift_daemon.events import EventHub
+from aspendrift_daemon.interfaces import Clock
+from aspendrift_daemon.peers import PeerLink
+from aspendrift_gateway.events import SlowTargetsChanged
+from aspendrift_model.decode_errors import DECODE_ERRORS
+from aspendrift_model.ids import DaemonId, PoolName, TargetId
+from aspendrift_model.states import MemberState
+from aspendrift_model.target_entries import TargetKey
+from aspendrift_model.wire_work import PaceMessage, PaceSamples, SlowTargets
+from aspendrift_policy.pace import PaceTracker
+
+__all__ = ["PACE_TOPIC", "PaceExchange"]
+
+PACE_TOPIC: Final = "p"
+
+_STEP_INTERVAL_S: Final = 0.25
+# Slow targets are sent again at this interval, and avoided for a few of them.
+_REPEAT_INTERVAL_S: Final = 1.0
+_AVOIDED_S: Final = 3.0
+_US_PER_S: Final = 1e6
+
+
+class PaceExchange:
+    """Reports paces to the owners of pools, and applies what they find.
+
+    Parameters
+    ----------
+    owner : callable
+        Returns the daemon that owns a pool.
+    avoid : callable
+        Called with a pool, its slow targets and the time until which to avoid them.
+    """
+
+    def __init__(
+        self,
+        link: PeerLink,
+        owner: Callable[[PoolName, float], DaemonId],
+        avoid: Callable[[PoolName, frozenset[TargetKey], float], None],
+        clock: Clock,
+        events: EventHub,
+    ) -> None:
+        self._link = link
+        self._owner = owner
+        self._avoid = avoid
+        self._clock = clock
+        self._events = events
+        self._pending_by_pool: dict[PoolName, list[tuple[str, int, int]]] = {}
+        self._trackers_by_pool: dict[PoolName, PaceTracker] = {}
+        self._sent_by_pool: dict[PoolName, tuple[float, frozenset[TargetKey]]] = {}
+        self._known_by_pool: dict[PoolName, frozenset[TargetKey]] = {}
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(PaceMessage)
+        self._task: asyncio.Task[None] | None = None
+        link.subscribe(PACE_TOPIC, self._on_message)
+
+    async def start(self) -> None:
+        """Start exchanging."""
+        self._task = asyncio.create_task(self._step_forever())
+
+    async def stop(self) -> None:
+        """Stop exchanging."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def record(self, pool: PoolName, key: TargetKey, gap_s: float) -> None:
+        """Record the mean gap between the events of a stream."""
+        sample = (key.target_id, key.born_ms, int(gap_s * _US_PER_S))
+        self._pending_by_pool.setdefault(pool, []).append(sample)
+
+    def step(self, now: float) -> None:
+        """Send the samples to the owners, and slow targets to every daemon."""
+        pending, self._pending_by_pool = self._pending_by_pool, {}
+        for pool, samples in pending.items():
+            owner = self._owner(pool, now)
+            message = PaceSamples(pool, tuple(samples))
+            if owner == self._link.host.daemon_id:
+                self._on_samples(message, now)
+            else:
+                self._link.send(owner, PACE_TOPIC, self._encoder.encode(message))
+        for pool, tracker in self._trackers_by_pool.items():
+            self._send_slow(pool, frozenset(tracker.slow(now)), now)
+
+    def _send_slow(
+        self, pool: PoolName, slow: frozenset[TargetKey], now: float
+    ) -> None:
+        sent_at, sent = self._sent_by_pool.get(pool, (0.0, frozenset()))
+        is_due = bool(slow) and now - sent_at >= _REPEAT_INTERVAL_S
+        if slow == sent and not is_due:
+            return
+        self._sent_by_pool[pool] = (now, slow)
+        message = SlowTargets(
+            pool, tuple((key.target_id, key.born_ms) for key in sorted(slow))
+        )
+        self._on_slow(message, now)
+        live_ids = [
+            host.daemon_id
+            for host, state in self._link.members()
+            if state is MemberState.LIVE
+        ]
+        self._link.send_each(live_ids, PACE_TOPIC, self._encoder.encode(message))
+
+    async def _step_forever(self) -> None:
+        while True:
+            await asyncio.sleep(_STEP_INTERVAL_S)
+            self.step(self._clock.monotonic())
+
+    def _on_message(self, origin: DaemonId, payload: bytes) -> None:
+        try:
+            message = self._decoder.decode(payload)
+        except DECODE_ERRORS:
+            return
+        now = self._clock.monotonic()
+        if isinstance(message, PaceSamples):
+            self._on_samples(message, now)
+        else:
+            self._on_slow(message, now)
+
+    def _on_samples(self, message: PaceSamples, now: float) -> None:
+        pool = PoolName(message.pool)
+        tracker = self._trackers_by_pool.setdefault(pool, PaceTracker())
+        for target_id, born_ms, gap_us in message.samples:
+            key = TargetKey(TargetId(target_id), born_ms)
+            tracker.record(key, gap_us / _US_PER_S, now)
+
+    def _on_slow(self, message: SlowTargets, now: float) -> None:
+        pool = PoolName(message.pool)
+        slow = frozenset(
+            TargetKey(TargetId(target_id), born_ms)
+            for target_id, born_ms in message.targets
+        )
+        self._avoid(pool, slow, now + _AVOIDED_S)
+        if slow != self._known_by_pool.get(pool, frozenset()):
+            self._known_by_pool[pool] = slow
+            ids = tuple(key.target_id for key in sorted(slow))
+            self._events.emit(SlowTargetsChanged(pool, ids, _AVOIDED_S))
--- /dev/null
+++ b/packages/aspendrift-gateway/tests/test_pace_exchange.py
@@ -0,0 +1,111 @@
+"""Tests of exchanging paces between daemons, and of measuring them."""
+
+from __future__ import annotations
+
+import asyncio
+
+from aspendrift_daemon.events import EventHub
+from aspendrift_gateway.pace_exchange import PaceExchange
+from aspendrift_gateway.stream_pace import StreamPace
+from aspendrift_model.ids import PoolName, TargetId
+from aspendrift_model.target_entries import TargetKey
+from aspendrift_standins.virtual_time import VirtualClock, run_virtual
+
+from .conftest import Network
+
+POOL = PoolName("p")
+KEYS = [TargetKey(TargetId(f"t{number}"), 1) for number in range(5)]
+
+
+class Daemon:
+    def __init__(self, name, network, owner_id):
+        self.avoided = []
+        self.events = []
+        hub = EventHub()
+        hub.connect_all(self.events.append)
+        self.exchange = PaceExchange(
+            network.link(name),
+            lambda pool, now: owner_id,
+            lambda pool, slow, until: self.avoided.append((slow, until)),
+            VirtualClock(asyncio.get_running_loop()),
+            hub,
+        )
+
+
+def run_daemons(scenario, count=6):
+    async def main():
+        network = Network()
+        names = [f"d{number}" for number in range(count)]
+        daemons = [Daemon(name, network, names[0]) for name in names]
+        for daemon in daemons:
+            await daemon.exchange.start()
+        await scenario(daemons)
+        for daemon in daemons:
+            await daemon.exchange.stop()
+
+    run_virtual(main())
+
+
+def observe(daemons, slow_gap_s=0.08):
+    """Let each daemon see one stream of each target, the last one being slow."""
+    for daemon in daemons:
+        for key in KEYS[:-1]:
+            daemon.exchange.record(POOL, key, 0.02)
+        daemon.exchange.record(POOL, KEYS[-1], slow_gap_s)
+
+
+def test_every_daemon_avoids_what_all_of_them_saw_to_be_slow():
+    async def scenario(daemons):
+        observe(daemons)
+        await asyncio.sleep(1.0)
+        for daemon in daemons:
+            slow, _ = daemon.avoided[-1]
+            assert slow == {KEYS[-1]}
+            (event,) = daemon.events
+            assert event.target_ids == (KEYS[-1].target_id,)
+
+    run_daemons(scenario)
+
+
+def test_slow_target_is_repeated_while_it_is_slow_and_then_released():
+    async def scenario(daemons):
+        for _ in range(10):
+            observe(daemons)
+            await asyncio.sleep(0.5)
+        now = asyncio.get_running_loop().time()
+        assert all(daemon.avoided[-1][1] > now + 1.5 for daemon in daemons)
+        await asyncio.sleep(4.0)
+        assert all(daemon.avoided[-1][0] == set() for daemon in daemons)
+
+    run_daemons(scenario)
+
+
+def test_nothing_is_sent_while_no_target_is_slow():
+    async def scenario(daemons):
+        for _ in range(10):
+            observe(daemons, slow_gap_s=0.02)
+            await asyncio.sleep(0.5)
+        assert all(daemon.avoided == [] for daemon in daemons)
+
+    run_daemons(scenario)
+
+
+def test_pace_is_the_mean_gap_after_the_first_event():
+    pace = StreamPace(0)
+    for number in range(1, 12):
+        pace.record(number, 5.0 + 0.02 * number)
+        assert pace.is_due() == (number == 5)
+    assert abs(pace.gap_s() - 0.02) < 1e-9
+
+
+def test_pace_ignores_events_of_earlier_targets():
+    pace = StreamPace(30)
+    for number in range(1, 5):
+        pace.record(30 + number, 0.02 * number)
+    assert pace.gap_s() is None
+
+
+def test_events_of_one_read_have_no_pace():
+    pace = StreamPace(0)
+    pace.record(20, 1.0)
+    assert pace.gap_s() is None
--- a/packages/aspendrift-model/src/aspendrift_model/wire_work.py
+++ b/packages/aspendrift-model/src/aspendrift_model/wire_work.py
@@ -1,4 +1,4 @@
-"""Messages between daemons on stage jobs and on state shared from the store.
+"""Messages between daemons on stage jobs, paces and state shared from the store.
 
 Messages are MessagePack arrays, sent as payloads of the peer link's envelope.
 """
@@ -15,7 +15,10 @@
     "JobEnded",
     "JobResults",
     "OwnerHeartbeat",
+    "PaceMessage",
+    "PaceSamples",
     "PoolLoad",
+    "SlowTargets",
     "StateMessage",
     "StateQuery",
     "StateUpdate",
@@ -149,4 +152,24 @@
     fingerprint: str
 
 
+class PaceSamples(msgspec.Struct, frozen=True, array_like=True, tag="p"):
+    """Paces of streams, for the owner of their pool.
+
+    Each of ``samples`` is a target's id and start time in milliseconds, and the mean
+    gap between the events of a stream in microseconds.
+    """
+
+    pool: str
+    samples: tuple[tuple[str, int, int], ...]
+
+
+class SlowTargets(msgspec.Struct, frozen=True, array_like=True, tag="s"):
+    """All slow targets of a pool: their ids and start times in milliseconds."""
+
+    pool: str
+    targets: tuple[tuple[str, int], ...]
+
+
+PaceMessage = PaceSamples | SlowTargets
+
 StateMessage = StateQuery | StateUpdate | CrashReport
--- a/packages/aspendrift-policy/src/aspendrift_policy/pool_choice.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/pool_choice.py
@@ -66,6 +66,12 @@
         self._rules = rules
         self._rng = rng
         self._states_by_id: dict[TargetId, _TargetState] = {}
+        self._slow: frozenset[TargetKey] = frozenset()
+        self._slow_until = float("-inf")
+
+    def avoid(self, slow: frozenset[TargetKey], until: float) -> None:
+        """Choose slow targets only if there is no other, until some time."""
+        self._slow, self._slow_until = slow, until
 
     def choose(
         self,
@@ -94,7 +100,7 @@
         probe = None if is_dry_run else self._due_probe(usable, now)
         if probe is not None:
             return probe
-        candidates = open_ or usable
+        candidates = self._without_slow(open_ or usable, now)
         if not candidates:
             return None
         if prefix is not None:
@@ -143,6 +149,13 @@
         n_sent_since = max(0, state.n_own - state.own_at_report)
         return float(max(state.n_own, state.reported + n_sent_since))
 
+    def _without_slow(
+        self, candidates: Sequence[TargetEntry], now: float
+    ) -> Sequence[TargetEntry]:
+        if now >= self._slow_until or not self._slow:
+            return candidates
+        return [each for each in candidates if each.key not in self._slow] or candidates
+
     def _by_affinity(
         self, candidates: Sequence[TargetEntry], prefix: PrefixKey, now: float
     ) -> TargetEntry:
