--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -64,6 +64,10 @@
 # not in view.
 _CONNECTION_SHARE: Final = 0.8
 _MIN_CONNECTIONS: Final = 2
+# Shares of the process's file descriptors for the connections of callers, and for those
+# of each other server; the rest is for targets, the store and peers.
+_CALLER_FILES_SHARE: Final = 0.5
+_CONTROL_FILES_SHARE: Final = 0.05
 # Changes after which a target's connections can't be used any more.
 _ENDED: Final = frozenset({RegistryChangeKind.GONE, RegistryChangeKind.RESTARTED})
 
@@ -285,15 +289,20 @@
             self.metrics.exposition,
             _METRICS_PATH,
         )
-        app_by_address: dict[str, Any] = {
-            settings.ready_address: control,
-            settings.directory_address: control,
-            f"{settings.ip}:{settings.metrics_port}": control,
-            settings.front_address: front,
+        share_by_address = {
+            settings.ready_address: _CONTROL_FILES_SHARE,
+            settings.directory_address: _CONTROL_FILES_SHARE,
+            f"{settings.ip}:{settings.metrics_port}": _CONTROL_FILES_SHARE,
+            settings.front_address: _CALLER_FILES_SHARE,
         }
         return [
-            AppServer(address, app, ServerLimits(), settings.max_files)
-            for address, app in app_by_address.items()
+            AppServer(
+                address,
+                front if address == settings.front_address else control,
+                ServerLimits(),
+                int(settings.max_files * share),
+            )
+            for address, share in share_by_address.items()
         ]
 
     def _limits(self) -> ServerLimits:
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/servers.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/servers.py
@@ -33,9 +33,6 @@
 
 _CLOSE: Final = (b"connection", b"close")
 _CLOSE_TIMEOUT_S: Final = 1
-# Share of the process's file descriptors for connections of callers; the rest is for
-# targets, the store and peers.
-_CALLER_FILES_SHARE: Final = 0.5
 
 _logger = structlog.get_logger("aspendrift.front")
 
@@ -251,16 +248,17 @@
     ----------
     address : str
         IP address and port.
+    max_connections : int
+        Maximum number of open connections.
     """
 
     def __init__(
-        self, address: str, app: Any, limits: ServerLimits, max_files: int
+        self, address: str, app: Any, limits: ServerLimits, max_connections: int
     ) -> None:
         host, _, port = address.rpartition(":")
         self._socket = listen(host, int(port))
-        connections = ConnectionLimits(
-            int(max_files * _CALLER_FILES_SHARE), limits.header_timeout_s
-        )
+        self.max_connections = max_connections
+        connections = ConnectionLimits(max_connections, limits.header_timeout_s)
         self._config = uvicorn.Config(
             app,
             loop="asyncio",
--- a/tests/aspendrift_platform/platform_emulator.py
+++ b/tests/aspendrift_platform/platform_emulator.py
@@ -352,7 +352,7 @@
                 "model",
                 stages=stages,
                 sticky=True,
-                targetGapMs=300,
+                targetGapMs=600,
             ),
             route("/resume/", "streaming", "model", resumable=True, targetGapMs=300),
         ],
--- a/tests/aspendrift_platform/test_on_emulator.py
+++ b/tests/aspendrift_platform/test_on_emulator.py
@@ -299,3 +299,13 @@
         assert "aspendrift_attempt_ended_took_duration_seconds_bucket" in answer.text
 
     run_scenario(scenario)
+
+
+def test_servers_leave_file_descriptors_for_targets_and_peers(run_scenario):
+    async def scenario(cluster):
+        (gateway,) = cluster.gateways
+        n_allowed = sum(server.max_connections for server in gateway.servers)
+        assert len(gateway.servers) == 4
+        assert n_allowed <= gateway.settings.max_files * 0.75
+
+    run_scenario(scenario)
--- a/tools/measure_capacity.py
+++ b/tools/measure_capacity.py
@@ -166,7 +166,9 @@
 
         pool = build()
         memory.append(allocated_bytes(build))
-        refresh_us.append(processor_time_us(lambda pool=pool: pool.refresh(1.0, 1.0)))
+        refresh_us.append(
+            processor_time_us(lambda pool=pool: pool.refresh(1.0, 0, 1.0))
+        )
     return {"bytes": slope(SIZES, memory), "refresh_us": slope(SIZES, refresh_us)}
 
 
