Calls whose answers are lost do not block their targets; listed daemons count as readers

Answers of the targets were lost; each lost call kept its target idle until a timeout of 8 times the expected time and a second, and raised the target's assumed slowness to 2.5, so that the next timeouts took 6 s.

Now a call that is late by 0.2 s does not occupy its slot, up to one a slot; the timeout is 4 times the expected time and 0.5 s; and an overdue call only makes its target less preferred.

Until a daemon had reached others it counted as a reader itself, for one to three seconds after each start; listed members count now, as for owners. A follower whose sources all fail read the store every two seconds even if it answered; only failed reads delay the next one now.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/peer_state.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/peer_state.py
@@ -148,7 +148,7 @@
 
     def n_readers(self) -> int:
         """Return the number of daemons that follow the store."""
-        return max(1, len(readers_in_order(self._live_ids())))
+        return max(1, len(readers_in_order(self._candidate_ids())))
 
     # State that membership probes carry.
 
@@ -204,7 +204,7 @@
         members = self._link.members()
         if members is not self._known_members:
             self._known_members = members
-            live_ids = self._live_ids()
+            live_ids = self._candidate_ids()
             own_id = self._link.host.daemon_id
             self._is_reader = own_id in readers_in_order(live_ids)
             self._follower.set_members(own_id, live_ids)
@@ -213,11 +213,16 @@
             self._reader.follow(is_wanted)
             self._report("store" if is_wanted else "peer", "readers changed")
 
-    def _live_ids(self) -> list[DaemonId]:
+    def _candidate_ids(self) -> list[DaemonId]:
+        """Return the daemons that are live, or listed and not yet reached.
+
+        Without the latter each daemon would read for itself until it has reached
+        others, and all of them start at once after a loss of power.
+        """
         return [
             host.daemon_id
             for host, state in self._link.members()
-            if state is MemberState.LIVE
+            if state in (MemberState.LIVE, MemberState.JOINING)
         ]
 
     def _times(self) -> SourceTimes:
@@ -251,7 +256,7 @@
 
     async def _read_store(self) -> None:
         if not await self._reader.read_once():
-            self._follower.query_now()
+            self._follower.read_failed(self._clock.monotonic())
 
     def _check_suspension(self) -> None:
         """Treat the state as unconfirmed after a suspension of the host."""
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
@@ -34,10 +34,6 @@
 
 __all__ = ["PoolRunner"]
 
-# The timeout of a call is this multiple of its expected time plus a constant; a target
-# that takes longer is unreachable or hangs.
-_CALL_TIMEOUT_FACTOR: Final = 8.0
-_CALL_TIMEOUT_S: Final = 1.0
 # Frees requested within this time are sent in one call.
 _FREE_DELAY_S: Final = 0.01
 _FREE_TIMEOUT_S: Final = 1.0
@@ -157,9 +153,8 @@
         )
         encoded = self._codec.stage_run(call.works)
         headers = self._codec.stage_headers(target_id)
-        timeout_s = call.expected_s * _CALL_TIMEOUT_FACTOR + _CALL_TIMEOUT_S
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(call.timeout_s):
                 answer = await self._client.send_and_read(
                     call.target, encoded, headers, sent_at
                 )
--- a/packages/aspendrift-gateway/tests/test_peer_state.py
+++ b/packages/aspendrift-gateway/tests/test_peer_state.py
@@ -265,6 +265,29 @@
     run_world(scenario)
 
 
+def test_daemons_that_just_started_do_not_all_follow_the_store():
+    async def scenario(world):
+        for daemon in world.daemons:
+            world.network.states_by_id[daemon.daemon_id] = MemberState.JOINING
+        await asyncio.sleep(1.0)
+        assert sum(each.reader.is_following for each in world.daemons) == 2
+
+    run_world(scenario)
+
+
+def test_followers_stay_current_while_no_source_answers_for_long():
+    async def scenario(world):
+        for reader in world.readers:
+            world.cut(reader)
+        others = world.followers
+        world.network.cut_off |= {each.daemon_id for each in others[1:]}
+        for _ in range(20):
+            await asyncio.sleep(0.5)
+            assert others[0].age_s() <= BOUND_S
+
+    run_world(scenario)
+
+
 def test_reader_that_leaves_is_followed_by_another():
     async def scenario(world):
         left = world.readers[0]
--- a/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
@@ -49,6 +49,12 @@
 # usually vary by half a call.
 _OVERDUE_FACTOR: Final = 2.5
 _OVERDUE_MARGIN_S: Final = 0.25
+# A call ends after its expected time multiplied by the factor, plus the constant: a
+# target that has just turned several times slower may still answer.
+_TIMEOUT_FACTOR: Final = 4.0
+_TIMEOUT_MARGIN_S: Final = 0.5
+# A call is late this long after its expected end; its target may get another one.
+_LATE_MARGIN_S: Final = 0.2
 # Backoff after a failed call of a target, doubled at each further failure.
 _BACKOFF_S: Final = 0.25
 _MAX_BACKOFF_S: Final = 2.0
@@ -114,6 +120,11 @@
     works: tuple[PieceWork, ...]
     expected_s: float
 
+    @property
+    def timeout_s(self) -> float:
+        """Time after which the answer counts as lost."""
+        return self.expected_s * _TIMEOUT_FACTOR + _TIMEOUT_MARGIN_S
+
 
 @dataclass(frozen=True, slots=True)
 class JobUpdate:
@@ -335,6 +346,12 @@
             if not call.is_overdue
         ]
         if self._jobs_by_id:
+            times += [
+                late_at
+                for target in self._targets_by_key.values()
+                for call in target.calls_by_id.values()
+                if (late_at := _late_at(call)) > now
+            ]
             times += [
                 min(job.spec.deadline_at, job.spec.inputs_until)
                 for job in self._jobs_by_id.values()
@@ -384,10 +401,20 @@
         return jobs
 
     def _slot_free_times(self, target: _Target, now: float) -> list[float]:
-        """Return the time at which each slot of a target is free."""
+        """Return the time at which each slot of a target is free.
+
+        Load it answers: targets that do their work but whose answers are lost. A late
+        call does not occupy its slot, so that the target is not idle until the call
+        times out; if it still works on that call, the next one waits in its queue.
+        With more late calls than slots, it probably hangs.
+        """
         at = max(now, target.backoff_until)
         n_slots = self.limits.n_slots
-        ends = sorted(_ends_at(call, now) for call in target.calls_by_id.values())
+        calls = list(target.calls_by_id.values())
+        in_time = [call for call in calls if now < _late_at(call)]
+        if len(calls) - len(in_time) <= n_slots:
+            calls = in_time
+        ends = sorted(_ends_at(call, now) for call in calls)
         busy = [max(at, end) for end in ends[-n_slots:]]
         return [at] * (n_slots - len(busy)) + busy
 
@@ -395,7 +422,7 @@
         """Return the slot that ends a call first; on a tie, one in the job's zone."""
         full_s = self.limits.full_call_s
         ends_at = {
-            slot: at + full_s * self._targets_by_key[slot[0]].slowness
+            slot: at + full_s * self._assumed_slowness(self._targets_by_key[slot[0]])
             for slot, at in free_at.items()
         }
         latest = min(ends_at.values()) + _END_TOLERANCE_S
@@ -408,6 +435,12 @@
             ),
         )
 
+    def _assumed_slowness(self, target: _Target) -> float:
+        """Return the slowness of a target; it may have risen if a call is overdue."""
+        if any(call.is_overdue for call in target.calls_by_id.values()):
+            return max(target.slowness, _OVERDUE_FACTOR)
+        return target.slowness
+
     def _select_pieces(
         self,
         jobs: list[_Job],
@@ -586,7 +619,6 @@
         if call.is_overdue or now - call.sent_at < _overdue_s(call):
             return
         call.is_overdue = True
-        target.slowness = max(target.slowness, _OVERDUE_FACTOR)
         for work, job_id in zip(call.plan.works, call.job_ids, strict=True):
             self._requeue(job_id, work)
 
@@ -656,5 +688,10 @@
     return max(due_at, now + overdue_s + _MIN_REMAINING_S)
 
 
+def _late_at(call: _Call) -> float:
+    """Return the time from which a call does not occupy its slot."""
+    return call.sent_at + call.plan.expected_s + _LATE_MARGIN_S
+
+
 def _overdue_s(call: _Call) -> float:
     return call.plan.expected_s * _OVERDUE_FACTOR + _OVERDUE_MARGIN_S
--- a/packages/aspendrift-policy/src/aspendrift_policy/state_sources.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/state_sources.py
@@ -128,7 +128,7 @@
         self._asked_id: DaemonId | None = None
         self._asked_at = float("-inf")
         self._query_at = float("-inf")
-        self._read_at = float("-inf")
+        self._read_failed_at = float("-inf")
         self._left_readers_at = float("-inf")
         self._sources: list[DaemonId] = []
         self._n_readers = 0
@@ -184,6 +184,11 @@
         """Make the next query due at once."""
         self._query_at = float("-inf")
 
+    def read_failed(self, now: float) -> None:
+        """Record that the store rejected a read; another source is asked at once."""
+        self._read_failed_at = now
+        self.query_now()
+
     def _query(self, now: float, times: SourceTimes) -> list[SourceStep]:
         self._query_at = now + times.interval_s
         if (
@@ -226,7 +231,6 @@
         now: float,
         times: SourceTimes,
     ) -> list[SourceStep]:
-        if now - self._read_at < times.store_retry_s:
+        if now - self._read_failed_at < times.store_retry_s:
             return []
-        self._read_at = now
         return [ReadStore(source_id, failure)]
--- a/packages/aspendrift-policy/tests/test_state_sources.py
+++ b/packages/aspendrift-policy/tests/test_state_sources.py
@@ -112,11 +112,25 @@
                 continue
             asked.add(step.daemon_id)
             _, steps = found.answered(step.number, 9.0, 9.0, now, TIMES)
-            n_reads += len(steps)
+            for _ in steps:
+                n_reads += 1
+                found.read_failed(now)
     assert n_reads <= 10
     assert len(asked) > 4
 
 
+def test_store_is_read_each_interval_while_it_answers_and_sources_fail():
+    found = follower()
+    n_reads = 0
+    for tick in range(100):
+        now = tick * 0.1
+        for step in found.steps(now, TIMES):
+            if isinstance(step, QuerySource):
+                _, steps = found.answered(step.number, 9.0, 9.0, now, TIMES)
+                n_reads += len(steps)
+    assert n_reads == 10
+
+
 def test_readers_are_asked_again_after_others():
     found = follower()
     readers = set(readers_in_order(daemons(20)))
