Fewer reads of the store by followers, smaller configurations, a robust pace

Now the first question comes an interval after the start's own reads; a source's state may be as old as leaves time for an interval, a missing answer and a direct read until a change must be in force; configurations are compressed; reads that the store rejects are repeated after 3 s; the feed waits at most 1.5 s.

Ruled out: a longer window of means (a prompt of 17,000 tokens stretches five gaps in a row whatever the window).

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/pace_exchange.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/pace_exchange.py
@@ -28,10 +28,12 @@
 PACE_TOPIC: Final = "p"
 
 _STEP_INTERVAL_S: Final = 0.25
-# Slow targets are sent again at this interval, and avoided for a few of them.
-_REPEAT_INTERVAL_S: Final = 1.0
+# Slow targets are sent at most at this interval while there are any, and avoided for a
+# few of them.
+_SEND_INTERVAL_S: Final = 1.0
 _AVOIDED_S: Final = 3.0
 _US_PER_S: Final = 1e6
+_NEVER_SENT: Final[tuple[float, frozenset[TargetKey]]] = (float("-inf"), frozenset())
 
 
 class PaceExchange:
@@ -78,7 +80,7 @@
             await asyncio.gather(self._task, return_exceptions=True)
 
     def record(self, pool: PoolName, key: TargetKey, gap_s: float) -> None:
-        """Record the mean gap between the events of a stream."""
+        """Record the gap between the events of a stream."""
         sample = (key.target_id, key.born_ms, int(gap_s * _US_PER_S))
         self._pending_by_pool.setdefault(pool, []).append(sample)
 
@@ -98,9 +100,8 @@
     def _send_slow(
         self, pool: PoolName, slow: frozenset[TargetKey], now: float
     ) -> None:
-        sent_at, sent = self._sent_by_pool.get(pool, (0.0, frozenset()))
-        is_due = bool(slow) and now - sent_at >= _REPEAT_INTERVAL_S
-        if slow == sent and not is_due:
+        sent_at, sent = self._sent_by_pool.get(pool, _NEVER_SENT)
+        if not (slow or sent) or now - sent_at < _SEND_INTERVAL_S:
             return
         self._sent_by_pool[pool] = (now, slow)
         message = SlowTargets(
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/peer_state.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/peer_state.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import random
+import zlib
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any, Final
@@ -18,7 +19,7 @@
 from aspendrift_daemon.events import EventHub
 from aspendrift_daemon.interfaces import Clock
 from aspendrift_daemon.peers import PeerLink
-from aspendrift_gateway.events import StateSourceChanged
+from aspendrift_gateway.events import ConfigurationRejected, StateSourceChanged
 from aspendrift_gateway.settings import GatewaySettings
 from aspendrift_gateway.store_reader import (
     StoreReader,
@@ -55,8 +56,8 @@
 # As long as a probe of the failure detector waits.
 _ANSWER_TIMEOUT_S: Final = 0.4
 # Interval between direct reads while the store rejects them.
-_STORE_RETRY_S: Final = 2.0
-# Margin for the call to the store in the age of a reader's state.
+_STORE_RETRY_S: Final = 3.0
+# Margin for a call to the store.
 _READ_MARGIN_S: Final = 0.2
 # Changes are sent without a query for this number of query intervals after the last
 # query.
@@ -124,6 +125,7 @@
         self._is_reader = True
         self._known_suspended_s = suspended_s()
         self._pulled_at = _NEVER
+        self._compressed = (-1, b"")
         self._subscribers_by_id: dict[DaemonId, _Subscriber] = {}
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(StateMessage)
@@ -189,7 +191,7 @@
     def step(self, now: float) -> None:
         """Perform what is due; called by the task and by tests."""
         self._check_suspension()
-        self._update_role()
+        self._update_role(now)
         if self._reader.is_following and not self._is_stale(now):
             return
         self._perform(self._follower.steps(now, self._times()), now)
@@ -199,7 +201,7 @@
             self.step(self._clock.monotonic())
             await asyncio.sleep(_CHECK_INTERVAL_S * self._rng.uniform(0.9, 1.1))
 
-    def _update_role(self) -> None:
+    def _update_role(self, now: float) -> None:
         """Follow the store if this daemon is a reader or knows no state yet."""
         members = self._link.members()
         if members is not self._known_members:
@@ -211,6 +213,9 @@
         is_wanted = self._is_reader or not self._state.is_complete
         if is_wanted != self._reader.is_following:
             self._reader.follow(is_wanted)
+            # What was just read is current for an interval.
+            interval_s = targets_interval_s(self._settings())
+            self._follower.query_at(now + interval_s * self._rng.uniform(0.5, 1.0))
             self._report("store" if is_wanted else "peer", "readers changed")
 
     def _candidate_ids(self) -> list[DaemonId]:
@@ -226,14 +231,23 @@
         ]
 
     def _times(self) -> SourceTimes:
+        """Return the times of a follower.
+
+        The state of a source may be as old as leaves time for a query interval, an
+        answer that is missing and a direct read until a change must be in force.
+        """
         settings = self._settings()
         interval_s = targets_interval_s(settings)
+        reserved_s = interval_s + _ANSWER_TIMEOUT_S + _READ_MARGIN_S
         return SourceTimes(
             interval_s,
             _ANSWER_TIMEOUT_S,
             _STORE_RETRY_S,
-            long_poll_s(settings) + _READ_MARGIN_S,
-            interval_s + _READ_MARGIN_S,
+            max(
+                settings.configuration_s - reserved_s,
+                long_poll_s(settings) + _READ_MARGIN_S,
+            ),
+            max(settings.drain_s - reserved_s, interval_s + _READ_MARGIN_S),
         )
 
     def _is_stale(self, now: float) -> bool:
@@ -264,7 +278,7 @@
         if suspended_s - self._known_suspended_s > _MAX_SUSPENSION_S:
             self._state.configuration_confirmed_at = _NEVER
             self._state.targets_confirmed_at = _NEVER
-            self._follower.query_now()
+            self._follower.query_at(_NEVER)
         self._known_suspended_s = suspended_s
 
     def _report(self, source: str, reason: str) -> None:
@@ -336,7 +350,7 @@
             number,
             state.configuration_version,
             _age_ms(state.configuration_confirmed_at, now),
-            state.configuration_value if is_newer else b"",
+            self._compressed_configuration() if is_newer else b"",
             state.targets_version,
             _age_ms(state.targets_confirmed_at, now),
             changes.after,
@@ -352,7 +366,7 @@
     def _on_update(self, origin: DaemonId, update: StateUpdate, now: float) -> None:
         self._apply_targets(update, now)
         if update.configuration:
-            self._state.apply_configuration(update.configuration, f"peer {origin}")
+            self._apply_configuration(origin, update.configuration)
         asked_at, steps = self._follower.answered(
             update.number,
             update.configuration_age_ms / _MS_PER_S,
@@ -364,6 +378,24 @@
             self._confirm(update, asked_at, now)
         self._perform(steps, now)
 
+    def _compressed_configuration(self) -> bytes:
+        """Return the configuration as it is sent; it goes to many daemons at once."""
+        state = self._state
+        version, compressed = self._compressed
+        if version != state.configuration_version:
+            compressed = zlib.compress(state.configuration_value)
+            self._compressed = (state.configuration_version, compressed)
+        return compressed
+
+    def _apply_configuration(self, origin: DaemonId, compressed: bytes) -> None:
+        try:
+            value = zlib.decompress(compressed)
+        except zlib.error as error:
+            kept = self._state.configuration_version
+            self._events.emit(ConfigurationRejected(f"peer {origin}: {error}", kept))
+            return
+        self._state.apply_configuration(value, f"peer {origin}")
+
     def _apply_targets(self, update: StateUpdate, now: float) -> None:
         state = self._state
         rows = [StoreRow(*row) for row in update.targets]
@@ -376,7 +408,7 @@
             state.update_targets(rows, update.targets_version, now)
         else:
             # An earlier change was lost on its way.
-            self._follower.query_now()
+            self._follower.query_at(now)
 
     def _confirm(self, update: StateUpdate, asked_at: float, now: float) -> None:
         """Record as of when the state is known to be current."""
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/store_reader.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/store_reader.py
@@ -21,7 +21,7 @@
 # of the time within which a configuration must be in force, at most this. A dead
 # connection is detected after this time plus the timeout of the call.
 _LONG_POLL_SHARE: Final = 0.5
-_MAX_LONG_POLL_S: Final = 2.0
+_MAX_LONG_POLL_S: Final = 1.5
 # Entries change constantly, so their feed is polled at an interval: a share of the time
 # within which a draining target must be known, at most this. The other shares are for
 # the daemons that follow a reader, and for replacing one.
--- a/packages/aspendrift-model/src/aspendrift_model/wire_work.py
+++ b/packages/aspendrift-model/src/aspendrift_model/wire_work.py
@@ -129,9 +129,9 @@
     """What a daemon knows of the store; the answer to a query, or unasked with 0.
 
     Ages are the times since the sender, or the daemon it follows, read the store.
-    ``configuration`` is empty if the recipient has it. Each of ``targets`` is the key,
-    version and value of an entry that changed after ``targets_after``, the value None
-    if it was removed; -1 marks the complete list.
+    ``configuration`` is compressed with zlib; it is empty if the recipient has it.
+    Each of ``targets`` is the key, version and value of an entry that changed after
+    ``targets_after``, the value None if it was removed; -1 marks the complete list.
     """
 
     number: int
@@ -155,8 +155,8 @@
 class PaceSamples(msgspec.Struct, frozen=True, array_like=True, tag="p"):
     """Paces of streams, for the owner of their pool.
 
-    Each of ``samples`` is a target's id and start time in milliseconds, and the mean
-    gap between the events of a stream in microseconds.
+    Each of ``samples`` is a target's id and start time in milliseconds, and the gap
+    between the events of a stream in microseconds.
     """
 
     pool: str
--- a/packages/aspendrift-policy/src/aspendrift_policy/pace.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/pace.py
@@ -32,7 +32,7 @@
 
 @dataclass(slots=True)
 class _Pace:
-    """The last two samples of a target: mean gaps between events, in seconds."""
+    """The last two samples of a target: gaps between events, in seconds."""
 
     gap_s: float
     sampled_at: float
@@ -54,7 +54,7 @@
         self._pace_by_key: dict[TargetKey, _Pace] = {}
 
     def record(self, key: TargetKey, gap_s: float, now: float) -> None:
-        """Record the mean gap between events of one stream, in seconds."""
+        """Record the gap between the events of one stream, in seconds."""
         known = self._pace_by_key.get(key)
         if known is None:
             self._pace_by_key[key] = _Pace(gap_s, now)
--- a/packages/aspendrift-policy/src/aspendrift_policy/state_sources.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/state_sources.py
@@ -89,7 +89,7 @@
     store_retry_s : float
         Interval between direct reads while the store does not answer.
     max_configuration_age_s, max_targets_age_s : float
-        Age of a reader's state while the store answers it.
+        Age from which the state of a source is too old.
     """
 
     interval_s: float
@@ -180,14 +180,14 @@
         self._asked_id = None
         return self._asked_at, []
 
-    def query_now(self) -> None:
-        """Make the next query due at once."""
-        self._query_at = float("-inf")
+    def query_at(self, at: float) -> None:
+        """Make the next query due at a time."""
+        self._query_at = at
 
     def read_failed(self, now: float) -> None:
         """Record that the store rejected a read; another source is asked at once."""
         self._read_failed_at = now
-        self.query_now()
+        self.query_at(now)
 
     def _query(self, now: float, times: SourceTimes) -> list[SourceStep]:
         self._query_at = now + times.interval_s
