--- a/Makefile
+++ b/Makefile
@@ -81,11 +81,12 @@
 	$(BIN)/python -m aspendrift_standins.report \
 		docs/measurements/surge.json docs/measurements
 
-DAYS ?= 40
+# Options for the bench, such as `--site kaapwind-fleet-large --small`.
+BENCH_OPTIONS ?=
 JOBS ?= 4
 
 platform-score: venv
-	$(BIN)/python tools/platform_bench.py score --jobs $(JOBS)
+	$(BIN)/python tools/platform_bench.py score --jobs $(JOBS) $(BENCH_OPTIONS)
 
 platform-hunt: venv
-	$(BIN)/python tools/platform_bench.py hunt --days $(DAYS) --jobs $(JOBS)
+	$(BIN)/python tools/platform_bench.py hunt --jobs $(JOBS) $(BENCH_OPTIONS)
--- a/tests/tools/test_platform_bench.py
+++ b/tests/tools/test_platform_bench.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from platform_bench import read_result
+from platform_bench import SITES, arguments, read_result
 
 SCORE_OUTPUT = """\
 score on the standard days of a-site (set 1): 0.744, -0.024 against snapshot 2
@@ -33,3 +33,22 @@
 
 def test_bench_that_failed_has_no_days():
     assert read_result("a-site", "it broke\n").worth_by_day == {}
+
+
+def site(name):
+    return next(each for each in SITES if each.name == name)
+
+
+def test_days_of_a_large_site_are_played_one_by_one():
+    command = arguments("score", site("kaapwind-fleet-large"), 4, "", None, False)
+    assert command[command.index("--jobs") + 1] == "1"
+    small = arguments("score", site("kaapwind-fleet-large"), 4, "", None, True)
+    assert small[small.index("--jobs") + 1] == "4"
+    assert "--small" in small
+
+
+def test_hunts_have_the_days_that_a_landing_needs():
+    for name, days in (("vlakotrh-fleet", "40"), ("vlakotrh-fleet-grown", "8")):
+        command = arguments("hunt", site(name), 4, "why", None, False)
+        assert command[command.index("--days") + 1] == days
+        assert command[-2:] == ["--why", "why"]
