Check long lists of targets with complete reads less often

The interval was chosen when entries were thought to change with every heartbeat; the store's versions rise with changes only. A check now reads at most 50 entries a second, so up to 125 targets nothing changes.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/store_reader.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/store_reader.py
@@ -33,9 +33,10 @@
 # Delay after a failed call: short enough to detect the end of an outage soon, without
 # overloading a store in trouble.
 _RETRY_DELAY_S: Final = 0.4
-# Time without changes after which the feed is assumed to miss some, since entries
-# change with every heartbeat; a full read follows.
+# Time without changes after which the feed is checked with a full read; longer for a
+# long list, so that these checks read a bounded number of entries a second.
 _FULL_READ_AFTER_S: Final = 2.5
+_CHECKED_ENTRIES_PER_S: Final = 50.0
 
 
 class DependencyWatch:
@@ -195,7 +196,10 @@
         state = self._state
         table = self._store.codec.targets_table
         requested_at = self._clock.monotonic()
-        is_suspect = is_checked and requested_at - self._changed_at > _FULL_READ_AFTER_S
+        check_after_s = max(
+            _FULL_READ_AFTER_S, state.n_targets / _CHECKED_ENTRIES_PER_S
+        )
+        is_suspect = is_checked and requested_at - self._changed_at > check_after_s
         result: StoreRows | HistoryGone | StoreFailure = HistoryGone()
         if state.targets_version >= 0 and not is_suspect:
             result = await self._store.feed(table, state.targets_version, 0.0)
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/system_state.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/system_state.py
@@ -63,6 +63,11 @@
         """Whether routes and targets are known."""
         return self.table is not None and self.targets_version >= 0
 
+    @property
+    def n_targets(self) -> int:
+        """Number of entries in the list of targets."""
+        return len(self._targets.value_by_key)
+
     def on_change(self, listener: Callable[[list[RegistryChange]], None]) -> None:
         """Register a listener, called with changed targets.
 
--- a/packages/aspendrift-gateway/tests/test_store_reader.py
+++ b/packages/aspendrift-gateway/tests/test_store_reader.py
@@ -180,3 +180,15 @@
         assert usable(state) == ["t1"]
 
     run_scenario(scenario)
+
+
+def test_long_list_is_read_completely_less_often():
+    async def scenario(store, state, events):
+        for number in range(500):
+            store.put("targets", f"m{number}", b"ready")
+        await asyncio.sleep(2.0)
+        store.calls.clear()
+        await asyncio.sleep(30.0)
+        assert 2 <= store.calls.count("table") <= 3
+
+    run_scenario(scenario)
