--- a/packages/aspendrift-daemon/src/aspendrift_daemon/peers.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/peers.py
@@ -240,6 +240,14 @@
             self._hosts = [(member.host, member.state) for member in members]
         return self._hosts
 
+    def live_ids(self) -> list[DaemonId]:
+        """Return the ids of all live daemons, this one included."""
+        return [
+            host.daemon_id
+            for host, state in self.members()
+            if state is MemberState.LIVE
+        ]
+
     async def is_refused(self, host: Host) -> bool:
         """Return whether a daemon's address refuses a connection.
 
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/pace_exchange.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/pace_exchange.py
@@ -18,7 +18,6 @@
 from aspendrift_gateway.events import SlowTargetsChanged
 from aspendrift_model.decode_errors import DECODE_ERRORS
 from aspendrift_model.ids import DaemonId, PoolName, TargetId
-from aspendrift_model.states import MemberState
 from aspendrift_model.target_entries import TargetKey
 from aspendrift_model.wire_work import PaceMessage, PaceSamples, SlowTargets
 from aspendrift_policy.pace import PaceTracker
@@ -108,12 +107,8 @@
             pool, tuple((key.target_id, key.born_ms) for key in sorted(slow))
         )
         self._on_slow(message, now)
-        live_ids = [
-            host.daemon_id
-            for host, state in self._link.members()
-            if state is MemberState.LIVE
-        ]
-        self._link.send_each(live_ids, PACE_TOPIC, self._encoder.encode(message))
+        encoded = self._encoder.encode(message)
+        self._link.send_each(self._link.live_ids(), PACE_TOPIC, encoded)
 
     async def _step_forever(self) -> None:
         while True:
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
@@ -275,12 +275,7 @@
             encoded = self._encoder.encode(
                 PoolLoad(pool, measures.completed_per_s, loads)
             )
-            live_ids = [
-                host.daemon_id
-                for host, state in self._link.members()
-                if state is MemberState.LIVE
-            ]
-            self._link.send_each(live_ids, WORK_TOPIC, encoded)
+            self._link.send_each(self._link.live_ids(), WORK_TOPIC, encoded)
 
     def _is_lost(self, submitted: _SubmittedJob, now: float) -> bool:
         received_at = self._received_at_by_owner.get(submitted.owner, 0.0)
--- a/packages/aspendrift-gateway/tests/conftest.py
+++ b/packages/aspendrift-gateway/tests/conftest.py
@@ -152,6 +152,13 @@
         for handler in link._handlers:
             loop.call_later(0.002, handler, self.host.daemon_id, payload)
 
+    def live_ids(self):
+        return [
+            host.daemon_id
+            for host, state in self.members()
+            if state is MemberState.LIVE
+        ]
+
     def send_each(self, daemon_ids, topic, payload):
         for daemon_id in daemon_ids:
             if daemon_id != self.host.daemon_id:
