A signed answer without the request's id is not the request's

A target that sends an answer more than it was asked for left it on the connection; the next request there got it 1.3 ms after it was sent, and it was passed on. An answer with another id was rejected already, one without an id was taken. Targets repeat the id in every answer, so a signed one without it is foreign.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
@@ -15,13 +15,19 @@
 from aspendrift_gateway.caller_answer import CallerAnswer
 from aspendrift_gateway.event_relay import EventRelay
 from aspendrift_gateway.events import AttemptEnded, AttemptSent, AttemptVerdict
-from aspendrift_gateway.interfaces import ForwardMetadata, HttpCall, TargetCodec
+from aspendrift_gateway.interfaces import (
+    AnswerHead,
+    ForwardMetadata,
+    HttpCall,
+    TargetCodec,
+)
 from aspendrift_gateway.refusals import Refusal
 from aspendrift_gateway.stream_pace import StreamPace
 from aspendrift_gateway.system_state import SystemState
 from aspendrift_gateway.target_client import Answer, Broken, NotSent, TargetClient
 from aspendrift_model.ids import (
     AccountId,
+    AttemptId,
     Fingerprint,
     PoolName,
     PrefixKey,
@@ -388,9 +394,7 @@
         routed = delivery.routed
         head = answer.head
         now = delivery.head_at = self._clock.monotonic()
-        if head.attempt_id is not None and (
-            head.attempt_id != routed.request.attempt_id
-        ):
+        if _is_foreign(head, routed.request.attempt_id):
             self._client.disable_reuse(entry.key.target_id, now)
             return _FailedAttempt(AttemptVerdict.FOREIGN, str(head.attempt_id), True)
         if head.load is not None:
@@ -595,6 +599,17 @@
     return None if at is None else at - began_at
 
 
+def _is_foreign(head: AnswerHead, attempt_id: AttemptId) -> bool:
+    """Return whether an answer belongs to another request.
+
+    A target repeats the id in every answer that it signs, so a signed one without it is
+    an extra answer left on the connection.
+    """
+    if head.attempt_id is None:
+        return head.is_signed
+    return head.attempt_id != attempt_id
+
+
 def _prefix(routed: RoutedRequest) -> PrefixKey | None:
     """Return the key of the prompt parts that other requests may share."""
     parts = routed.request.prompt
--- a/packages/aspendrift-gateway/tests/test_attempts.py
+++ b/packages/aspendrift-gateway/tests/test_attempts.py
@@ -45,6 +45,7 @@
         Reply(is_signed=False),
         Reply(is_encoded=True),
         Reply(attempt_id="other"),
+        Reply(attempt_id=None),
         Reply(delay_s=5.0),
     ],
 )
@@ -62,6 +63,7 @@
         (Reply(chunks=(b"wh",), breaks_after=1), RefusalReason.TARGET_FAILED),
         (Reply(is_signed=False), RefusalReason.TARGET_FAILED),
         (Reply(attempt_id="other"), RefusalReason.TARGET_FAILED),
+        (Reply(attempt_id=None), RefusalReason.TARGET_FAILED),
         (Reply(delay_s=50.0), RefusalReason.DEADLINE_EXCEEDED),
     ],
 )
