--- a/tests/tools/test_platform_bench.py
+++ b/tests/tools/test_platform_bench.py
@@ -45,6 +45,9 @@
     small = arguments("score", site("kaapwind-fleet-large"), 4, "", None, True)
     assert small[small.index("--jobs") + 1] == "4"
     assert "--small" in small
+    hunt = arguments("hunt", site("kaapwind-fleet-large"), 4, "", None, True)
+    assert hunt[hunt.index("--jobs") + 1] == "1"
+    assert "--small" not in hunt
 
 
 def test_hunts_have_the_days_that_a_landing_needs():
--- a/tools/platform_bench.py
+++ b/tools/platform_bench.py
@@ -92,14 +92,16 @@
 ) -> list[str]:
     """Return the command that plays a site.
 
-    Small twins of a large site need no more memory than other days.
+    Small twins of a large site need no more memory than other days; a hunt has none and
+    plays its days at full size.
     """
-    is_one_by_one = site.is_large and not is_small
+    has_twins = is_small and verb == "score"
+    is_one_by_one = site.is_large and not has_twins
     command = [str(BENCH), verb, str(site.path)]
     command += ["--jobs", str(_LARGE_SITE_JOBS if is_one_by_one else jobs)]
     if verb == "hunt":
         command += ["--days", str(days or site.n_hunt_days)]
-    if is_small and site.is_large:
+    if has_twins and site.is_large:
         command.append("--small")
     return command + (["--why", why] if why else [])
 
@@ -116,7 +118,7 @@
 @click.option("--site", "names", multiple=True, help="Sites to play; all by default.")
 @click.option("--days", type=int, help="Days of a hunt on each site.")
 @click.option("--jobs", default=4, help="Days of a small site run in parallel.")
-@click.option("--small", is_flag=True, help="Play small twins of large sites.")
+@click.option("--small", is_flag=True, help="Score small twins of large sites.")
 @click.option("--why", default="", help="Line for the journal.")
 def main(
     verb: str,
