--- a/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
@@ -170,6 +170,11 @@
     head_at: float | None = None
     first_byte_at: float | None = None
 
+    @property
+    def last_event_id(self) -> str | None:
+        """Last event that the caller has; None if no event of the stream was sent."""
+        return self.relay.last_event_id or self.routed.request.last_event_id
+
 
 class AttemptSender:
     """Chooses targets, sends requests, classifies answers and decides on retries.
@@ -277,7 +282,9 @@
             AttemptSent(
                 routed.request.attempt_id,
                 entry.key.target_id,
+                entry.software,
                 number,
+                delivery.last_event_id or "",
                 load_state.own_load,
                 load_state.reported_load,
                 min(load_state.report_age_s, _UNKNOWN_REPORT_AGE_S),
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
@@ -158,7 +158,11 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestRouted(Event):
-    """A request was matched to a route and a pool."""
+    """A request was matched to a route and a pool.
+
+    ``resumes`` is the attempt with which a stream began that the caller takes up after
+    the event ``last_event_id``; both are empty for a new request.
+    """
 
     name: ClassVar[str] = "request_routed"
     request_id: str
@@ -169,6 +173,8 @@
     account_priority: int | None
     configuration_version: int
     left_s: float
+    resumes: str
+    last_event_id: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -237,12 +243,18 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptSent(Event):
-    """An attempt began: the request is being sent to a target."""
+    """An attempt began: the request is being sent to a target.
+
+    ``software`` is the target's version; ``last_event_id`` the event after which the
+    target continues a stream, empty if it begins one.
+    """
 
     name: ClassVar[str] = "attempt_sent"
     request_id: str
     target_id: str
+    software: str
     number: int
+    last_event_id: str
     own_load: int
     reported_load: int
     report_age_s: float
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
@@ -226,6 +226,8 @@
                 None if matched.account is None else matched.account.priority,
                 table.configuration.version,
                 timeout_s,
+                request.resumes or "",
+                request.last_event_id or "",
             )
         )
         content_state = self._suspects.content_state(routed.fingerprint, now)
--- a/packages/aspendrift-model/src/aspendrift_model/opaque_requests.py
+++ b/packages/aspendrift-model/src/aspendrift_model/opaque_requests.py
@@ -42,6 +42,8 @@
         Key from which targets compute the pieces that have no inputs.
     last_event_id : str or None
         Last event that the caller received before the stream was interrupted.
+    resumes : AttemptId or None
+        Attempt of the caller with which that stream began.
     """
 
     method: str
@@ -57,3 +59,4 @@
     pieces: tuple[int, ...] = ()
     piece_key: str = ""
     last_event_id: str | None = None
+    resumes: AttemptId | None = None
--- a/tests/aspendrift_platform/test_headers.py
+++ b/tests/aspendrift_platform/test_headers.py
@@ -46,6 +46,13 @@
     assert found.prompt == (PromptPart("5c1e", 800), PromptPart("91bd", 410))
 
 
+def test_stream_that_its_caller_takes_up_names_where_it_began():
+    found = decode((b"resumes", b"71c9"), (b"last-event-id", b"12"))
+    assert (found.resumes, found.last_event_id) == ("71c9", "12")
+    assert dict(forwarded(found, metadata()))[b"resumes"] == b"71c9"
+    assert decode().resumes is None
+
+
 def test_forwarded_request_keeps_the_callers_headers_and_body_length():
     headers = dict(forwarded(decode(), metadata()))
     for name in (b"attempt-id", b"model", b"token-usage", b"prompt-prefix", b"x-other"):
