--- a/packages/aspendrift-gateway/tests/conftest.py
+++ b/packages/aspendrift-gateway/tests/conftest.py
@@ -168,9 +168,9 @@
         self.send_each(self._network.links_by_id, topic, payload)
 
 
-def entry(name, pool=POOL, zone="z1", born=1):
+def entry(name, pool=POOL, zone="z1", born=1, software="v1"):
     key = TargetKey(TargetId(name), born)
-    return TargetEntry(key, pool, f"{name}:1", ZoneName(zone), 4, False)
+    return TargetEntry(key, pool, f"{name}:1", ZoneName(zone), 4, False, software)
 
 
 def route(kind=RequestKind.IDEMPOTENT, **changes):
@@ -352,6 +352,7 @@
     answer: FakeAnswer = field(default_factory=FakeAnswer)
     progress: FakeProgress = field(default_factory=FakeProgress)
     budget_floor_per_s: float = 100.0
+    seed: int = 0
 
     def sender(self):
         loop = asyncio.get_running_loop()
@@ -367,7 +368,7 @@
             RetryBudgets(0.2, self.budget_floor_per_s),
             clock,
             self.events,
-            random.Random(0),
+            random.Random(self.seed),
             lambda target, fingerprint: self.broken.append(target.key.target_id),
             PoolChooser,
         )
--- a/packages/aspendrift-gateway/tests/test_attempts.py
+++ b/packages/aspendrift-gateway/tests/test_attempts.py
@@ -238,3 +238,61 @@
 
     run_virtual(run())
     assert harness.progress.n_fetched == 1
+
+
+TWO_VERSIONS = tuple(
+    entry(f"{version}-{number}", software=version)
+    for version in ("v1", "v2")
+    for number in range(2)
+)
+
+
+def versions_sent(harness):
+    return [each.target_id.partition("-")[0] for each in harness.client.sent]
+
+
+def test_stream_is_never_continued_at_another_software_version(make_harness):
+    first = Reply(chunks=(events(1, 2),), breaks_after=1)
+    rest = Reply(chunks=(events(3),))
+    for seed in range(12):
+        harness = make_harness(first, rest, targets=TWO_VERSIONS, seed=seed)
+        assert send(harness, RESUMABLE) == Served(200)
+        assert harness.answer.body == events(1, 2, 3)
+        assert len(set(versions_sent(harness))) == 1
+
+
+def test_stream_is_cut_at_once_if_no_target_has_its_software_version(make_harness):
+    targets = (entry("v1-0", software="v1"), entry("v2-0", software="v2"))
+    first = Reply(chunks=(events(1),), breaks_after=1)
+    harness = make_harness(first, Reply(chunks=(events(2),)), targets=targets)
+    outcome = send(harness, RESUMABLE)
+    assert isinstance(outcome, Served) and outcome.is_cut
+    assert len(harness.client.sent) == 1
+    assert harness.answer.body == events(1)
+    assert not harness.answer.is_ended
+
+
+def test_request_without_an_event_may_run_at_another_software_version(make_harness):
+    targets = (entry("v1-0", software="v1"), entry("v2-0", software="v2"))
+    first = Reply(chunks=(b"id: 1\nda",), breaks_after=1)
+    harness = make_harness(first, Reply(chunks=(events(1),)), targets=targets)
+    assert send(harness, RESUMABLE) == Served(200)
+    assert set(versions_sent(harness)) == {"v1", "v2"}
+
+
+def test_target_whose_inputs_were_gone_may_continue_the_stream(make_harness):
+    first = Reply(chunks=(events(1),), breaks_after=1)
+    gone = Reply(status=409, has_not_run=True)
+    rest = Reply(chunks=(events(2),))
+
+    async def run(harness):
+        sender = harness.sender()
+        delivery = harness.delivery(RESUMABLE, (Handle("a/1"),))
+        assert isinstance(await sender.send(delivery), InputsGone)
+        delivery.inputs = (Handle("b/2"),)
+        return await sender.send(delivery)
+
+    for seed in range(12):
+        harness = make_harness(first, gone, rest, targets=TWO_VERSIONS, seed=seed)
+        assert run_virtual(run(harness)) == Served(200)
+        assert len(set(versions_sent(harness))) == 1
--- a/tests/aspendrift_platform/emulated_world.py
+++ b/tests/aspendrift_platform/emulated_world.py
@@ -96,6 +96,35 @@
         stages = {"Pieces": pieces, "Piece-Key": "k"} if pieces else {}
         return await self.call(gateway, path, **{"X-Kind": "stream", **stages})
 
+    async def cut_stream(self, gateway, n_events):
+        """Begin a stream and close the connection after some of its events.
+
+        Return its attempt id, and the name of the target that began it.
+        """
+        self._sequence += 1
+        attempt_id = f"{self._sequence:016x}"
+        headers = {
+            "Host": "h.example",
+            "Attempt-Id": attempt_id,
+            "Deadline-Ms": "5000",
+            "Credential": "key",
+            "X-Kind": "stream",
+        }
+        url = f"http://{gateway.settings.front_address}/resume/x"
+        request = self.client.stream("POST", url, headers=headers, content=b"body")
+        async with request as answer:
+            received = b""
+            async for chunk in answer.aiter_raw():
+                received += chunk
+                if received.count(b"\n\n") >= n_events:
+                    break
+        return attempt_id, target_name(answer)
+
+
+def target_name(answer):
+    """Return the target that signed an answer."""
+    return answer.headers["response-signature"].partition(".")[0]
+
 
 def complete_stream(attempt_id):
     return "".join(f"id: {n}\ndata: {attempt_id} {n}\n\n" for n in range(1, 8))
--- a/tests/aspendrift_platform/platform_emulator.py
+++ b/tests/aspendrift_platform/platform_emulator.py
@@ -168,12 +168,13 @@
 class Target:
     """A target: plain service, model engine or stage pool, depending on the path."""
 
-    def __init__(self, platform, name, service, *, born=0):
+    def __init__(self, platform, name, service, *, born=0, version="v1"):
         self.platform = platform
         self.records = platform.records
         self.name = name
         self.service = service
         self.born = born
+        self.version = version
         self.address = free_address()
         self.work_s = 0.005
         self.fails_next = 0
@@ -185,7 +186,7 @@
             "service": self.service,
             "address": self.address,
             "zone": "z1",
-            "version": "v1",
+            "version": self.version,
             "slots": 8,
             "state": state,
             "coldLeftMs": 0,
--- a/tests/aspendrift_platform/test_on_emulator.py
+++ b/tests/aspendrift_platform/test_on_emulator.py
@@ -6,7 +6,7 @@
 
 import httpx
 import pytest
-from emulated_world import WAIT_TIMEOUT_S, Cluster, complete_stream
+from emulated_world import WAIT_TIMEOUT_S, Cluster, complete_stream, target_name
 
 from aspendrift_gateway.interfaces import AddressQuery
 from aspendrift_model.ids import ZoneName
@@ -309,3 +309,62 @@
         assert n_allowed <= gateway.settings.max_files * 0.75
 
     run_scenario(scenario)
+
+
+async def replace_half_of_the_models(cluster):
+    """Add two targets of a newer software version beside the two that serve."""
+    for number in (2, 3):
+        await cluster.platform.add_target(f"model-{number}", "model", version="v2")
+    for target in cluster.platform.targets_by_name.values():
+        target.event_gap_s = 0.05
+    await cluster.until(
+        lambda: all(
+            len(gateway.state.registry.usable("model")) == 4
+            for gateway in cluster.gateways
+        )
+    )
+
+
+def test_stream_taken_up_at_another_gateway_goes_on_at_its_software_version(
+    run_scenario,
+):
+    async def scenario(cluster):
+        await replace_half_of_the_models(cluster)
+        versions_by_name = {
+            name: target.version
+            for name, target in cluster.platform.targets_by_name.items()
+        }
+        began = [
+            await cluster.cut_stream(cluster.gateways_by_name["g0"], 2)
+            for _ in range(12)
+        ]
+        await cluster.stop_gateway("g0")
+        del cluster.gateways_by_name["g0"]
+        for number, (attempt_id, name) in enumerate(began):
+            headers = {
+                "X-Kind": "stream",
+                "Resumes": attempt_id,
+                "Last-Event-Id": "2",
+            }
+            gateway = cluster.gateways[number % 2]
+            _, answer = await cluster.call(gateway, "/resume/x", **headers)
+            assert answer.status_code == 200
+            assert answer.text.startswith("id: 3\n")
+            assert versions_by_name[target_name(answer)] == versions_by_name[name]
+
+    run_scenario(scenario, n_gateways=3)
+
+
+def test_stream_of_unknown_software_version_is_refused_where_versions_differ(
+    run_scenario,
+):
+    async def scenario(cluster):
+        await replace_half_of_the_models(cluster)
+        (gateway,) = cluster.gateways
+        headers = {"X-Kind": "stream", "Resumes": "unknown", "Last-Event-Id": "2"}
+        attempt_id, answer = await cluster.call(gateway, "/resume/x", **headers)
+        assert answer.status_code == 503
+        assert float(answer.headers["retry-after"]) > 0
+        assert not cluster.platform.records.ran[attempt_id]
+
+    run_scenario(scenario)
