Continue a stream only at targets of the software version that began it

Cause: an attempt that resumes a stream chose among all usable targets of the pool; nothing read the version of an entry. Class: a choice that ignores what an earlier step of the same request is bound to. Evidence: attempt_ended broken with first_s at a target of v1, answered 200 at v1.2 (docs/incidents/streams-across-software-versions.md). The version is bound when the first event is sent; later attempts exclude other versions, by the entry of the current incarnation, and the answer is cut at once if none is left. A target that only reported lost inputs stays eligible, else two targets of a version were used up by one loss. The retry budget counts the first attempt by a flag instead of by the targets tried. Streams that a caller takes up at another gateway are not mended by this.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Final, Protocol, TypeAlias
 
@@ -157,6 +157,11 @@
         Targets of earlier attempts.
     n_run, n_not_run : int
         Failed attempts that may have run, and those that did not.
+    is_counted : bool
+        Whether the first attempt was added to the retry budget.
+    software : str or None
+        Software version of the target that began the stream; other versions can't
+        continue it. None before the first event.
     """
 
     routed: RoutedRequest
@@ -169,6 +174,8 @@
     n_not_run: int = 0
     head_at: float | None = None
     first_byte_at: float | None = None
+    is_counted: bool = False
+    software: str | None = None
 
     @property
     def last_event_id(self) -> str | None:
@@ -236,7 +243,8 @@
         """Send a request until it has a final outcome."""
         routed = delivery.routed
         now = self._clock.monotonic()
-        if not delivery.tried:
+        if not delivery.is_counted:
+            delivery.is_counted = True
             self._budgets.of(routed.pool, now).record_first_attempt(now)
         while True:
             now = self._clock.monotonic()
@@ -251,21 +259,25 @@
             if not self._may_retry(delivery, result):
                 return self._final_outcome(delivery, result)
 
-    def likely_zone(self, routed: RoutedRequest) -> ZoneName | None:
+    def likely_zone(self, delivery: Delivery) -> ZoneName | None:
         """Return the zone of the target that a request would be sent to now."""
-        now = self._clock.monotonic()
-        usable = self._state.registry.usable(routed.pool)
-        chooser = self.chooser(routed.pool)
-        prefix = _prefix(routed)
-        entry = chooser.choose(usable, self._zone, prefix, (), now, is_dry_run=True)
+        entry = self._choose(delivery, self._clock.monotonic(), is_dry_run=True)
         return None if entry is None else entry.zone
 
-    def _choose(self, delivery: Delivery, now: float) -> TargetEntry | None:
+    def has_target(self, delivery: Delivery) -> bool:
+        """Return whether a target may still be sent the request."""
+        usable = self._state.registry.usable(delivery.routed.pool)
+        excluded = _excluded(delivery, usable)
+        return any(each.key.target_id not in excluded for each in usable)
+
+    def _choose(
+        self, delivery: Delivery, now: float, is_dry_run: bool = False
+    ) -> TargetEntry | None:
         routed = delivery.routed
         usable = self._state.registry.usable(routed.pool)
-        prefix = _prefix(routed)
+        excluded = _excluded(delivery, usable)
         return self.chooser(routed.pool).choose(
-            usable, self._zone, prefix, delivery.tried, now
+            usable, self._zone, _prefix(routed), excluded, now, is_dry_run
         )
 
     async def _attempt(
@@ -410,6 +422,7 @@
         if head.has_not_run:
             if answer.status == _INPUTS_GONE and delivery.inputs:
                 self._no_early_free_until = now + _EARLY_FREE_BACKOFF_S
+                delivery.tried.discard(entry.key.target_id)
                 return InputsGone()
             return _FailedAttempt(
                 AttemptVerdict.NOT_RUN, f"status {answer.status}", False
@@ -474,6 +487,7 @@
                 if pace.is_due():
                     self._report_pace(routed.pool, entry, pace)
                 if events:
+                    delivery.software = entry.software
                     await self._send_events(delivery, answer, events)
                 if may_resume:
                     remaining_s = routed.deadline_at - self._clock.monotonic()
@@ -530,7 +544,7 @@
             and delivery.n_run + 1 < routed.route.max_attempts
             and routed.deadline_at - now > _MIN_REMAINING_S
             and self._budgets.of(routed.pool, now).may_retry(now)
-            and len(self._state.registry.usable(routed.pool)) > len(delivery.tried)
+            and self.has_target(delivery)
         )
 
     def _may_retry(self, delivery: Delivery, result: _FailedAttempt) -> bool:
@@ -617,6 +631,17 @@
     return head.attempt_id != attempt_id
 
 
+def _excluded(
+    delivery: Delivery, entries: Iterable[TargetEntry]
+) -> frozenset[TargetId]:
+    """Return the targets tried before, and those that can't continue the stream."""
+    software = delivery.software
+    if software is None:
+        return frozenset(delivery.tried)
+    others = (each.key.target_id for each in entries if each.software != software)
+    return frozenset(delivery.tried).union(others)
+
+
 def _prefix(routed: RoutedRequest) -> PrefixKey | None:
     """Return the key of the prompt parts that other requests may share."""
     parts = routed.request.prompt
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
@@ -305,7 +305,7 @@
             routed.rank,
             routed.sent_at + route.objective_s,
             routed.first_byte_deadline_at,
-            self._sender.likely_zone(routed),
+            self._sender.likely_zone(delivery),
         )
         while True:
             result = await self._stages.run(plan, demand)
@@ -317,6 +317,8 @@
                 return outcome
             if opened.n_attempts >= _MAX_ATTEMPTS:
                 return self._abandon(delivery, "inputs gone")
+            if not self._sender.has_target(delivery):
+                return self._abandon(delivery, "no target after lost inputs")
             self._stages.release(plan, route)
             for stage in plan.last_stages:
                 plan.discard_results(stage)
