Hold the origin of each resumable stream at a few daemons, for callers that take it up

Cause: the daemon that a caller turns to knows nothing of the stream: the id of its first attempt wasn't read, and nothing about streams in progress was shared. Class: a binding that lives only in the process that made it, while any daemon may have to respect it. Before the first event goes to the caller, the software version is sent to three daemons by rendezvous hash of the attempt id, 63 bytes each; a daemon at which a stream is taken up asks four. Without a record the pool's versions, as all that answer observed them, may leave one possibility; else the request is refused as not run, before its stages. Ruled out: writing to the store for each stream (400 writes a second for all, and a call before the first event), telling all daemons (350 messages for a stream), and the version in event ids or headers (both are the target's own). Left: after a loss of power of all hosts nothing is known until a pool was observed for as long as a stream lasts.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
@@ -31,6 +31,7 @@
     Fingerprint,
     PoolName,
     PrefixKey,
+    SoftwareVersion,
     TargetId,
     ZoneName,
 )
@@ -122,6 +123,7 @@
     """A target did not run the request because stage results it needs are gone."""
 
 
+BeginListener: TypeAlias = Callable[[AttemptId, SoftwareVersion], None]
 PaceListener: TypeAlias = Callable[[PoolName, TargetKey, float], None]
 RequestOutcome: TypeAlias = Served | Refusal | InputsGone
 
@@ -159,7 +161,7 @@
         Failed attempts that may have run, and those that did not.
     is_counted : bool
         Whether the first attempt was added to the retry budget.
-    software : str or None
+    software : SoftwareVersion or None
         Software version of the target that began the stream; other versions can't
         continue it. None before the first event.
     """
@@ -175,7 +177,7 @@
     head_at: float | None = None
     first_byte_at: float | None = None
     is_counted: bool = False
-    software: str | None = None
+    software: SoftwareVersion | None = None
 
     @property
     def last_event_id(self) -> str | None:
@@ -220,13 +222,16 @@
         self._choosers_by_pool: dict[PoolName, PoolChooser] = {}
         self._no_early_free_until = float("-inf")
         self._on_pace: PaceListener | None = None
+        self._on_begin: BeginListener | None = None
 
-    def report_paces(
-        self, on_pace: Callable[[PoolName, TargetKey, float], None]
-    ) -> None:
+    def report_paces(self, on_pace: PaceListener) -> None:
         """Report the mean gaps between events of streams, in seconds."""
         self._on_pace = on_pace
 
+    def report_origins(self, on_begin: BeginListener) -> None:
+        """Report the software version of each resumable stream before its events."""
+        self._on_begin = on_begin
+
     def avoid(self, pool: PoolName, slow: frozenset[TargetKey], until: float) -> None:
         """Avoid the slow targets of a pool until some time."""
         self.chooser(pool).avoid(slow, until)
@@ -487,7 +492,7 @@
                 if pace.is_due():
                     self._report_pace(routed.pool, entry, pace)
                 if events:
-                    delivery.software = entry.software
+                    self._bind_software(delivery, entry)
                     await self._send_events(delivery, answer, events)
                 if may_resume:
                     remaining_s = routed.deadline_at - self._clock.monotonic()
@@ -503,6 +508,14 @@
         self._report_pace(routed.pool, entry, pace)
         return Served(answer.status)
 
+    def _bind_software(self, delivery: Delivery, entry: TargetEntry) -> None:
+        """Record which software version began the stream."""
+        if delivery.software is not None:
+            return
+        delivery.software = entry.software
+        if delivery.routed.route.is_resumable and self._on_begin is not None:
+            self._on_begin(delivery.routed.request.attempt_id, entry.software)
+
     def _report_pace(
         self, pool: PoolName, entry: TargetEntry, pace: StreamPace
     ) -> None:
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
@@ -8,6 +8,7 @@
 
 from aspendrift_daemon.events import Event
 from aspendrift_model.states import RefusalReason
+from aspendrift_policy.stream_origins import OriginSource
 from aspendrift_policy.target_registry import RegistryChangeKind
 
 __all__ = [
@@ -30,6 +31,7 @@
     "StageJobEnded",
     "StageJobSent",
     "StateSourceChanged",
+    "StreamOriginSought",
     "TargetChanged",
 ]
 
@@ -177,6 +179,23 @@
     last_event_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class StreamOriginSought(Event):
+    """The software version that began a stream was sought, as its caller takes it up.
+
+    ``software`` is empty if it stayed unknown; ``n_asked`` daemons were asked.
+    """
+
+    name: ClassVar[str] = "stream_origin_sought"
+    request_id: str
+    resumes: str
+    pool: str
+    software: str
+    source: OriginSource
+    n_asked: int
+    took_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class StageJobSent(Event):
     """A stage job was submitted to the daemon that schedules its pool."""
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -19,6 +19,7 @@
 from aspendrift_gateway.events import GatewayReady, GatewayStopped
 from aspendrift_gateway.interfaces import AddressQuery, PlatformCodec
 from aspendrift_gateway.member_rows import MemberRows
+from aspendrift_gateway.origin_exchange import OriginExchange
 from aspendrift_gateway.pace_exchange import PaceExchange
 from aspendrift_gateway.peer_state import PeerState
 from aspendrift_gateway.policies import POLICIES_BY_KIND
@@ -168,6 +169,8 @@
             self.link, self.dispatcher.owner, self.sender.avoid, self.clock, events
         )
         self.sender.report_paces(self.paces.record)
+        self.origins = OriginExchange(self.link, self.state, self.clock, events)
+        self.sender.report_origins(self.origins.began)
         self.path = RequestPath(
             self.state,
             StagesRunner(
@@ -179,6 +182,7 @@
                 rng,
             ),
             self.sender,
+            self.origins,
             self.admission,
             self.suspects,
             codec.caller,
@@ -201,6 +205,12 @@
         self.metrics.gauge(
             "requests.open", "1", "Requests without an answer", lambda: self.path.n_open
         )
+        self.metrics.gauge(
+            "streams.origins",
+            "1",
+            "Origins of streams held",
+            lambda: self.origins.n_held,
+        )
         self.metrics.gauge(
             "store.calls", "1", "Calls to the store", lambda: self.store.n_calls
         )
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
@@ -21,6 +21,7 @@
 from aspendrift_gateway.caller_answer import CallerAnswer
 from aspendrift_gateway.events import RequestEnded, RequestRouted
 from aspendrift_gateway.interfaces import CallerCodec
+from aspendrift_gateway.origin_exchange import OriginExchange
 from aspendrift_gateway.refusals import Refusal, refusal_body, refusal_status
 from aspendrift_gateway.stage_run import (
     StageDemand,
@@ -47,6 +48,8 @@
 # Time reserved for sending a refusal before the caller times out.
 _ANSWER_MARGIN_S: Final = 0.03
 _POISON_RETRY_AFTER_S: Final = 60.0
+# Time in which a target that crashed is often back.
+_TARGET_RETURN_S: Final = 1.0
 _RANKS_PER_PRIORITY: Final = 16
 # Time that a model engine takes for its first bytes and a few more events.
 _FIRST_EVENTS_S: Final = 0.5
@@ -112,6 +115,7 @@
         state: SystemState,
         stages: StagesRunner,
         sender: AttemptSender,
+        origins: OriginExchange,
         admission: ChainAdmission,
         suspects: SuspectTracker,
         codec: CallerCodec,
@@ -123,6 +127,7 @@
         self._state = state
         self._stages = stages
         self._sender = sender
+        self._origins = origins
         self._admission = admission
         self._suspects = suspects
         self._codec = codec
@@ -250,6 +255,9 @@
         if not self._state.registry.usable(routed.pool):
             return Refusal(RefusalReason.NO_TARGET, routed.pool, _SHORT_RETRY_AFTER_S)
         delivery = Delivery(routed, answer, _Progress(opened))
+        refusal = await self._bind_origin(delivery)
+        if refusal is not None:
+            return refusal
         if not route.stages or not any(request.pieces):
             outcome = await self._sender.send(delivery)
             if isinstance(outcome, InputsGone):
@@ -270,6 +278,28 @@
         finally:
             self._stages.release(plan, route)
 
+    async def _bind_origin(self, delivery: Delivery) -> Refusal | None:
+        """Bind a stream that its caller takes up to the software version it began at.
+
+        Return a refusal if that is unknown, or if no target of that version is left.
+        """
+        routed = delivery.routed
+        request, route = routed.request, routed.route
+        if not route.is_resumable or request.last_event_id is None:
+            return None
+        origin = await self._origins.find(request, route, routed.pool)
+        if origin.software is None:
+            return Refusal(
+                RefusalReason.NO_TARGET,
+                "the software version that began the stream is unknown",
+                _SHORT_RETRY_AFTER_S,
+            )
+        delivery.software = origin.software
+        if self._sender.has_target(delivery):
+            return None
+        detail = f"no target of software version {origin.software}"
+        return Refusal(RefusalReason.NO_TARGET, detail, _TARGET_RETURN_S)
+
     def _chain(self, table: RouteTable, routed: RoutedRequest) -> Chain:
         registry = self._state.registry
         return Chain(
--- a/packages/aspendrift-model/src/aspendrift_model/ids.py
+++ b/packages/aspendrift-model/src/aspendrift_model/ids.py
@@ -22,6 +22,7 @@
     "RegionName",
     "RequestId",
     "Revision",
+    "SoftwareVersion",
     "StageName",
     "TargetId",
     "ZoneName",
@@ -44,6 +45,7 @@
 RegionName = NewType("RegionName", str)
 RequestId = NewType("RequestId", str)
 Revision = NewType("Revision", int)
+SoftwareVersion = NewType("SoftwareVersion", str)
 StageName = NewType("StageName", str)
 TargetId = NewType("TargetId", str)
 ZoneName = NewType("ZoneName", str)
--- a/packages/aspendrift-model/src/aspendrift_model/target_entries.py
+++ b/packages/aspendrift-model/src/aspendrift_model/target_entries.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from aspendrift_model.ids import PoolName, TargetId, ZoneName
+from aspendrift_model.ids import PoolName, SoftwareVersion, TargetId, ZoneName
 
 __all__ = ["TargetEntry", "TargetKey", "UnreadableEntry"]
 
@@ -32,6 +32,8 @@
     ----------
     address : str
         IP address and port, separated by a colon.
+    software : SoftwareVersion
+        Version of the target's software; another one can't continue its streams.
     """
 
     key: TargetKey
@@ -40,7 +42,7 @@
     zone: ZoneName
     n_slots: int
     is_draining: bool
-    software: str = ""
+    software: SoftwareVersion = SoftwareVersion("")
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/aspendrift-model/src/aspendrift_model/wire_work.py
+++ b/packages/aspendrift-model/src/aspendrift_model/wire_work.py
@@ -1,4 +1,4 @@
-"""Messages between daemons on stage jobs, paces and state shared from the store.
+"""Messages between daemons on stage jobs, streams and state shared from the store.
 
 Messages are MessagePack arrays, sent as payloads of the peer link's envelope.
 """
@@ -14,6 +14,9 @@
     "JobAccepted",
     "JobEnded",
     "JobResults",
+    "OriginAnswer",
+    "OriginMessage",
+    "OriginQuery",
     "OwnerHeartbeat",
     "PaceMessage",
     "PaceSamples",
@@ -22,6 +25,7 @@
     "StateMessage",
     "StateQuery",
     "StateUpdate",
+    "StreamBegan",
     "SubmitJob",
     "WorkMessage",
 ]
@@ -170,6 +174,37 @@
     targets: tuple[tuple[str, int], ...]
 
 
+class StreamBegan(msgspec.Struct, frozen=True, array_like=True, tag="b"):
+    """Tells a holder which software version began a stream."""
+
+    attempt_id: str
+    software: str
+
+
+class OriginQuery(msgspec.Struct, frozen=True, array_like=True, tag="q"):
+    """Asks for the origin of a stream, and for the versions of a pool in a time."""
+
+    number: int
+    attempt_id: str
+    pool: str
+    window_ms: int
+
+
+class OriginAnswer(msgspec.Struct, frozen=True, array_like=True, tag="a"):
+    """Answers a query; ``software`` is None if the origin isn't held.
+
+    ``versions`` are the software versions that the pool had in the time of the query;
+    ``is_complete`` if it was observed throughout.
+    """
+
+    number: int
+    software: str | None
+    versions: tuple[str, ...]
+    is_complete: bool
+
+
+OriginMessage = StreamBegan | OriginQuery | OriginAnswer
+
 PaceMessage = PaceSamples | SlowTargets
 
 StateMessage = StateQuery | StateUpdate | CrashReport
--- a/packages/aspendrift-policy/src/aspendrift_policy/owner_choice.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/owner_choice.py
@@ -12,15 +12,15 @@
 
 import xxhash
 
-from aspendrift_model.ids import DaemonId, PoolName
+from aspendrift_model.ids import DaemonId
 
 __all__ = ["owners_in_order"]
 
 
-def owners_in_order(pool: PoolName, daemon_ids: Iterable[DaemonId]) -> list[DaemonId]:
-    """Return the daemons in order of preference as owner of a pool."""
+def owners_in_order(key: str, daemon_ids: Iterable[DaemonId]) -> list[DaemonId]:
+    """Return the daemons in order of preference as owner of a pool or another key."""
     return sorted(
         daemon_ids,
-        key=lambda daemon_id: xxhash.xxh3_64_intdigest(f"{pool}/{daemon_id}".encode()),
+        key=lambda daemon_id: xxhash.xxh3_64_intdigest(f"{key}/{daemon_id}".encode()),
         reverse=True,
     )
--- a/packages/aspendrift-policy/src/aspendrift_policy/target_registry.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/target_registry.py
@@ -14,8 +14,9 @@
 from enum import Enum
 from typing import Final
 
-from aspendrift_model.ids import PoolName, TargetId
+from aspendrift_model.ids import PoolName, SoftwareVersion, TargetId
 from aspendrift_model.target_entries import TargetEntry, TargetKey, UnreadableEntry
+from aspendrift_policy.stream_origins import VersionHistory
 
 __all__ = ["RegistryChange", "RegistryChangeKind", "TargetRegistry"]
 
@@ -27,6 +28,8 @@
 _OUTAGE_THRESHOLD_S: Final = 3.0
 # Drained incarnations to retain, so that a late snapshot can't add one again.
 _MAX_DRAINED_KEYS: Final = 4096
+# Time for which versions that no target has any more are retained.
+_LEFT_VERSIONS_S: Final = 120.0
 
 
 class RegistryChangeKind(Enum):
@@ -57,6 +60,8 @@
         self._by_pool: dict[PoolName, tuple[TargetEntry, ...]] = {}
         self._missing_since_by_id: dict[TargetId, float] = {}
         self._drained_keys: dict[TargetKey, None] = {}
+        self._versions: frozenset[tuple[PoolName, SoftwareVersion]] = frozenset()
+        self._version_left_at: dict[tuple[PoolName, SoftwareVersion], float] = {}
         self._read_at = float("-inf")
         self._outage_ended_at = float("-inf")
 
@@ -64,6 +69,18 @@
         """Return the targets of a pool that accept new work."""
         return self._by_pool.get(pool, ())
 
+    def version_history(
+        self, pool: PoolName, now: float, window_s: float
+    ) -> VersionHistory:
+        """Return the software versions of a pool's targets in the last ``window_s``."""
+        versions = {version for name, version in self._versions if name == pool}
+        for (name, version), left_at in self._version_left_at.items():
+            if name == pool and now - left_at <= window_s:
+                versions.add(version)
+        is_current = now - self._read_at <= _OUTAGE_THRESHOLD_S
+        is_complete = is_current and now - self._outage_ended_at >= window_s
+        return VersionHistory(frozenset(versions), is_complete)
+
     def replace(
         self, entries: Iterable[TargetEntry | UnreadableEntry], now: float
     ) -> list[RegistryChange]:
@@ -79,7 +96,7 @@
             each for each in self.entries_by_id if each not in listed_ids
         ]:
             changes += self._handle_missing(target_id, now)
-        return self._rebuild_pools(changes)
+        return self._rebuild_pools(changes, now)
 
     def update(
         self,
@@ -95,7 +112,7 @@
         for entry in entries:
             changes += self._apply_entry(entry)
         changes += self._expire_missing(now)
-        return self._rebuild_pools(changes)
+        return self._rebuild_pools(changes, now)
 
     def _record_read(self, now: float) -> None:
         if now - self._read_at > _OUTAGE_THRESHOLD_S:
@@ -158,10 +175,25 @@
         while len(self._drained_keys) > _MAX_DRAINED_KEYS:
             del self._drained_keys[next(iter(self._drained_keys))]
 
-    def _rebuild_pools(self, changes: list[RegistryChange]) -> list[RegistryChange]:
+    def _rebuild_pools(
+        self, changes: list[RegistryChange], now: float
+    ) -> list[RegistryChange]:
         self._by_pool = _usable_by_pool(self.entries_by_id)
+        self._record_versions(now)
         return changes
 
+    def _record_versions(self, now: float) -> None:
+        entries = self.entries_by_id.values()
+        versions = frozenset((each.pool, each.software) for each in entries)
+        if versions == self._versions:
+            return
+        for left in self._versions - versions:
+            self._version_left_at[left] = now
+        for left, left_at in list(self._version_left_at.items()):
+            if now - left_at > _LEFT_VERSIONS_S:
+                del self._version_left_at[left]
+        self._versions = versions
+
 
 def _change_kind(
     known: TargetEntry | None, entry: TargetEntry
--- a/packages/aspendrift-policy/tests/test_target_registry.py
+++ b/packages/aspendrift-policy/tests/test_target_registry.py
@@ -12,9 +12,17 @@
 POOL = PoolName("p")
 
 
-def entry(name="t", born=1, *, pool=POOL, draining=False, address="10.0.0.1:1"):
+def entry(
+    name="t",
+    born=1,
+    *,
+    pool=POOL,
+    draining=False,
+    address="10.0.0.1:1",
+    software="",
+):
     key = TargetKey(TargetId(name), born)
-    return TargetEntry(key, pool, address, ZoneName("z"), 1, draining)
+    return TargetEntry(key, pool, address, ZoneName("z"), 1, draining, software)
 
 
 def usable(registry, pool=POOL):
@@ -127,3 +135,35 @@
         if draining and is_current:
             drained.add(found.key)
         assert not drained & set(usable(registry))
+
+
+def versions(registry, now, window_s=5.0):
+    found = registry.version_history(POOL, now, window_s)
+    return set(found.versions), found.is_complete
+
+
+def test_version_history_names_versions_that_left_in_the_window():
+    old = entry("a", software="v1")
+    new = entry("b", software="v2")
+    registry, now = steady_registry(old, new)
+    assert versions(registry, now) == ({"v1", "v2"}, True)
+    registry.update([], [TargetId("a")], now)
+    assert versions(registry, now + 2.0) == ({"v1", "v2"}, True)
+    for second in range(7):
+        registry.update([], [], now + second)
+    assert versions(registry, now + 6.0) == ({"v2"}, True)
+
+
+def test_version_history_names_the_version_before_a_restart_under_the_same_id():
+    registry, now = steady_registry(entry(born=1, software="v1"))
+    registry.update([entry(born=2, software="v2")], [], now)
+    assert versions(registry, now) == ({"v1", "v2"}, True)
+
+
+def test_version_history_is_incomplete_after_a_start_or_an_outage_of_the_list():
+    registry, now = steady_registry(entry(software="v1"), until=3.0)
+    assert versions(registry, now) == ({"v1"}, False)
+    registry, now = steady_registry(entry(software="v1"))
+    assert versions(registry, now + 4.0) == ({"v1"}, False)
+    registry.update([], [], now + 4.0)
+    assert versions(registry, now + 4.0) == ({"v1"}, False)
