--- a/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
@@ -14,7 +14,12 @@
 from aspendrift_daemon.interfaces import Clock
 from aspendrift_gateway.caller_answer import CallerAnswer
 from aspendrift_gateway.event_relay import EventRelay
-from aspendrift_gateway.events import AttemptEnded, AttemptSent, AttemptVerdict
+from aspendrift_gateway.events import (
+    AttemptEnded,
+    AttemptSent,
+    AttemptVerdict,
+    TargetBroke,
+)
 from aspendrift_gateway.interfaces import (
     AnswerHead,
     ForwardMetadata,
@@ -82,6 +87,7 @@
 _EARLY_FREE_BACKOFF_S: Final = 5.0
 # Logged as the age of a load report that was never received.
 _UNKNOWN_REPORT_AGE_S: Final = 3600.0
+_MAX_LOGGED_PARTS: Final = 16
 _SERVER_ERROR: Final = 500
 _INPUTS_GONE: Final = 409
 _HOP_BY_HOP_HEADERS: Final = frozenset(
@@ -159,6 +165,8 @@
         Targets of earlier attempts.
     n_run, n_not_run : int
         Failed attempts that may have run, and those that did not.
+    n_events_before : int
+        Events that earlier attempts sent.
     is_counted : bool
         Whether the first attempt was added to the retry budget.
     software : SoftwareVersion or None
@@ -176,6 +184,7 @@
     n_not_run: int = 0
     head_at: float | None = None
     first_byte_at: float | None = None
+    n_events_before: int = 0
     is_counted: bool = False
     software: SoftwareVersion | None = None
 
@@ -370,6 +379,7 @@
         )
         timeout_s = self._timeout_s(delivery, now)
         delivery.relay.restart()
+        delivery.n_events_before = delivery.relay.n_events
         delivery.head_at = delivery.first_byte_at = None
         early_free = self._schedule_early_free(delivery, entry, now)
         try:
@@ -378,7 +388,7 @@
                 if isinstance(answer, NotSent):
                     return _FailedAttempt(AttemptVerdict.NOT_SENT, answer.detail, False)
                 if isinstance(answer, Broken):
-                    self._report_broken(entry, routed)
+                    self._report_broken(entry, delivery)
                     return _FailedAttempt(AttemptVerdict.BROKEN, answer.detail, True)
                 try:
                     return await self._read(delivery, entry, answer, timeout)
@@ -445,11 +455,10 @@
         self, delivery: Delivery, entry: TargetEntry, answer: Answer
     ) -> Served | _FailedAttempt:
         """Read a complete answer, then send it to the caller."""
-        routed = delivery.routed
         try:
             body = b"".join([chunk async for chunk in answer.chunks()])
         except (httpx.HTTPError, OSError) as error:
-            self._report_broken(entry, routed)
+            self._report_broken(entry, delivery)
             return _FailedAttempt(AttemptVerdict.BROKEN, type(error).__name__, True)
         if not answer.head.is_signed:
             return _FailedAttempt(
@@ -500,7 +509,7 @@
                         loop.time() + min(stall_timeout_s, max(0.0, remaining_s))
                     )
         except (httpx.HTTPError, OSError) as error:
-            self._report_broken(entry, routed)
+            self._report_broken(entry, delivery)
             return self._stream_broke(delivery, type(error).__name__)
         if relay.has_partial or not delivery.answer.has_begun:
             await self._send_events(delivery, answer, relay.rest())
@@ -612,7 +621,20 @@
             )
         return Refusal(RefusalReason.TARGET_FAILED, "no other target")
 
-    def _report_broken(self, entry: TargetEntry, routed: RoutedRequest) -> None:
+    def _report_broken(self, entry: TargetEntry, delivery: Delivery) -> None:
+        routed = delivery.routed
+        parts = tuple(part.part_id for part in routed.request.prompt)
+        self._events.emit(
+            TargetBroke(
+                routed.request.attempt_id,
+                entry.key.target_id,
+                entry.key.born_ms,
+                routed.fingerprint,
+                parts[:_MAX_LOGGED_PARTS],
+                delivery.head_at is not None,
+                delivery.relay.n_events - delivery.n_events_before,
+            )
+        )
         self._on_broken(entry, routed.fingerprint)
 
 
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
@@ -32,6 +32,7 @@
     "StageJobSent",
     "StateSourceChanged",
     "StreamOriginSought",
+    "TargetBroke",
     "TargetChanged",
 ]
 
@@ -299,6 +300,25 @@
     took_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class TargetBroke(Event):
+    """A target broke off a request: its connection ended before the answer did.
+
+    ``n_events`` are the events of the answer that had arrived. The last of
+    ``prompt_parts`` belongs to the request alone; of a long prompt the first ones are
+    listed.
+    """
+
+    name: ClassVar[str] = "target_broke"
+    request_id: str
+    target_id: str
+    born_ms: int
+    fingerprint: str
+    prompt_parts: tuple[str, ...]
+    has_head: bool
+    n_events: int
+
+
 @dataclass(frozen=True, slots=True)
 class RequestEnded(Event):
     """A request got its final answer; ``reason`` is set if the gateway refused it."""
