--- a/tests/aspendrift_platform/emulated_world.py
+++ b/tests/aspendrift_platform/emulated_world.py
@@ -96,6 +96,12 @@
         stages = {"Pieces": pieces, "Piece-Key": "k"} if pieces else {}
         return await self.call(gateway, path, **{"X-Kind": "stream", **stages})
 
+    async def prompt(self, gateway, *parts):
+        """Send a request with these prompt parts and one of its own."""
+        prompt = ",".join(f"{part}:400" for part in (*parts, f"own{self._sequence}"))
+        headers = {"X-Kind": "stream", "Prompt-Prefix": prompt}
+        return await self.call(gateway, f"/resume/{self._sequence}", **headers)
+
     async def cut_stream(self, gateway, n_events):
         """Begin a stream and close the connection after some of its events.
 
--- a/tests/aspendrift_platform/platform_emulator.py
+++ b/tests/aspendrift_platform/platform_emulator.py
@@ -151,6 +151,8 @@
     handles: dict = field(default_factory=dict)
     violations: list = field(default_factory=list)
     n_streams_to_break: int = 0
+    crashing_part: str = ""
+    n_crashes: int = 0
     n_freed: int = 0
 
     def store_result(self, handle, piece):
@@ -180,6 +182,18 @@
         self.fails_next = 0
         self.event_gap_s = 0.002
         self.n_requests = 0
+        self.is_down = False
+
+    def crash(self, down_s=0.3):
+        """Break off everything; start again under the same id after a while."""
+        self.records.n_crashes += 1
+        self.is_down = True
+        self.born += 1
+        asyncio.get_running_loop().call_later(down_s, self._restart)
+
+    def _restart(self):
+        self.is_down = False
+        self.register()
 
     def register(self, state="ready"):
         value = {
@@ -198,6 +212,8 @@
     async def __call__(self, scope, receive, send):
         body = await read_body(receive)
         headers = {name: value.decode() for name, value in scope["headers"]}
+        if self.is_down:
+            raise ConnectionError("target is down")
         if headers.get(b"expected-instance", self.name) != self.name:
             await reply(send, 421, headers=[(b"instance-id", self.name.encode())])
         elif scope["path"] == "/-/stage-run":
@@ -262,7 +278,17 @@
         begin = int(headers.get(b"last-event-id", 0)) + 1
         head = {"type": "http.response.start", "status": 200, "headers": signed}
         await send(head)
+        born = self.born
+        if self._is_crashed_by(headers):
+            # The head is on its way before the target crashes.
+            await send({"type": "http.response.body", "body": b"", "more_body": True})
+            await asyncio.sleep(self.work_s)
+            if born == self.born:
+                self.crash()
+            raise ConnectionError("target crashed")
         for number in range(begin, 8):
+            if born != self.born:
+                raise ConnectionError("target crashed")
             if self.records.n_streams_to_break and number == 4:
                 self.records.n_streams_to_break -= 1
                 raise ConnectionError("stream broken by the emulator")
@@ -271,6 +297,11 @@
             await asyncio.sleep(self.event_gap_s)
         await send({"type": "http.response.body", "body": b""})
 
+    def _is_crashed_by(self, headers):
+        prompt = headers.get(b"prompt-prefix", "").split(",")
+        parts = [each.partition(":")[0] for each in prompt[:-1]]
+        return bool(parts) and self.records.crashing_part in parts
+
 
 class Platform:
     """The emulated platform: store, targets and the operators' configuration."""
--- a/tests/aspendrift_platform/test_on_emulator.py
+++ b/tests/aspendrift_platform/test_on_emulator.py
@@ -368,3 +368,71 @@
         assert not cluster.platform.records.ran[attempt_id]
 
     run_scenario(scenario)
+
+
+# Crashes after which no further one may be caused by the same prompt part.
+MAX_CRASHES = 5
+
+
+async def crash_targets(cluster, n_requests=12):
+    """Send requests with a part that crashes targets, and sound ones between them."""
+    cluster.platform.records.crashing_part = "bad"
+    for number in range(n_requests):
+        gateway = cluster.gateways[number % len(cluster.gateways)]
+        await cluster.prompt(gateway, "shared", "bad", f"x{number}")
+        await cluster.prompt(gateway, "shared", f"y{number}")
+        await asyncio.sleep(0.1)
+
+
+async def check_containment(cluster):
+    """Check that the crashing part runs nowhere, and that sound requests are served."""
+    records = cluster.platform.records
+    n_crashes = records.n_crashes
+    await cluster.until(
+        lambda: not any(t.is_down for t in cluster.platform.targets_by_name.values())
+    )
+    for number, gateway in enumerate(cluster.gateways):
+        attempt_id, answer = await cluster.prompt(gateway, "other", "bad", f"z{number}")
+        assert answer.status_code == 503
+        assert not records.ran[attempt_id]
+        attempt_id, answer = await cluster.prompt(gateway, "shared", f"x{number}")
+        assert answer.text == complete_stream(attempt_id)
+    assert records.n_crashes == n_crashes
+
+
+def test_prompt_part_that_crashes_targets_is_refused_by_all_gateways(run_scenario):
+    async def scenario(cluster):
+        await crash_targets(cluster)
+        assert cluster.platform.records.n_crashes <= MAX_CRASHES
+        await check_containment(cluster)
+
+    run_scenario(scenario, n_gateways=3)
+
+
+def test_prompt_part_that_crashed_targets_is_refused_after_restarts(run_scenario):
+    async def scenario(cluster):
+        await crash_targets(cluster)
+        for name in list(cluster.gateways_by_name):
+            await cluster.stop_gateway(name)
+            await cluster.add_gateway(name)
+            await cluster.until(cluster.gateways_by_name[name].is_ready)
+        await asyncio.sleep(1.0)
+        await check_containment(cluster)
+
+    run_scenario(scenario, n_gateways=3)
+
+
+def test_prompt_part_that_crashed_targets_is_refused_after_all_gateways_ended(
+    run_scenario,
+):
+    async def scenario(cluster):
+        await crash_targets(cluster)
+        names = list(cluster.gateways_by_name)
+        await asyncio.gather(*(cluster.stop_gateway(name) for name in names))
+        for name in names:
+            await cluster.add_gateway(name)
+        await cluster.until(lambda: all(g.is_ready() for g in cluster.gateways))
+        await asyncio.sleep(1.0)
+        await check_containment(cluster)
+
+    run_scenario(scenario, n_gateways=3)
