Reserve the ports of the emulated platform

Seen once in 27 tests: test_failed_request_is_retried_only_where_that_is_allowed stopped with 'Address already in use' (127.0.0.1:33087). Cause: free_address closed a socket with a port of the system's choice, from the range of outgoing connections (32768 to 60999 here), which may take it before the gateway binds it. The stand-ins' PortBlocks, made for the same race, reserve ports below that range until the tests end. No test or bound changes.

--- a/tests/aspendrift_platform/platform_emulator.py
+++ b/tests/aspendrift_platform/platform_emulator.py
@@ -13,19 +13,22 @@
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs
 
-from aspendrift_daemon.embedded_server import listen
 from aspendrift_gateway.servers import AppServer
 from aspendrift_model.routes import ServerLimits
+from aspendrift_standins.ports import PortBlocks
 
 # Time for which targets retain results that are not freed; also configured as handleS.
 RESULT_TTL_S = 4.0
 
 
+# Reserved until the tests end: a port of the system's choice may be taken by an
+# outgoing connection before its server listens.
+_PORTS = PortBlocks()
+
+
 def free_address():
-    """Return a loopback address with a free port."""
-    sock = listen("127.0.0.1", 0)
-    port = sock.getsockname()[1]
-    sock.close()
+    """Return a loopback address with a port that nothing else uses."""
+    (port,) = _PORTS.allocate(1)
     return f"127.0.0.1:{port}"
 
 
