Quarantine parts of prompts that crash targets, at all daemons and over restarts

Cause: poison was recognized by a digest of path, account and body alone. Requests that share only a part of their prompt have different digests, so no content was ever common to two crashes. Class: evidence gathered for an identity that the fault does not have. Now such requests put the shared parts of their prompts under suspicion, completed requests take the blame off, and what the crashes of a part with enough blame have in common is refused by all daemons, also by those that restart and after all of them ended.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
@@ -24,9 +24,10 @@
     AnswerHead,
     ForwardMetadata,
     HttpCall,
+    PromptGuard,
     TargetCodec,
 )
-from aspendrift_gateway.refusals import Refusal
+from aspendrift_gateway.refusals import POISON_RETRY_AFTER_S, Refusal
 from aspendrift_gateway.stream_pace import StreamPace
 from aspendrift_gateway.system_state import SystemState
 from aspendrift_gateway.target_client import Answer, Broken, NotSent, TargetClient
@@ -203,6 +204,8 @@
         Retries by pool: this daemon's share of the budget of all daemons.
     on_broken : callable
         Called when the connection to a target breaks while it runs a request.
+    prompts : PromptGuard
+        Quarantines of prompt parts that crash targets; told which requests did.
     """
 
     def __init__(
@@ -217,6 +220,7 @@
         rng: random.Random,
         on_broken: Callable[[TargetEntry, Fingerprint], None],
         make_chooser: Callable[[EjectionRules, random.Random], PoolChooser],
+        prompts: PromptGuard,
     ) -> None:
         self._zone = zone
         self._state = state
@@ -228,6 +232,7 @@
         self._rng = rng
         self._on_broken = on_broken
         self._make_chooser = make_chooser
+        self._prompts = prompts
         self._choosers_by_pool: dict[PoolName, PoolChooser] = {}
         self._no_early_free_until = float("-inf")
         self._on_pace: PaceListener | None = None
@@ -264,6 +269,9 @@
             now = self._clock.monotonic()
             if routed.deadline_at - now < _MIN_REMAINING_S:
                 return self._past_deadline(delivery)
+            parts = self._prompts.refuses(routed.request)
+            if parts is not None:
+                return self._quarantined(delivery, parts)
             entry = self._choose(delivery, now)
             if entry is None:
                 return self._no_target(delivery)
@@ -621,6 +629,13 @@
             )
         return Refusal(RefusalReason.TARGET_FAILED, "no other target")
 
+    def _quarantined(self, delivery: Delivery, parts: str) -> Served | Refusal:
+        if delivery.answer.has_begun:
+            return Served(200, is_cut=True, detail=f"quarantined parts {parts}")
+        if delivery.n_run == 0:
+            return Refusal(RefusalReason.POISON, parts, POISON_RETRY_AFTER_S)
+        return Refusal(RefusalReason.TARGET_FAILED, f"quarantined parts {parts}")
+
     def _report_broken(self, entry: TargetEntry, delivery: Delivery) -> None:
         routed = delivery.routed
         parts = tuple(part.part_id for part in routed.request.prompt)
@@ -636,6 +651,8 @@
             )
         )
         self._on_broken(entry, routed.fingerprint)
+        if _had_just_begun(delivery):
+            self._prompts.target_broke(entry.key, routed.request)
 
 
 _END_BY_VERDICT: Final = {
@@ -666,6 +683,18 @@
     return head.attempt_id != attempt_id
 
 
+def _had_just_begun(delivery: Delivery) -> bool:
+    """Return whether the target that broke may have done so over this request.
+
+    A stream's head is sent when the target starts to run the request, its first event
+    soon after. Other answers show nothing before they are complete.
+    """
+    if delivery.routed.route.kind is not RequestKind.STREAMING:
+        return True
+    has_event = delivery.relay.n_events > delivery.n_events_before
+    return delivery.head_at is not None and not has_event
+
+
 def _excluded(
     delivery: Delivery, entries: Iterable[TargetEntry]
 ) -> frozenset[TargetId]:
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
@@ -21,6 +21,9 @@
     "DependencyChanged",
     "GatewayReady",
     "GatewayStopped",
+    "PromptQuarantined",
+    "QuarantineLifted",
+    "QuarantineSource",
     "RequestEnded",
     "RequestRouted",
     "SettingsReloaded",
@@ -43,6 +46,7 @@
     STORE_CONFIGURATION = "store_configuration"
     STORE_TARGETS = "store_targets"
     STORE_MEMBERS = "store_members"
+    STORE_QUARANTINES = "store_quarantines"
 
 
 class AttemptVerdict(Enum):
@@ -59,6 +63,15 @@
     CANCELLED = "cancelled"
 
 
+class QuarantineSource(Enum):
+    """Where a daemon learned of a quarantine."""
+
+    CRASHES = "crashes"
+    COMPLETIONS = "completions"
+    PEER = "peer"
+    STORE = "store"
+
+
 @dataclass(frozen=True, slots=True)
 class GatewayReady(Event):
     """The gateway accepts requests."""
@@ -319,6 +332,28 @@
     n_events: int
 
 
+@dataclass(frozen=True, slots=True)
+class PromptQuarantined(Event):
+    """Requests whose prompt has all of these parts are refused from now on.
+
+    ``n_crashes`` are the crashes that this daemon knows of.
+    """
+
+    name: ClassVar[str] = "prompt_quarantined"
+    parts: tuple[str, ...]
+    source: QuarantineSource
+    n_crashes: int
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantineLifted(Event):
+    """Requests whose prompt has these parts are no longer refused."""
+
+    name: ClassVar[str] = "quarantine_lifted"
+    parts: tuple[str, ...]
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class RequestEnded(Event):
     """A request got its final answer; ``reason`` is set if the gateway refused it."""
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -23,6 +23,7 @@
 from aspendrift_gateway.pace_exchange import PaceExchange
 from aspendrift_gateway.peer_state import PeerState
 from aspendrift_gateway.policies import POLICIES_BY_KIND
+from aspendrift_gateway.prompt_containment import PromptContainment
 from aspendrift_gateway.refusals import Refusal
 from aspendrift_gateway.request_path import RequestPath
 from aspendrift_gateway.servers import AppServer, ControlApp, RequestApp
@@ -122,6 +123,14 @@
             events,
             rng,
         )
+        self.containment = PromptContainment(
+            self.link,
+            self.store,
+            lambda: self.peer_state.reader_ids(),
+            self.clock,
+            events,
+            rng,
+        )
         self.peer_state = PeerState(
             self.link,
             self.state,
@@ -133,6 +142,7 @@
             suspended_s,
             self.is_ready,
             self._on_crash_report,
+            self.containment,
         )
         self.rows = MemberRows(self.store, events, rng)
         self.membership = MembershipManager(
@@ -164,6 +174,7 @@
             rng,
             self._on_broken,
             policies.chooser,
+            self.containment,
         )
         self.paces = PaceExchange(
             self.link, self.dispatcher.owner, self.sender.avoid, self.clock, events
@@ -185,6 +196,7 @@
             self.origins,
             self.admission,
             self.suspects,
+            self.containment,
             codec.caller,
             self.clock,
             events,
@@ -205,6 +217,12 @@
         self.metrics.gauge(
             "requests.open", "1", "Requests without an answer", lambda: self.path.n_open
         )
+        self.metrics.gauge(
+            "prompts.quarantines",
+            "1",
+            "Quarantines of prompts held",
+            lambda: self.containment.n_quarantines,
+        )
         self.metrics.gauge(
             "streams.origins",
             "1",
@@ -274,6 +292,7 @@
             self.membership,
             self.dispatcher,
             self.paces,
+            self.containment,
         )
 
     def _host(self) -> Host:
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/interfaces.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/interfaces.py
@@ -15,7 +15,7 @@
 from aspendrift_model.pieces import Handle, PieceOutcome, PieceWork
 from aspendrift_model.routes import RoutingConfiguration
 from aspendrift_model.store_rows import StoreRow
-from aspendrift_model.target_entries import TargetEntry, UnreadableEntry
+from aspendrift_model.target_entries import TargetEntry, TargetKey, UnreadableEntry
 
 __all__ = [
     "AddressQuery",
@@ -27,6 +27,7 @@
     "HttpCall",
     "LoadReport",
     "PlatformCodec",
+    "PromptGuard",
     "StoreCodec",
     "StoreRow",
     "StoreRows",
@@ -170,6 +171,19 @@
         """Return the address of the target that holds a result."""
 
 
+class PromptGuard(Protocol):
+    """Knows the parts of prompts that crash targets."""
+
+    def refuses(self, request: OpaqueRequest) -> str | None:
+        """Return the quarantined parts of a request's prompt, None if it may run."""
+
+    def target_broke(self, key: TargetKey, request: OpaqueRequest) -> None:
+        """Suspect the prompt of a request that a target had just begun to answer."""
+
+    def completed(self, request: OpaqueRequest) -> None:
+        """Clear the prompt of a request whose answer was completed."""
+
+
 # The store.
 
 
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/peer_state.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/peer_state.py
@@ -12,7 +12,7 @@
 import zlib
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
-from typing import Any, Final
+from typing import Any, Final, Protocol
 
 import msgspec
 
@@ -70,6 +70,16 @@
 _NEVER: Final = float("-inf")
 
 
+class SharedQuarantines(Protocol):
+    """Quarantines of prompts, which daemons are told with the state."""
+
+    def digest(self) -> int:
+        """Return a hash of the quarantines that this daemon holds."""
+
+    def answer(self, daemon_id: DaemonId, digest: int) -> None:
+        """Send the quarantines to a daemon that holds others."""
+
+
 @dataclass(slots=True)
 class _Subscriber:
     """A daemon that queries this one, and the versions that it was last sent."""
@@ -95,6 +105,8 @@
         Returns whether this daemon accepts requests.
     on_crash : callable
         Called with reports of peers on targets that broke while running a request.
+    quarantines : SharedQuarantines
+        Quarantines that daemons are told with the state.
     """
 
     def __init__(
@@ -109,6 +121,7 @@
         suspended_s: Callable[[], float],
         is_ready: Callable[[], bool],
         on_crash: Callable[[CrashReport], None],
+        quarantines: SharedQuarantines,
     ) -> None:
         self._link = link
         self._state = state
@@ -120,6 +133,7 @@
         self._suspended_s = suspended_s
         self._is_ready = is_ready
         self._on_crash = on_crash
+        self._quarantines = quarantines
         self._follower = StateFollower()
         self._known_members: object = None
         self._is_reader = True
@@ -150,7 +164,11 @@
 
     def n_readers(self) -> int:
         """Return the number of daemons that follow the store."""
-        return max(1, len(readers_in_order(self._candidate_ids())))
+        return max(1, len(self.reader_ids()))
+
+    def reader_ids(self) -> list[DaemonId]:
+        """Return the daemons that follow the store."""
+        return readers_in_order(self._candidate_ids())
 
     # State that membership probes carry.
 
@@ -300,7 +318,11 @@
     def _send_query(self, daemon_id: DaemonId, number: int) -> None:
         state = self._state
         query = StateQuery(
-            number, state.configuration_version, state.targets_version, number > 0
+            number,
+            state.configuration_version,
+            state.targets_version,
+            number > 0,
+            self._quarantines.digest(),
         )
         self._send(daemon_id, query)
 
@@ -326,6 +348,7 @@
             now, query.configuration_version, query.targets_version
         )
         self._send_update(origin, subscriber, query.number, now)
+        self._quarantines.answer(origin, query.quarantine_digest)
         if query.subscribes:
             self._subscribers_by_id[origin] = subscriber
 
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/prompt_containment.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/prompt_containment.py
@@ -182,9 +182,7 @@
         key = TargetKey(TargetId(report.target_id), report.born_ms)
         found = self._suspects.record_crash(key, _part_ids(report.parts), now)
         if found is not None:
-            self._report(found, QuarantineSource.CRASHES)
-            self._sync_soon(now)
-            self._send_to_readers(found, now)
+            self._announce(found, QuarantineSource.CRASHES, now)
 
     def _on_changed(
         self, origin: DaemonId, message: QuarantineChanged, now: float
@@ -226,19 +224,26 @@
     def _record_completed(
         self, parts: Iterable[PromptPartId], now: float
     ) -> tuple[PromptPartId, ...]:
-        suspects, lifted = self._suspects.record_completed(parts, now)
-        for signature in lifted:
+        clearance = self._suspects.record_completed(parts, now)
+        for signature in clearance.narrowed:
+            self._announce(signature, QuarantineSource.COMPLETIONS, now)
+        for signature in clearance.lifted:
             reason = "requests with these parts were completed"
             self._events.emit(QuarantineLifted(tuple(sorted(signature)), reason))
             self._broadcast_lifted(signature)
             self._sync_soon(now)
-        return suspects
+        return clearance.suspects
 
     def _broadcast_lifted(self, signature: Signature) -> None:
         message = QuarantineChanged(tuple(sorted(signature)), 0)
         self._link.broadcast(QUARANTINE_TOPIC, self._encoder.encode(message))
 
-    def _send_to_readers(self, signature: Signature, now: float) -> None:
+    def _announce(
+        self, signature: Signature, source: QuarantineSource, now: float
+    ) -> None:
+        """Report a quarantine that this daemon found, and send it to the readers."""
+        self._report(signature, source)
+        self._sync_soon(now)
         own_id = self._link.host.daemon_id
         readers = [each for each in self._reader_ids() if each != own_id]
         for each in self._suspects.quarantines(now):
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/refusals.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/refusals.py
@@ -9,7 +9,9 @@
 
 from aspendrift_model.states import RefusalReason
 
-__all__ = ["Refusal", "refusal_body", "refusal_status"]
+__all__ = ["POISON_RETRY_AFTER_S", "Refusal", "refusal_body", "refusal_status"]
+
+POISON_RETRY_AFTER_S: Final = 60.0
 
 # Status that guarantees that the request has not run and never will.
 _NOT_RUN_STATUS: Final = 503
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
@@ -20,9 +20,14 @@
 )
 from aspendrift_gateway.caller_answer import CallerAnswer
 from aspendrift_gateway.events import RequestEnded, RequestRouted
-from aspendrift_gateway.interfaces import CallerCodec
+from aspendrift_gateway.interfaces import CallerCodec, PromptGuard
 from aspendrift_gateway.origin_exchange import OriginExchange
-from aspendrift_gateway.refusals import Refusal, refusal_body, refusal_status
+from aspendrift_gateway.refusals import (
+    POISON_RETRY_AFTER_S,
+    Refusal,
+    refusal_body,
+    refusal_status,
+)
 from aspendrift_gateway.stage_run import (
     StageDemand,
     StagesFailed,
@@ -47,7 +52,7 @@
 _SHORT_RETRY_AFTER_S: Final = 0.3
 # Time reserved for sending a refusal before the caller times out.
 _ANSWER_MARGIN_S: Final = 0.03
-_POISON_RETRY_AFTER_S: Final = 60.0
+_FIRST_ERROR_STATUS: Final = 400
 # Time in which a target that crashed is often back.
 _TARGET_RETURN_S: Final = 1.0
 _RANKS_PER_PRIORITY: Final = 16
@@ -103,6 +108,8 @@
     ----------
     suspects : SuspectTracker
         Contents suspected of crashing targets.
+    prompts : PromptGuard
+        Quarantines of prompt parts that crash targets.
     refuses_new : callable
         Returns why a new request is refused, or None.
     max_denial_age_s : callable
@@ -118,6 +125,7 @@
         origins: OriginExchange,
         admission: ChainAdmission,
         suspects: SuspectTracker,
+        prompts: PromptGuard,
         codec: CallerCodec,
         clock: Clock,
         events: EventHub,
@@ -130,6 +138,7 @@
         self._origins = origins
         self._admission = admission
         self._suspects = suspects
+        self._prompts = prompts
         self._codec = codec
         self._clock = clock
         self._events = events
@@ -237,10 +246,15 @@
         )
         content_state = self._suspects.content_state(routed.fingerprint, now)
         if content_state is ContentState.QUARANTINED:
-            return Refusal(RefusalReason.POISON, "", _POISON_RETRY_AFTER_S)
+            return Refusal(RefusalReason.POISON, "", POISON_RETRY_AFTER_S)
+        parts = self._prompts.refuses(request)
+        if parts is not None:
+            return Refusal(RefusalReason.POISON, parts, POISON_RETRY_AFTER_S)
         outcome = await self._run(opened, table, routed, answer)
         if isinstance(outcome, Served) and not outcome.is_cut:
             self._suspects.mark_known_good(routed.fingerprint, self._clock.monotonic())
+            if outcome.status < _FIRST_ERROR_STATUS:
+                self._prompts.completed(request)
         return outcome
 
     async def _run(
--- a/packages/aspendrift-gateway/tests/conftest.py
+++ b/packages/aspendrift-gateway/tests/conftest.py
@@ -342,6 +342,21 @@
         self.n_fetched += 1
 
 
+@dataclass
+class FakePromptGuard:
+    """Refuses prompts once some targets broke, and records what it is told."""
+
+    refuses_after: int | None = None
+    broke: list = field(default_factory=list)
+
+    def refuses(self, request):
+        limit = self.refuses_after
+        return "part" if limit is not None and len(self.broke) >= limit else None
+
+    def target_broke(self, key, request):
+        self.broke.append(key.target_id)
+
+
 @dataclass
 class SenderHarness:
     """Builds an attempt sender with fake targets."""
@@ -351,6 +366,7 @@
     broken: list = field(default_factory=list)
     answer: FakeAnswer = field(default_factory=FakeAnswer)
     progress: FakeProgress = field(default_factory=FakeProgress)
+    prompts: FakePromptGuard = field(default_factory=FakePromptGuard)
     budget_floor_per_s: float = 100.0
     seed: int = 0
 
@@ -371,6 +387,7 @@
             random.Random(self.seed),
             lambda target, fingerprint: self.broken.append(target.key.target_id),
             PoolChooser,
+            self.prompts,
         )
 
     def delivery(self, found_route=None, inputs=()):
--- a/packages/aspendrift-gateway/tests/test_attempts.py
+++ b/packages/aspendrift-gateway/tests/test_attempts.py
@@ -12,7 +12,7 @@
 from aspendrift_model.states import RefusalReason
 from aspendrift_standins.virtual_time import run_virtual
 
-from .conftest import Reply, entry, route
+from .conftest import FakePromptGuard, Reply, entry, route
 
 UNSAFE = route(RequestKind.NON_IDEMPOTENT, max_attempts=2)
 STREAM = route(RequestKind.STREAMING, event_gap_s=0.3)
@@ -296,3 +296,42 @@
         harness = make_harness(first, gone, rest, targets=TWO_VERSIONS, seed=seed)
         assert run_virtual(run(harness)) == Served(200)
         assert len(set(versions_sent(harness))) == 1
+
+
+@pytest.mark.parametrize(
+    ("first", "is_suspect"),
+    [
+        (Reply(chunks=(), breaks_after=0), True),
+        (Reply(chunks=(b"id: 1\nda",), breaks_after=1), True),
+        (Reply(chunks=(events(1),), breaks_after=1), False),
+        (Broken("reset"), False),
+        (NotSent("refused"), False),
+        (Reply(status=503, has_not_run=True), False),
+    ],
+)
+def test_only_a_stream_that_had_just_begun_is_suspected_of_a_crash(
+    make_harness, first, is_suspect
+):
+    harness = make_harness(first, Reply(chunks=(events(2),)))
+    send(harness, RESUMABLE)
+    assert bool(harness.prompts.broke) == is_suspect
+
+
+def test_quarantined_prompt_is_refused_as_not_run_before_its_first_attempt(
+    make_harness,
+):
+    harness = make_harness(prompts=FakePromptGuard(refuses_after=0))
+    outcome = send(harness, RESUMABLE)
+    assert outcome.reason is RefusalReason.POISON
+    assert outcome.retry_after_s > 0
+    assert harness.client.sent == []
+
+
+def test_quarantined_prompt_that_ran_is_not_sent_again_nor_said_not_to_have_run(
+    make_harness,
+):
+    crash = Reply(chunks=(), breaks_after=0)
+    harness = make_harness(crash, prompts=FakePromptGuard(refuses_after=1))
+    outcome = send(harness, RESUMABLE)
+    assert outcome.reason is RefusalReason.TARGET_FAILED
+    assert len(harness.client.sent) == 1
--- a/packages/aspendrift-gateway/tests/test_peer_state.py
+++ b/packages/aspendrift-gateway/tests/test_peer_state.py
@@ -55,6 +55,7 @@
             lambda: self.suspended_s,
             lambda: True,
             lambda report: None,
+            SimpleNamespace(digest=lambda: 0, answer=lambda daemon_id, digest: None),
         )
 
     async def start(self):
--- a/packages/aspendrift-model/src/aspendrift_model/ids.py
+++ b/packages/aspendrift-model/src/aspendrift_model/ids.py
@@ -19,6 +19,7 @@
     "PoolName",
     "PrefixKey",
     "ProfileName",
+    "PromptPartId",
     "RegionName",
     "RequestId",
     "Revision",
@@ -42,6 +43,7 @@
 PoolName = NewType("PoolName", str)
 PrefixKey = NewType("PrefixKey", str)
 ProfileName = NewType("ProfileName", str)
+PromptPartId = NewType("PromptPartId", str)
 RegionName = NewType("RegionName", str)
 RequestId = NewType("RequestId", str)
 Revision = NewType("Revision", int)
--- a/packages/aspendrift-model/src/aspendrift_model/opaque_requests.py
+++ b/packages/aspendrift-model/src/aspendrift_model/opaque_requests.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from aspendrift_model.ids import AttemptId
+from aspendrift_model.ids import AttemptId, PromptPartId
 
 __all__ = ["Headers", "OpaqueRequest", "PromptPart"]
 
@@ -15,7 +15,7 @@
 class PromptPart:
     """A section of a prompt that several requests may have in common."""
 
-    part_id: str
+    part_id: PromptPartId
     n_tokens: int
 
 
@@ -60,3 +60,8 @@
     piece_key: str = ""
     last_event_id: str | None = None
     resumes: AttemptId | None = None
+
+    @property
+    def shared_parts(self) -> tuple[PromptPartId, ...]:
+        """Parts of the prompt that other requests may have; the last one is its own."""
+        return tuple(part.part_id for part in self.prompt[:-1])
--- a/packages/aspendrift-model/src/aspendrift_model/wire_work.py
+++ b/packages/aspendrift-model/src/aspendrift_model/wire_work.py
@@ -18,9 +18,14 @@
     "OriginMessage",
     "OriginQuery",
     "OwnerHeartbeat",
+    "PartsCompleted",
     "PaceMessage",
     "PaceSamples",
     "PoolLoad",
+    "PromptCrash",
+    "QuarantineChanged",
+    "QuarantineList",
+    "QuarantineMessage",
     "SlowTargets",
     "StateMessage",
     "StateQuery",
@@ -121,12 +126,14 @@
 
     ``number`` identifies the query; it is 0 if the ages in the answer don't matter.
     With ``subscribes``, later changes are to be sent without a query for a while.
+    Quarantines are sent back if the digest differs.
     """
 
     number: int
     configuration_version: int
     targets_version: int
     subscribes: bool
+    quarantine_digest: int = 0
 
 
 class StateUpdate(msgspec.Struct, frozen=True, array_like=True, tag="u"):
@@ -156,6 +163,39 @@
     fingerprint: str
 
 
+class PromptCrash(msgspec.Struct, frozen=True, array_like=True, tag="c"):
+    """Reports that a target broke off a request that it had just begun to answer.
+
+    ``parts`` are those of the prompt that other requests may have.
+    """
+
+    target_id: str
+    born_ms: int
+    parts: tuple[str, ...]
+
+
+class PartsCompleted(msgspec.Struct, frozen=True, array_like=True, tag="f"):
+    """Reports that a request with these suspect parts was answered completely."""
+
+    parts: tuple[str, ...]
+
+
+class QuarantineChanged(msgspec.Struct, frozen=True, array_like=True, tag="q"):
+    """A quarantine of requests that have all of these parts; 0 ms left if lifted."""
+
+    parts: tuple[str, ...]
+    left_ms: int
+
+
+class QuarantineList(msgspec.Struct, frozen=True, array_like=True, tag="l"):
+    """All quarantines that a daemon holds: their parts and the time left in ms."""
+
+    quarantines: tuple[tuple[tuple[str, ...], int], ...]
+
+
+QuarantineMessage = PromptCrash | PartsCompleted | QuarantineChanged | QuarantineList
+
+
 class PaceSamples(msgspec.Struct, frozen=True, array_like=True, tag="p"):
     """Paces of streams, for the owner of their pool.
 
--- a/tests/aspendrift_platform/platform_emulator.py
+++ b/tests/aspendrift_platform/platform_emulator.py
@@ -185,16 +185,19 @@
         self.fails_next = 0
         self.event_gap_s = 0.002
         self.n_requests = 0
+        self.n_starts = 1
         self.is_down = False
 
     def crash(self, down_s=0.3):
-        """Break off everything; start again under the same id after a while."""
+        """Break off everything; start again under another id after a while."""
         self.records.n_crashes += 1
         self.is_down = True
-        self.born += 1
+        self.n_starts += 1
         asyncio.get_running_loop().call_later(down_s, self._restart)
 
     def _restart(self):
+        self.platform.store.remove("servers", self.name)
+        self.name = f"{self.name.partition('.')[0]}.{self.n_starts}"
         self.is_down = False
         self.register()
 
@@ -281,16 +284,16 @@
         begin = int(headers.get(b"last-event-id", 0)) + 1
         head = {"type": "http.response.start", "status": 200, "headers": signed}
         await send(head)
-        born = self.born
+        n_starts = self.n_starts
         if self._is_crashed_by(headers):
             # The head is on its way before the target crashes.
             await send({"type": "http.response.body", "body": b"", "more_body": True})
             await asyncio.sleep(self.work_s)
-            if born == self.born:
+            if n_starts == self.n_starts:
                 self.crash()
             raise ConnectionError("target crashed")
         for number in range(begin, 8):
-            if born != self.born:
+            if n_starts != self.n_starts:
                 raise ConnectionError("target crashed")
             if self.records.n_streams_to_break and number == 4:
                 self.records.n_streams_to_break -= 1
--- a/tests/aspendrift_platform/test_on_emulator.py
+++ b/tests/aspendrift_platform/test_on_emulator.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from types import SimpleNamespace
 
 import httpx
 import pytest
@@ -384,6 +385,11 @@
         await asyncio.sleep(0.1)
 
 
+def all_refuse_part(cluster):
+    request = SimpleNamespace(shared_parts=("bad",))
+    return all(gateway.containment.refuses(request) for gateway in cluster.gateways)
+
+
 async def check_containment(cluster):
     """Check that the crashing part runs nowhere, and that sound requests are served."""
     records = cluster.platform.records
@@ -404,6 +410,7 @@
     async def scenario(cluster):
         await crash_targets(cluster)
         assert cluster.platform.records.n_crashes <= MAX_CRASHES
+        await cluster.until(lambda: all_refuse_part(cluster))
         await check_containment(cluster)
 
     run_scenario(scenario, n_gateways=3)
@@ -416,7 +423,7 @@
             await cluster.stop_gateway(name)
             await cluster.add_gateway(name)
             await cluster.until(cluster.gateways_by_name[name].is_ready)
-        await asyncio.sleep(1.0)
+        await cluster.until(lambda: all_refuse_part(cluster))
         await check_containment(cluster)
 
     run_scenario(scenario, n_gateways=3)
@@ -432,7 +439,7 @@
         for name in names:
             await cluster.add_gateway(name)
         await cluster.until(lambda: all(g.is_ready() for g in cluster.gateways))
-        await asyncio.sleep(1.0)
+        await cluster.until(lambda: all_refuse_part(cluster))
         await check_containment(cluster)
 
     run_scenario(scenario, n_gateways=3)
