A stream that ends inside an event was broken off

Cause: the end of a stream's body was taken for the end of the stream: bytes of an event cut in two were forwarded and the answer ended as complete. Such an end now counts like a broken connection: resumed, cut, or suspected of a crash; so does a stream without length, chunks and events.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
@@ -519,8 +519,12 @@
         except (httpx.HTTPError, OSError) as error:
             self._report_broken(entry, delivery)
             return self._stream_broke(delivery, type(error).__name__)
-        if relay.has_partial or not delivery.answer.has_begun:
-            await self._send_events(delivery, answer, relay.rest())
+        has_event = relay.n_events > delivery.n_events_before
+        if relay.has_partial or not (has_event or answer.is_delimited):
+            self._report_broken(entry, delivery)
+            return self._stream_broke(delivery, "ended inside an event")
+        if not delivery.answer.has_begun:
+            await self._send_events(delivery, answer, b"")
         await delivery.answer.end()
         self._report_pace(routed.pool, entry, pace)
         return Served(answer.status)
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/event_relay.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/event_relay.py
@@ -44,11 +44,6 @@
                 self._record_id(event)
         return complete
 
-    def rest(self) -> bytes:
-        """Return and clear the bytes after the last complete event."""
-        rest, self._partial = self._partial, b""
-        return rest
-
     def restart(self) -> None:
         """Drop a partial event; the next attempt sends it again."""
         self._partial = b""
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
@@ -40,6 +40,7 @@
 # After a target sent a surplus answer on a connection, each request to it uses a new
 # connection for this long.
 _NO_REUSE_S: Final = 10.0
+_FRAMING_HEADERS: Final = frozenset({b"content-length", b"transfer-encoding"})
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +66,11 @@
     head: AnswerHead
     response: httpx.Response
 
+    @property
+    def is_delimited(self) -> bool:
+        """Whether the end of the body can be told from the end of the connection."""
+        return any(name.lower() in _FRAMING_HEADERS for name, _ in self.headers)
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives; raises ``httpx.HTTPError`` if it breaks off."""
         stream = self.response.stream
--- a/packages/aspendrift-gateway/tests/test_attempts.py
+++ b/packages/aspendrift-gateway/tests/test_attempts.py
@@ -335,3 +335,38 @@
     outcome = send(harness, RESUMABLE)
     assert outcome.reason is RefusalReason.TARGET_FAILED
     assert len(harness.client.sent) == 1
+
+
+def test_stream_that_ends_inside_an_event_is_broken_off(make_harness):
+    first = Reply(chunks=(events(1), b"id: 2\nda"))
+    harness = make_harness(first)
+    outcome = send(harness, STREAM)
+    assert outcome.is_cut
+    assert harness.answer.body == events(1)
+    assert not harness.answer.is_ended
+    assert harness.broken == [harness.client.sent[0].target_id]
+
+
+def test_stream_that_ends_inside_an_event_is_continued_elsewhere(make_harness):
+    first = Reply(chunks=(events(1), b"id: 2\nda"))
+    harness = make_harness(first, Reply(chunks=(events(2),)))
+    assert send(harness, RESUMABLE) == Served(200)
+    assert harness.answer.body == events(1, 2)
+    assert [each.last_event_id for each in harness.client.sent] == [None, "1"]
+
+
+def test_stream_without_length_or_chunks_and_events_is_broken_off(make_harness):
+    harness = make_harness(Reply(chunks=(), framing=()), Reply(chunks=(events(1),)))
+    assert send(harness, RESUMABLE) == Served(200)
+    assert harness.answer.body == events(1)
+    assert harness.prompts.broke == [harness.client.sent[0].target_id]
+
+
+@pytest.mark.parametrize("found_route", [STREAM, UNSAFE])
+def test_answer_without_length_or_chunks_is_complete_at_its_end(
+    make_harness, found_route
+):
+    harness = make_harness(Reply(chunks=(events(1, 2),), framing=()))
+    assert send(harness, found_route) == Served(200)
+    assert harness.answer.body == events(1, 2)
+    assert harness.answer.is_ended
