Positions in the store are an era and a version

Cause of what the tests show: versions were compared as plain numbers. After a rise a feed from the old version skips the changes whose versions were given out again, and a complete list with a lower version was dropped as older until the store's counter had passed the old one. Now StorePosition orders by era first and is carried by store answers, the state, the change log and the messages between daemons. Recipients of an earlier era get the complete list; late answers of an older era are dropped; targets that were gone are held back; own rows are written again, spread in time. Both tests on the emulated platform failed before (time-out; no era known). Played in virtual time: a reader of the older era cut off and back, daemons that the store rejects, two rises in a row, configuration and entries lost. Not played: a reader killed during the rise, real processes under the soak.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
@@ -34,6 +34,7 @@
     "StageJobEnded",
     "StageJobSent",
     "StateSourceChanged",
+    "StoreEraChanged",
     "StreamOriginSought",
     "TargetBroke",
     "TargetChanged",
@@ -140,6 +141,15 @@
     targets_age_s: float | None
 
 
+@dataclass(frozen=True, slots=True)
+class StoreEraChanged(Event):
+    """The store came back from a copy; what was written since then is lost."""
+
+    name: ClassVar[str] = "store_era_changed"
+    era: int
+    previous_era: int
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigurationApplied(Event):
     """A newer configuration is in force; ``source`` tells where it came from."""
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -66,6 +66,9 @@
 # not in view.
 _CONNECTION_SHARE: Final = 0.8
 _MIN_CONNECTIONS: Final = 2
+# Rows that all daemons together write again in a second, of several hundred writes that
+# the store takes.
+_ROWS_PER_S: Final = 100.0
 # Shares of the process's file descriptors for the connections of callers, and for those
 # of each other server; the rest is for targets, the store and peers.
 _CALLER_FILES_SHARE: Final = 0.5
@@ -214,6 +217,7 @@
         )
         self.servers = self._make_servers(codec)
         self.state.on_change(self._on_state_change)
+        self.state.on_era(self._on_store_era)
         self.metrics.gauge(
             "requests.open", "1", "Requests without an answer", lambda: self.path.n_open
         )
@@ -358,6 +362,12 @@
                 self.client.evict(change.target_id)
         self.dispatcher.targets_changed()
 
+    def _on_store_era(self, era: int) -> None:
+        """Write again what the store may have lost, spread over all daemons."""
+        within_s = max(1.0, len(self.link.members()) / _ROWS_PER_S)
+        self.rows.begin_again(lambda: self.link.host, within_s)
+        self.containment.store_restored()
+
     def _share_limits(self) -> None:
         """Divide the limits that all daemons share by the number of daemons in view."""
         table = self.state.table
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/interfaces.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/interfaces.py
@@ -14,7 +14,7 @@
 from aspendrift_model.opaque_requests import Headers, OpaqueRequest
 from aspendrift_model.pieces import Handle, PieceOutcome, PieceWork
 from aspendrift_model.routes import RoutingConfiguration
-from aspendrift_model.store_rows import StoreRow
+from aspendrift_model.store_rows import StorePosition, StoreRow
 from aspendrift_model.target_entries import TargetEntry, TargetKey, UnreadableEntry
 
 __all__ = [
@@ -189,11 +189,17 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreRows:
-    """Rows as of one point in time, and the store's newest version then."""
+    """Rows as of one point in time, and the store's newest version and era then."""
 
     rows: tuple[StoreRow, ...]
     version: int
     is_truncated: bool = False
+    era: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """Position in the store's history."""
+        return StorePosition(self.era, self.version)
 
 
 class StoreCodec(Protocol):
@@ -218,9 +224,12 @@
     def remove(self, table: str, key: str) -> HttpCall:
         """Encode the removal of one row."""
 
-    def rows(self, body: bytes) -> StoreRows | None:
+    def rows(self, body: bytes, era: int) -> StoreRows | None:
         """Decode the answer to a read; None if it can't be decoded."""
 
+    def era(self, headers: Headers) -> int | None:
+        """Decode the era of the store that an answer names; None if it doesn't."""
+
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationUnreadable:
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/member_rows.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/member_rows.py
@@ -41,13 +41,27 @@
         self._rng = rng
         self._watch = DependencyWatch(Dependency.STORE_MEMBERS, events)
         self._write_task: asyncio.Task[None] | None = None
+        self._is_leaving = False
 
     def begin(self, host: Callable[[], Host]) -> None:
         """Start writing this daemon's row; retry until the store accepts it."""
         self._write_task = asyncio.create_task(self._register(host))
 
+    def begin_again(self, host: Callable[[], Host], within_s: float) -> None:
+        """Write this daemon's row again, as the store has lost what it had.
+
+        The rows of all daemons are spread over ``within_s``.
+        """
+        if self._is_leaving:
+            return
+        if self._write_task is not None:
+            self._write_task.cancel()
+        delay_s = self._rng.uniform(0.0, within_s)
+        self._write_task = asyncio.create_task(self._register(host, delay_s))
+
     def begin_removal(self, host: Host) -> None:
         """Start removing this daemon's row, once: a stale row is harmless."""
+        self._is_leaving = True
         if self._write_task is not None:
             self._write_task.cancel()
         self._write_task = asyncio.create_task(self._remove(host))
@@ -74,7 +88,8 @@
         if isinstance(result, StoreFailure):
             self._watch.failed(result.detail)
 
-    async def _register(self, host: Callable[[], Host]) -> None:
+    async def _register(self, host: Callable[[], Host], delay_s: float = 0.0) -> None:
+        await asyncio.sleep(delay_s)
         while True:
             own_host = host()
             entry = HostEntry(
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/peer_state.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/peer_state.py
@@ -30,7 +30,7 @@
 from aspendrift_model.decode_errors import DECODE_ERRORS
 from aspendrift_model.ids import DaemonId
 from aspendrift_model.states import MemberState
-from aspendrift_model.store_rows import StoreRow
+from aspendrift_model.store_rows import NO_POSITION, StorePosition, StoreRow
 from aspendrift_model.wire_peer import RevisionDigest
 from aspendrift_model.wire_work import (
     CrashReport,
@@ -86,7 +86,7 @@
 
     asked_at: float
     configuration_version: int
-    targets_version: int
+    targets_position: StorePosition
 
 
 class PeerState:
@@ -323,6 +323,7 @@
             state.targets_version,
             number > 0,
             self._quarantines.digest(),
+            state.store_era,
         )
         self._send(daemon_id, query)
 
@@ -345,7 +346,9 @@
     def _on_query(self, origin: DaemonId, query: StateQuery, now: float) -> None:
         self._check_suspension()
         subscriber = _Subscriber(
-            now, query.configuration_version, query.targets_version
+            now,
+            query.configuration_version,
+            StorePosition(query.targets_era, query.targets_version),
         )
         self._send_update(origin, subscriber, query.number, now)
         self._quarantines.answer(origin, query.quarantine_digest)
@@ -368,7 +371,7 @@
         """Send what a daemon lacks, and record that it has it."""
         state = self._state
         is_newer = state.configuration_version > recipient.configuration_version
-        changes = state.target_changes(recipient.targets_version)
+        changes = state.target_changes(recipient.targets_position)
         update = StateUpdate(
             number,
             state.configuration_version,
@@ -376,14 +379,15 @@
             self._compressed_configuration() if is_newer else b"",
             state.targets_version,
             _age_ms(state.targets_confirmed_at, now),
-            changes.after,
+            -1 if changes.after is None else changes.after.version,
             tuple((row.key, row.version, row.value) for row in changes.rows),
+            state.store_era,
         )
         self._send(daemon_id, update)
         if is_newer:
             recipient.configuration_version = state.configuration_version
-        recipient.targets_version = max(
-            recipient.targets_version, state.targets_version
+        recipient.targets_position = max(
+            recipient.targets_position, state.targets_position
         )
 
     def _on_update(self, origin: DaemonId, update: StateUpdate, now: float) -> None:
@@ -422,13 +426,16 @@
     def _apply_targets(self, update: StateUpdate, now: float) -> None:
         state = self._state
         rows = [StoreRow(*row) for row in update.targets]
-        if not rows or update.targets_version <= state.targets_version:
+        position = _targets_position(update)
+        if not rows or position <= state.targets_position:
             return
         if update.targets_after < 0:
             present = [(row.key, row.value) for row in rows if row.value is not None]
-            state.replace_targets(present, update.targets_version, now)
-        elif update.targets_after <= state.targets_version:
-            state.update_targets(rows, update.targets_version, now)
+            state.replace_targets(present, position, now)
+        elif position.era == state.store_era and (
+            update.targets_after <= state.targets_version
+        ):
+            state.update_targets(rows, position, now)
         else:
             # An earlier change was lost on its way.
             self._follower.query_at(now)
@@ -443,8 +450,8 @@
         is_unchanged = not update.targets and update.targets_after >= 0
         if is_unchanged and age_s <= self._times().max_targets_age_s:
             # The registry tells an outage by the time without such updates.
-            state.update_targets((), update.targets_version, now)
-        if update.targets_version == state.targets_version >= 0:
+            state.update_targets((), _targets_position(update), now)
+        if _targets_position(update) == state.targets_position != NO_POSITION:
             at = asked_at - age_s
             state.targets_confirmed_at = max(state.targets_confirmed_at, at)
 
@@ -454,6 +461,10 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _targets_position(update: StateUpdate) -> StorePosition:
+    return StorePosition(update.targets_era, update.targets_version)
+
+
 def _age_ms(at: float, now: float) -> int:
     return int(min((now - at) * _MS_PER_S, _UNKNOWN_AGE_MS))
 
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/prompt_containment.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/prompt_containment.py
@@ -160,6 +160,10 @@
         )
         self._send([daemon_id], QuarantineList(held))
 
+    def store_restored(self) -> None:
+        """Read the table again and write what it lost."""
+        self._sync_soon(self._clock.monotonic())
+
     # Messages.
 
     def _on_message(self, origin: DaemonId, payload: bytes) -> None:
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/store_client.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/store_client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final, TypeAlias
 
 import httpx
@@ -45,6 +45,15 @@
     """The write took effect."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """An answer of the era that the store is at."""
+
+    status: int
+    body: bytes
+    era: int
+
+
 RowsResult: TypeAlias = StoreRows | HistoryGone | StoreFailure
 WriteResult: TypeAlias = Written | StoreFailure
 
@@ -65,6 +74,7 @@
         self._base = f"http://{address}"
         self._transport = plain_transport(_MAX_CONNECTIONS, None)
         self.n_calls = 0
+        self._era = 0
 
     async def close(self) -> None:
         """Close every connection."""
@@ -83,9 +93,11 @@
             else:
                 # Keep the version of the first page, so that the feed repeats the
                 # changes made between the pages.
-                found = StoreRows(found.rows + page.rows, found.version)
+                if page.era != found.era:
+                    return StoreFailure("the era changed between two pages")
+                found = replace(found, rows=found.rows + page.rows)
             if not page.is_truncated or not page.rows:
-                return StoreRows(found.rows, found.version)
+                return replace(found, is_truncated=False)
             after = page.rows[-1].key
 
     async def read_key(self, table: str, key: str) -> RowsResult:
@@ -108,24 +120,22 @@
         answer = await self._call(call, wait_s)
         if isinstance(answer, StoreFailure):
             return answer
-        status, body = answer
-        if status == _GONE:
+        if answer.status == _GONE:
             return HistoryGone()
-        if status != _OK:
-            return StoreFailure(f"status {status}")
-        rows = self.codec.rows(body)
+        if answer.status != _OK:
+            return StoreFailure(f"status {answer.status}")
+        rows = self.codec.rows(answer.body, answer.era)
         return StoreFailure("unreadable answer") if rows is None else rows
 
     async def _write(self, call: HttpCall) -> WriteResult:
         answer = await self._call(call, 0.0)
         if isinstance(answer, StoreFailure):
             return answer
-        status, _ = answer
-        return Written() if status == _OK else StoreFailure(f"status {status}")
+        if answer.status == _OK:
+            return Written()
+        return StoreFailure(f"status {answer.status}")
 
-    async def _call(
-        self, call: HttpCall, wait_s: float
-    ) -> tuple[int, bytes] | StoreFailure:
+    async def _call(self, call: HttpCall, wait_s: float) -> _Answer | StoreFailure:
         self.n_calls += 1
         timeout_s = wait_s + _CALL_TIMEOUT_S
         request = httpx.Request(
@@ -146,4 +156,8 @@
             return StoreFailure(type(error).__name__)
         except (httpx.HTTPError, TimeoutError, OSError) as error:
             return StoreFailure(type(error).__name__, is_unknown=True)
-        return response.status_code, body
+        era = self.codec.era(tuple(response.headers.raw))
+        if era is not None and era < self._era:
+            return StoreFailure(f"answer of era {era}, the store is at {self._era}")
+        self._era = self._era if era is None else era
+        return _Answer(response.status_code, body, self._era)
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/store_reader.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/store_reader.py
@@ -14,6 +14,7 @@
 from aspendrift_gateway.settings import GatewaySettings
 from aspendrift_gateway.store_client import HistoryGone, StoreClient, StoreFailure
 from aspendrift_gateway.system_state import SystemState
+from aspendrift_model.store_rows import NO_POSITION, StorePosition
 
 __all__ = ["DependencyWatch", "StoreReader", "long_poll_s", "targets_interval_s"]
 
@@ -101,7 +102,7 @@
         self._rng = rng
         self._configuration = DependencyWatch(Dependency.STORE_CONFIGURATION, events)
         self._targets = DependencyWatch(Dependency.STORE_TARGETS, events)
-        self._feed_version = -1
+        self._feed_position = NO_POSITION
         self._changed_at = float("-inf")
         self._following = asyncio.Event()
         self._following.set()
@@ -165,8 +166,8 @@
         table = codec.configuration_table
         result: StoreRows | HistoryGone | StoreFailure = HistoryGone()
         requested_at = self._clock.monotonic()
-        if self._feed_version >= 0:
-            result = await self._store.feed(table, self._feed_version, wait_s)
+        if self._feed_position != NO_POSITION:
+            result = await self._feed(table, self._feed_position, wait_s)
         if isinstance(result, HistoryGone):
             requested_at = self._clock.monotonic()
             result = await self._store.read_key(table, codec.configuration_key)
@@ -184,9 +185,19 @@
         state.configuration_confirmed_at = max(
             state.configuration_confirmed_at, read_at
         )
-        self._feed_version = result.version if self._state.table is not None else -1
+        is_complete = self._state.table is not None
+        self._feed_position = result.position if is_complete else NO_POSITION
         return True
 
+    async def _feed(
+        self, table: str, after: StorePosition, wait_s: float
+    ) -> StoreRows | HistoryGone | StoreFailure:
+        """Read the changes after a position; there are none for one of another era."""
+        result = await self._store.feed(table, after.version, wait_s)
+        if isinstance(result, StoreRows) and result.era != after.era:
+            return HistoryGone()
+        return result
+
     async def _update_targets(self, is_checked: bool) -> bool:
         """Read the targets; return whether the store answered.
 
@@ -201,8 +212,8 @@
         )
         is_suspect = is_checked and requested_at - self._changed_at > check_after_s
         result: StoreRows | HistoryGone | StoreFailure = HistoryGone()
-        if state.targets_version >= 0 and not is_suspect:
-            result = await self._store.feed(table, state.targets_version, 0.0)
+        if state.targets_position != NO_POSITION and not is_suspect:
+            result = await self._feed(table, state.targets_position, 0.0)
         is_full_read = isinstance(result, HistoryGone)
         if is_full_read:
             requested_at = self._clock.monotonic()
@@ -216,11 +227,11 @@
             found = [(row.key, row.value) for row in result.rows if row.value]
             state.replace_targets(
                 [(key, value) for key, value in found if value is not None],
-                result.version,
+                result.position,
                 now,
             )
         else:
-            state.update_targets(result.rows, result.version, now)
+            state.update_targets(result.rows, result.position, now)
         if result.rows or is_full_read:
             self._changed_at = now
         state.targets_confirmed_at = max(state.targets_confirmed_at, requested_at)
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/system_state.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/system_state.py
@@ -1,7 +1,8 @@
 """System state from the store: routes, accounts and targets.
 
-Versions never decrease: a configuration or a list of targets is replaced only by a
-newer one, whether it comes from the store or from a peer.
+A configuration or a list of targets is replaced only by a newer one, whether it comes
+from the store or from a peer. When the store comes back from a copy, what was in force
+stays so until it is written again.
 """
 
 from __future__ import annotations
@@ -13,11 +14,12 @@
 from aspendrift_gateway.events import (
     ConfigurationApplied,
     ConfigurationRejected,
+    StoreEraChanged,
     TargetChanged,
 )
 from aspendrift_gateway.interfaces import ConfigurationUnreadable, PlatformCodec
 from aspendrift_model.ids import TargetId, ZoneName
-from aspendrift_model.store_rows import StoreRow
+from aspendrift_model.store_rows import NO_POSITION, StorePosition, StoreRow
 from aspendrift_model.target_entries import TargetEntry, UnreadableEntry
 from aspendrift_policy.change_log import ChangeLog, Changes
 from aspendrift_policy.route_table import RouteTable
@@ -50,7 +52,8 @@
         self.registry = TargetRegistry()
         self._targets = ChangeLog()
         self._entry_by_key: dict[str, TargetEntry | UnreadableEntry] = {}
-        self.targets_version = -1
+        self.targets_position = NO_POSITION
+        self._era_listeners: list[Callable[[int], None]] = []
         self.targets_confirmed_at = _NEVER
 
     @property
@@ -61,7 +64,17 @@
     @property
     def is_complete(self) -> bool:
         """Whether routes and targets are known."""
-        return self.table is not None and self.targets_version >= 0
+        return self.table is not None and self.targets_position != NO_POSITION
+
+    @property
+    def targets_version(self) -> int:
+        """Version of the list of targets within the store's era; -1 at first."""
+        return self.targets_position.version
+
+    @property
+    def store_era(self) -> int:
+        """Era of the store that the list of targets is from."""
+        return self.targets_position.era
 
     @property
     def n_targets(self) -> int:
@@ -75,6 +88,10 @@
         """
         self._listeners.append(listener)
 
+    def on_era(self, listener: Callable[[int], None]) -> None:
+        """Register a listener, called when the store came back from a copy."""
+        self._era_listeners.append(listener)
+
     def confirmed_at(self) -> float:
         """Return when configuration and targets were last known to be current."""
         return min(self.configuration_confirmed_at, self.targets_confirmed_at)
@@ -103,56 +120,65 @@
         self._events.emit(ConfigurationApplied(found.version, previous, source))
         self._notify([])
 
-    def target_changes(self, after: int) -> Changes:
-        """Return the entries whose meaning changed after a version."""
+    def target_changes(self, after: StorePosition) -> Changes:
+        """Return the entries whose meaning changed after a position."""
         return self._targets.since(after)
 
     def replace_targets(
-        self, values: Iterable[tuple[str, bytes]], version: int, now: float
+        self, values: Iterable[tuple[str, bytes]], position: StorePosition, now: float
     ) -> None:
         """Apply a complete list of targets unless it is older."""
-        if version < self.targets_version:
+        if position < self.targets_position:
             return
+        previous = self.targets_position
+        is_restored = previous != NO_POSITION and position.era > previous.era
         value_by_key = dict(values)
         entries = [
-            self._record_entry(key, value, version)
+            self._record_entry(key, value, position)
             for key, value in value_by_key.items()
         ]
-        for key in self._targets.retain(value_by_key, version):
+        for key in self._targets.retain(value_by_key, position):
             del self._entry_by_key[key]
-        self.targets_version = version
+        self.targets_position = position
+        if is_restored:
+            self.registry.store_restored(now)
         self._report(self.registry.replace(entries, now))
+        if is_restored:
+            self._events.emit(StoreEraChanged(position.era, previous.era))
+            for listener in self._era_listeners:
+                listener(position.era)
 
     def update_targets(
-        self, rows: Iterable[StoreRow], version: int, now: float
+        self, rows: Iterable[StoreRow], position: StorePosition, now: float
     ) -> None:
-        """Apply changed entries of the list unless they are older.
+        """Apply changed entries of the list unless they are of another era or older.
 
         Call it without rows when the list is known to be unchanged.
         """
-        if version < self.targets_version:
+        if position < self.targets_position or position.era != self.store_era:
             return
         entries = []
         removed: list[TargetId] = []
         for row in rows:
+            changed_at = StorePosition(position.era, row.version)
             if row.value is None:
-                self._targets.remove(row.key, row.version)
+                self._targets.remove(row.key, changed_at)
                 self._entry_by_key.pop(row.key, None)
                 removed.append(TargetId(row.key))
             else:
-                entries.append(self._record_entry(row.key, row.value, row.version))
-        self.targets_version = version
+                entries.append(self._record_entry(row.key, row.value, changed_at))
+        self.targets_position = position
         self._report(self.registry.update(entries, removed, now))
 
     def _record_entry(
-        self, key: str, value: bytes, version: int
+        self, key: str, value: bytes, position: StorePosition
     ) -> TargetEntry | UnreadableEntry:
         known = self._entry_by_key.get(key)
         if known is not None and self._targets.value_by_key[key] == value:
             return known
         entry = self._codec.target_entry(key, value)
         self._entry_by_key[key] = entry
-        self._targets.put(key, value, version, entry != known)
+        self._targets.put(key, value, position, entry != known)
         return entry
 
     def _report(self, changes: list[RegistryChange]) -> None:
--- a/packages/aspendrift-gateway/tests/conftest.py
+++ b/packages/aspendrift-gateway/tests/conftest.py
@@ -65,7 +65,7 @@
 
     def __init__(self):
         self.codec = FakeStoreCodec()
-        self.content = SimpleNamespace(version=1, rows={})
+        self.content = SimpleNamespace(version=1, era=0, rows={})
         self.is_down = False
         self.loses_history = False
         self.hides_changes = False
@@ -82,6 +82,16 @@
         row = StoreRow(key, self.content.version, value)
         self.content.rows[table, key] = row
 
+    def copy(self):
+        """Return a copy that the store can be restored from."""
+        return self.content.version, dict(self.content.rows)
+
+    def restore(self, copy):
+        """Come back from a copy: later writes are lost, their versions reused."""
+        self.content.version, rows = copy
+        self.content.rows = dict(rows)
+        self.content.era += 1
+
     async def read_key(self, table, key):
         return await self._rows("key", table, lambda row: row.key == key)
 
@@ -89,12 +99,12 @@
         return await self._rows("table", table, lambda row: row.value is not None)
 
     async def feed(self, table, after, wait_s):
-        if self.loses_history:
+        if self.loses_history or after > self.content.version:
             self.loses_history = False
             return HistoryGone()
         found = await self._rows("feed", table, lambda row: row.version > after)
         if self.hides_changes and isinstance(found, StoreRows):
-            found = StoreRows((), self.content.version)
+            found = StoreRows((), self.content.version, era=self.content.era)
         if wait_s and isinstance(found, StoreRows) and not found.rows:
             await asyncio.sleep(wait_s)
         return found
@@ -106,7 +116,7 @@
             return StoreFailure("down")
         rows = [row for (name, _), row in self.content.rows.items() if name == table]
         found = tuple(row for row in rows if wanted(row))
-        return StoreRows(found, self.content.version)
+        return StoreRows(found, self.content.version, era=self.content.era)
 
 
 class Network:
--- a/packages/aspendrift-gateway/tests/test_peer_state.py
+++ b/packages/aspendrift-gateway/tests/test_peer_state.py
@@ -25,6 +25,8 @@
 SETTINGS = SimpleNamespace(drain_s=2.0, configuration_s=2.0, store_reads_per_s=2000.0)
 # Time within which a change must be in force everywhere.
 BOUND_S = 2.0
+# Time in which missing entries may return after the store was away.
+RETURN_S = 2.0
 
 
 class Daemon:
@@ -321,3 +323,83 @@
         await world.expect_change(world.daemons)
 
     run_world(scenario)
+
+
+def lose_writes(world, *names):
+    """Write entries that the store loses at once; return what to restore it from."""
+    copy = world.store.copy()
+    for name in names:
+        world.store.put("targets", name, b"ready")
+    return copy
+
+
+def eras(world):
+    return {each.state.store_era for each in world.daemons}
+
+
+def test_every_daemon_holds_the_new_era_and_its_changes_in_time():
+    async def scenario(world):
+        copy = lose_writes(world, "lost")
+        await asyncio.sleep(2.0)
+        world.store.restore(copy)
+        await world.expect_change(world.daemons, BOUND_S + RETURN_S)
+        assert eras(world) == {1}
+        await asyncio.sleep(8.0)
+        assert not any("lost" in each.usable() for each in world.daemons)
+
+    run_world(scenario)
+
+
+def test_daemon_of_the_older_era_overwrites_nothing():
+    async def scenario(world):
+        frozen, follower = world.readers[0], world.followers[0]
+        copy = lose_writes(world, *(f"lost{number}" for number in range(9)))
+        await asyncio.sleep(2.0)
+        world.cut(frozen)
+        world.store.restore(copy)
+        others = [each for each in world.daemons if each != frozen]
+        await world.expect_change(others, BOUND_S + RETURN_S)
+        world.network.cut_off.clear()
+        world.network.sent.clear()
+        for _ in range(5):
+            query = StateQuery(0, 0, 0, False)
+            follower.link.send(frozen.daemon_id, "g", msgspec.msgpack.encode(query))
+            await asyncio.sleep(0.1)
+            assert follower.state.store_era == 1
+            assert "t1" not in follower.usable()
+        frozen.store.is_down = False
+        await asyncio.sleep(BOUND_S + RETURN_S)
+        assert eras(world) == {1}
+        assert "t1" not in frozen.usable()
+
+    run_world(scenario)
+
+
+def test_daemons_that_the_store_rejects_learn_of_the_new_era_from_peers():
+    async def scenario(world):
+        copy = lose_writes(world, "lost")
+        await asyncio.sleep(2.0)
+        for daemon in world.daemons[::2]:
+            daemon.store.is_down = True
+        world.store.restore(copy)
+        await world.expect_change(world.daemons, 5.0)
+        assert eras(world) == {1}
+
+    run_world(scenario)
+
+
+@pytest.mark.parametrize("count", [8, 100, 350])
+def test_rise_of_the_era_costs_one_complete_read_for_each_reader(count):
+    async def scenario(world):
+        copy = lose_writes(world, "lost")
+        await asyncio.sleep(2.0)
+        world.store.restore(copy)
+        for daemon in world.daemons:
+            daemon.store.calls.clear()
+        await asyncio.sleep(BOUND_S)
+        assert eras(world) == {1}
+        n_reads = sum(each.store.calls.count("table") for each in world.daemons)
+        assert n_reads <= 2 * len(world.readers)
+        assert not any(each.store.calls for each in world.followers)
+
+    run_world(scenario, count)
--- a/packages/aspendrift-gateway/tests/test_store_reader.py
+++ b/packages/aspendrift-gateway/tests/test_store_reader.py
@@ -10,6 +10,7 @@
 from aspendrift_gateway.store_reader import StoreReader
 from aspendrift_gateway.system_state import SystemState
 from aspendrift_model.ids import PoolName
+from aspendrift_model.store_rows import StorePosition
 from aspendrift_standins.virtual_time import VirtualClock, run_virtual
 
 from .conftest import FakeStore
@@ -176,7 +177,8 @@
 def test_older_list_of_a_peer_is_ignored():
     async def scenario(store, state, events):
         now = asyncio.get_running_loop().time()
-        state.replace_targets([("t9", b"ready")], state.targets_version - 1, now)
+        older = StorePosition(0, state.targets_version - 1)
+        state.replace_targets([("t9", b"ready")], older, now)
         assert usable(state) == ["t1"]
 
     run_scenario(scenario)
@@ -192,3 +194,72 @@
         assert 2 <= store.calls.count("table") <= 3
 
     run_scenario(scenario)
+
+
+def test_version_given_out_again_hides_no_change():
+    async def scenario(store, state, events):
+        copy = store.copy()
+        for number in range(5):
+            store.put("targets", f"m{number}", b"ready")
+        await asyncio.sleep(1.0)
+        store.restore(copy)
+        store.put("targets", "t1", b"broken")
+        for number in range(9):
+            store.put("targets", f"n{number}", b"ready")
+        await asyncio.sleep(1.0)
+        assert "t1" not in usable(state)
+        assert "n8" in usable(state)
+        (event,) = [each for each in events if each.name == "store_era_changed"]
+        assert (event.era, event.previous_era) == (1, 0)
+
+    run_scenario(scenario)
+
+
+def test_what_the_store_lost_stays_in_force_until_it_is_written_again():
+    async def scenario(store, state, events):
+        copy = store.copy()
+        store.put("configuration", "routes", b"8")
+        store.put("targets", "t2", b"ready")
+        await asyncio.sleep(3.0)
+        store.restore(copy)
+        await asyncio.sleep(1.0)
+        assert state.configuration_version == 8
+        assert "t2" in usable(state)
+        store.put("targets", "t2", b"ready")
+        store.put("configuration", "routes", b"9")
+        await asyncio.sleep(4.0)
+        assert state.configuration_version == 9
+        assert "t2" in usable(state)
+
+    run_scenario(scenario)
+
+
+def test_entry_that_is_not_written_again_is_gone():
+    async def scenario(store, state, events):
+        copy = store.copy()
+        store.put("targets", "t2", b"ready")
+        await asyncio.sleep(3.0)
+        store.restore(copy)
+        await asyncio.sleep(8.0)
+        assert usable(state) == ["t1"]
+
+    run_scenario(scenario)
+
+
+def test_history_is_read_once_for_each_rise_of_the_era():
+    async def scenario(store, state, events):
+        for _ in range(2):
+            copy = store.copy()
+            store.put("targets", "t2", b"ready")
+            await asyncio.sleep(0.9)
+            store.restore(copy)
+            store.calls.clear()
+            store.put("targets", "t2", b"ready")
+            store.put("targets", "t3", b"ready")
+            await asyncio.sleep(0.9)
+            assert store.calls.count("table") == 1
+            assert {"t2", "t3"} <= set(usable(state))
+        eras = [each.era for each in events if each.name == "store_era_changed"]
+        assert eras == [1, 2]
+
+    run_scenario(scenario)
--- a/packages/aspendrift-model/src/aspendrift_model/wire_work.py
+++ b/packages/aspendrift-model/src/aspendrift_model/wire_work.py
@@ -134,6 +134,7 @@
     targets_version: int
     subscribes: bool
     quarantine_digest: int = 0
+    targets_era: int = 0
 
 
 class StateUpdate(msgspec.Struct, frozen=True, array_like=True, tag="u"):
@@ -143,6 +144,7 @@
     ``configuration`` is compressed with zlib; it is empty if the recipient has it.
     Each of ``targets`` is the key, version and value of an entry that changed after
     ``targets_after``, the value None if it was removed; -1 marks the complete list.
+    Versions of targets are those of the store's era ``targets_era``.
     """
 
     number: int
@@ -153,6 +155,7 @@
     targets_age_ms: int
     targets_after: int
     targets: tuple[tuple[str, int, bytes | None], ...]
+    targets_era: int = 0
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True, tag="c"):
--- a/packages/aspendrift-policy/src/aspendrift_policy/target_registry.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/target_registry.py
@@ -26,10 +26,12 @@
 _REREGISTRATION_S: Final = 2.0
 # A longer time between two snapshots counts as an outage of the list.
 _OUTAGE_THRESHOLD_S: Final = 3.0
-# Drained incarnations to retain, so that a late snapshot can't add one again.
-_MAX_DRAINED_KEYS: Final = 4096
+# Drained and gone incarnations to retain, so that a late snapshot can't add one again.
+_MAX_RECORDED_KEYS: Final = 4096
 # Time for which versions that no target has any more are retained.
 _LEFT_VERSIONS_S: Final = 120.0
+# Time for the entries of targets that are gone to lapse from a copy of the list.
+_LAPSE_S: Final = 4.0
 
 
 class RegistryChangeKind(Enum):
@@ -60,6 +62,9 @@
         self._by_pool: dict[PoolName, tuple[TargetEntry, ...]] = {}
         self._missing_since_by_id: dict[TargetId, float] = {}
         self._drained_keys: dict[TargetKey, None] = {}
+        self._gone_keys: dict[TargetKey, None] = {}
+        self._held_back_by_id: dict[TargetId, TargetEntry] = {}
+        self._held_back_until = float("-inf")
         self._versions: frozenset[tuple[PoolName, SoftwareVersion]] = frozenset()
         self._version_left_at: dict[tuple[PoolName, SoftwareVersion], float] = {}
         self._read_at = float("-inf")
@@ -81,17 +86,27 @@
         is_complete = is_current and now - self._outage_ended_at >= window_s
         return VersionHistory(frozenset(versions), is_complete)
 
+    def store_restored(self, now: float) -> None:
+        """Prepare for a list from a copy of the store, which is some seconds old.
+
+        Missing targets get time to register again. Those that were gone are held back
+        until the entry of a target that doesn't live has lapsed.
+        """
+        self._outage_ended_at = now
+        self._held_back_until = now + _LAPSE_S
+
     def replace(
         self, entries: Iterable[TargetEntry | UnreadableEntry], now: float
     ) -> list[RegistryChange]:
         """Apply a complete snapshot of the list."""
         self._record_read(now)
+        self._held_back_by_id.clear()
         listed_ids: set[TargetId] = set()
         changes: list[RegistryChange] = []
         for entry in entries:
             if isinstance(entry, TargetEntry):
                 listed_ids.add(entry.key.target_id)
-            changes += self._apply_entry(entry)
+            changes += self._apply_entry(entry, now)
         for target_id in [
             each for each in self.entries_by_id if each not in listed_ids
         ]:
@@ -108,9 +123,10 @@
         self._record_read(now)
         changes: list[RegistryChange] = []
         for target_id in removed:
+            self._held_back_by_id.pop(target_id, None)
             changes += self._handle_missing(target_id, now)
-        for entry in entries:
-            changes += self._apply_entry(entry)
+        for entry in (*entries, *self._due_held_back(now)):
+            changes += self._apply_entry(entry, now)
         changes += self._expire_missing(now)
         return self._rebuild_pools(changes, now)
 
@@ -119,12 +135,22 @@
             self._outage_ended_at = now
         self._read_at = now
 
+    def _due_held_back(self, now: float) -> list[TargetEntry]:
+        if not self._held_back_by_id or now < self._held_back_until:
+            return []
+        due = list(self._held_back_by_id.values())
+        self._held_back_by_id.clear()
+        return due
+
     def _apply_entry(
-        self, entry: TargetEntry | UnreadableEntry
+        self, entry: TargetEntry | UnreadableEntry, now: float
     ) -> list[RegistryChange]:
         if isinstance(entry, UnreadableEntry):
             return self._apply_unreadable(entry)
         target_id = entry.key.target_id
+        if entry.key in self._gone_keys and now < self._held_back_until:
+            self._held_back_by_id[target_id] = entry
+            return []
         self._missing_since_by_id.pop(target_id, None)
         known = self.entries_by_id.get(target_id)
         if known is not None and entry.key.born_ms < known.key.born_ms:
@@ -135,7 +161,7 @@
             return []
         self.entries_by_id[target_id] = entry
         if entry.is_draining:
-            self._record_drained(entry.key)
+            _record_key(self._drained_keys, entry.key)
         kind = _change_kind(known, entry)
         return [] if kind is None else [RegistryChange(kind, target_id, entry)]
 
@@ -168,13 +194,9 @@
         entry = self.entries_by_id.pop(target_id, None)
         if entry is None:
             return []
+        _record_key(self._gone_keys, entry.key)
         return [RegistryChange(RegistryChangeKind.GONE, target_id, entry)]
 
-    def _record_drained(self, key: TargetKey) -> None:
-        self._drained_keys[key] = None
-        while len(self._drained_keys) > _MAX_DRAINED_KEYS:
-            del self._drained_keys[next(iter(self._drained_keys))]
-
     def _rebuild_pools(
         self, changes: list[RegistryChange], now: float
     ) -> list[RegistryChange]:
@@ -195,6 +217,12 @@
         self._versions = versions
 
 
+def _record_key(keys: dict[TargetKey, None], key: TargetKey) -> None:
+    keys[key] = None
+    while len(keys) > _MAX_RECORDED_KEYS:
+        del keys[next(iter(keys))]
+
+
 def _change_kind(
     known: TargetEntry | None, entry: TargetEntry
 ) -> RegistryChangeKind | None:
--- a/packages/aspendrift-policy/tests/test_target_registry.py
+++ b/packages/aspendrift-policy/tests/test_target_registry.py
@@ -167,3 +167,24 @@
     assert versions(registry, now + 4.0) == ({"v1"}, False)
     registry.update([], [], now + 4.0)
     assert versions(registry, now + 4.0) == ({"v1"}, False)
+
+
+def test_target_that_was_gone_is_held_back_when_the_store_is_restored():
+    registry, now = steady_registry(entry("a"), entry("b"))
+    registry.replace([entry("b")], now)
+    registry.store_restored(now + 1.0)
+    registry.replace([entry("a"), entry("b")], now + 1.0)
+    assert usable(registry) == [entry("b").key]
+    registry.update([], [TargetId("a")], now + 3.0)
+    registry.update([], [], now + 9.0)
+    assert usable(registry) == [entry("b").key]
+
+
+def test_target_that_lives_is_used_again_after_it_was_held_back():
+    registry, now = steady_registry(entry("a"), entry("b"))
+    registry.replace([entry("b")], now)
+    registry.store_restored(now + 1.0)
+    registry.replace([entry("a"), entry("b")], now + 1.0)
+    for second in range(2, 7):
+        registry.update([], [], now + second)
+    assert usable(registry) == [entry("a").key, entry("b").key]
--- a/tests/aspendrift_platform/platform_emulator.py
+++ b/tests/aspendrift_platform/platform_emulator.py
@@ -57,6 +57,7 @@
         self.address = free_address()
         self.rows = {}
         self.version = 0
+        self.era = 0
         self.is_down = False
         self.drops_history = False
         self.is_closed = False
@@ -69,6 +70,18 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def copy(self):
+        """Return a copy that the store can be restored from."""
+        return self.version, dict(self.rows)
+
+    def restore(self, copy):
+        """Come back from a copy: later writes are lost, their versions reused."""
+        self.version, rows = copy
+        self.rows = dict(rows)
+        self.era += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def close(self):
         """Answer every long poll that is waiting."""
         self.is_closed = True
@@ -80,6 +93,7 @@
     async def __call__(self, scope, receive, send):
         body = await read_body(receive)
         self.n_calls[scope["path"]] += 1
+        send = self._with_era(send)
         query = parse_qs(scope["query_string"].decode(), keep_blank_values=True)
         query = {name: values[0] for name, values in query.items()}
         if self.is_down:
@@ -94,6 +108,17 @@
         else:
             await reply(send, 404)
 
+    def _with_era(self, send):
+        """Return ``send`` with the header that tells the store's era."""
+
+        async def send_with_era(message):
+            if message["type"] == "http.response.start":
+                era = (b"store-era", str(self.era).encode())
+                message = {**message, "headers": [*message["headers"], era]}
+            await send(message)
+
+        return send_with_era
+
     def _get(self, query):
         low, high = query.get("from", ""), query.get("to")
         found = [
@@ -105,7 +130,7 @@
         return {"rows": found, "truncated": False, "ver": self.version, "nowMs": 1}
 
     async def _feed(self, query, send):
-        if self.drops_history:
+        if self.drops_history or int(query["after"]) > self.version:
             self.drops_history = False
             await reply(send, 410)
             return
--- a/tests/aspendrift_platform/test_on_emulator.py
+++ b/tests/aspendrift_platform/test_on_emulator.py
@@ -443,3 +443,59 @@
         await check_containment(cluster)
 
     run_scenario(scenario, n_gateways=3)
+
+
+def test_changes_after_the_store_came_back_from_a_copy_are_noticed(run_scenario):
+    async def scenario(cluster):
+        store = cluster.platform.store
+        copy = store.copy()
+        for target in cluster.platform.targets_by_name.values():
+            target.register()
+        version = store.version
+        await cluster.until(
+            lambda: all(g.state.targets_version >= version for g in cluster.gateways)
+        )
+        store.restore(copy)
+        leaving = cluster.platform.targets_by_name["desk-0"]
+        leaving.register("draining")
+        for target in cluster.platform.targets_by_name.values():
+            if target is not leaving:
+                target.register()
+        await cluster.until(
+            lambda: all(
+                [e.key.target_id for e in g.state.registry.usable("desk")] == ["desk-1"]
+                for g in cluster.gateways
+            )
+        )
+        assert all(len(cluster.live_members(g)) == 3 for g in cluster.gateways)
+        # Each gateway has written its row again.
+        await cluster.until(
+            lambda: (
+                {key for table, key in store.rows if table == "aspendrift-members"}
+                >= set(cluster.gateways_by_name)
+            )
+        )
+
+    run_scenario(scenario, n_gateways=3)
+
+
+def test_target_that_left_does_not_return_with_a_copy_of_the_store(run_scenario):
+    async def scenario(cluster):
+        store = cluster.platform.store
+        copy = store.copy()
+        store.remove("servers", "desk-0")
+        await cluster.until(
+            lambda: all(
+                len(g.state.registry.usable("desk")) == 1 for g in cluster.gateways
+            )
+        )
+        store.restore(copy)
+        await cluster.until(
+            lambda: all(g.state.store_era == 1 for g in cluster.gateways)
+        )
+        for gateway in cluster.gateways:
+            assert [e.key.target_id for e in gateway.state.registry.usable("desk")] == [
+                "desk-1"
+            ]
+
+    run_scenario(scenario, n_gateways=3)
--- a/tests/aspendrift_platform/test_store.py
+++ b/tests/aspendrift_platform/test_store.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from aspendrift_model.store_rows import StorePosition
 from aspendrift_platform.store import PlatformStoreCodec
 
 CODEC = PlatformStoreCodec()
@@ -57,11 +58,25 @@
             "nowMs": 5,
         }
     ).encode()
-    found = CODEC.rows(body)
+    found = CODEC.rows(body, 2)
+    assert found.position == StorePosition(2, 9)
     assert found.version == 9
     assert [(row.key, row.value) for row in found.rows] == [("a", b"x"), ("b", None)]
 
 
 @pytest.mark.parametrize("body", [b"", b"{}", b'{"rows":[{"key":"a","value":"?"}]}'])
 def test_unreadable_answer_is_none(body):
-    assert CODEC.rows(body) is None
+    assert CODEC.rows(body, 0) is None
+
+
+@pytest.mark.parametrize(
+    ("headers", "era"),
+    [
+        (((b"Store-Era", b"3"),), 3),
+        (((b"store-era", b"0"),), 0),
+        (((b"store-era", b"new"),), None),
+        ((), None),
+    ],
+)
+def test_era_of_the_store_is_in_a_header_of_each_answer(headers, era):
+    assert CODEC.era(headers) == era
