A target that says in an answer that it leaves gets no new work

Cause of what the test shows: only the entry in the store was read for it, so such a target got requests and pieces until its entry changed. The head of every answer is decoded in one place, also of stage calls, refusals and streams; the registry treats it like a draining entry of that incarnation, and all daemons are told.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -113,7 +113,9 @@
         self.metrics.connect(events)
         self.state = SystemState(codec, events)
         self.store = StoreClient(settings.store_address, codec.store)
-        self.client = TargetClient(codec.target)
+        self.client = TargetClient(
+            codec.target, lambda key: self.peer_state.target_leaving(key)
+        )
         peers = _peer_settings(settings)
         self.link = PeerLink(peers, self._host(), self.clock, events, rng)
         self.suspects = SuspectTracker(PoisonLimits())
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/interfaces.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/interfaces.py
@@ -133,6 +133,8 @@
         target's own.
     keep_alive_s : float or None
         Time after which the target closes an idle connection.
+    is_leaving : bool
+        Whether the target says that it leaves and wants no new work.
     """
 
     attempt_id: AttemptId | None
@@ -142,6 +144,7 @@
     closes: bool
     load: LoadReport | None = None
     keep_alive_s: float | None = None
+    is_leaving: bool = False
 
 
 class TargetCodec(Protocol):
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/peer_state.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/peer_state.py
@@ -28,15 +28,17 @@
 )
 from aspendrift_gateway.system_state import SystemState
 from aspendrift_model.decode_errors import DECODE_ERRORS
-from aspendrift_model.ids import DaemonId
+from aspendrift_model.ids import DaemonId, TargetId
 from aspendrift_model.states import MemberState
 from aspendrift_model.store_rows import NO_POSITION, StorePosition, StoreRow
+from aspendrift_model.target_entries import TargetKey
 from aspendrift_model.wire_peer import RevisionDigest
 from aspendrift_model.wire_work import (
     CrashReport,
     StateMessage,
     StateQuery,
     StateUpdate,
+    TargetLeaving,
 )
 from aspendrift_policy.state_sources import (
     QuerySource,
@@ -162,6 +164,12 @@
         """Notify every daemon that a target broke while it ran a request."""
         self._link.broadcast(STATE_TOPIC, self._encoder.encode(report))
 
+    def target_leaving(self, key: TargetKey) -> None:
+        """Use a target no more that says that it leaves, and tell every daemon."""
+        if self._state.target_leaving(key, self._clock.monotonic()):
+            message = TargetLeaving(key.target_id, key.born_ms)
+            self._link.broadcast(STATE_TOPIC, self._encoder.encode(message))
+
     def n_readers(self) -> int:
         """Return the number of daemons that follow the store."""
         return max(1, len(self.reader_ids()))
@@ -340,6 +348,9 @@
             self._on_query(origin, message, now)
         elif isinstance(message, StateUpdate):
             self._on_update(origin, message, now)
+        elif isinstance(message, TargetLeaving):
+            key = TargetKey(TargetId(message.target_id), message.born_ms)
+            self._state.target_leaving(key, now)
         else:
             self._on_crash(message)
 
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/system_state.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/system_state.py
@@ -20,7 +20,7 @@
 from aspendrift_gateway.interfaces import ConfigurationUnreadable, PlatformCodec
 from aspendrift_model.ids import TargetId, ZoneName
 from aspendrift_model.store_rows import NO_POSITION, StorePosition, StoreRow
-from aspendrift_model.target_entries import TargetEntry, UnreadableEntry
+from aspendrift_model.target_entries import TargetEntry, TargetKey, UnreadableEntry
 from aspendrift_policy.change_log import ChangeLog, Changes
 from aspendrift_policy.route_table import RouteTable
 from aspendrift_policy.target_registry import (
@@ -170,6 +170,12 @@
         self.targets_position = position
         self._report(self.registry.update(entries, removed, now))
 
+    def target_leaving(self, key: TargetKey, now: float) -> bool:
+        """Use a target no more that says that it leaves; return whether it was used."""
+        changes = self.registry.target_leaving(key, now)
+        self._report(changes)
+        return bool(changes)
+
     def _record_entry(
         self, key: str, value: bytes, position: StorePosition
     ) -> TargetEntry | UnreadableEntry:
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from typing import Final, TypeAlias
 
@@ -17,7 +17,7 @@
 from aspendrift_gateway.transports import plain_transport
 from aspendrift_model.ids import TargetId
 from aspendrift_model.opaque_requests import Headers
-from aspendrift_model.target_entries import TargetEntry
+from aspendrift_model.target_entries import TargetEntry, TargetKey
 
 __all__ = [
     "Answer",
@@ -109,10 +109,15 @@
     ----------
     codec : TargetCodec
         Decodes the heads of answers.
+    on_leaving : callable
+        Called with each target that says in an answer that it leaves.
     """
 
-    def __init__(self, codec: TargetCodec) -> None:
+    def __init__(
+        self, codec: TargetCodec, on_leaving: Callable[[TargetKey], None]
+    ) -> None:
         self.codec = codec
+        self._on_leaving = on_leaving
         self._by_id: dict[TargetId, tuple[str, _Connections]] = {}
         self._closing: set[asyncio.Task[None]] = set()
         self.connections_per_target = 16
@@ -173,6 +178,8 @@
             return Broken(type(error).__name__)
         answer_headers = tuple(response.headers.raw)
         head = self.codec.answer_head(response.status_code, answer_headers)
+        if head.is_leaving:
+            self._on_leaving(entry.key)
         return Answer(response.status_code, answer_headers, head, response)
 
     async def send_and_read(
--- a/packages/aspendrift-gateway/tests/test_target_client.py
+++ b/packages/aspendrift-gateway/tests/test_target_client.py
@@ -22,7 +22,7 @@
     """Guards against streams cut off when the entry of their target is removed."""
 
     async def run():
-        client = TargetClient(None)
+        client = TargetClient(None, lambda key: None)
         target = entry("t1")
         connections = client._connections(target)
         connections.transport = FakeTransport()
--- a/packages/aspendrift-model/src/aspendrift_model/wire_work.py
+++ b/packages/aspendrift-model/src/aspendrift_model/wire_work.py
@@ -32,6 +32,7 @@
     "StateUpdate",
     "StreamBegan",
     "SubmitJob",
+    "TargetLeaving",
     "WorkMessage",
 ]
 
@@ -166,6 +167,13 @@
     fingerprint: str
 
 
+class TargetLeaving(msgspec.Struct, frozen=True, array_like=True, tag="l"):
+    """Reports that a target said in an answer that it leaves."""
+
+    target_id: str
+    born_ms: int
+
+
 class PromptCrash(msgspec.Struct, frozen=True, array_like=True, tag="c"):
     """Reports that a target broke off a request that it had just begun to answer.
 
@@ -250,4 +258,4 @@
 
 PaceMessage = PaceSamples | SlowTargets
 
-StateMessage = StateQuery | StateUpdate | CrashReport
+StateMessage = StateQuery | StateUpdate | CrashReport | TargetLeaving
--- a/packages/aspendrift-policy/src/aspendrift_policy/target_registry.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/target_registry.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from typing import Final
 
@@ -130,6 +130,15 @@
         changes += self._expire_missing(now)
         return self._rebuild_pools(changes, now)
 
+    def target_leaving(self, key: TargetKey, now: float) -> list[RegistryChange]:
+        """Use an incarnation no more that says itself that it leaves."""
+        known = self.entries_by_id.get(key.target_id)
+        if known is None or known.key != key or known.is_draining:
+            return []
+        return self._rebuild_pools(
+            self._apply_entry(replace(known, is_draining=True), now), now
+        )
+
     def _record_read(self, now: float) -> None:
         if now - self._read_at > _OUTAGE_THRESHOLD_S:
             self._outage_ended_at = now
--- a/tests/aspendrift_platform/platform_emulator.py
+++ b/tests/aspendrift_platform/platform_emulator.py
@@ -211,7 +211,9 @@
         self.event_gap_s = 0.002
         self.n_requests = 0
         self.n_starts = 1
+        self.n_while_leaving = 0
         self.is_down = False
+        self.is_leaving = False
 
     def crash(self, down_s=0.3):
         """Break off everything; start again under another id after a while."""
@@ -245,6 +247,9 @@
         headers = {name: value.decode() for name, value in scope["headers"]}
         if self.is_down:
             raise ConnectionError("target is down")
+        if self.is_leaving:
+            self.n_while_leaving += scope["path"] != "/-/stage-free"
+            send = self._with_leaving(send)
         if headers.get(b"expected-instance", self.name) != self.name:
             await reply(send, 421, headers=[(b"instance-id", self.name.encode())])
         elif scope["path"] == "/-/stage-run":
@@ -258,6 +263,17 @@
         else:
             await self._run(scope, headers, send)
 
+    def _with_leaving(self, send):
+        """Return ``send`` with the header that tells that this target leaves."""
+
+        async def send_with_leaving(message):
+            if message["type"] == "http.response.start":
+                leaving = (b"server-leaving", b"1")
+                message = {**message, "headers": [*message["headers"], leaving]}
+            await send(message)
+
+        return send_with_leaving
+
     async def _run_stage(self, items, send):
         await asyncio.sleep(self.work_s)
         outcomes = []
--- a/tests/aspendrift_platform/test_headers.py
+++ b/tests/aspendrift_platform/test_headers.py
@@ -53,6 +53,12 @@
     assert decode().resumes is None
 
 
+def test_target_that_leaves_says_so_in_any_answer():
+    for status in (200, 421, 503):
+        assert answer_head(status, ((b"Server-Leaving", b"1"),)).is_leaving
+        assert not answer_head(status, ()).is_leaving
+
+
 def test_forwarded_request_keeps_the_callers_headers_and_body_length():
     headers = dict(forwarded(decode(), metadata()))
     for name in (b"attempt-id", b"model", b"token-usage", b"prompt-prefix", b"x-other"):
--- a/tests/aspendrift_platform/test_on_emulator.py
+++ b/tests/aspendrift_platform/test_on_emulator.py
@@ -499,3 +499,38 @@
             ]
 
     run_scenario(scenario, n_gateways=3)
+
+
+def is_used(cluster, name):
+    """Return whether any gateway may send new work to a target."""
+    return any(
+        name in (entry.key.target_id for entry in gateway.state.registry.usable(pool))
+        for gateway in cluster.gateways
+        for pool in ("desk", "model", "first")
+    )
+
+
+@pytest.mark.parametrize("name", ["desk-0", "model-0", "first-0"])
+def test_target_that_says_in_an_answer_that_it_leaves_gets_nothing_new(
+    run_scenario, name
+):
+    async def scenario(cluster):
+        leaving = cluster.platform.targets_by_name[name]
+        leaving.is_leaving = True
+        while not leaving.n_while_leaving:
+            await cluster.stream(cluster.gateways[0])
+            await cluster.call(cluster.gateways[0], "/safe/a")
+        await cluster.until(lambda: not is_used(cluster, name))
+        leaving.register()
+        n_requests = leaving.n_while_leaving
+        for gateway in cluster.gateways:
+            for _ in range(6):
+                assert (await cluster.stream(gateway))[1].status_code == 200
+                assert (await cluster.call(gateway, "/safe/a"))[1].status_code == 200
+        assert leaving.n_while_leaving == n_requests
+        leaving.is_leaving = False
+        leaving.born += 1
+        leaving.register()
+        await cluster.until(lambda: is_used(cluster, name))
+
+    run_scenario(scenario, n_gateways=3)
