--- a/tests/aspendrift_platform/platform_emulator.py
+++ b/tests/aspendrift_platform/platform_emulator.py
@@ -179,6 +179,9 @@
     handles: dict = field(default_factory=dict)
     violations: list = field(default_factory=list)
     n_streams_to_break: int = 0
+    # Runs of each stream: where they begin, the version that runs them, and the
+    # last event that it sent; under the attempt with which the stream began.
+    stream_runs: dict = field(default_factory=dict)
     crashing_part: str = ""
     n_crashes: int = 0
     n_freed: int = 0
@@ -333,7 +336,11 @@
             if n_starts == self.n_starts:
                 self.crash()
             raise ConnectionError("target crashed")
+        root = headers.get(b"resumes", attempt_id)
+        run = [begin, self.version, begin - 1]
+        self.records.stream_runs.setdefault(root, []).append(run)
         for number in range(begin, 8):
+            run[2] = number
             if n_starts != self.n_starts:
                 raise ConnectionError("target crashed")
             if self.records.n_streams_to_break and number == 4:
--- a/tests/aspendrift_platform/test_on_emulator.py
+++ b/tests/aspendrift_platform/test_on_emulator.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from types import SimpleNamespace
 
 import httpx
@@ -534,3 +535,20 @@
         await cluster.until(lambda: is_used(cluster, name))
 
     run_scenario(scenario, n_gateways=3)
+
+
+def test_common_content_is_served_where_only_another_gateway_saw_it_complete(
+    run_scenario,
+):
+    async def scenario(cluster):
+        first, second = cluster.gateways
+        headers = {"X-Kind": "stream"}
+        for _ in range(3):
+            assert (await cluster.call(first, "/resume/x", **headers))[1].is_success
+        cluster.platform.records.n_streams_to_break = 2
+        with contextlib.suppress(httpx.HTTPError):
+            await cluster.call(first, "/resume/x", **headers)
+        await cluster.until(lambda: second.suspects.n_crashes == 2)
+        assert (await cluster.call(second, "/resume/x", **headers))[1].is_success
+
+    run_scenario(scenario, n_gateways=2)
--- a/tests/aspendrift_platform/test_random_faults.py
+++ b/tests/aspendrift_platform/test_random_faults.py
@@ -66,9 +66,9 @@
         self.version = 1
         self.n_started = 0
 
-    async def inject(self):
-        """Inject one random fault."""
-        kinds = [
+    def kinds(self):
+        """Return the faults to choose from."""
+        return [
             self.toggle_store_outage,
             self.drop_store_history,
             self.publish_configuration,
@@ -79,7 +79,10 @@
             self.break_stream,
             self.replace_gateway,
         ]
-        await self.rng.choice(kinds)()
+
+    async def inject(self):
+        """Inject one random fault."""
+        await self.rng.choice(self.kinds())()
 
     async def clear(self):
         """Clear all persistent faults."""
@@ -145,6 +148,73 @@
         return targets_by_name[self.rng.choice(names)]
 
 
+class ContractFaults(FaultInjector):
+    """Adds copies of the store, other software versions and targets that leave."""
+
+    def kinds(self):
+        """Return the faults to choose from."""
+        return [
+            *super().kinds(),
+            self.add_version,
+            self.add_version,
+            self.leave_by_answer,
+            self.copy_store,
+            self.restore_store,
+            self.break_stream,
+            self.break_stream,
+        ]
+
+    async def add_version(self):
+        self.n_started += 1
+        name = f"model-n{self.n_started}"
+        version = self.rng.choice(["v1", "v2", "v3"])
+        await self.cluster.platform.add_target(name, "model", version=version)
+
+    async def leave_by_answer(self):
+        target = self._choose_target()
+        target.is_leaving = True
+        await self._replace(target)
+
+    async def copy_store(self):
+        self._copy = self.cluster.platform.store.copy()
+
+    async def restore_store(self):
+        """Lose what was written since the copy, then write it again."""
+        store = self.cluster.platform.store
+        store.restore(getattr(self, "_copy", store.copy()))
+        for target in self.cluster.platform.targets_by_name.values():
+            target.register()
+        self.cluster.platform.configure(self.version)
+
+
+async def take_up_stream(cluster, rng):
+    """Cut a stream after some events, and take it up at any gateway."""
+    attempt_id, _ = await cluster.cut_stream(rng.choice(cluster.gateways), 2)
+    headers = {"X-Kind": "stream", "Resumes": attempt_id, "Last-Event-Id": "2"}
+    await cluster.call(rng.choice(cluster.gateways), "/resume/x", **headers)
+
+
+async def run_taker(cluster, rng, is_over):
+    """Take up streams one after the other."""
+    while not is_over.is_set():
+        try:
+            await take_up_stream(cluster, rng)
+        except (httpx.HTTPError, KeyError):
+            pass
+        await asyncio.sleep(0.02)
+
+
+def mixed_streams(records):
+    """Return the streams that went on at another version than one that began them."""
+    return [
+        root
+        for root, runs in records.stream_runs.items()
+        for begin, version, _ in runs
+        if begin > 1
+        and version not in {v for b, v, last in runs if b == 1 and last >= begin - 1}
+    ]
+
+
 async def call(cluster, gateway, kind):
     """Send one request; return its attempt id and response, None if it broke."""
     try:
@@ -170,18 +240,24 @@
         await asyncio.sleep(0.01)
 
 
-async def run_with_faults(seed):
+async def run_with_faults(seed, injector=FaultInjector, n_takers=0):
     rng = random.Random(seed)
     cluster, audit, is_over = Cluster(), Audit(), asyncio.Event()
     try:
         await cluster.start(N_GATEWAYS)
-        faults = FaultInjector(cluster, rng)
+        faults = injector(cluster, rng)
         callers = [
             asyncio.create_task(
                 run_caller(cluster, audit, random.Random(f"{seed}/{n}"), is_over)
             )
             for n in range(N_CALLERS)
         ]
+        callers += [
+            asyncio.create_task(
+                run_taker(cluster, random.Random(f"{seed}/taker {n}"), is_over)
+            )
+            for n in range(n_takers)
+        ]
         for _ in range(N_FAULTS):
             await faults.inject()
             await asyncio.sleep(rng.uniform(0.05, 0.4))
@@ -228,3 +304,14 @@
     assert audit.n_served > 0
     applied = [e for e in cluster.events if e.name == "configuration_applied"]
     assert all(event.version > event.previous_version for event in applied)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_guarantees_hold_with_copies_of_the_store_and_several_versions(seed):
+    audit, cluster = asyncio.run(run_with_faults(seed, ContractFaults, n_takers=2))
+    assert audit.violations == []
+    assert cluster.platform.records.violations == []
+    assert audit.n_served > 0
+    assert mixed_streams(cluster.platform.records) == []
+    applied = [e for e in cluster.events if e.name == "configuration_applied"]
+    assert all(event.version > event.previous_version for event in applied)
