Tests of contained prompt parts wait until gateways list the restarted targets

Traced: both model targets had restarted under other ids at their addresses, and the gateway's list was not read since; both said 421, not run, and the refusal was true and had a time to come back. The bound for the list is the drain bound, so the case is allowed. The test took a target that runs for one that is listed; it now waits until every gateway lists these starts, and then demands the same: the part runs nowhere, and every sound request gets its whole stream.

--- a/tests/aspendrift_platform/test_on_emulator.py
+++ b/tests/aspendrift_platform/test_on_emulator.py
@@ -391,13 +391,25 @@
     return all(gateway.containment.refuses(request) for gateway in cluster.gateways)
 
 
+def all_know_models(cluster):
+    """Return whether all model targets run and every gateway lists these starts."""
+    models = [
+        target
+        for target in cluster.platform.targets_by_name.values()
+        if target.service == "model"
+    ]
+    names = {target.name for target in models}
+    return not any(target.is_down for target in models) and all(
+        names == {each.key.target_id for each in g.state.registry.usable("model")}
+        for g in cluster.gateways
+    )
+
+
 async def check_containment(cluster):
     """Check that the crashing part runs nowhere, and that sound requests are served."""
     records = cluster.platform.records
     n_crashes = records.n_crashes
-    await cluster.until(
-        lambda: not any(t.is_down for t in cluster.platform.targets_by_name.values())
-    )
+    await cluster.until(lambda: all_know_models(cluster))
     for number, gateway in enumerate(cluster.gateways):
         attempt_id, answer = await cluster.prompt(gateway, "other", "bad", f"z{number}")
         assert answer.status_code == 503
