--- /dev/null
+++ b/tests/aspendrift_platform/scripted_target.py
@@ -0,0 +1,113 @@
+"""Target that writes the bytes of an answer as a test gives them, then closes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import struct
+from dataclasses import dataclass
+
+from platform_emulator import free_address
+
+
+@dataclass(frozen=True)
+class Script:
+    """What the target sends to one request, and how its connection ends.
+
+    Parameters
+    ----------
+    framing : bytes
+        Header that frames the body, empty for none.
+    body : bytes
+        Bytes of the body; ``{id}`` stands for the attempt's id.
+    crashes : bool
+        Whether the target stops to listen before it closes the connection.
+    resets : bool
+        Whether the connection is reset rather than closed.
+    repeats : bool
+        Whether the body is sent again and again until the caller closes.
+    """
+
+    body: bytes
+    framing: bytes = b""
+    crashes: bool = False
+    resets: bool = False
+    repeats: bool = False
+    status: bytes = b"200 OK"
+    is_signed: bool = True
+
+
+class ScriptedTarget:
+    """A listening socket with an entry in the store's list of targets."""
+
+    def __init__(self, store, name, service):
+        self.store = store
+        self.name = name
+        self.service = service
+        self.address = free_address()
+        self.scripts = []
+        self.last_event_ids = []
+        self.n_bytes_sent = 0
+        self._server = None
+
+    async def start(self):
+        host, port = self.address.split(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+        value = {
+            "service": self.service,
+            "address": self.address,
+            "zone": "z1",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "coldLeftMs": 0,
+            "seq": 1,
+            "born": 0,
+        }
+        self.store.put("servers", self.name, json.dumps(value).encode())
+
+    async def stop(self):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        try:
+            while True:
+                await self._exchange(reader, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    async def _exchange(self, reader, writer):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        lines = [line.partition(": ") for line in head.splitlines()[1:] if line]
+        headers = {name.lower(): value for name, _, value in lines}
+        await reader.readexactly(int(headers.get("content-length", "0")))
+        self.last_event_ids.append(headers.get("last-event-id"))
+        script = self.scripts.pop(0)
+        attempt_id = headers["attempt-id"].encode()
+        writer.write(b"HTTP/1.1 %s\r\nAttempt-Id: %s\r\n" % (script.status, attempt_id))
+        if script.is_signed:
+            writer.write(b"Response-Signature: %s.s\r\n" % self.name.encode())
+        if script.framing:
+            writer.write(script.framing + b"\r\n")
+        writer.write(b"\r\n")
+        await self._send_body(writer, script, script.body.replace(b"{id}", attempt_id))
+        if script.crashes:
+            self._server.close()
+        if script.resets:
+            linger = struct.pack("ii", 1, 0)
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        if script.resets or script.crashes or not script.framing:
+            writer.close()
+            raise ConnectionError("the script is over")
+
+    async def _send_body(self, writer, script, body):
+        writer.write(body)
+        await writer.drain()
+        self.n_bytes_sent += len(body)
+        while script.repeats:
+            writer.write(body)
+            await writer.drain()
+            self.n_bytes_sent += len(body)
+            await asyncio.sleep(0)
