Confirm the end of an answer without length or chunks with its target

Callers saw: status 200, the target's signature, framed as complete, events missing, 2 to 3 ms after the target crashed. Cause: the daemon frames each answer itself; where the target's has no frame, it took the plain end of the connection for the end of the answer, which a crash leaves as well. Why it works: the sockets of a process that ends are closed together with the one it listens on, so a target that accepts a new connection has not crashed.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
@@ -89,6 +89,7 @@
 # Logged as the age of a load report that was never received.
 _UNKNOWN_REPORT_AGE_S: Final = 3600.0
 _MAX_LOGGED_PARTS: Final = 16
+_UNCONFIRMED_END: Final = "ended with its connection, target gone"
 _SERVER_ERROR: Final = 500
 _INPUTS_GONE: Final = 409
 _HOP_BY_HOP_HEADERS: Final = frozenset(
@@ -472,6 +473,9 @@
             return _FailedAttempt(
                 AttemptVerdict.SPOILED, f"status {answer.status}", True
             )
+        if not await self._is_end_certain(entry, answer):
+            self._report_broken(entry, delivery)
+            return _FailedAttempt(AttemptVerdict.BROKEN, _UNCONFIRMED_END, True)
         delivery.progress.inputs_fetched()
         if answer.status >= _SERVER_ERROR and self._may_repeat(delivery):
             return _FailedAttempt(
@@ -519,16 +523,37 @@
         except (httpx.HTTPError, OSError) as error:
             self._report_broken(entry, delivery)
             return self._stream_broke(delivery, type(error).__name__)
-        has_event = relay.n_events > delivery.n_events_before
-        if relay.has_partial or not (has_event or answer.is_delimited):
+        problem = await self._stream_end_problem(delivery, entry, answer)
+        if problem:
             self._report_broken(entry, delivery)
-            return self._stream_broke(delivery, "ended inside an event")
+            return self._stream_broke(delivery, problem)
         if not delivery.answer.has_begun:
             await self._send_events(delivery, answer, b"")
         await delivery.answer.end()
         self._report_pace(routed.pool, entry, pace)
         return Served(answer.status)
 
+    async def _stream_end_problem(
+        self, delivery: Delivery, entry: TargetEntry, answer: Answer
+    ) -> str:
+        """Return why the end of a stream's body is not the end of the stream, or ""."""
+        if delivery.relay.has_partial:
+            return "ended inside an event"
+        has_event = delivery.relay.n_events > delivery.n_events_before
+        if not (has_event or answer.is_delimited):
+            return "ended before an event"
+        if not await self._is_end_certain(entry, answer):
+            return _UNCONFIRMED_END
+        return ""
+
+    async def _is_end_certain(self, entry: TargetEntry, answer: Answer) -> bool:
+        """Return whether a body that ended without an error is complete.
+
+        One with neither length nor chunks ends with its connection, which a target that
+        crashed may close in the same way.
+        """
+        return answer.is_delimited or await self._client.accepts_connections(entry)
+
     def _bind_software(self, delivery: Delivery, entry: TargetEntry) -> None:
         """Record which software version began the stream."""
         if delivery.software is not None:
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
@@ -41,6 +41,7 @@
 # connection for this long.
 _NO_REUSE_S: Final = 10.0
 _FRAMING_HEADERS: Final = frozenset({b"content-length", b"transfer-encoding"})
+_STATUSES_WITHOUT_BODY: Final = frozenset({204, 304})
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,10 +66,13 @@
     headers: Headers
     head: AnswerHead
     response: httpx.Response
+    method: str = "POST"
 
     @property
     def is_delimited(self) -> bool:
         """Whether the end of the body can be told from the end of the connection."""
+        if self.method == "HEAD" or self.status in _STATUSES_WITHOUT_BODY:
+            return True
         return any(name.lower() in _FRAMING_HEADERS for name, _ in self.headers)
 
     async def chunks(self) -> AsyncIterator[bytes]:
@@ -180,7 +184,22 @@
         head = self.codec.answer_head(response.status_code, answer_headers)
         if head.is_leaving:
             self._on_leaving(entry.key)
-        return Answer(response.status_code, answer_headers, head, response)
+        return Answer(response.status_code, answer_headers, head, response, call.method)
+
+    async def accepts_connections(self, entry: TargetEntry) -> bool:
+        """Return whether a target accepts a new connection, which is closed at once.
+
+        Tells a target that ended an answer by closing its connection from one that
+        crashed: the sockets of a process that ends are closed with those it listens on.
+        """
+        host, _, port = entry.address.rpartition(":")
+        try:
+            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            return False
+        writer.close()
+        return True
 
     async def send_and_read(
         self, entry: TargetEntry, call: HttpCall, headers: Headers, now: float
--- a/packages/aspendrift-gateway/tests/conftest.py
+++ b/packages/aspendrift-gateway/tests/conftest.py
@@ -283,6 +283,12 @@
         self.sent = []
         self.responses = []
         self.reuse_disabled = []
+        self.is_listening = True
+        self.n_connections_tried = 0
+
+    async def accepts_connections(self, target):
+        self.n_connections_tried += 1
+        return self.is_listening
 
     async def send(self, target, call, metadata, now):
         self.sent.append(
--- a/packages/aspendrift-gateway/tests/test_attempts.py
+++ b/packages/aspendrift-gateway/tests/test_attempts.py
@@ -5,8 +5,9 @@
 import pytest
 
 from aspendrift_gateway.attempts import InputsGone, Served
+from aspendrift_gateway.interfaces import AnswerHead
 from aspendrift_gateway.refusals import Refusal
-from aspendrift_gateway.target_client import Broken, NotSent
+from aspendrift_gateway.target_client import Answer, Broken, NotSent
 from aspendrift_model.pieces import Handle
 from aspendrift_model.routes import RequestKind
 from aspendrift_model.states import RefusalReason
@@ -370,3 +371,28 @@
     assert send(harness, found_route) == Served(200)
     assert harness.answer.body == events(1, 2)
     assert harness.answer.is_ended
+
+
+@pytest.mark.parametrize("found_route", [STREAM, UNSAFE])
+def test_answer_without_length_or_chunks_of_a_target_that_is_gone_is_broken(
+    make_harness, found_route
+):
+    harness = make_harness(Reply(chunks=(events(1, 2),), framing=()))
+    harness.client.is_listening = False
+    outcome = send(harness, found_route)
+    assert isinstance(outcome, Refusal) or outcome.is_cut
+    assert not harness.answer.is_ended
+    assert harness.broken == [harness.client.sent[0].target_id]
+
+
+def test_target_is_not_asked_about_the_end_of_an_answer_that_shows_it(make_harness):
+    harness = make_harness(Reply())
+    assert send(harness) == Served(200)
+    assert harness.client.n_connections_tried == 0
+
+
+@pytest.mark.parametrize(("method", "status"), [("HEAD", 200), ("GET", 204)])
+def test_answer_that_can_have_no_body_shows_its_end(method, status):
+    answer = Answer(status, (), AnswerHead(None, True, False, False, False), None)
+    answer.method = method
+    assert answer.is_delimited
