--- /dev/null
+++ b/tests/aspendrift_platform/test_lost_links.py
@@ -0,0 +1,154 @@
+"""Tests that a gateway whose links to all targets are cut still serves its callers."""
+
+from __future__ import annotations
+
+import asyncio
+
+import httpx
+import pytest
+from emulated_world import Cluster, complete_stream
+
+from aspendrift_gateway.interfaces import AddressQuery
+from aspendrift_model.ids import ZoneName
+
+CONNECT_S = 0.1
+
+
+class CutTransport(httpx.AsyncBaseTransport):
+    """Connections that can't be established: packets vanish, or are refused."""
+
+    def __init__(self, is_silent):
+        self.is_silent = is_silent
+
+    async def handle_async_request(self, request):
+        if not self.is_silent:
+            raise httpx.ConnectError("refused")
+        await asyncio.sleep(CONNECT_S)
+        raise httpx.ConnectTimeout("no answer")
+
+
+class Links:
+    """The links of one gateway to all targets, which a test cuts and restores."""
+
+    def __init__(self, gateway):
+        self.client = gateway.client
+        self._connections = self.client._connections
+        self._accepts = self.client.accepts_connections
+
+    def cut(self, is_silent=True):
+        transport = CutTransport(is_silent)
+
+        def connections(entry):
+            found = self._connections(entry)
+            found.transport = transport
+            return found
+
+        async def accepts_connections(entry):
+            await asyncio.sleep(CONNECT_S if is_silent else 0.0)
+            return False
+
+        self.client._connections = connections
+        self.client.accepts_connections = accepts_connections
+
+    def restore(self):
+        self.client._by_id.clear()
+        self.client._connections = self._connections
+        self.client.accepts_connections = self._accepts
+
+
+@pytest.fixture
+def run_scenario():
+    """Run a scenario on three gateways, which are stopped afterwards."""
+
+    def run(scenario):
+        async def main():
+            cluster = Cluster()
+            try:
+                await cluster.start(3)
+                await scenario(cluster)
+                assert cluster.platform.records.violations == []
+            finally:
+                await cluster.stop()
+
+        asyncio.run(main())
+
+    return run
+
+
+async def until_served(cluster, gateway, path):
+    """Call until an answer is served; the detection of a cut takes a moment."""
+    async with asyncio.timeout(20.0):
+        while True:
+            _, answer = await cluster.call(gateway, path)
+            if answer.status_code == 200:
+                return
+            await asyncio.sleep(0.1)
+
+
+@pytest.mark.parametrize("is_silent", [True, False], ids=["silent", "refused"])
+def test_requests_at_a_gateway_without_links_are_served(run_scenario, is_silent):
+    async def scenario(cluster):
+        stranded = cluster.gateways[0]
+        Links(stranded).cut(is_silent)
+        await until_served(cluster, stranded, "/safe/a")
+        ran = cluster.platform.records.ran
+        for path in ("/safe/b", "/once/b"):
+            attempt_id, answer = await cluster.call(stranded, path)
+            assert answer.status_code == 200
+            assert answer.text == f"answer to {attempt_id}"
+            assert answer.headers["response-signature"].endswith(attempt_id)
+            assert ran[attempt_id] == 1
+        attempt_id, answer = await cluster.stream(stranded)
+        assert answer.text == complete_stream(attempt_id)
+        assert ran[attempt_id] == 1
+
+    run_scenario(scenario)
+
+
+def test_owners_without_links_hand_their_pools_to_others(run_scenario):
+    async def scenario(cluster):
+        for gateway in cluster.gateways[:2]:
+            Links(gateway).cut()
+            await until_served(cluster, gateway, "/safe/a")
+        for _ in range(4):
+            attempt_id, answer = await cluster.stream(cluster.gateways[2])
+            assert answer.text == complete_stream(attempt_id)
+
+    run_scenario(scenario)
+
+
+def test_gateway_without_links_leaves_the_addresses_until_they_are_back(run_scenario):
+    async def scenario(cluster):
+        stranded, other = cluster.gateways[:2]
+        links = Links(stranded)
+        links.cut()
+        await until_served(cluster, stranded, "/safe/a")
+        query = AddressQuery(ZoneName("z1"))
+        address = stranded.settings.front_address
+        await cluster.until(lambda: address not in other.addresses(query))
+        assert address not in stranded.addresses(query)
+        assert not stranded.is_ready()
+        links.restore()
+        await cluster.until(lambda: address in other.addresses(query))
+        assert stranded.is_ready()
+        attempt_id, answer = await cluster.call(stranded, "/safe/b")
+        assert answer.text == f"answer to {attempt_id}"
+
+    run_scenario(scenario)
+
+
+def test_callers_are_refused_at_once_if_no_gateway_has_links(run_scenario):
+    async def scenario(cluster):
+        for gateway in cluster.gateways:
+            Links(gateway).cut()
+        for gateway in cluster.gateways:
+            for _ in range(3):
+                await cluster.call(gateway, "/safe/a")
+        await cluster.until(lambda: not any(g.is_ready() for g in cluster.gateways))
+        _, answer = await cluster.call(cluster.gateways[0], "/once/a")
+        assert answer.status_code == 503
+        assert float(answer.headers["retry-after"]) > 0
+        query = AddressQuery(ZoneName("z1"))
+        assert len(cluster.gateways[0].addresses(query)) == 3
+
+    run_scenario(scenario)
