Hand requests over while a daemon has lost its links to all targets

Callers of hosts that were partitioned from all targets got 503, 504 and waits to the end; those of the others did worse too. Cause: a daemon judged each target by itself and never its own links, so it kept callers, requests and stage pools that it could not serve.

Now a daemon that no target answers probes some; if none takes a connection it says so to the others, leaves addresses, readiness and ownership, and hands over what still arrives to a daemon with links, once, as its caller sent it. Why it works: callers keep addresses for up to three times their time, so a host without links goes on getting requests, and any host with links serves them as its own.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
@@ -12,7 +12,7 @@
 
 from aspendrift_daemon.events import EventHub
 from aspendrift_daemon.interfaces import Clock
-from aspendrift_gateway.caller_answer import CallerAnswer
+from aspendrift_gateway.caller_answer import CallerAnswer, end_to_end_headers
 from aspendrift_gateway.event_relay import EventRelay
 from aspendrift_gateway.events import (
     AttemptEnded,
@@ -41,7 +41,7 @@
     TargetId,
     ZoneName,
 )
-from aspendrift_model.opaque_requests import Headers, OpaqueRequest
+from aspendrift_model.opaque_requests import OpaqueRequest
 from aspendrift_model.pieces import Handle
 from aspendrift_model.routes import RequestKind, Route
 from aspendrift_model.states import AttemptEnd, RefusalReason
@@ -92,9 +92,6 @@
 _UNCONFIRMED_END: Final = "ended with its connection, target gone"
 _SERVER_ERROR: Final = 500
 _INPUTS_GONE: Final = 409
-_HOP_BY_HOP_HEADERS: Final = frozenset(
-    {b"connection", b"keep-alive", b"transfer-encoding", b"proxy-connection"}
-)
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,11 +116,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Served:
-    """A target's answer was forwarded; ``is_cut`` if it was cut off before its end."""
+    """An answer was forwarded; ``is_cut`` if it was cut off before its end.
+
+    ``is_handed_over`` if it is the answer of another daemon, else a target's own.
+    """
 
     status: int
     is_cut: bool = False
     detail: str = ""
+    is_handed_over: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -293,6 +294,11 @@
         excluded = _excluded(delivery, usable)
         return any(each.key.target_id not in excluded for each in usable)
 
+    def forget_failures(self) -> None:
+        """Use all targets again, since failures were not theirs."""
+        for chooser in self._choosers_by_pool.values():
+            chooser.forget_failures()
+
     def _choose(
         self, delivery: Delivery, now: float, is_dry_run: bool = False
     ) -> TargetEntry | None:
@@ -482,7 +488,7 @@
                 AttemptVerdict.FAILED_BY_TARGET, f"status {answer.status}", True
             )
         await delivery.answer.begin(
-            answer.status, _end_to_end_headers(answer.headers, len(body))
+            answer.status, end_to_end_headers(answer.headers, len(body))
         )
         await delivery.answer.send(body)
         await delivery.answer.end()
@@ -574,7 +580,7 @@
     ) -> None:
         """Send complete events, preceded by the head if no answer has begun."""
         if not delivery.answer.has_begun:
-            headers = _end_to_end_headers(answer.headers, None)
+            headers = end_to_end_headers(answer.headers, None)
             await delivery.answer.begin(answer.status, headers)
         if events:
             await delivery.answer.send(events)
@@ -741,15 +747,3 @@
     if not routed.route.caches_prompts or len(parts) < 2:
         return None
     return PrefixKey("/".join(part.part_id for part in parts[:-1]))
-
-
-def _end_to_end_headers(headers: Headers, n_bytes: int | None) -> Headers:
-    """Return a target's headers without hop-by-hop headers."""
-    kept = tuple(
-        (name, value)
-        for name, value in headers
-        if name.lower() not in _HOP_BY_HOP_HEADERS and name.lower() != b"content-length"
-    )
-    if n_bytes is None:
-        return kept
-    return (*kept, (b"content-length", str(n_bytes).encode()))
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/caller_answer.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/caller_answer.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
-from typing import Protocol
+from typing import Final, Protocol
 
 from aspendrift_model.opaque_requests import Headers
 
-__all__ = ["CallerAnswer"]
+__all__ = ["CallerAnswer", "end_to_end_headers"]
+
+_HOP_BY_HOP_HEADERS: Final = frozenset(
+    {b"connection", b"keep-alive", b"transfer-encoding", b"proxy-connection"}
+)
 
 
 class CallerAnswer(Protocol):
@@ -25,3 +29,18 @@
 
     def abort(self) -> None:
         """Close the connection to show that the answer is incomplete."""
+
+
+def end_to_end_headers(headers: Headers, n_bytes: int | None) -> Headers:
+    """Return the headers of an answer to forward, with the length of its body.
+
+    Without a length, if ``n_bytes`` is None, the body is sent in chunks.
+    """
+    kept = tuple(
+        (name, value)
+        for name, value in headers
+        if name.lower() not in _HOP_BY_HOP_HEADERS and name.lower() != b"content-length"
+    )
+    if n_bytes is None:
+        return kept
+    return (*kept, (b"content-length", str(n_bytes).encode()))
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
@@ -21,10 +21,14 @@
     "DependencyChanged",
     "GatewayReady",
     "GatewayStopped",
+    "HandoverEnded",
+    "LinksChanged",
+    "PeerLinksChanged",
     "PromptQuarantined",
     "QuarantineLifted",
     "QuarantineSource",
     "RequestEnded",
+    "RequestHandedOver",
     "RequestRouted",
     "SettingsReloaded",
     "SlowTargetsChanged",
@@ -141,6 +145,50 @@
     targets_age_s: float | None
 
 
+@dataclass(frozen=True, slots=True)
+class LinksChanged(Event):
+    """The daemon lost its links to all targets, or has them back.
+
+    ``n_probes`` targets were probed; before that, none had answered for ``silent_s``.
+    """
+
+    name: ClassVar[str] = "links_changed"
+    is_lost: bool
+    n_probes: int
+    silent_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class PeerLinksChanged(Event):
+    """Another daemon said that it lost its links to all targets, or has them back."""
+
+    name: ClassVar[str] = "peer_links_changed"
+    daemon_id: str
+    is_lost: bool
+
+
+@dataclass(frozen=True, slots=True)
+class RequestHandedOver(Event):
+    """A request is sent to another daemon, since this one reaches no target."""
+
+    name: ClassVar[str] = "request_handed_over"
+    request_id: str
+    peer_id: str
+    left_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class HandoverEnded(Event):
+    """The answer of the other daemon ended; ``status`` is 0 if there was none."""
+
+    name: ClassVar[str] = "handover_ended"
+    request_id: str
+    peer_id: str
+    status: int
+    detail: str
+    took_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class StoreEraChanged(Event):
     """The store came back from a copy; what was written since then is lost."""
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -17,7 +17,9 @@
 from aspendrift_daemon.shutdown import Shutdown
 from aspendrift_gateway.attempts import AttemptSender
 from aspendrift_gateway.events import GatewayReady, GatewayStopped
+from aspendrift_gateway.handover import Handover
 from aspendrift_gateway.interfaces import AddressQuery, PlatformCodec
+from aspendrift_gateway.link_exchange import LinkExchange
 from aspendrift_gateway.member_rows import MemberRows
 from aspendrift_gateway.origin_exchange import OriginExchange
 from aspendrift_gateway.pace_exchange import PaceExchange
@@ -118,6 +120,17 @@
         )
         peers = _peer_settings(settings)
         self.link = PeerLink(peers, self._host(), self.clock, events, rng)
+        self.links = LinkExchange(
+            self.link,
+            self.state.registry.all_usable,
+            lambda entry: self.client.accepts_connections(entry),
+            self.clock,
+            events,
+            rng,
+            self._on_links_changed,
+        )
+        self.client.links = self.links
+        self.peer_client = TargetClient(codec.target, lambda key: None)
         self.suspects = SuspectTracker(PoisonLimits())
         self.reader = StoreReader(
             self.store,
@@ -145,7 +158,7 @@
             events,
             rng,
             suspended_s,
-            self.is_ready,
+            self.is_serving,
             self._on_crash_report,
             self.containment,
         )
@@ -164,6 +177,7 @@
             self.clock,
             events,
             policies.scheduler,
+            self.links.without_links,
         )
         self.budgets: RetryBudgets[PoolName] = RetryBudgets(
             settings.retry_share * _RETRY_BUDGET_SHARE, 0.0
@@ -199,6 +213,15 @@
             ),
             self.sender,
             self.origins,
+            Handover(
+                self.link,
+                self.links,
+                self.peer_client,
+                codec.caller,
+                self.clock,
+                events,
+                rng,
+            ),
             self.admission,
             self.suspects,
             self.containment,
@@ -240,7 +263,11 @@
         )
 
     def is_ready(self) -> bool:
-        """Return whether this gateway accepts requests from new callers."""
+        """Return whether new callers should use this gateway."""
+        return self.is_serving() and not self.links.is_lost
+
+    def is_serving(self) -> bool:
+        """Return whether this gateway accepts requests."""
         return self.state.is_complete and self.leaving.phase is LeavePhase.SERVING
 
     async def start(self) -> None:
@@ -270,6 +297,7 @@
         await self.rows.stop()
         await self.link.stop()
         await self.client.close()
+        await self.peer_client.close()
         await self.store.close()
         self.metrics.close()
 
@@ -280,13 +308,14 @@
         self._share_limits()
 
     def addresses(self, query: AddressQuery) -> Sequence[str]:
-        """Return the addresses of daemons that accept requests."""
-        own_id = self.settings.daemon_id
-        is_ready = self.is_ready()
+        """Return the addresses of daemons that accept requests and reach targets."""
+        excluded = set(self.links.without_links(self.clock.monotonic()))
+        if not self.is_serving():
+            excluded.add(self.settings.daemon_id)
         members = [
             each
             for each in self.link.view.members()
-            if is_ready or each.host.daemon_id != own_id
+            if each.host.daemon_id not in excluded
         ]
         chosen = stable_choice(members, query.zone, _MAX_ADDRESSES)
         return [member.host.url for member in chosen]
@@ -296,6 +325,7 @@
             self.reader,
             self.peer_state,
             self.membership,
+            self.links,
             self.dispatcher,
             self.paces,
             self.containment,
@@ -370,6 +400,10 @@
         self.rows.begin_again(lambda: self.link.host, within_s)
         self.containment.store_restored()
 
+    def _on_links_changed(self) -> None:
+        if not self.links.is_lost:
+            self.sender.forget_failures()
+
     def _share_limits(self) -> None:
         """Divide the limits that all daemons share by the number of daemons in view."""
         table = self.state.table
@@ -388,6 +422,8 @@
 
     def _on_broken(self, entry: TargetEntry, fingerprint: Fingerprint) -> None:
         """Suspect a content whose target broke, at this daemon and all others."""
+        if self.links.is_lost:
+            return
         report = CrashReport(entry.key.target_id, entry.key.born_ms, fingerprint)
         self._on_crash_report(report)
         self.peer_state.broadcast_crash(report)
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/interfaces.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/interfaces.py
@@ -25,6 +25,7 @@
     "ConfigurationUnreadable",
     "ForwardMetadata",
     "HttpCall",
+    "LinkObserver",
     "LoadReport",
     "PlatformCodec",
     "PromptGuard",
@@ -77,6 +78,12 @@
     ) -> Headers:
         """Return the headers of a refusal."""
 
+    def handed_over(self, request: OpaqueRequest, left_s: float) -> Headers:
+        """Return all headers of a request that another daemon serves in place of this.
+
+        They are those of the caller, with the time that is left of its timeout.
+        """
+
     def address_query(self, query: str) -> AddressQuery:
         """Decode the query of a request for addresses."""
 
@@ -174,6 +181,23 @@
         """Return the address of the target that holds a result."""
 
 
+class LinkObserver(Protocol):
+    """Is told of exchanges with targets, to tell when none can be reached."""
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether no target can be reached."""
+
+    def sent(self) -> None:
+        """Record that something was sent to a target."""
+
+    def received(self) -> None:
+        """Record that a target answered."""
+
+    def failed(self) -> None:
+        """Record that a connection to a target failed."""
+
+
 class PromptGuard(Protocol):
     """Knows the parts of prompts that crash targets."""
 
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
@@ -20,6 +20,7 @@
 )
 from aspendrift_gateway.caller_answer import CallerAnswer
 from aspendrift_gateway.events import RequestEnded, RequestRouted
+from aspendrift_gateway.handover import Handover
 from aspendrift_gateway.interfaces import CallerCodec, PromptGuard
 from aspendrift_gateway.origin_exchange import OriginExchange
 from aspendrift_gateway.refusals import (
@@ -123,6 +124,7 @@
         stages: StagesRunner,
         sender: AttemptSender,
         origins: OriginExchange,
+        handover: Handover,
         admission: ChainAdmission,
         suspects: SuspectTracker,
         prompts: PromptGuard,
@@ -136,6 +138,7 @@
         self._stages = stages
         self._sender = sender
         self._origins = origins
+        self._handover = handover
         self._admission = admission
         self._suspects = suspects
         self._prompts = prompts
@@ -250,25 +253,34 @@
         parts = self._prompts.refuses(request)
         if parts is not None:
             return Refusal(RefusalReason.POISON, parts, POISON_RETRY_AFTER_S)
-        outcome = await self._run(opened, table, routed, answer)
-        if isinstance(outcome, Served) and not outcome.is_cut:
+        delivery = Delivery(routed, answer, _Progress(opened))
+        outcome = await self._run_or_hand_over(opened, table, delivery)
+        if isinstance(outcome, Served) and not (
+            outcome.is_cut or outcome.is_handed_over
+        ):
             self._suspects.mark_known_good(routed.fingerprint, self._clock.monotonic())
             if outcome.status < _FIRST_ERROR_STATUS:
                 self._prompts.completed(request)
         return outcome
 
+    async def _run_or_hand_over(
+        self, opened: _OpenRequest, table: RouteTable, delivery: Delivery
+    ) -> Served | Refusal:
+        """Run a request here, or at another daemon if this one reaches no target."""
+        if not self._handover.is_due(delivery):
+            outcome = await self._run(opened, table, delivery)
+            if isinstance(outcome, Served) or not self._handover.is_due(delivery):
+                return outcome
+        return await self._handover.send(delivery)
+
     async def _run(
-        self,
-        opened: _OpenRequest,
-        table: RouteTable,
-        routed: RoutedRequest,
-        answer: CallerAnswer,
+        self, opened: _OpenRequest, table: RouteTable, delivery: Delivery
     ) -> Served | Refusal:
         """Run the stages and send the request; free the results on every exit."""
+        routed = delivery.routed
         request, route = routed.request, routed.route
         if not self._state.registry.usable(routed.pool):
             return Refusal(RefusalReason.NO_TARGET, routed.pool, _SHORT_RETRY_AFTER_S)
-        delivery = Delivery(routed, answer, _Progress(opened))
         refusal = await self._bind_origin(delivery)
         if refusal is not None:
             return refusal
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
@@ -53,6 +53,11 @@
 
 JobListener = Callable[[JobUpdate], None]
 
+
+def _no_daemons(now: float) -> frozenset[DaemonId]:
+    return frozenset()
+
+
 _MS_PER_S: Final = 1000.0
 # Sent as the remaining time of inputs that don't expire.
 _NO_EXPIRY_S: Final = 3600.0
@@ -84,7 +89,13 @@
 
 
 class StageDispatcher:
-    """Submits jobs to owners, and runs jobs of all daemons in the pools it owns."""
+    """Submits jobs to owners, and runs jobs of all daemons in the pools it owns.
+
+    Parameters
+    ----------
+    without_links : callable
+        Returns the daemons that reach no target and therefore own no pool.
+    """
 
     def __init__(
         self,
@@ -96,9 +107,11 @@
         clock: Clock,
         events: EventHub,
         make_scheduler: Callable[[PieceLimits], StageScheduler],
+        without_links: Callable[[float], frozenset[DaemonId]] = _no_daemons,
     ) -> None:
         self._link = link
         self._make_scheduler = make_scheduler
+        self._without_links = without_links
         self._admission = admission
         self._state = state
         self._client = client
@@ -143,7 +156,7 @@
     def owner(self, pool: PoolName, now: float) -> DaemonId:
         """Return the daemon that should schedule a pool."""
         members = self._link.members()
-        suspects = frozenset(
+        suspects = self._without_links(now).union(
             each for each, until in self._suspected_until.items() if until > now
         )
         if members is not self._members or suspects != self._suspects:
@@ -151,11 +164,11 @@
             self._owner_by_pool.clear()
         found = self._owner_by_pool.get(pool)
         if found is None:
-            found = owners_in_order(pool, self._candidates())[0]
+            found = owners_in_order(pool, self._candidates(now))[0]
             self._owner_by_pool[pool] = found
         return found
 
-    def _candidates(self) -> list[DaemonId]:
+    def _candidates(self, now: float) -> list[DaemonId]:
         """Return the daemons that may own pools.
 
         Load it answers: the first seconds after many daemons started. All know the
@@ -164,12 +177,16 @@
         fill the memory of the targets.
         """
         own_id = self._link.host.daemon_id
-        return [
+        others = [
             host.daemon_id
             for host, state in self._members
-            if host.daemon_id == own_id
-            or (state in _OWNER_STATES and host.daemon_id not in self._suspects)
+            if host.daemon_id != own_id
+            and state in _OWNER_STATES
+            and host.daemon_id not in self._suspects
         ]
+        if others and own_id in self._without_links(now):
+            return others
+        return [own_id, *others]
 
     def submit(self, pool: PoolName, job: StageJob, listener: JobListener) -> DaemonId:
         """Submit a job; the listener receives its updates. Return the owner."""
@@ -244,10 +261,13 @@
     def step(self, now: float) -> None:
         """Resubmit jobs of lost owners; send heartbeats and pool loads."""
         own_id = self._link.host.daemon_id
+        without_links = self._without_links(now)
         for submitted in list(self._submitted_by_id.values()):
             if submitted.owner != own_id and self._is_lost(submitted, now):
                 self._suspected_until[submitted.owner] = now + _SUSPECT_S
-                self.submit(submitted.pool, submitted.job, submitted.listener)
+            elif submitted.owner not in without_links:
+                continue
+            self.submit(submitted.pool, submitted.job, submitted.listener)
         if now - self._heartbeat_sent_at >= _HEARTBEAT_INTERVAL_S:
             self._heartbeat_sent_at = now
             for origin in {origin for origin, _ in self._origins_by_job.values()}:
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
@@ -13,7 +13,12 @@
 
 import httpx
 
-from aspendrift_gateway.interfaces import AnswerHead, HttpCall, TargetCodec
+from aspendrift_gateway.interfaces import (
+    AnswerHead,
+    HttpCall,
+    LinkObserver,
+    TargetCodec,
+)
 from aspendrift_gateway.transports import plain_transport
 from aspendrift_model.ids import TargetId
 from aspendrift_model.opaque_requests import Headers
@@ -41,6 +46,7 @@
 # connection for this long.
 _NO_REUSE_S: Final = 10.0
 _FRAMING_HEADERS: Final = frozenset({b"content-length", b"transfer-encoding"})
+_NOT_SENT: Final = (httpx.ConnectError, httpx.ConnectTimeout)
 _STATUSES_WITHOUT_BODY: Final = frozenset({204, 304})
 
 
@@ -115,11 +121,17 @@
         Decodes the heads of answers.
     on_leaving : callable
         Called with each target that says in an answer that it leaves.
+    links : LinkObserver or None
+        Told of all exchanges; while it says that the links are lost, nothing is sent.
     """
 
     def __init__(
-        self, codec: TargetCodec, on_leaving: Callable[[TargetKey], None]
+        self,
+        codec: TargetCodec,
+        on_leaving: Callable[[TargetKey], None],
+        links: LinkObserver | None = None,
     ) -> None:
+        self.links = links
         self.codec = codec
         self._on_leaving = on_leaving
         self._by_id: dict[TargetId, tuple[str, _Connections]] = {}
@@ -156,30 +168,24 @@
         self, entry: TargetEntry, call: HttpCall, headers: Headers, now: float
     ) -> SendResult:
         """Send a request and wait for the head of its answer."""
+        links = self.links
+        if links is not None and links.is_lost:
+            return NotSent("links to targets lost")
         connections = self._connections(entry)
-        sent_headers = list(headers)
-        if not any(name == b"host" for name, _ in headers):
-            sent_headers.append((b"host", entry.address.encode()))
-        if call.body and not any(name == b"content-length" for name, _ in headers):
-            sent_headers.append((b"content-length", str(len(call.body)).encode()))
-        if connections.no_reuse_until > now:
-            sent_headers.append((b"connection", b"close"))
-        request = httpx.Request(
-            call.method,
-            f"http://{entry.address}/",
-            headers=sent_headers,
-            stream=_Body(call.body),
-            extensions={
-                "target": call.target_path.encode("latin-1"),
-                "timeout": {"connect": _CONNECT_TIMEOUT_S, "pool": _CONNECT_TIMEOUT_S},
-            },
-        )
+        request = _request(entry, call, headers, connections.no_reuse_until > now)
+        if links is not None:
+            links.sent()
         try:
             response = await connections.transport.handle_async_request(request)
-        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
+        except httpx.PoolTimeout as error:
             return NotSent(type(error).__name__)
         except (httpx.HTTPError, OSError) as error:
-            return Broken(type(error).__name__)
+            if links is not None:
+                links.failed()
+            detail = type(error).__name__
+            return NotSent(detail) if isinstance(error, _NOT_SENT) else Broken(detail)
+        if links is not None:
+            links.received()
         answer_headers = tuple(response.headers.raw)
         head = self.codec.answer_head(response.status_code, answer_headers)
         if head.is_leaving:
@@ -229,6 +235,29 @@
         return connections
 
 
+def _request(
+    entry: TargetEntry, call: HttpCall, headers: Headers, closes: bool
+) -> httpx.Request:
+    """Return a request; ``closes`` if its connection is not used again."""
+    sent_headers = list(headers)
+    if not any(name == b"host" for name, _ in headers):
+        sent_headers.append((b"host", entry.address.encode()))
+    if call.body and not any(name == b"content-length" for name, _ in headers):
+        sent_headers.append((b"content-length", str(len(call.body)).encode()))
+    if closes:
+        sent_headers.append((b"connection", b"close"))
+    return httpx.Request(
+        call.method,
+        f"http://{entry.address}/",
+        headers=sent_headers,
+        stream=_Body(call.body),
+        extensions={
+            "target": call.target_path.encode("latin-1"),
+            "timeout": {"connect": _CONNECT_TIMEOUT_S, "pool": _CONNECT_TIMEOUT_S},
+        },
+    )
+
+
 class _Body(httpx.AsyncByteStream):
     """A request body held in memory."""
 
--- a/packages/aspendrift-gateway/tests/test_stage_dispatcher.py
+++ b/packages/aspendrift-gateway/tests/test_stage_dispatcher.py
@@ -82,6 +82,7 @@
     targets: FakeTargets
     dispatchers_by_id: dict
     rng: object
+    without_links: set
 
     def owner_and_others(self):
         first = next(iter(self.dispatchers_by_id.values()))
@@ -98,6 +99,7 @@
 
             clock = VirtualClock(asyncio.get_running_loop())
             network, targets = Network(), FakeTargets()
+            without_links = set()
             dispatchers = {}
             for number in range(n_daemons):
                 link = network.link(f"d{number}")
@@ -114,10 +116,12 @@
                     clock,
                     EventHub(),
                     StageScheduler,
+                    lambda now: frozenset(without_links),
                 )
                 await dispatcher.start()
                 dispatchers[link.host.daemon_id] = dispatcher
-            await scenario(Fleet(network, targets, dispatchers, random.Random(0)))
+            rng = random.Random(0)
+            await scenario(Fleet(network, targets, dispatchers, rng, without_links))
             for dispatcher in dispatchers.values():
                 await dispatcher.stop()
 
@@ -332,3 +336,31 @@
         assert took_s < CALL_S + 0.5
 
     run_scenario(scenario)
+
+
+def test_jobs_of_an_owner_that_lost_its_links_go_to_another(run_scenario):
+    async def scenario(fleet):
+        owner, others = fleet.owner_and_others()
+        listeners = [Listener(), Listener()]
+        for name, listener in zip((owner, others[0]), listeners, strict=True):
+            fleet.dispatchers_by_id[name].submit(POOL, job(name), listener)
+        fleet.without_links.add(owner)
+        await asyncio.sleep(0.15)
+        for name in (owner, others[0]):
+            assert fleet.dispatchers_by_id[name].owner(POOL, 0.15) != owner
+        submitted = [each._submitted_by_id for each in fleet.dispatchers_by_id.values()]
+        assert owner not in {job.owner for jobs in submitted for job in jobs.values()}
+        for listener in listeners:
+            await listener.done.wait()
+            assert listener.failures == []
+
+    run_scenario(scenario)
+
+
+def test_own_pools_stay_here_if_no_other_daemon_is_left(run_scenario):
+    async def scenario(fleet):
+        (name,) = fleet.dispatchers_by_id
+        fleet.without_links.add(name)
+        assert fleet.dispatchers_by_id[name].owner(POOL, 0.0) == name
+
+    run_scenario(scenario, n_daemons=1)
--- a/packages/aspendrift-model/src/aspendrift_model/opaque_requests.py
+++ b/packages/aspendrift-model/src/aspendrift_model/opaque_requests.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from aspendrift_model.ids import AttemptId, PromptPartId
+from aspendrift_model.ids import AttemptId, DaemonId, PromptPartId
 
 __all__ = ["Headers", "OpaqueRequest", "PromptPart"]
 
@@ -44,6 +44,8 @@
         Last event that the caller received before the stream was interrupted.
     resumes : AttemptId or None
         Attempt of the caller with which that stream began.
+    handed_over_by : DaemonId or None
+        Daemon that received the request but can't reach a target.
     """
 
     method: str
@@ -60,6 +62,7 @@
     piece_key: str = ""
     last_event_id: str | None = None
     resumes: AttemptId | None = None
+    handed_over_by: DaemonId | None = None
 
     @property
     def shared_parts(self) -> tuple[PromptPartId, ...]:
--- a/packages/aspendrift-model/src/aspendrift_model/wire_work.py
+++ b/packages/aspendrift-model/src/aspendrift_model/wire_work.py
@@ -14,6 +14,7 @@
     "JobAccepted",
     "JobEnded",
     "JobResults",
+    "LinksReport",
     "OriginAnswer",
     "OriginMessage",
     "OriginQuery",
@@ -254,6 +255,15 @@
     is_complete: bool
 
 
+class LinksReport(msgspec.Struct, frozen=True, array_like=True, tag="n"):
+    """Tells whether the sender lost its links to all targets.
+
+    Sent when that changes, and again every second while they are lost.
+    """
+
+    is_lost: bool
+
+
 OriginMessage = StreamBegan | OriginQuery | OriginAnswer
 
 PaceMessage = PaceSamples | SlowTargets
--- a/packages/aspendrift-policy/src/aspendrift_policy/pool_choice.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/pool_choice.py
@@ -113,6 +113,11 @@
             ),
         )
 
+    def forget_failures(self) -> None:
+        """Open all targets, since their failures were those of the links to them."""
+        for state in self._states_by_id.values():
+            state.health = TargetHealth(self._rules, float("-inf"))
+
     def inputs(self, entry: TargetEntry, now: float) -> ChoiceInputs:
         """Return the load figures of a target, for the log."""
         state = self._state(entry)
--- a/packages/aspendrift-policy/src/aspendrift_policy/target_registry.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/target_registry.py
@@ -74,6 +74,10 @@
         """Return the targets of a pool that accept new work."""
         return self._by_pool.get(pool, ())
 
+    def all_usable(self) -> list[TargetEntry]:
+        """Return the targets of all pools that accept new work."""
+        return [entry for found in self._by_pool.values() for entry in found]
+
     def version_history(
         self, pool: PoolName, now: float, window_s: float
     ) -> VersionHistory:
--- a/tests/aspendrift_platform/test_headers.py
+++ b/tests/aspendrift_platform/test_headers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from aspendrift_gateway.interfaces import BadRequest, ForwardMetadata
@@ -174,3 +176,15 @@
     headers = dict(PlatformCallerCodec().refusal_headers(AttemptId("a"), 0.25))
     assert headers[b"retry-after"] == b"0.250"
     assert headers[b"attempt-id"] == b"a"
+
+
+def test_request_that_is_handed_over_decodes_like_its_callers():
+    first = decode((b"last-event-id", b"7"), (b"resumes", b"9c40"))
+    headers = PlatformCallerCodec().handed_over(first, 3.5)
+    second = PlatformCallerCodec().request("POST", b"/a/b?c=d", headers, b"body")
+    assert second.caller_timeout_s == 3.5
+    assert replace(second, headers=(), caller_timeout_s=15.0) == replace(
+        first, headers=()
+    )
+    assert [name for name, _ in headers].count(b"deadline-ms") == 1
+    assert (b"content-length", b"4") in headers
