--- a/packages/aspendrift-gateway/tests/test_attempts.py
+++ b/packages/aspendrift-gateway/tests/test_attempts.py
@@ -13,7 +13,7 @@
 from aspendrift_model.states import RefusalReason
 from aspendrift_standins.virtual_time import run_virtual
 
-from .conftest import FakePromptGuard, Reply, entry, route
+from .conftest import POOL, FakePromptGuard, Reply, entry, route
 
 UNSAFE = route(RequestKind.NON_IDEMPOTENT, max_attempts=2)
 STREAM = route(RequestKind.STREAMING, event_gap_s=0.3)
@@ -396,3 +396,22 @@
     answer = Answer(status, (), AnswerHead(None, True, False, False, False), None)
     answer.method = method
     assert answer.is_delimited
+
+
+def test_request_whose_inputs_were_gone_draws_on_the_retry_budget(make_harness):
+    gone = Reply(status=409, has_not_run=True)
+    rest = Reply(chunks=(events(1),))
+    harness = make_harness(gone, rest, budget_floor_per_s=0.0)
+
+    async def run():
+        sender = harness.sender()
+        budget = sender._budgets.of(POOL, 0.0)
+        while budget.may_retry(0.0):
+            budget.consume()
+        delivery = harness.delivery(STREAM, (Handle("a/1"),))
+        assert isinstance(await sender.send(delivery), InputsGone)
+        return await sender.send(delivery)
+
+    outcome = run_virtual(run())
+    assert outcome.reason is RefusalReason.RETRY_BUDGET_SPENT
+    assert len(harness.client.sent) == 1
--- a/tests/aspendrift_platform/test_on_emulator.py
+++ b/tests/aspendrift_platform/test_on_emulator.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+from dataclasses import replace
 from types import SimpleNamespace
 
 import httpx
@@ -564,3 +565,24 @@
         assert (await cluster.call(second, "/resume/x", **headers))[1].is_success
 
     run_scenario(scenario, n_gateways=2)
+
+
+def test_retries_of_all_gateways_stay_within_their_common_limit(run_scenario):
+    async def scenario(cluster):
+        extra, window_s = 6.0, 10.0
+        for gateway in cluster.gateways:
+            gateway.apply_settings(
+                replace(gateway.settings, retry_extra=extra, retry_window_s=window_s)
+            )
+        began_at = cluster.gateways[0].clock.monotonic() + 60.0
+        n_retries = 0
+        for step in range(100):
+            now = began_at + step * window_s / 100
+            for gateway in cluster.gateways:
+                budget = gateway.budgets.of("desk", now)
+                while budget.may_retry(now):
+                    budget.consume()
+                    n_retries += 1
+        assert n_retries <= extra
+
+    run_scenario(scenario, n_gateways=3)
