Divide the buckets of retry budgets among the daemons, too

Seen: more arrivals beyond the first of each request than all daemons may make together. Cause: each daemon's part of what flows into a budget was divided by the number of daemons, but its bucket always held ten tokens, so eight daemons could spend 80 at once where 56 and a fifth of the requests are allowed. Evidence: three gateways allowed 18 retries in a window for 6.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -48,7 +48,7 @@
 from aspendrift_policy.addresses import stable_choice
 from aspendrift_policy.leaving import LeavePhase, LeaveProcedure, LeaveTimes
 from aspendrift_policy.poison import PoisonLimits, SuspectTracker
-from aspendrift_policy.retry_budget import RetryBudgets
+from aspendrift_policy.retry_budget import RetryBudgets, RetryLimit
 from aspendrift_policy.stage_times import StageTimeEstimates
 from aspendrift_policy.target_registry import RegistryChange, RegistryChangeKind
 
@@ -61,9 +61,6 @@
 _MEMBER_LIST_INTERVAL_S: Final = 10.0
 _MAX_ADDRESSES: Final = 64
 _METRICS_PATH: Final = "/metrics"
-# Share of the retry budget that is used; the margin covers differing views of the
-# number of daemons.
-_RETRY_BUDGET_SHARE: Final = 0.6
 # Share of a target's connections that is used; the margin covers daemons that are
 # not in view.
 _CONNECTION_SHARE: Final = 0.8
@@ -179,8 +176,8 @@
             policies.scheduler,
             self.links.without_links,
         )
-        self.budgets: RetryBudgets[PoolName] = RetryBudgets(
-            settings.retry_share * _RETRY_BUDGET_SHARE, 0.0
+        self.budgets: RetryBudgets[PoolName] = RetryBudgets.within(
+            _retry_limit(settings), 1
         )
         self.sender = AttemptSender(
             settings.location.zone,
@@ -416,9 +413,7 @@
             cap = min(caps, default=_MIN_CONNECTIONS)
             share = int(cap * _CONNECTION_SHARE / n_daemons)
             self.client.connections_per_target = max(_MIN_CONNECTIONS, share)
-        settings = self.settings
-        per_s = settings.retry_extra / settings.retry_window_s / n_daemons
-        self.budgets.set_floor(per_s * _RETRY_BUDGET_SHARE)
+        self.budgets.divide(_retry_limit(self.settings), n_daemons)
 
     def _on_broken(self, entry: TargetEntry, fingerprint: Fingerprint) -> None:
         """Suspect a content whose target broke, at this daemon and all others."""
@@ -434,6 +429,12 @@
         self.suspects.record_crash(instance_id, [Fingerprint(report.fingerprint)], now)
 
 
+def _retry_limit(settings: GatewaySettings) -> RetryLimit:
+    return RetryLimit(
+        settings.retry_share, settings.retry_extra, settings.retry_window_s
+    )
+
+
 def _peer_settings(settings: GatewaySettings) -> PeerSettings:
     return PeerSettings(
         bind=f"tcp://{settings.ip}:{settings.peer_ports[0]}",
--- a/packages/aspendrift-policy/src/aspendrift_policy/retry_budget.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/retry_budget.py
@@ -1,18 +1,51 @@
-"""Retry budgets: limit retries to a share of the first attempts."""
+"""Retry budgets: limit retries to a share of the first attempts.
+
+A budget is a token bucket. Where all daemons share a limit on the retries within a
+window, each of them gets an equal part of what flows in and of what a bucket holds, so
+that all of them together stay within the limit also when every bucket is full.
+"""
 
 from __future__ import annotations
 
 import random
 from collections import OrderedDict
+from dataclasses import dataclass
 from typing import Final, Generic, TypeVar
 
-__all__ = ["RetryBudget", "RetryBudgets", "backoff_s"]
+__all__ = ["RetryBudget", "RetryBudgets", "RetryLimit", "backoff_s"]
 
 _K = TypeVar("_K")
 _BUCKET_SIZE: Final = 10.0
 _MAX_KEYS: Final = 4096
 _BACKOFF_BASE_S: Final = 0.02
 _BACKOFF_MAX_S: Final = 1.0
+# Shares of a common limit: of the retries for first attempts, and of the constant, as
+# what flows in within a window and as what all buckets hold. The rest covers differing
+# views of the number of daemons.
+_ATTEMPTS_SHARE: Final = 0.6
+_FLOOR_SHARE: Final = 0.2
+_BUCKETS_SHARE: Final = 0.6
+# A bucket that holds less would never allow a retry.
+_MIN_BUCKET_SIZE: Final = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class RetryLimit:
+    """Limit on the retries of all daemons within any window.
+
+    Parameters
+    ----------
+    share : float
+        Retries for each first attempt.
+    extra : float
+        Retries beside these, in each window.
+    window_s : float
+        Length of the window in seconds.
+    """
+
+    share: float
+    extra: float
+    window_s: float
 
 
 class RetryBudget:
@@ -24,22 +57,32 @@
         Tokens added by each first attempt.
     floor_per_s : float
         Tokens added per second.
+    size : float
+        Maximum number of tokens; a new budget has half of it.
     now : float
         Current time in seconds.
     """
 
-    __slots__ = ("_at", "_share", "_tokens", "floor_per_s")
+    __slots__ = ("_at", "_share", "_size", "_tokens", "floor_per_s")
 
-    def __init__(self, share: float, floor_per_s: float, now: float) -> None:
+    def __init__(
+        self, share: float, floor_per_s: float, size: float, now: float
+    ) -> None:
         self._share = share
         self.floor_per_s = floor_per_s
-        self._tokens = _BUCKET_SIZE / 2
+        self._size = size
+        self._tokens = size / 2
         self._at = now
 
+    def set_size(self, size: float) -> None:
+        """Set the maximum number of tokens."""
+        self._size = size
+        self._tokens = min(size, self._tokens)
+
     def record_first_attempt(self, now: float) -> None:
         """Add the tokens of a first attempt."""
         self._refill(now)
-        self._tokens = min(_BUCKET_SIZE, self._tokens + self._share)
+        self._tokens = min(self._size, self._tokens + self._share)
 
     def may_retry(self, now: float) -> bool:
         """Return whether a retry is allowed now, without consuming a token."""
@@ -53,28 +96,47 @@
     def _refill(self, now: float) -> None:
         earned = max(0.0, now - self._at) * self.floor_per_s
         self._at = now
-        self._tokens = min(_BUCKET_SIZE, self._tokens + earned)
+        self._tokens = min(self._size, self._tokens + earned)
 
 
 class RetryBudgets(Generic[_K]):
-    """Budgets by key, with eviction of the least recently used key."""
+    """Budgets by key, with eviction of the least recently used key.
+
+    Parameters
+    ----------
+    share : float
+        Tokens that each first attempt adds to its budget.
+    floor_per_s : float
+        Tokens added to each budget per second.
+    """
 
     def __init__(self, share: float, floor_per_s: float) -> None:
         self._share = share
         self._floor_per_s = floor_per_s
+        self._size = _BUCKET_SIZE
         self._budgets_by_key: OrderedDict[_K, RetryBudget] = OrderedDict()
 
-    def set_floor(self, floor_per_s: float) -> None:
-        """Set the tokens added per second, for all keys."""
-        self._floor_per_s = floor_per_s
+    @classmethod
+    def within(cls, limit: RetryLimit, n_daemons: int) -> RetryBudgets[_K]:
+        """Return one daemon's part of the budgets under a common limit."""
+        budgets = cls(limit.share * _ATTEMPTS_SHARE, 0.0)
+        budgets.divide(limit, n_daemons)
+        return budgets
+
+    def divide(self, limit: RetryLimit, n_daemons: int) -> None:
+        """Apply a common limit's constant and the number of daemons, for all keys."""
+        part = limit.extra / n_daemons
+        self._floor_per_s = part * _FLOOR_SHARE / limit.window_s
+        self._size = max(_MIN_BUCKET_SIZE, part * _BUCKETS_SHARE)
         for budget in self._budgets_by_key.values():
-            budget.floor_per_s = floor_per_s
+            budget.floor_per_s = self._floor_per_s
+            budget.set_size(self._size)
 
     def of(self, key: _K, now: float) -> RetryBudget:
         """Return the budget of a key."""
         budget = self._budgets_by_key.get(key)
         if budget is None:
-            budget = RetryBudget(self._share, self._floor_per_s, now)
+            budget = RetryBudget(self._share, self._floor_per_s, self._size, now)
             self._budgets_by_key[key] = budget
             if len(self._budgets_by_key) > _MAX_KEYS:
                 self._budgets_by_key.popitem(last=False)
