Requests whose inputs were gone draw on the retry budget when sent again

Seen: repeats beyond what is allowed, at a pool that is none of the stage pools by the record's own lines. Cause: a target that rejects a request because its inputs are gone caused the stages to run again and the request to be sent again, up to four times, beside the budget. Evidence: a test with an empty budget sent it again. Why it works: every arrival after the first now needs a token; without one the request is refused as not run, with a time to return.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
@@ -261,12 +261,20 @@
         return chooser
 
     async def send(self, delivery: Delivery) -> RequestOutcome:
-        """Send a request until it has a final outcome."""
+        """Send a request until it has a final outcome, or its inputs are gone.
+
+        It may then be sent again with others, which counts as a retry.
+        """
         routed = delivery.routed
         now = self._clock.monotonic()
+        budget = self._budgets.of(routed.pool, now)
         if not delivery.is_counted:
             delivery.is_counted = True
-            self._budgets.of(routed.pool, now).record_first_attempt(now)
+            budget.record_first_attempt(now)
+        elif budget.may_retry(now):
+            budget.consume()
+        else:
+            return self._budget_spent(delivery)
         while True:
             now = self._clock.monotonic()
             if routed.deadline_at - now < _MIN_REMAINING_S:
@@ -664,6 +672,16 @@
             )
         return Refusal(RefusalReason.TARGET_FAILED, "no other target")
 
+    def _budget_spent(self, delivery: Delivery) -> Served | Refusal:
+        detail = "inputs gone, retry budget spent"
+        if delivery.answer.has_begun:
+            return Served(200, is_cut=True, detail=detail)
+        if delivery.n_run == 0:
+            return Refusal(
+                RefusalReason.RETRY_BUDGET_SPENT, detail, _SHORT_RETRY_AFTER_S
+            )
+        return Refusal(RefusalReason.TARGET_FAILED, detail)
+
     def _quarantined(self, delivery: Delivery, parts: str) -> Served | Refusal:
         if delivery.answer.has_begun:
             return Served(200, is_cut=True, detail=f"quarantined parts {parts}")
