--- a/tests/aspendrift_platform/scripted_target.py
+++ b/tests/aspendrift_platform/scripted_target.py
@@ -10,6 +10,9 @@
 
 from platform_emulator import free_address
 
+# Bounds the memory of a caller that keeps all that it gets.
+MAX_REPEATED_BYTES = 64 * 1024 * 1024
+
 
 @dataclass(frozen=True)
 class Script:
@@ -26,7 +29,10 @@
     resets : bool
         Whether the connection is reset rather than closed.
     repeats : bool
-        Whether the body is sent again and again until the caller closes.
+        Whether the body is sent again and again until the caller closes, or until
+        ``MAX_REPEATED_BYTES`` were sent; it never ends.
+    repeats_head : bool
+        Whether this is so for a header line instead.
     """
 
     body: bytes
@@ -34,6 +40,7 @@
     crashes: bool = False
     resets: bool = False
     repeats: bool = False
+    repeats_head: bool = False
     status: bytes = b"200 OK"
     is_signed: bool = True
 
@@ -48,6 +55,7 @@
         self.address = free_address()
         self.scripts = []
         self.last_event_ids = []
+        # Of the largest answer.
         self.n_bytes_sent = 0
         self._server = None
 
@@ -84,14 +92,20 @@
         await reader.readexactly(int(headers.get("content-length", "0")))
         self.last_event_ids.append(headers.get("last-event-id"))
         script = self.scripts.pop(0)
-        attempt_id = headers["attempt-id"].encode()
+        attempt_id = headers.get("attempt-id", "").encode()
         writer.write(b"HTTP/1.1 %s\r\nAttempt-Id: %s\r\n" % (script.status, attempt_id))
         if script.is_signed:
             writer.write(b"Response-Signature: %s.s\r\n" % self.name.encode())
         if script.framing:
             writer.write(script.framing + b"\r\n")
+        if script.repeats_head:
+            await self._repeat(reader, writer, b"X-Filler: %s\r\n" % (b"x" * 1000))
         writer.write(b"\r\n")
-        await self._send_body(writer, script, script.body.replace(b"{id}", attempt_id))
+        body = script.body.replace(b"{id}", attempt_id)
+        if script.repeats:
+            await self._repeat(reader, writer, body)
+        writer.write(body)
+        await writer.drain()
         if script.crashes:
             self._server.close()
         if script.resets:
@@ -102,12 +116,13 @@
             writer.close()
             raise ConnectionError("the script is over")
 
-    async def _send_body(self, writer, script, body):
-        writer.write(body)
-        await writer.drain()
-        self.n_bytes_sent += len(body)
-        while script.repeats:
-            writer.write(body)
+    async def _repeat(self, reader, writer, part):
+        """Send a part until the caller closes the connection."""
+        n_sent = 0
+        while n_sent < MAX_REPEATED_BYTES:
+            writer.write(part)
+            n_sent += len(part)
+            self.n_bytes_sent = max(self.n_bytes_sent, n_sent)
             await writer.drain()
-            self.n_bytes_sent += len(body)
-            await asyncio.sleep(0)
+        await reader.read()
+        raise ConnectionError("the caller closed the connection")
