Break off answers and events of targets that exceed a size

Cause: what a target sends was bounded by the deadline of the request, not in size, and kept until then.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
@@ -13,7 +13,7 @@
 from aspendrift_daemon.events import EventHub
 from aspendrift_daemon.interfaces import Clock
 from aspendrift_gateway.caller_answer import CallerAnswer, end_to_end_headers
-from aspendrift_gateway.event_relay import EventRelay
+from aspendrift_gateway.event_relay import EventRelay, EventTooLarge
 from aspendrift_gateway.events import (
     AttemptEnded,
     AttemptSent,
@@ -30,7 +30,13 @@
 from aspendrift_gateway.refusals import POISON_RETRY_AFTER_S, Refusal
 from aspendrift_gateway.stream_pace import StreamPace
 from aspendrift_gateway.system_state import SystemState
-from aspendrift_gateway.target_client import Answer, Broken, NotSent, TargetClient
+from aspendrift_gateway.target_client import (
+    Answer,
+    AnswerTooLarge,
+    Broken,
+    NotSent,
+    TargetClient,
+)
 from aspendrift_model.ids import (
     AccountId,
     AttemptId,
@@ -478,15 +484,17 @@
         self, delivery: Delivery, entry: TargetEntry, answer: Answer
     ) -> Served | _FailedAttempt:
         """Read a complete answer, then send it to the caller."""
-        try:
-            body = b"".join([chunk async for chunk in answer.chunks()])
-        except (httpx.HTTPError, OSError) as error:
-            self._report_broken(entry, delivery)
-            return _FailedAttempt(AttemptVerdict.BROKEN, type(error).__name__, True)
         if not answer.head.is_signed:
             return _FailedAttempt(
                 AttemptVerdict.SPOILED, f"status {answer.status}", True
             )
+        try:
+            body = await answer.body()
+        except AnswerTooLarge as error:
+            return _FailedAttempt(AttemptVerdict.SPOILED, str(error), True)
+        except (httpx.HTTPError, OSError) as error:
+            self._report_broken(entry, delivery)
+            return _FailedAttempt(AttemptVerdict.BROKEN, type(error).__name__, True)
         if not await self._is_end_certain(entry, answer):
             self._report_broken(entry, delivery)
             return _FailedAttempt(AttemptVerdict.BROKEN, _UNCONFIRMED_END, True)
@@ -537,6 +545,8 @@
         except (httpx.HTTPError, OSError) as error:
             self._report_broken(entry, delivery)
             return self._stream_broke(delivery, type(error).__name__)
+        except EventTooLarge as error:
+            return self._stream_broke(delivery, str(error))
         problem = await self._stream_end_problem(delivery, entry, answer)
         if problem:
             self._report_broken(entry, delivery)
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/handover.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/handover.py
@@ -23,7 +23,12 @@
 from aspendrift_gateway.interfaces import CallerCodec, HttpCall
 from aspendrift_gateway.link_exchange import LinkExchange
 from aspendrift_gateway.refusals import Refusal
-from aspendrift_gateway.target_client import Answer, NotSent, TargetClient
+from aspendrift_gateway.target_client import (
+    Answer,
+    AnswerTooLarge,
+    NotSent,
+    TargetClient,
+)
 from aspendrift_model.hosts import Host
 from aspendrift_model.ids import PoolName, SoftwareVersion, TargetId
 from aspendrift_model.routes import RequestKind
@@ -168,14 +173,14 @@
                 if not delivery.answer.has_begun:
                     await delivery.answer.begin(answer.status, headers)
             else:
-                body = b"".join([chunk async for chunk in answer.chunks()])
+                body = await answer.body()
                 if delivery.n_run and answer.status in _NOT_RUN_STATUSES:
                     detail = f"status {answer.status} after an attempt"
                     return Refusal(RefusalReason.TARGET_FAILED, detail)
                 headers = end_to_end_headers(answer.headers, len(body))
                 await delivery.answer.begin(answer.status, headers)
                 await delivery.answer.send(body)
-        except (httpx.HTTPError, OSError) as error:
+        except (httpx.HTTPError, OSError, AnswerTooLarge) as error:
             detail = type(error).__name__
             if delivery.answer.has_begun:
                 return Served(200, is_cut=True, detail=detail)
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final, TypeAlias
 
 import httpx
@@ -26,6 +26,7 @@
 
 __all__ = [
     "Answer",
+    "AnswerTooLarge",
     "Broken",
     "CompleteAnswer",
     "NotSent",
@@ -46,6 +47,9 @@
 # connection for this long.
 _NO_REUSE_S: Final = 10.0
 _FRAMING_HEADERS: Final = frozenset({b"content-length", b"transfer-encoding"})
+# Bytes of one answer that is read as a whole, and of all of them that are being read.
+_MAX_BODY_BYTES: Final = 16 * 1024 * 1024
+_MAX_BUFFERED_BYTES: Final = 64 * 1024 * 1024
 _NOT_SENT: Final = (httpx.ConnectError, httpx.ConnectTimeout)
 _STATUSES_WITHOUT_BODY: Final = frozenset({204, 304})
 
@@ -64,6 +68,32 @@
     detail: str
 
 
+class AnswerTooLarge(Exception):
+    """A target sent more than this process keeps of an answer."""
+
+
+class _Buffers:
+    """Counts the bytes of the answers that are being read as a whole."""
+
+    def __init__(self) -> None:
+        self._n_bytes = 0
+
+    async def read(self, chunks: AsyncIterator[bytes]) -> bytes:
+        """Return all bytes; raises `AnswerTooLarge` if they are too many."""
+        body = bytearray()
+        try:
+            async for chunk in chunks:
+                body += chunk
+                self._n_bytes += len(chunk)
+                if len(body) > _MAX_BODY_BYTES:
+                    raise AnswerTooLarge(f"over {_MAX_BODY_BYTES} bytes")
+                if self._n_bytes > _MAX_BUFFERED_BYTES:
+                    raise AnswerTooLarge("buffers of answers are full")
+        finally:
+            self._n_bytes -= len(body)
+        return bytes(body)
+
+
 @dataclass(slots=True)
 class Answer:
     """The head of an answer whose body is not read yet."""
@@ -73,6 +103,7 @@
     head: AnswerHead
     response: httpx.Response
     method: str = "POST"
+    buffers: _Buffers = field(default_factory=_Buffers)
 
     @property
     def is_delimited(self) -> bool:
@@ -88,6 +119,10 @@
         async for chunk in stream:
             yield chunk
 
+    async def body(self) -> bytes:
+        """Return the whole body; raises `AnswerTooLarge` or ``httpx.HTTPError``."""
+        return await self.buffers.read(self.chunks())
+
     async def close(self) -> None:
         """End the exchange; an incomplete answer closes the connection."""
         await self.response.aclose()
@@ -136,6 +171,7 @@
         self._on_leaving = on_leaving
         self._by_id: dict[TargetId, tuple[str, _Connections]] = {}
         self._closing: set[asyncio.Task[None]] = set()
+        self._buffers = _Buffers()
         self.connections_per_target = 16
 
     async def close(self) -> None:
@@ -190,7 +226,14 @@
         head = self.codec.answer_head(response.status_code, answer_headers)
         if head.is_leaving:
             self._on_leaving(entry.key)
-        return Answer(response.status_code, answer_headers, head, response, call.method)
+        return Answer(
+            response.status_code,
+            answer_headers,
+            head,
+            response,
+            call.method,
+            self._buffers,
+        )
 
     async def accepts_connections(self, entry: TargetEntry) -> bool:
         """Return whether a target accepts a new connection, which is closed at once.
@@ -215,7 +258,9 @@
         if not isinstance(answer, Answer):
             return answer
         try:
-            body = b"".join([chunk async for chunk in answer.chunks()])
+            body = await answer.body()
+        except AnswerTooLarge as error:
+            return Broken(str(error))
         except (httpx.HTTPError, OSError) as error:
             return Broken(type(error).__name__)
         finally:
