Count a handover before it is sent; bound reports of lost links

Found by reading: a request that was being handed over when its daemon was told to end counted as not sent, and could have been refused as not run while the other daemon ran it. Evidence: a new test counted no attempt before. Reports of lost links are sent at most 100 a second (350 daemons: every 3.5 s, each valid for three intervals), so that control traffic stays within its limit; up to 100 daemons nothing changes. Not measured.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/handover.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/handover.py
@@ -142,13 +142,14 @@
         target_path = request.target_path.decode("latin-1")
         call = HttpCall(request.method, target_path, request.body)
         entry = _entry(peer)
+        # Counted before it is sent: whatever ends this task then, it may have run.
+        delivery.progress.count_attempt()
         try:
             async with asyncio.timeout(left_s):
                 now = self._clock.monotonic()
                 answer = await self._client.send(entry, call, headers, now)
                 if isinstance(answer, NotSent):
                     return answer
-                delivery.progress.count_attempt()
                 if not isinstance(answer, Answer):
                     return Refusal(RefusalReason.OUTCOME_UNKNOWN, answer.detail)
                 try:
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/link_exchange.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/link_exchange.py
@@ -24,6 +24,7 @@
     LinkHealth,
     PeersWithoutLinks,
     choose_probes,
+    report_interval_s,
     without_links,
 )
 
@@ -32,7 +33,6 @@
 LINKS_TOPIC: Final = "n"
 
 _STEP_INTERVAL_S: Final = 0.1
-_REPORT_INTERVAL_S: Final = 1.0
 
 
 class LinkExchange:
@@ -114,8 +114,10 @@
         if self._health.is_probe_due(now):
             self._health.probe_began(now)
             self._probe = asyncio.create_task(self._probe_targets())
-        if self.is_lost and now - self._reported_at >= _REPORT_INTERVAL_S:
-            self._report(now)
+        if self.is_lost:
+            interval_s = report_interval_s(len(self._link.live_ids()))
+            if now - self._reported_at >= interval_s:
+                self._report(now)
 
     async def _step_forever(self) -> None:
         while True:
@@ -151,5 +153,6 @@
         if origin == self._link.host.daemon_id:
             return
         now = self._clock.monotonic()
-        if self._peers.reported(origin, message.is_lost, now):
+        n_daemons = len(self._link.live_ids())
+        if self._peers.reported(origin, message.is_lost, n_daemons, now):
             self._events.emit(PeerLinksChanged(origin, message.is_lost))
--- a/packages/aspendrift-gateway/tests/test_handover.py
+++ b/packages/aspendrift-gateway/tests/test_handover.py
@@ -76,35 +76,35 @@
         ]
 
     def send(self, found_route=ONCE, **changes):
-        async def run():
-            clock = VirtualClock(asyncio.get_running_loop())
-            handover = Handover(
-                self.link,
-                self.links,
-                self.client,
-                Codec(),
-                clock,
-                EventHub(),
-                random.Random(0),
-            )
-            now = clock.monotonic()
-            routed = RoutedRequest(
-                request(**changes),
-                found_route,
-                POOL,
-                None,
-                0,
-                Fingerprint("f"),
-                now,
-                now + 2.0,
-                now + 2.0,
-            )
-            self.delivery = Delivery(routed, self.answer, FakeProgress())
-            self.delivery.n_run = self.n_run
-            self.is_due = handover.is_due(self.delivery)
-            return await handover.send(self.delivery)
-
-        return run_virtual(run())
+        return run_virtual(self.run(found_route, **changes))
+
+    async def run(self, found_route=ONCE, **changes):
+        clock = VirtualClock(asyncio.get_running_loop())
+        handover = Handover(
+            self.link,
+            self.links,
+            self.client,
+            Codec(),
+            clock,
+            EventHub(),
+            random.Random(0),
+        )
+        now = clock.monotonic()
+        routed = RoutedRequest(
+            request(**changes),
+            found_route,
+            POOL,
+            None,
+            0,
+            Fingerprint("f"),
+            now,
+            now + 2.0,
+            now + 2.0,
+        )
+        self.delivery = Delivery(routed, self.answer, FakeProgress())
+        self.delivery.n_run = self.n_run
+        self.is_due = handover.is_due(self.delivery)
+        return await handover.send(self.delivery)
 
 
 def test_answer_of_the_other_daemon_is_forwarded_whole():
@@ -222,3 +222,16 @@
     world.links.is_lost = False
     world.send()
     assert not world.is_due
+
+
+def test_request_counts_as_sent_before_the_other_daemon_answers():
+    world = World(Reply(delay_s=5.0))
+
+    async def run():
+        task = asyncio.create_task(world.run())
+        await asyncio.sleep(0.5)
+        task.cancel()
+        await asyncio.wait({task})
+
+    run_virtual(run())
+    assert world.delivery.progress.n_sent == 1
--- a/packages/aspendrift-policy/src/aspendrift_policy/link_health.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/link_health.py
@@ -16,14 +16,24 @@
 from aspendrift_model.ids import DaemonId, PoolName
 from aspendrift_model.target_entries import TargetEntry
 
-__all__ = ["LinkHealth", "PeersWithoutLinks", "choose_probes", "without_links"]
+__all__ = [
+    "LinkHealth",
+    "PeersWithoutLinks",
+    "choose_probes",
+    "report_interval_s",
+    "without_links",
+]
 
 # A target answers a stage call or a short request within this time.
 _SILENCE_S: Final = 0.5
 _PROBE_INTERVAL_S: Final = 0.5
 _MAX_PROBES: Final = 5
-# A daemon that said to have lost its links says so again well within this time.
-_LOST_VALID_S: Final = 3.0
+# Reports of one daemon to all others: the minimum interval, and the messages a second
+# that bound it among hundreds of daemons.
+_MIN_REPORT_INTERVAL_S: Final = 1.0
+_REPORTS_PER_S: Final = 100.0
+# A report holds for this many intervals, since some are lost.
+_VALID_INTERVALS: Final = 3.0
 
 
 def choose_probes(
@@ -45,6 +55,11 @@
     return chosen[:_MAX_PROBES]
 
 
+def report_interval_s(n_daemons: int) -> float:
+    """Return how often a daemon says that its links are lost."""
+    return max(_MIN_REPORT_INTERVAL_S, n_daemons / _REPORTS_PER_S)
+
+
 class LinkHealth:
     """Whether this daemon reaches any target, from its exchanges and from probes."""
 
@@ -100,11 +115,15 @@
     def __init__(self) -> None:
         self._until_by_id: dict[DaemonId, float] = {}
 
-    def reported(self, daemon_id: DaemonId, is_lost: bool, now: float) -> bool:
+    def reported(
+        self, daemon_id: DaemonId, is_lost: bool, n_daemons: int, now: float
+    ) -> bool:
         """Record what a daemon says of its links; return whether that is a change."""
         was_lost = self._until_by_id.pop(daemon_id, float("-inf")) > now
         if is_lost:
-            self._until_by_id[daemon_id] = now + _LOST_VALID_S
+            self._until_by_id[daemon_id] = now + _VALID_INTERVALS * report_interval_s(
+                n_daemons
+            )
         return was_lost is not is_lost
 
     def lost(self, now: float) -> frozenset[DaemonId]:
--- a/packages/aspendrift-policy/tests/test_link_health.py
+++ b/packages/aspendrift-policy/tests/test_link_health.py
@@ -12,6 +12,7 @@
     LinkHealth,
     PeersWithoutLinks,
     choose_probes,
+    report_interval_s,
     without_links,
 )
 
@@ -108,15 +109,26 @@
 
 def test_lost_peer_counts_until_it_says_otherwise_or_falls_silent():
     peers = PeersWithoutLinks()
-    assert peers.reported(A, True, 0.0)
-    assert not peers.reported(A, True, 1.0)
+    assert peers.reported(A, True, 8, 0.0)
+    assert not peers.reported(A, True, 8, 1.0)
     assert peers.lost(3.5) == {A}
     assert peers.lost(4.5) == frozenset()
-    peers.reported(B, True, 5.0)
-    assert peers.reported(B, False, 5.1)
+    peers.reported(B, True, 8, 5.0)
+    assert peers.reported(B, False, 8, 5.1)
     assert peers.lost(5.2) == frozenset()
 
 
+@pytest.mark.parametrize("n_daemons", [2, 8, 100, 350])
+def test_reports_stay_below_a_hundred_messages_a_second_and_hold_until_the_next(
+    n_daemons,
+):
+    interval_s = report_interval_s(n_daemons)
+    assert n_daemons / interval_s <= 100.0
+    peers = PeersWithoutLinks()
+    peers.reported(A, True, n_daemons, 0.0)
+    assert peers.lost(2.0 * interval_s) == {A}
+
+
 def test_no_daemon_is_left_out_if_all_have_lost_their_links():
     assert without_links(frozenset({A}), [A, B]) == {A}
     assert without_links(frozenset({A, B}), [A, B]) == frozenset()
