One function for the outcome of a request that is not sent again

The budget that is spent and the handover had each written again what attempts and the request path already decided in four places: cut if the answer has begun, not run if no attempt may have run, failed otherwise. Delivery.unserved and Delivery.past_deadline now serve all of them, but for the case of no target, whose details differ.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
@@ -202,6 +202,33 @@
         """Last event that the caller has; None if no event of the stream was sent."""
         return self.relay.last_event_id or self.routed.request.last_event_id
 
+    def unserved(
+        self,
+        detail: str,
+        not_run: Refusal,
+        may_have_run: RefusalReason = RefusalReason.TARGET_FAILED,
+    ) -> Served | Refusal:
+        """Return the outcome of the request if it is not sent again.
+
+        Parameters
+        ----------
+        not_run : Refusal
+            The outcome if no attempt may have run.
+        may_have_run : RefusalReason
+            The reason if one may have.
+        """
+        if self.answer.has_begun:
+            return Served(200, is_cut=True, detail=detail)
+        return Refusal(may_have_run, detail) if self.n_run else not_run
+
+    def past_deadline(self) -> Served | Refusal:
+        """Return the outcome of the request after its deadline."""
+        return self.unserved(
+            "deadline",
+            Refusal(RefusalReason.DEADLINE_UNREACHABLE, "deadline"),
+            RefusalReason.DEADLINE_EXCEEDED,
+        )
+
 
 class AttemptSender:
     """Chooses targets, sends requests, classifies answers and decides on retries.
@@ -280,14 +307,20 @@
         elif budget.may_retry(now):
             budget.consume()
         else:
-            return self._budget_spent(delivery)
+            detail = "inputs gone, retry budget spent"
+            reason = RefusalReason.RETRY_BUDGET_SPENT
+            refusal = Refusal(reason, detail, _SHORT_RETRY_AFTER_S)
+            return delivery.unserved(detail, refusal)
         while True:
             now = self._clock.monotonic()
             if routed.deadline_at - now < _MIN_REMAINING_S:
-                return self._past_deadline(delivery)
+                return delivery.past_deadline()
             parts = self._prompts.refuses(routed.request)
             if parts is not None:
-                return self._quarantined(delivery, parts)
+                return delivery.unserved(
+                    f"quarantined parts {parts}",
+                    Refusal(RefusalReason.POISON, parts, POISON_RETRY_AFTER_S),
+                )
             entry = self._choose(delivery, now)
             if entry is None:
                 return self._no_target(delivery)
@@ -656,22 +689,14 @@
     def _final_outcome(
         self, delivery: Delivery, result: _FailedAttempt
     ) -> Served | Refusal:
-        if delivery.answer.has_begun:
-            return Served(200, is_cut=True, detail=result.detail)
-        if delivery.n_run == 0:
-            return Refusal(
-                RefusalReason.OVERLOADED, result.detail, _SHORT_RETRY_AFTER_S
-            )
-        if result.verdict is AttemptVerdict.TIMED_OUT:
-            return Refusal(RefusalReason.DEADLINE_EXCEEDED, result.detail)
-        return Refusal(RefusalReason.TARGET_FAILED, result.detail)
-
-    def _past_deadline(self, delivery: Delivery) -> Served | Refusal:
-        if delivery.answer.has_begun:
-            return Served(200, is_cut=True, detail="deadline")
-        if delivery.n_run == 0:
-            return Refusal(RefusalReason.DEADLINE_UNREACHABLE, "deadline")
-        return Refusal(RefusalReason.DEADLINE_EXCEEDED, "deadline")
+        detail = result.detail
+        return delivery.unserved(
+            detail,
+            Refusal(RefusalReason.OVERLOADED, detail, _SHORT_RETRY_AFTER_S),
+            RefusalReason.DEADLINE_EXCEEDED
+            if result.verdict is AttemptVerdict.TIMED_OUT
+            else RefusalReason.TARGET_FAILED,
+        )
 
     def _no_target(self, delivery: Delivery) -> Served | Refusal:
         if delivery.answer.has_begun:
@@ -682,23 +707,6 @@
             )
         return Refusal(RefusalReason.TARGET_FAILED, "no other target")
 
-    def _budget_spent(self, delivery: Delivery) -> Served | Refusal:
-        detail = "inputs gone, retry budget spent"
-        if delivery.answer.has_begun:
-            return Served(200, is_cut=True, detail=detail)
-        if delivery.n_run == 0:
-            return Refusal(
-                RefusalReason.RETRY_BUDGET_SPENT, detail, _SHORT_RETRY_AFTER_S
-            )
-        return Refusal(RefusalReason.TARGET_FAILED, detail)
-
-    def _quarantined(self, delivery: Delivery, parts: str) -> Served | Refusal:
-        if delivery.answer.has_begun:
-            return Served(200, is_cut=True, detail=f"quarantined parts {parts}")
-        if delivery.n_run == 0:
-            return Refusal(RefusalReason.POISON, parts, POISON_RETRY_AFTER_S)
-        return Refusal(RefusalReason.TARGET_FAILED, f"quarantined parts {parts}")
-
     def _report_broken(self, entry: TargetEntry, delivery: Delivery) -> None:
         routed = delivery.routed
         parts = tuple(part.part_id for part in routed.request.prompt)
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/handover.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/handover.py
@@ -98,7 +98,7 @@
             began_at = self._clock.monotonic()
             left_s = delivery.routed.deadline_at - began_at
             if left_s < _MIN_REMAINING_S:
-                return _past_deadline(delivery)
+                return delivery.past_deadline()
             self._events.emit(
                 RequestHandedOver(request.attempt_id, peer.daemon_id, left_s)
             )
@@ -113,9 +113,8 @@
             )
             if not isinstance(outcome, NotSent):
                 return outcome
-        if delivery.n_run:
-            return Refusal(RefusalReason.TARGET_FAILED, detail)
-        return Refusal(RefusalReason.NO_TARGET, detail, _LINKS_RETURN_S)
+        refusal = Refusal(RefusalReason.NO_TARGET, detail, _LINKS_RETURN_S)
+        return delivery.unserved(detail, refusal)
 
     def _peers(self) -> list[Host]:
         """Return the daemons that reach targets, in random order."""
@@ -190,12 +189,6 @@
         return Served(answer.status, is_handed_over=True)
 
 
-def _past_deadline(delivery: Delivery) -> Refusal:
-    if delivery.n_run:
-        return Refusal(RefusalReason.DEADLINE_EXCEEDED, "deadline")
-    return Refusal(RefusalReason.DEADLINE_UNREACHABLE, "deadline")
-
-
 def _entry(peer: Host) -> TargetEntry:
     """Return a daemon in the form in which the client knows what it connects to."""
     key = TargetKey(TargetId(peer.daemon_id), peer.incarnation)
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
@@ -412,11 +412,8 @@
 
     def _abandon(self, delivery: Delivery, detail: str) -> Served | Refusal:
         """Return the outcome of a request that can't be continued but may have run."""
-        if delivery.answer.has_begun:
-            return Served(200, is_cut=True, detail=detail)
-        if delivery.n_run:
-            return Refusal(RefusalReason.TARGET_FAILED, detail)
-        return Refusal(RefusalReason.NO_TARGET, detail, _SHORT_RETRY_AFTER_S)
+        refusal = Refusal(RefusalReason.NO_TARGET, detail, _SHORT_RETRY_AFTER_S)
+        return delivery.unserved(detail, refusal)
 
     async def _refuse(
         self, request: OpaqueRequest, refusal: Refusal, answer: CallerAnswer
