--- a/tests/aspendrift_platform/scripted_target.py
+++ b/tests/aspendrift_platform/scripted_target.py
@@ -10,10 +10,17 @@
 
 from platform_emulator import free_address
 
+CHUNKED = b"Transfer-Encoding: chunked"
 # Bounds the memory of a caller that keeps all that it gets.
 MAX_REPEATED_BYTES = 64 * 1024 * 1024
 
 
+def chunks(*parts, ends=True):
+    """Return a body in chunks, without the last one unless it ``ends``."""
+    sent = b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in parts)
+    return sent + (b"0\r\n\r\n" if ends else b"")
+
+
 @dataclass(frozen=True)
 class Script:
     """What the target sends to one request, and how its connection ends.
@@ -126,3 +133,31 @@
             await writer.drain()
         await reader.read()
         raise ConnectionError("the caller closed the connection")
+
+
+class ScriptedPool:
+    """A gateway before two scripted targets of one pool."""
+
+    def __init__(self, cluster, targets):
+        self.cluster = cluster
+        self.targets = targets
+
+    def script(self, first, *others):
+        """Give both targets these answers, in the order of the attempts."""
+        scripts = [first, *others]
+        for target in self.targets:
+            target.scripts = scripts
+
+    async def call(self, path):
+        (gateway,) = self.cluster.gateways
+        return (await self.cluster.call(gateway, path))[1]
+
+    async def until_listed(self):
+        (gateway,) = self.cluster.gateways
+        pool = self.targets[0].service
+        await self.cluster.until(
+            lambda: (
+                {each.key.target_id for each in gateway.state.registry.usable(pool)}
+                == {each.name for each in self.targets}
+            )
+        )
--- a/tests/aspendrift_platform/test_answer_ends.py
+++ b/tests/aspendrift_platform/test_answer_ends.py
@@ -2,83 +2,15 @@
 
 from __future__ import annotations
 
-import asyncio
-
 import httpx
 import pytest
-from emulated_world import Cluster
-from scripted_target import Script, ScriptedTarget
-
-CHUNKED = b"Transfer-Encoding: chunked"
+from scripted_target import CHUNKED, Script, chunks
 
 
 def events(*numbers):
     return b"".join(b"id: %d\ndata: x\n\n" % number for number in numbers)
 
 
-def chunks(*parts, ends=True):
-    sent = b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in parts)
-    return sent + (b"0\r\n\r\n" if ends else b"")
-
-
-class _World:
-    """A gateway before two scripted targets of one pool."""
-
-    def __init__(self, cluster, targets):
-        self.cluster = cluster
-        self.targets = targets
-
-    def script(self, first, *others):
-        """Give both targets these answers, in the order of the attempts."""
-        scripts = [first, *others]
-        for target in self.targets:
-            target.scripts = scripts
-
-    async def call(self, path):
-        (gateway,) = self.cluster.gateways
-        return (await self.cluster.call(gateway, path))[1]
-
-    async def until_listed(self):
-        (gateway,) = self.cluster.gateways
-        pool = self.targets[0].service
-        await self.cluster.until(
-            lambda: (
-                {each.key.target_id for each in gateway.state.registry.usable(pool)}
-                == {each.name for each in self.targets}
-            )
-        )
-
-
-@pytest.fixture
-def run_scripted():
-    """Run a scenario against targets that send scripted bytes."""
-
-    def run(service, scenario):
-        async def main():
-            cluster = Cluster()
-            targets = []
-            try:
-                await cluster.start()
-                for name in ("0", "1"):
-                    cluster.platform.store.remove("servers", f"{service}-{name}")
-                    target = ScriptedTarget(
-                        cluster.platform.store, f"scripted-{name}", service
-                    )
-                    targets.append(target)
-                    await target.start()
-                world = _World(cluster, targets)
-                await world.until_listed()
-                await scenario(world)
-            finally:
-                for target in targets:
-                    await target.stop()
-                await cluster.stop()
-
-        asyncio.run(main())
-
-    return run
-
-
 @pytest.mark.parametrize(
     "body",
     [events(1, 2), events(1) + b"id: 2\nda"],
--- a/tests/aspendrift_platform/test_endless_answers.py
+++ b/tests/aspendrift_platform/test_endless_answers.py
@@ -3,10 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from scripted_target import MAX_REPEATED_BYTES, Script
-from test_answer_ends import CHUNKED, chunks, run_scripted
-
-__all__ = ["run_scripted"]
+from scripted_target import CHUNKED, MAX_REPEATED_BYTES, Script, chunks
 
 FILLER = b"x" * 100_000
 
--- a/tests/aspendrift_platform/test_lost_links.py
+++ b/tests/aspendrift_platform/test_lost_links.py
@@ -6,7 +6,7 @@
 
 import httpx
 import pytest
-from emulated_world import Cluster, complete_stream
+from emulated_world import complete_stream
 
 from aspendrift_gateway.interfaces import AddressQuery
 from aspendrift_model.ids import ZoneName
@@ -56,25 +56,6 @@
         self.client.accepts_connections = self._accepts
 
 
-@pytest.fixture
-def run_scenario():
-    """Run a scenario on three gateways, which are stopped afterwards."""
-
-    def run(scenario):
-        async def main():
-            cluster = Cluster()
-            try:
-                await cluster.start(3)
-                await scenario(cluster)
-                assert cluster.platform.records.violations == []
-            finally:
-                await cluster.stop()
-
-        asyncio.run(main())
-
-    return run
-
-
 async def until_served(cluster, gateway, path):
     """Call until an answer is served; the detection of a cut takes a moment."""
     async with asyncio.timeout(20.0):
@@ -102,7 +83,7 @@
         assert answer.text == complete_stream(attempt_id)
         assert ran[attempt_id] == 1
 
-    run_scenario(scenario)
+    run_scenario(scenario, n_gateways=3)
 
 
 def test_owners_without_links_hand_their_pools_to_others(run_scenario):
@@ -114,7 +95,7 @@
             attempt_id, answer = await cluster.stream(cluster.gateways[2])
             assert answer.text == complete_stream(attempt_id)
 
-    run_scenario(scenario)
+    run_scenario(scenario, n_gateways=3)
 
 
 def test_gateway_without_links_leaves_the_addresses_until_they_are_back(run_scenario):
@@ -134,7 +115,7 @@
         attempt_id, answer = await cluster.call(stranded, "/safe/b")
         assert answer.text == f"answer to {attempt_id}"
 
-    run_scenario(scenario)
+    run_scenario(scenario, n_gateways=3)
 
 
 def test_callers_are_refused_at_once_if_no_gateway_has_links(run_scenario):
@@ -151,4 +132,4 @@
         query = AddressQuery(ZoneName("z1"))
         assert len(cluster.gateways[0].addresses(query)) == 3
 
-    run_scenario(scenario)
+    run_scenario(scenario, n_gateways=3)
--- a/tests/aspendrift_platform/test_on_emulator.py
+++ b/tests/aspendrift_platform/test_on_emulator.py
@@ -9,31 +9,12 @@
 
 import httpx
 import pytest
-from emulated_world import WAIT_TIMEOUT_S, Cluster, complete_stream, target_name
+from emulated_world import WAIT_TIMEOUT_S, complete_stream, target_name
 
 from aspendrift_gateway.interfaces import AddressQuery
 from aspendrift_model.ids import ZoneName
 
 
-@pytest.fixture
-def run_scenario():
-    """Run a scenario on a test cluster, which is stopped afterwards."""
-
-    def run(scenario, n_gateways=1):
-        async def main():
-            cluster = Cluster()
-            try:
-                await cluster.start(n_gateways)
-                await scenario(cluster)
-                assert cluster.platform.records.violations == []
-            finally:
-                await cluster.stop()
-
-        asyncio.run(main())
-
-    return run
-
-
 def test_answers_are_the_targets_own(run_scenario):
     async def scenario(cluster):
         (gateway,) = cluster.gateways
