Decode pace of a target's machine, cold time, limits and evacuations

A load report with a fourth figure was dropped without a log line, so that every estimate of a load rested on the daemon's own requests. Fields that a later version appends are read past now, and what can't be read is passed on for a log line. The time that a target stays cold, what a cold target tolerates, the limit that a target states for all daemons and rows that evacuate a zone are decoded; nothing uses them yet.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/interfaces.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/interfaces.py
@@ -118,11 +118,19 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """Running and waiting requests of a target, and its number of slots."""
+    """Running and waiting requests of a target, and its number of slots.
+
+    Parameters
+    ----------
+    slowdown : float
+        How long work takes on the machine of the target at this moment, relative to
+        the usual time. It changes many times a second.
+    """
 
     n_running: int
     n_waiting: int
     n_slots: int
+    slowdown: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,6 +150,11 @@
         Time after which the target closes an idle connection.
     is_leaving : bool
         Whether the target says that it leaves and wants no new work.
+    requests_per_s : float or None
+        Requests per second that the target takes from all daemons together, if it
+        limits them.
+    unreadable : str
+        Name and value of a header that could not be decoded; empty if there was none.
     """
 
     attempt_id: AttemptId | None
@@ -152,6 +165,8 @@
     load: LoadReport | None = None
     keep_alive_s: float | None = None
     is_leaving: bool = False
+    requests_per_s: float | None = None
+    unreadable: str = ""
 
 
 class TargetCodec(Protocol):
@@ -236,6 +251,9 @@
     configuration_key: str
     targets_table: str
 
+    def evacuated_zone(self, key: str) -> ZoneName | None:
+        """Return the zone that a row of the configuration table evacuates, if any."""
+
     def read(self, table: str, after: str | None = None) -> HttpCall:
         """Encode a read of a table's rows after a key."""
 
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/settings.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/settings.py
@@ -45,6 +45,11 @@
     retry_share, retry_window_s, retry_extra : float
         Retry budget of all daemons for one pool: a share of its requests within a
         window, plus a constant.
+    evacuation_s : float
+        Time in which an accepted evacuation must be in force at each daemon.
+    cold_overrun, cold_slack : float
+        Requests that all daemons together may send a cold target within one second: a
+        multiple of the rate that it tolerates, plus a constant.
     """
 
     daemon_id: DaemonId
@@ -66,3 +71,6 @@
     retry_extra: float
     max_files: int
     policies: PolicyKind = PolicyKind.LEARNED
+    evacuation_s: float = 5.0
+    cold_overrun: float = 1.0
+    cold_slack: float = 0.0
--- a/packages/aspendrift-model/src/aspendrift_model/routes.py
+++ b/packages/aspendrift-model/src/aspendrift_model/routes.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "KeyedAccount",
+    "ColdLimit",
     "ModelPool",
     "PieceLimits",
     "PoolSpec",
@@ -155,6 +156,22 @@
     cache_tokens: float
 
 
+@dataclass(frozen=True, slots=True)
+class ColdLimit:
+    """What a target that has just started, or became cold again, tolerates.
+
+    Parameters
+    ----------
+    cold_s : float
+        Time for which a target is cold after its start, in seconds.
+    requests_per_s : float
+        Requests per second that a cold target tolerates from all daemons together.
+    """
+
+    cold_s: float
+    requests_per_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class PoolSpec:
     """A pool of interchangeable targets.
@@ -163,12 +180,15 @@
     ----------
     max_connections : int
         Connections that one target accepts from all daemons together.
+    cold : ColdLimit or None
+        Limit on cold targets; None if the pool's targets are never cold.
     """
 
     name: PoolName
     max_connections: int
     pieces: PieceLimits | None = None
     model: ModelPool | None = None
+    cold: ColdLimit | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/aspendrift-model/src/aspendrift_model/target_entries.py
+++ b/packages/aspendrift-model/src/aspendrift_model/target_entries.py
@@ -34,6 +34,8 @@
         IP address and port, separated by a colon.
     software : SoftwareVersion
         Version of the target's software; another one can't continue its streams.
+    cold_left_s : float
+        Time for which the target stayed cold when it wrote the entry, in seconds.
     """
 
     key: TargetKey
@@ -43,6 +45,7 @@
     n_slots: int
     is_draining: bool
     software: SoftwareVersion = SoftwareVersion("")
+    cold_left_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/aspendrift_platform/test_configuration.py
+++ b/tests/aspendrift_platform/test_configuration.py
@@ -7,7 +7,7 @@
 import pytest
 
 from aspendrift_gateway.interfaces import ConfigurationUnreadable
-from aspendrift_model.routes import RequestKind
+from aspendrift_model.routes import ColdLimit, RequestKind
 from aspendrift_model.target_entries import TargetEntry, UnreadableEntry
 from aspendrift_platform.configuration import decode_configuration, decode_entry
 
@@ -55,6 +55,8 @@
             "healthPath": "/health",
             "maxConns": 360,
             "engine": {"slots": 64, "kvCapacity": 548488, "moves": True},
+            "coldStartS": 3.0,
+            "coldPerS": 5.5,
         },
         {
             "name": "s-3",
@@ -116,6 +118,8 @@
     assert found.pools_by_name["s-3"].pieces.result_memory_bytes == 18e6
     assert found.pools_by_name["s-3"].pieces.call_s == 0.15
     assert found.pools_by_name["s-1"].model.n_slots == 64
+    assert found.pools_by_name["s-1"].cold == ColdLimit(3.0, 5.5)
+    assert found.pools_by_name["s-3"].cold is None
     assert found.accounts[0].keys == ("k1", "k2")
     assert found.limits.idle_timeout_s == 15.0
 
@@ -144,6 +148,11 @@
     assert not found.is_draining
 
 
+def test_time_that_a_target_stays_cold_is_decoded():
+    found = decode_entry("i-1", encode({**ENTRY, "coldLeftMs": 1800}))
+    assert found.cold_left_s == 1.8
+
+
 def test_draining_entry_is_recognised():
     assert decode_entry("i-1", encode({**ENTRY, "state": "draining"})).is_draining
 
--- a/tests/aspendrift_platform/test_headers.py
+++ b/tests/aspendrift_platform/test_headers.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from aspendrift_gateway.interfaces import BadRequest, ForwardMetadata
+from aspendrift_gateway.interfaces import BadRequest, ForwardMetadata, LoadReport
 from aspendrift_model.ids import AccountId, AttemptId, TargetId
 from aspendrift_model.opaque_requests import PromptPart
 from aspendrift_model.pieces import Handle
@@ -168,8 +168,31 @@
     assert answer_head(421, ()).has_not_run
 
 
-def test_unreadable_load_is_no_load():
-    assert answer_head(200, ((b"engine-load", b"3,x"),)).load is None
+def test_unreadable_load_is_no_load_and_is_reported():
+    head = answer_head(200, ((b"engine-load", b"3,x"),))
+    assert head.load is None
+    assert head.unreadable == "engine-load: 3,x"
+
+
+@pytest.mark.parametrize(
+    ("text", "slowdown"),
+    [(b"3,1,8", 1.0), (b"3,1,8,250", 2.5), (b"3,1,8,100,later,fields", 1.0)],
+)
+def test_load_report_with_more_fields_is_not_lost(text, slowdown):
+    head = answer_head(200, ((b"engine-load", text),))
+    assert head.load == LoadReport(3, 1, 8, slowdown)
+    assert not head.unreadable
+
+
+@pytest.mark.parametrize("text", [b"", b"3,1", b"-1,0,8", b"3,1,8,0", b"3,1,8,nan"])
+def test_load_report_with_impossible_values_is_unreadable(text):
+    assert answer_head(200, ((b"engine-load", text),)).unreadable
+
+
+def test_limit_that_a_target_states_for_all_daemons_is_decoded():
+    assert answer_head(200, ((b"Server-Limit", b"2.5"),)).requests_per_s == 2.5
+    assert answer_head(200, ()).requests_per_s is None
+    assert answer_head(200, ((b"Server-Limit", b"many"),)).unreadable
 
 
 def test_refusal_has_a_retry_time():
--- a/tests/aspendrift_platform/test_settings.py
+++ b/tests/aspendrift_platform/test_settings.py
@@ -53,6 +53,20 @@
     assert found.max_files == 4100
 
 
+def test_bounds_of_evacuations_and_cold_targets_are_decoded():
+    bounds = {"evacuateMs": 4000, "coldOverrun": 1.5, "coldSlack": 5}
+    found = decode_settings(json.dumps({**SETTINGS, "bounds": bounds}).encode(), 9000)
+    assert found.evacuation_s == 4.0
+    assert (found.cold_overrun, found.cold_slack) == (1.5, 5.0)
+
+
+@pytest.mark.parametrize("bounds", [{}, {"evacuateMs": None, "coldSlack": None}])
+def test_bounds_that_a_deployment_does_not_have_are_no_error(bounds):
+    found = decode_settings(json.dumps({**SETTINGS, "bounds": bounds}).encode(), 9000)
+    assert found.evacuation_s == 5.0
+    assert (found.cold_overrun, found.cold_slack) == (1.0, 0.0)
+
+
 @pytest.mark.parametrize("content", [b"", b"[]", b"{}", b'{"nodeName": 3}'])
 def test_settings_that_cannot_be_used_raise(content):
     with pytest.raises(msgspec.MsgspecError):
--- a/tests/aspendrift_platform/test_store.py
+++ b/tests/aspendrift_platform/test_store.py
@@ -32,6 +32,14 @@
     assert sent["to"] == "config\0"
 
 
+@pytest.mark.parametrize(
+    ("key", "zone"),
+    [("evacuate/z1", "z1"), ("config", None), ("evacuate/", None), ("evacuate", None)],
+)
+def test_row_that_requests_an_evacuation_names_its_zone(key, zone):
+    assert CODEC.evacuated_zone(key) == zone
+
+
 def test_feed_continues_after_a_version():
     path, sent = parse_query(CODEC.feed("servers", 530, 2.0))
     assert path == "/-/rows-feed"
