Evacuation of an availability zone: store row to registry and peers

The row evacuate/ZONE is read with the configuration in one read of the table, applied at the registry, sent with StateUpdate and pushed on a change. A source that tells no evacuations counts as unknown: the store is read before the own knowledge is too old. A daemon serves only once it knows the evacuations.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
@@ -42,6 +42,8 @@
     "StreamOriginSought",
     "TargetBroke",
     "TargetChanged",
+    "ZoneEvacuated",
+    "ZoneReturned",
 ]
 
 
@@ -230,6 +232,36 @@
     problem: str
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneEvacuated(Event):
+    """An evacuation is in force: nothing more is sent to the targets of a zone.
+
+    ``source`` tells where it came from; ``era`` and ``version`` are those of the store.
+    """
+
+    name: ClassVar[str] = "zone_evacuated"
+    zone: str
+    source: str
+    era: int
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneReturned(Event):
+    """An evacuation ended at this daemon after ``evacuated_s``.
+
+    The source ``hold`` means that the store came back from a copy without the row, and
+    that the row wasn't written again in time.
+    """
+
+    name: ClassVar[str] = "zone_returned"
+    zone: str
+    source: str
+    era: int
+    version: int
+    evacuated_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class RequestRouted(Event):
     """A request was matched to a route and a pool.
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -243,6 +243,18 @@
         self.metrics.gauge(
             "requests.open", "1", "Requests without an answer", lambda: self.path.n_open
         )
+        self.metrics.gauge(
+            "zones.evacuated",
+            "1",
+            "Availability zones whose targets are sent nothing",
+            lambda: len(self.state.evacuations.zones),
+        )
+        self.metrics.gauge(
+            "zones.evacuated_time",
+            "s",
+            "Time for which the zone evacuated first has been so; 0 without any",
+            lambda: self.state.evacuations.longest_s(self.clock.monotonic()),
+        )
         self.metrics.gauge(
             "prompts.quarantines",
             "1",
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/peer_state.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/peer_state.py
@@ -28,7 +28,7 @@
 )
 from aspendrift_gateway.system_state import SystemState
 from aspendrift_model.decode_errors import DECODE_ERRORS
-from aspendrift_model.ids import DaemonId, TargetId
+from aspendrift_model.ids import DaemonId, TargetId, ZoneName
 from aspendrift_model.states import MemberState
 from aspendrift_model.store_rows import NO_POSITION, StorePosition, StoreRow
 from aspendrift_model.target_entries import TargetKey
@@ -40,8 +40,10 @@
     StateUpdate,
     TargetLeaving,
 )
+from aspendrift_policy.evacuations import EvacuationRecord, ZoneState
 from aspendrift_policy.state_sources import (
     QuerySource,
+    SourceAges,
     SourceStep,
     SourceTimes,
     StateFollower,
@@ -70,6 +72,7 @@
 _MAX_SUSPENSION_S: Final = 0.2
 _UNKNOWN_AGE_MS: Final = 1 << 30
 _NEVER: Final = float("-inf")
+_ZONE_STATES: Final = {state.value: state for state in ZoneState}
 
 
 class SharedQuarantines(Protocol):
@@ -217,6 +220,7 @@
     def step(self, now: float) -> None:
         """Perform what is due; called by the task and by tests."""
         self._check_suspension()
+        self._state.expire_evacuations(now)
         self._update_role(now)
         if self._reader.is_following and not self._is_stale(now):
             return
@@ -274,6 +278,10 @@
                 long_poll_s(settings) + _READ_MARGIN_S,
             ),
             max(settings.drain_s - reserved_s, interval_s + _READ_MARGIN_S),
+            max(
+                settings.evacuation_s - reserved_s,
+                long_poll_s(settings) + _READ_MARGIN_S,
+            ),
         )
 
     def _is_stale(self, now: float) -> bool:
@@ -282,6 +290,7 @@
         return (
             now - state.configuration_confirmed_at > times.max_configuration_age_s
             or now - state.targets_confirmed_at > times.max_targets_age_s
+            or now - state.evacuations_confirmed_at > times.max_evacuations_age_s
         )
 
     def _perform(self, steps: list[SourceStep], now: float) -> None:
@@ -304,6 +313,7 @@
         if suspended_s - self._known_suspended_s > _MAX_SUSPENSION_S:
             self._state.configuration_confirmed_at = _NEVER
             self._state.targets_confirmed_at = _NEVER
+            self._state.evacuations_confirmed_at = _NEVER
             self._follower.query_at(_NEVER)
         self._known_suspended_s = suspended_s
 
@@ -393,6 +403,13 @@
             -1 if changes.after is None else changes.after.version,
             tuple((row.key, row.version, row.value) for row in changes.rows),
             state.store_era,
+            tuple(
+                (each.zone, each.state.value, int(each.time_s * _MS_PER_S))
+                for each in state.evacuations.records(now)
+            ),
+            state.evacuations.position.era,
+            state.evacuations.position.version,
+            _age_ms(state.evacuations_confirmed_at, now),
         )
         self._send(daemon_id, update)
         if is_newer:
@@ -402,13 +419,20 @@
         )
 
     def _on_update(self, origin: DaemonId, update: StateUpdate, now: float) -> None:
+        # First, so that nothing is sent to a new target of an evacuated zone.
+        self._apply_evacuations(origin, update, now)
         self._apply_targets(update, now)
         if update.configuration:
             self._apply_configuration(origin, update.configuration)
+        knows_evacuations = update.evacuations_version >= 0
         asked_at, steps = self._follower.answered(
             update.number,
-            update.configuration_age_ms / _MS_PER_S,
-            update.targets_age_ms / _MS_PER_S,
+            SourceAges(
+                update.configuration_age_ms / _MS_PER_S,
+                update.targets_age_ms / _MS_PER_S,
+                update.evacuations_age_ms / _MS_PER_S if knows_evacuations else None,
+            ),
+            now - self._state.evacuations_confirmed_at,
             now,
             self._times(),
         )
@@ -434,6 +458,20 @@
             return
         self._state.apply_configuration(value, f"peer {origin}")
 
+    def _apply_evacuations(
+        self, origin: DaemonId, update: StateUpdate, now: float
+    ) -> None:
+        if update.evacuations_version < 0:
+            return
+        records = [
+            EvacuationRecord(ZoneName(zone), _ZONE_STATES[state], ms / _MS_PER_S)
+            for zone, state, ms in update.evacuations
+            if state in _ZONE_STATES
+        ]
+        self._state.apply_evacuation_records(
+            records, _evacuations_position(update), f"peer {origin}", now
+        )
+
     def _apply_targets(self, update: StateUpdate, now: float) -> None:
         state = self._state
         rows = [StoreRow(*row) for row in update.targets]
@@ -457,6 +495,9 @@
         if update.configuration_version == state.configuration_version >= 0:
             at = asked_at - update.configuration_age_ms / _MS_PER_S
             state.configuration_confirmed_at = max(state.configuration_confirmed_at, at)
+        if _evacuations_position(update) == state.evacuations.position != NO_POSITION:
+            at = asked_at - update.evacuations_age_ms / _MS_PER_S
+            state.evacuations_confirmed_at = max(state.evacuations_confirmed_at, at)
         age_s = update.targets_age_ms / _MS_PER_S
         is_unchanged = not update.targets and update.targets_after >= 0
         if is_unchanged and age_s <= self._times().max_targets_age_s:
@@ -476,6 +517,10 @@
     return StorePosition(update.targets_era, update.targets_version)
 
 
+def _evacuations_position(update: StateUpdate) -> StorePosition:
+    return StorePosition(update.evacuations_era, update.evacuations_version)
+
+
 def _age_ms(at: float, now: float) -> int:
     return int(min((now - at) * _MS_PER_S, _UNKNOWN_AGE_MS))
 
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/store_reader.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/store_reader.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine, Sequence
 from typing import Any, Final
 
 from aspendrift_daemon.events import EventHub
@@ -14,7 +14,8 @@
 from aspendrift_gateway.settings import GatewaySettings
 from aspendrift_gateway.store_client import HistoryGone, StoreClient, StoreFailure
 from aspendrift_gateway.system_state import SystemState
-from aspendrift_model.store_rows import NO_POSITION, StorePosition
+from aspendrift_model.ids import ZoneName
+from aspendrift_model.store_rows import NO_POSITION, StorePosition, StoreRow
 
 __all__ = ["DependencyWatch", "StoreReader", "long_poll_s", "targets_interval_s"]
 
@@ -72,7 +73,7 @@
 
 
 class StoreReader:
-    """Reads the operators' configuration and the list of targets.
+    """Reads the operators' configuration, evacuated zones and the list of targets.
 
     It follows both while this is asked of it; otherwise it reads them on request.
 
@@ -166,11 +167,15 @@
         table = codec.configuration_table
         result: StoreRows | HistoryGone | StoreFailure = HistoryGone()
         requested_at = self._clock.monotonic()
+        is_full_read = False
         if self._feed_position != NO_POSITION:
             result = await self._feed(table, self._feed_position, wait_s)
         if isinstance(result, HistoryGone):
             requested_at = self._clock.monotonic()
-            result = await self._store.read_key(table, codec.configuration_key)
+            # One read of the table, so that evacuations and configuration are as of
+            # one position.
+            result = await self._store.read_table(table)
+            is_full_read = True
         if not isinstance(result, StoreRows):
             detail = getattr(result, "detail", "history gone")
             self._configuration.failed(detail)
@@ -179,16 +184,38 @@
         for row in result.rows:
             if row.key == codec.configuration_key and row.value is not None:
                 self._state.apply_configuration(row.value, "store")
+        self._apply_evacuations(result, is_full_read)
         # A long poll returns what was current at its answer.
         read_at = self._clock.monotonic() if wait_s > 0 else requested_at
         state = self._state
         state.configuration_confirmed_at = max(
             state.configuration_confirmed_at, read_at
         )
+        if result.era == state.evacuations.position.era:
+            state.evacuations_confirmed_at = max(
+                state.evacuations_confirmed_at, read_at
+            )
         is_complete = self._state.table is not None
         self._feed_position = result.position if is_complete else NO_POSITION
         return True
 
+    def _apply_evacuations(self, result: StoreRows, is_full_read: bool) -> None:
+        now = self._clock.monotonic()
+        found = self._is_evacuated_by_zone(result.rows)
+        if is_full_read:
+            zones = {zone for zone, is_evacuated in found.items() if is_evacuated}
+            self._state.apply_evacuations(zones, result.position, "store", now)
+        else:
+            self._state.update_evacuations(found, result.position, "store", now)
+
+    def _is_evacuated_by_zone(self, rows: Sequence[StoreRow]) -> dict[ZoneName, bool]:
+        found: dict[ZoneName, bool] = {}
+        for row in rows:
+            zone = self._store.codec.evacuated_zone(row.key)
+            if zone is not None:
+                found[zone] = row.value is not None
+        return found
+
     async def _feed(
         self, table: str, after: StorePosition, wait_s: float
     ) -> StoreRows | HistoryGone | StoreFailure:
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/system_state.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/system_state.py
@@ -1,4 +1,4 @@
-"""System state from the store: routes, accounts and targets.
+"""System state from the store: routes, accounts, targets and evacuated zones.
 
 A configuration or a list of targets is replaced only by a newer one, whether it comes
 from the store or from a peer. When the store comes back from a copy, what was in force
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import Final
 
 from aspendrift_daemon.events import EventHub
@@ -16,12 +16,19 @@
     ConfigurationRejected,
     StoreEraChanged,
     TargetChanged,
+    ZoneEvacuated,
+    ZoneReturned,
 )
 from aspendrift_gateway.interfaces import ConfigurationUnreadable, PlatformCodec
 from aspendrift_model.ids import TargetId, ZoneName
 from aspendrift_model.store_rows import NO_POSITION, StorePosition, StoreRow
 from aspendrift_model.target_entries import TargetEntry, TargetKey, UnreadableEntry
 from aspendrift_policy.change_log import ChangeLog, Changes
+from aspendrift_policy.evacuations import (
+    EvacuationChange,
+    EvacuationRecord,
+    Evacuations,
+)
 from aspendrift_policy.route_table import RouteTable
 from aspendrift_policy.target_registry import (
     RegistryChange,
@@ -34,7 +41,7 @@
 
 
 class SystemState:
-    """Routes, accounts and targets in force at this process.
+    """Routes, accounts, targets and evacuations in force at this process.
 
     Parameters
     ----------
@@ -55,6 +62,8 @@
         self.targets_position = NO_POSITION
         self._era_listeners: list[Callable[[int], None]] = []
         self.targets_confirmed_at = _NEVER
+        self.evacuations = Evacuations()
+        self.evacuations_confirmed_at = _NEVER
 
     @property
     def configuration_version(self) -> int:
@@ -63,8 +72,12 @@
 
     @property
     def is_complete(self) -> bool:
-        """Whether routes and targets are known."""
-        return self.table is not None and self.targets_position != NO_POSITION
+        """Whether routes, targets and evacuated zones are known."""
+        return (
+            self.table is not None
+            and self.targets_position != NO_POSITION
+            and self.evacuations.is_known
+        )
 
     @property
     def targets_version(self) -> int:
@@ -120,6 +133,47 @@
         self._events.emit(ConfigurationApplied(found.version, previous, source))
         self._notify([])
 
+    def apply_evacuations(
+        self,
+        zones: Collection[ZoneName],
+        position: StorePosition,
+        source: str,
+        now: float,
+    ) -> None:
+        """Apply all evacuations that the store held at a position."""
+        changes = self.evacuations.replace(zones, position, now)
+        self._apply_zones(changes, source)
+
+    def update_evacuations(
+        self,
+        is_evacuated_by_zone: Mapping[ZoneName, bool],
+        position: StorePosition,
+        source: str,
+        now: float,
+    ) -> None:
+        """Apply the evacuations that changed in the store up to a position."""
+        changes = self.evacuations.update(is_evacuated_by_zone, position, now)
+        self._apply_zones(changes, source)
+
+    def apply_evacuation_records(
+        self,
+        records: Iterable[EvacuationRecord],
+        position: StorePosition,
+        source: str,
+        now: float,
+    ) -> None:
+        """Apply the evacuations that another daemon knows at a position."""
+        changes = self.evacuations.apply_records(records, position, now)
+        self._apply_zones(changes, source)
+
+    def expire_evacuations(self, now: float) -> None:
+        """End the evacuations that an era of the store lacks."""
+        self._apply_zones(self.evacuations.expire(now), "hold")
+
+    def returned_at(self, zone: ZoneName) -> float | None:
+        """Return when a zone last came back from an evacuation, if known."""
+        return self.evacuations.returned_at(zone)
+
     def target_changes(self, after: StorePosition) -> Changes:
         """Return the entries whose meaning changed after a position."""
         return self._targets.since(after)
@@ -203,6 +257,23 @@
         if changes:
             self._notify(changes)
 
+    def _apply_zones(self, changes: list[EvacuationChange], source: str) -> None:
+        if not changes:
+            return
+        at = self.evacuations.position
+        for change in changes:
+            if change.lasted_s is None:
+                event = ZoneEvacuated(change.zone, source, at.era, at.version)
+                self._events.emit(event)
+            else:
+                self._events.emit(
+                    ZoneReturned(
+                        change.zone, source, at.era, at.version, change.lasted_s
+                    )
+                )
+        self.registry.set_evacuated(self.evacuations.zones)
+        self._notify([])
+
     def _notify(self, changes: list[RegistryChange]) -> None:
         for listener in self._listeners:
             listener(changes)
--- a/packages/aspendrift-gateway/tests/conftest.py
+++ b/packages/aspendrift-gateway/tests/conftest.py
@@ -51,6 +51,10 @@
     configuration_key = "routes"
     targets_table = "targets"
 
+    def evacuated_zone(self, key):
+        zone = key.removeprefix("evacuate/")
+        return None if zone == key else ZoneName(zone)
+
     def configuration(self, value):
         return RoutingConfiguration(int(value), (), {})
 
@@ -110,7 +114,7 @@
         return found
 
     async def _rows(self, kind, table, wanted):
-        self.calls.append(kind)
+        self.calls.append(f"{kind} {table}")
         await asyncio.sleep(0.004)
         if self.is_down:
             return StoreFailure("down")
--- a/packages/aspendrift-gateway/tests/test_peer_state.py
+++ b/packages/aspendrift-gateway/tests/test_peer_state.py
@@ -22,7 +22,9 @@
 from .conftest import FakeStore, Network
 
 POOL = PoolName("p")
-SETTINGS = SimpleNamespace(drain_s=2.0, configuration_s=2.0, store_reads_per_s=2000.0)
+SETTINGS = SimpleNamespace(
+    drain_s=2.0, configuration_s=2.0, evacuation_s=5.0, store_reads_per_s=2000.0
+)
 # Time within which a change must be in force everywhere.
 BOUND_S = 2.0
 # Time in which missing entries may return after the store was away.
@@ -398,8 +400,10 @@
             daemon.store.calls.clear()
         await asyncio.sleep(BOUND_S)
         assert eras(world) == {1}
-        n_reads = sum(each.store.calls.count("table") for each in world.daemons)
+        n_reads = sum(each.store.calls.count("table targets") for each in world.daemons)
         assert n_reads <= 2 * len(world.readers)
+        tables = [call for each in world.daemons for call in each.store.calls]
+        assert tables.count("table configuration") <= 2 * len(world.readers)
         assert not any(each.store.calls for each in world.followers)
 
     run_world(scenario, count)
--- a/packages/aspendrift-gateway/tests/test_store_reader.py
+++ b/packages/aspendrift-gateway/tests/test_store_reader.py
@@ -32,7 +32,10 @@
             store,
             state,
             lambda: SimpleNamespace(
-                drain_s=2.0, configuration_s=4.0, store_reads_per_s=reads_per_s
+                drain_s=2.0,
+                configuration_s=4.0,
+                evacuation_s=5.0,
+                store_reads_per_s=reads_per_s,
             ),
             lambda: n_readers,
             clock,
@@ -72,7 +75,7 @@
 def test_many_daemons_stay_within_the_rate_of_the_store():
     async def scenario(store, state, events):
         await asyncio.sleep(60.0)
-        n_calls = sum(kind in ("feed", "table") for kind in store.calls)
+        n_calls = sum(kind.startswith(("feed", "table")) for kind in store.calls)
         # The feed of the configuration adds one call every 2 s.
         assert n_calls <= 60.5 * 30.0 / 64 + 30 + 4
 
@@ -191,7 +194,7 @@
         await asyncio.sleep(2.0)
         store.calls.clear()
         await asyncio.sleep(30.0)
-        assert 2 <= store.calls.count("table") <= 3
+        assert 2 <= store.calls.count("table targets") <= 3
 
     run_scenario(scenario)
 
@@ -257,7 +260,8 @@
             store.put("targets", "t2", b"ready")
             store.put("targets", "t3", b"ready")
             await asyncio.sleep(0.9)
-            assert store.calls.count("table") == 1
+            assert store.calls.count("table targets") == 1
+            assert store.calls.count("table configuration") <= 1
             assert {"t2", "t3"} <= set(usable(state))
         eras = [each.era for each in events if each.name == "store_era_changed"]
         assert eras == [1, 2]
--- a/packages/aspendrift-model/src/aspendrift_model/wire_work.py
+++ b/packages/aspendrift-model/src/aspendrift_model/wire_work.py
@@ -147,6 +147,10 @@
     Each of ``targets`` is the key, version and value of an entry that changed after
     ``targets_after``, the value None if it was removed; -1 marks the complete list.
     Versions of targets are those of the store's era ``targets_era``.
+
+    Each of ``evacuations`` is a zone, the value of its ``ZoneState`` and a time in
+    milliseconds; they are always complete, as of the version of the era. The version
+    is -1 if the sender doesn't know them or is of a release that doesn't send them.
     """
 
     number: int
@@ -158,6 +162,10 @@
     targets_after: int
     targets: tuple[tuple[str, int, bytes | None], ...]
     targets_era: int = 0
+    evacuations: tuple[tuple[str, str, int], ...] = ()
+    evacuations_era: int = 0
+    evacuations_version: int = -1
+    evacuations_age_ms: int = 0
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True, tag="c"):
--- a/packages/aspendrift-policy/src/aspendrift_policy/state_sources.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/state_sources.py
@@ -23,6 +23,7 @@
 __all__ = [
     "QuerySource",
     "ReadStore",
+    "SourceAges",
     "SourceFailure",
     "SourceStep",
     "SourceTimes",
@@ -74,6 +75,7 @@
 
     SILENT = "silent"
     STALE = "stale"
+    NO_EVACUATIONS = "no_evacuations"
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,8 +90,9 @@
         Time after which a query counts as unanswered.
     store_retry_s : float
         Interval between direct reads while the store does not answer.
-    max_configuration_age_s, max_targets_age_s : float
-        Age from which the state of a source is too old.
+    max_configuration_age_s, max_targets_age_s, max_evacuations_age_s : float
+        Age from which the state of a source is too old. If a source tells no
+        evacuations, the last applies to those that this daemon holds.
     """
 
     interval_s: float
@@ -97,6 +100,43 @@
     store_retry_s: float
     max_configuration_age_s: float
     max_targets_age_s: float
+    max_evacuations_age_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class SourceAges:
+    """Ages of the state of a source, in seconds.
+
+    Parameters
+    ----------
+    evacuations_s : float or None
+        None if the source tells no evacuations.
+    """
+
+    configuration_s: float
+    targets_s: float
+    evacuations_s: float | None
+
+    def failure(
+        self, held_evacuations_s: float, times: SourceTimes
+    ) -> SourceFailure | None:
+        """Return why the source must be replaced; None if its state is recent.
+
+        Load it answers: a fleet in which the readers are of a release that tells no
+        evacuations. Its new daemons read the store themselves, though only when their
+        own knowledge gets old, and not with each query.
+        """
+        if (
+            self.configuration_s > times.max_configuration_age_s
+            or self.targets_s > times.max_targets_age_s
+        ):
+            return SourceFailure.STALE
+        max_age_s = times.max_evacuations_age_s
+        if self.evacuations_s is not None:
+            return SourceFailure.STALE if self.evacuations_s > max_age_s else None
+        if held_evacuations_s > max_age_s:
+            return SourceFailure.NO_EVACUATIONS
+        return None
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,8 +199,8 @@
     def answered(
         self,
         number: int,
-        configuration_age_s: float,
-        targets_age_s: float,
+        ages: SourceAges,
+        held_evacuations_age_s: float,
         now: float,
         times: SourceTimes,
     ) -> tuple[float | None, list[SourceStep]]:
@@ -171,12 +211,9 @@
         """
         if number != self._number or self._asked_id is None:
             return None, []
-        is_fresh = (
-            configuration_age_s <= times.max_configuration_age_s
-            and targets_age_s <= times.max_targets_age_s
-        )
-        if not is_fresh:
-            return self._asked_at, self._replace(SourceFailure.STALE, now, times)
+        failure = ages.failure(held_evacuations_age_s, times)
+        if failure is not None:
+            return self._asked_at, self._replace(failure, now, times)
         self._asked_id = None
         return self._asked_at, []
 
--- a/packages/aspendrift-policy/src/aspendrift_policy/target_registry.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/target_registry.py
@@ -5,6 +5,8 @@
 still shows it. While the list can't be read, the last snapshot stays in use. Targets
 that are missing after such an outage get time to register again before they are
 removed.
+
+Targets of evacuated zones are listed but not usable.
 """
 
 from __future__ import annotations
@@ -14,7 +16,7 @@
 from enum import Enum
 from typing import Final
 
-from aspendrift_model.ids import PoolName, SoftwareVersion, TargetId
+from aspendrift_model.ids import PoolName, SoftwareVersion, TargetId, ZoneName
 from aspendrift_model.target_entries import TargetEntry, TargetKey, UnreadableEntry
 from aspendrift_policy.stream_origins import VersionHistory
 
@@ -60,6 +62,7 @@
     def __init__(self) -> None:
         self.entries_by_id: dict[TargetId, TargetEntry] = {}
         self._by_pool: dict[PoolName, tuple[TargetEntry, ...]] = {}
+        self._evacuated: frozenset[ZoneName] = frozenset()
         self._missing_since_by_id: dict[TargetId, float] = {}
         self._drained_keys: dict[TargetKey, None] = {}
         self._gone_keys: dict[TargetKey, None] = {}
@@ -78,6 +81,17 @@
         """Return the targets of all pools that accept new work."""
         return [entry for found in self._by_pool.values() for entry in found]
 
+    def evacuated_zones(self, pool: PoolName) -> list[ZoneName]:
+        """Return the evacuated zones in which a pool has targets."""
+        entries = self.entries_by_id.values()
+        zones = {each.zone for each in entries if each.pool == pool}
+        return sorted(zones & self._evacuated)
+
+    def set_evacuated(self, zones: frozenset[ZoneName]) -> None:
+        """Replace the zones whose targets accept no new work."""
+        self._evacuated = zones
+        self._by_pool = _usable_by_pool(self.entries_by_id, zones)
+
     def version_history(
         self, pool: PoolName, now: float, window_s: float
     ) -> VersionHistory:
@@ -213,7 +227,7 @@
     def _rebuild_pools(
         self, changes: list[RegistryChange], now: float
     ) -> list[RegistryChange]:
-        self._by_pool = _usable_by_pool(self.entries_by_id)
+        self._by_pool = _usable_by_pool(self.entries_by_id, self._evacuated)
         self._record_versions(now)
         return changes
 
@@ -250,10 +264,11 @@
 
 def _usable_by_pool(
     entries_by_id: Mapping[TargetId, TargetEntry],
+    evacuated: frozenset[ZoneName],
 ) -> dict[PoolName, tuple[TargetEntry, ...]]:
     by_pool: dict[PoolName, list[TargetEntry]] = {}
     for target_id in sorted(entries_by_id):
         entry = entries_by_id[target_id]
-        if not entry.is_draining:
+        if not entry.is_draining and entry.zone not in evacuated:
             by_pool.setdefault(entry.pool, []).append(entry)
     return {pool: tuple(found) for pool, found in by_pool.items()}
--- a/packages/aspendrift-policy/tests/test_state_sources.py
+++ b/packages/aspendrift-policy/tests/test_state_sources.py
@@ -10,6 +10,7 @@
 from aspendrift_policy.state_sources import (
     QuerySource,
     ReadStore,
+    SourceAges,
     SourceFailure,
     SourceTimes,
     StateFollower,
@@ -17,7 +18,9 @@
     sources_in_order,
 )
 
-TIMES = SourceTimes(1.0, 0.4, 2.0, 2.2, 1.2)
+TIMES = SourceTimes(1.0, 0.4, 2.0, 2.2, 1.2, 3.0)
+NEW = SourceAges(0.0, 0.0, 0.0)
+OLD = SourceAges(9.0, 9.0, 9.0)
 
 
 def daemons(count):
@@ -69,7 +72,7 @@
         now = tick * 0.1
         for step in queried(found.steps(now, TIMES)):
             n_queries += 1
-            found.answered(step.number, 0.5, 0.5, now, TIMES)
+            found.answered(step.number, SourceAges(0.5, 0.5, 0.5), 0.5, now, TIMES)
     assert n_queries == 10
 
 
@@ -82,22 +85,44 @@
     assert second.daemon_id != query.daemon_id
 
 
-@pytest.mark.parametrize("ages", [(2.5, 0.5), (0.5, 1.5)])
+@pytest.mark.parametrize(
+    "ages",
+    [
+        SourceAges(2.5, 0.5, 0.5),
+        SourceAges(0.5, 1.5, 0.5),
+        SourceAges(0.5, 0.5, 3.5),
+        SourceAges(2.5, 0.5, None),
+    ],
+)
 def test_stale_source_is_replaced_and_the_store_read_at_once(ages):
     found = follower()
     (query,) = found.steps(0.0, TIMES)
-    asked_at, steps = found.answered(query.number, *ages, 0.01, TIMES)
+    asked_at, steps = found.answered(query.number, ages, 0.5, 0.01, TIMES)
     assert asked_at == 0.0
     assert steps == [ReadStore(query.daemon_id, SourceFailure.STALE)]
 
 
+@pytest.mark.parametrize(("held_age_s", "is_read"), [(2.9, False), (3.1, True)])
+def test_store_is_read_before_evacuations_get_old_that_a_source_does_not_tell(
+    held_age_s, is_read
+):
+    # A source of an earlier release answers in time, so that it never counted as stale
+    # and an evacuation would have stayed unknown here.
+    found = follower()
+    (query,) = found.steps(0.0, TIMES)
+    ages = SourceAges(0.5, 0.5, None)
+    _, steps = found.answered(query.number, ages, held_age_s, 0.01, TIMES)
+    failure = SourceFailure.NO_EVACUATIONS
+    assert steps == ([ReadStore(query.daemon_id, failure)] if is_read else [])
+
+
 def test_answer_to_an_earlier_query_confirms_nothing():
     found = follower()
     (first,) = found.steps(0.0, TIMES)
     found.steps(0.5, TIMES)
     (second,) = found.steps(1.0, TIMES)
-    assert found.answered(first.number, 0.0, 0.0, 1.1, TIMES) == (None, [])
-    assert found.answered(second.number, 0.0, 0.0, 1.1, TIMES) == (1.0, [])
+    assert found.answered(first.number, NEW, 0.0, 1.1, TIMES) == (None, [])
+    assert found.answered(second.number, NEW, 0.0, 1.1, TIMES) == (1.0, [])
 
 
 def test_store_is_read_rarely_while_every_source_is_stale():
@@ -111,7 +136,7 @@
                 n_reads += 1
                 continue
             asked.add(step.daemon_id)
-            _, steps = found.answered(step.number, 9.0, 9.0, now, TIMES)
+            _, steps = found.answered(step.number, OLD, 9.0, now, TIMES)
             for _ in steps:
                 n_reads += 1
                 found.read_failed(now)
@@ -126,7 +151,7 @@
         now = tick * 0.1
         for step in found.steps(now, TIMES):
             if isinstance(step, QuerySource):
-                _, steps = found.answered(step.number, 9.0, 9.0, now, TIMES)
+                _, steps = found.answered(step.number, OLD, 9.0, now, TIMES)
                 n_reads += len(steps)
     assert n_reads == 10
 
@@ -138,7 +163,9 @@
         now = tick * 0.1
         for step in queried(found.steps(now, TIMES)):
             age_s = 9.0 if now < 4.0 and step.daemon_id in readers else 0.5
-            found.answered(step.number, age_s, age_s, now, TIMES)
+            found.answered(
+                step.number, SourceAges(age_s, age_s, age_s), 0.5, now, TIMES
+            )
     assert found.source_id in readers
 
 
--- a/tests/aspendrift_platform/platform_emulator.py
+++ b/tests/aspendrift_platform/platform_emulator.py
@@ -201,13 +201,14 @@
 class Target:
     """A target: plain service, model engine or stage pool, depending on the path."""
 
-    def __init__(self, platform, name, service, *, born=0, version="v1"):
+    def __init__(self, platform, name, service, *, born=0, version="v1", zone="z1"):
         self.platform = platform
         self.records = platform.records
         self.name = name
         self.service = service
         self.born = born
         self.version = version
+        self.zone = zone
         self.address = free_address()
         self.work_s = 0.005
         self.fails_next = 0
@@ -215,6 +216,8 @@
         self.n_requests = 0
         self.n_starts = 1
         self.n_while_leaving = 0
+        # Messages of any kind, also frees of results.
+        self.n_received = 0
         self.is_down = False
         self.is_leaving = False
 
@@ -235,7 +238,7 @@
         value = {
             "service": self.service,
             "address": self.address,
-            "zone": "z1",
+            "zone": self.zone,
             "version": self.version,
             "slots": 8,
             "state": state,
@@ -250,6 +253,7 @@
         headers = {name: value.decode() for name, value in scope["headers"]}
         if self.is_down:
             raise ConnectionError("target is down")
+        self.n_received += 1
         if self.is_leaving:
             self.n_while_leaving += scope["path"] != "/-/stage-free"
             send = self._with_leaving(send)
@@ -389,6 +393,14 @@
         value = {**configuration(), "version": version, **changes}
         self.store.put("op", "config", json.dumps(value).encode())
 
+    def evacuate(self, zone):
+        """Ask that nothing more be sent to the targets of a zone."""
+        self.store.put("op", f"evacuate/{zone}", b"{}")
+
+    def end_evacuation(self, zone):
+        """Let the targets of a zone be used again."""
+        self.store.remove("op", f"evacuate/{zone}")
+
     async def _serve(self, address, app):
         server = AppServer(address, app, ServerLimits(), 1000)
         await server.start()
--- /dev/null
+++ b/tests/aspendrift_platform/test_evacuation.py
@@ -0,0 +1,105 @@
+"""Tests of the evacuation of an availability zone, on the emulated platform."""
+
+from __future__ import annotations
+
+import asyncio
+
+from emulated_world import complete_stream
+
+ZONE = "z2"
+SERVICES = ("desk", "model", "first", "second")
+
+
+async def add_zone(cluster):
+    """Add a target of each service in a second zone; return them."""
+    targets = [
+        await cluster.platform.add_target(f"{service}-{ZONE}", service, zone=ZONE)
+        for service in SERVICES
+    ]
+    names = {each.name for each in targets}
+    await cluster.until(
+        lambda: all(names <= usable_names(each) for each in cluster.gateways)
+    )
+    return targets
+
+
+def usable_names(gateway):
+    return {each.key.target_id for each in gateway.state.registry.all_usable()}
+
+
+async def until_evacuated(cluster, *zones):
+    expected = frozenset(zones)
+    await cluster.until(
+        lambda: all(
+            each.state.evacuations.zones == expected for each in cluster.gateways
+        )
+    )
+
+
+async def call_all(cluster, count=6):
+    """Send requests of every kind to each gateway; all must be answered."""
+    for gateway in cluster.gateways:
+        calls = [cluster.stream(gateway) for _ in range(count)]
+        calls += [cluster.call(gateway, path) for path in ("/safe/", "/once/") * count]
+        for _, answer in await asyncio.gather(*calls):
+            assert answer.status_code == 200
+
+
+def n_received(targets):
+    return sum(each.n_received for each in targets)
+
+
+def test_evacuated_zone_is_sent_nothing_until_it_returns(run_scenario):
+    async def scenario(cluster):
+        targets = await add_zone(cluster)
+        await call_all(cluster)
+        assert all(each.n_received for each in targets)
+        cluster.platform.evacuate(ZONE)
+        await until_evacuated(cluster, ZONE)
+        # Results of requests that are answered may still be freed.
+        await asyncio.sleep(0.1)
+        before = n_received(targets)
+        await call_all(cluster)
+        assert n_received(targets) == before
+        cluster.platform.end_evacuation(ZONE)
+        await until_evacuated(cluster)
+        await call_all(cluster)
+        assert n_received(targets) > before
+        for gateway in cluster.gateways:
+            assert gateway.state.returned_at(ZONE) is not None
+
+    run_scenario(scenario, n_gateways=3)
+
+
+def test_open_stream_of_an_evacuated_zone_completes(run_scenario):
+    async def scenario(cluster):
+        (gateway,) = cluster.gateways
+        for target in cluster.platform.targets_by_name.values():
+            target.event_gap_s = 0.5
+        calls = [asyncio.create_task(cluster.stream(gateway, pieces="")) for _ in "ab"]
+        await cluster.until(lambda: len(cluster.platform.records.ran) == 2)
+        cluster.platform.evacuate("z1")
+        await until_evacuated(cluster, "z1")
+        for attempt_id, answer in await asyncio.gather(*calls):
+            assert answer.text == complete_stream(attempt_id)
+
+    run_scenario(scenario)
+
+
+def test_gateway_that_starts_while_a_zone_is_evacuated_sends_nothing_there(
+    run_scenario,
+):
+    # It was ready once it knew configuration and targets, and sent to the zone until
+    # the next answer of the feed.
+    async def scenario(cluster):
+        targets = await add_zone(cluster)
+        cluster.platform.evacuate(ZONE)
+        await until_evacuated(cluster, ZONE)
+        before = n_received(targets)
+        late = await cluster.add_gateway("late")
+        await cluster.until(late.is_serving)
+        assert not any(each.zone == ZONE for each in late.state.registry.all_usable())
+        await call_all(cluster, 2)
+        assert n_received(targets) == before
+
+    run_scenario(scenario)
