Features that a daemon announces to its peers

A daemon sends the features that it understands in each probe and acknowledgement. PeerLink.supports tells whether a daemon has announced one since its last start.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/membership.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/membership.py
@@ -259,6 +259,7 @@
         self, origin: DaemonId, gossip: Gossip, as_of: float | None, now: float
     ) -> None:
         self._apply(gossip.updates, now)
+        self._link.record_features(origin, gossip.features)
         member = self._view.members_by_id.get(origin)
         if member is not None:
             self._view.record_contact(
@@ -279,6 +280,7 @@
             self._digests.digest(now, is_answer),
             self._digests.is_serving(now),
             updates,
+            self._link.announced_features,
         )
 
     def _own_update(self, daemon_id: DaemonId) -> tuple[MemberUpdate, ...]:
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/peers.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/peers.py
@@ -25,10 +25,11 @@
 from aspendrift_model.hosts import Host, Location
 from aspendrift_model.ids import DaemonId, Incarnation, RegionName, ZoneName
 from aspendrift_model.settings_peers import PeerSettings
-from aspendrift_model.states import MemberState
+from aspendrift_model.states import MemberState, PeerFeature
 from aspendrift_model.wire_peer import PEER_PROTOCOL_VERSION, Envelope
 from aspendrift_policy.gossip_push import SeenMessages, push_peers
 from aspendrift_policy.membership import Member, MemberView
+from aspendrift_policy.peer_features import FeatureTracker
 
 if TYPE_CHECKING:
     from zmq.auth.asyncio import AsyncioAuthenticator
@@ -125,6 +126,8 @@
         Chooses the peers that a message is forwarded to.
     link_filter : LinkFilter or None
         Test hook that drops messages.
+    features : iterable of PeerFeature
+        Features that this daemon announces to its peers.
     """
 
     def __init__(
@@ -135,6 +138,7 @@
         events: EventHub,
         rng: random.Random,
         link_filter: LinkFilter | None = None,
+        features: Iterable[PeerFeature] = (),
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -156,6 +160,7 @@
         self._hosts: Sequence[tuple[Host, MemberState]] = ()
         self.counters = LinkCounters()
         self.view = MemberView(host, clock.monotonic())
+        self._features = FeatureTracker(host.daemon_id, features)
 
     @property
     def host(self) -> Host:
@@ -248,6 +253,29 @@
             if state is MemberState.LIVE
         ]
 
+    def supports(self, daemon_id: DaemonId, feature: PeerFeature) -> bool:
+        """Return whether a daemon has announced a feature since its last start.
+
+        False for a daemon that isn't in view.
+        """
+        member = self.view.members_by_id.get(daemon_id)
+        return member is not None and self._features.supports(
+            daemon_id, member.host.incarnation, feature
+        )
+
+    def live_ids_supporting(self, feature: PeerFeature) -> list[DaemonId]:
+        """Return the ids of the live daemons that have announced a feature."""
+        return [each for each in self.live_ids() if self.supports(each, feature)]
+
+    @property
+    def announced_features(self) -> int:
+        """What this daemon announces, as probes and acknowledgements carry it."""
+        return self._features.own_encoded
+
+    def record_features(self, daemon_id: DaemonId, features: int) -> None:
+        """Record what the origin of the message being handled announces in it."""
+        self._features.announced(daemon_id, features)
+
     async def is_refused(self, host: Host) -> bool:
         """Return whether a daemon's address refuses a connection.
 
@@ -272,6 +300,7 @@
             if now - link.used_at > self._settings.idle_link_s:
                 link.socket.close(linger=0)
                 del self._out_by_id[daemon_id]
+        self._features.retain(self.view.members_by_id)
 
     def _envelope(self, topic: Topic, payload: bytes, sequence: int) -> Envelope:
         own = self.host
@@ -412,8 +441,13 @@
             self._deliver(envelope)
 
     def _is_stale(self, envelope: Envelope) -> bool:
-        known = self.view.members_by_id.get(DaemonId(envelope.origin))
-        return known is not None and envelope.incarnation < known.host.incarnation
+        origin = DaemonId(envelope.origin)
+        known = self.view.members_by_id.get(origin)
+        if known is None:
+            return False
+        if envelope.incarnation < known.host.incarnation:
+            return True
+        return not self._features.record_message(origin, envelope.incarnation)
 
     def _is_unseen(self, envelope: Envelope) -> bool:
         return envelope.origin != self.view.own_id and self._seen.is_new(
--- a/packages/aspendrift-daemon/tests/configuration/conftest.py
+++ b/packages/aspendrift-daemon/tests/configuration/conftest.py
@@ -186,6 +186,8 @@
         self._seeds = seeds
         self._handlers: dict[str, list[MessageHandler]] = {}
         self.counters = LinkCounters()
+        self.announced_features = 0
+        self.announced_by_id: dict[DaemonId, int] = {}
         self._listed: Any = None
         self._hosts: Sequence[tuple[Host, MemberState]] = ()
         self.view = MemberView(host, world.clock.monotonic())
@@ -217,6 +219,9 @@
             self._hosts = [(member.host, member.state) for member in members]
         return self._hosts
 
+    def record_features(self, daemon_id: DaemonId, features: int) -> None:
+        self.announced_by_id[daemon_id] = features
+
     def add_seeds(self) -> None:
         for host in self._seeds:
             self.view.add_seed(host, self._world.clock.monotonic())
--- a/packages/aspendrift-daemon/tests/configuration/test_peers.py
+++ b/packages/aspendrift-daemon/tests/configuration/test_peers.py
@@ -22,8 +22,9 @@
 from aspendrift_model.hosts import Host, Location
 from aspendrift_model.ids import DaemonId, Incarnation, RegionName, ZoneName
 from aspendrift_model.settings_peers import PeerSettings, SeedPeer
-from aspendrift_model.states import MemberState
+from aspendrift_model.states import MemberState, PeerFeature
 from aspendrift_policy.membership import MemberView
+from aspendrift_policy.peer_features import encoded_features
 
 PLACE = Location(ZoneName("a"), RegionName("r"))
 
@@ -227,3 +228,36 @@
         await stop(node, other)
 
     asyncio.run(scenario())
+
+
+def test_features_of_a_peer_are_unknown_after_its_restart() -> None:
+    """A host that is put back to an older build must not be relied upon.
+
+    The older build announces nothing, so what its predecessor announced has to be
+    dropped with the first message of the new incarnation.
+    """
+
+    async def scenario() -> None:
+        new, old, other = Node("d1"), Node("d1", incarnation=2), Node("d2")
+        for node in (new, old, other):
+            await node.link.start()
+        other.add_to_view(new)
+        for node in (new, old):
+            node.add_to_view(other)
+        d1 = DaemonId("d1")
+        assert not other.link.supports(d1, PeerFeature.PERMITS)
+        new.link.send(DaemonId("d2"), "t", b"new")
+        await until(lambda: len(other.received) == 1)
+        other.link.record_features(d1, encoded_features([PeerFeature.PERMITS]))
+        assert other.link.supports(d1, PeerFeature.PERMITS)
+        assert not other.link.supports(d1, PeerFeature.EVACUATIONS)
+        old.link.send(DaemonId("d2"), "t", b"old")
+        await until(lambda: len(other.received) == 2)
+        assert not other.link.supports(d1, PeerFeature.PERMITS)
+        # A message of the first process that arrives late doesn't bring it back.
+        new.link.send(DaemonId("d2"), "t", b"late")
+        await until(lambda: bool(other.rejected))
+        assert not other.link.supports(d1, PeerFeature.PERMITS)
+        await stop(new, old, other)
+
+    asyncio.run(scenario())
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -42,7 +42,7 @@
 from aspendrift_model.opaque_requests import OpaqueRequest
 from aspendrift_model.routes import ServerLimits
 from aspendrift_model.settings_peers import PeerSettings
-from aspendrift_model.states import RefusalReason
+from aspendrift_model.states import PeerFeature, RefusalReason
 from aspendrift_model.target_entries import TargetEntry
 from aspendrift_model.wire_work import CrashReport
 from aspendrift_policy.addresses import stable_choice
@@ -116,7 +116,9 @@
             codec.target, lambda key: self.peer_state.target_leaving(key)
         )
         peers = _peer_settings(settings)
-        self.link = PeerLink(peers, self._host(), self.clock, events, rng)
+        self.link = PeerLink(
+            peers, self._host(), self.clock, events, rng, features=PeerFeature
+        )
         self.links = LinkExchange(
             self.link,
             self.state.registry.all_usable,
--- a/packages/aspendrift-gateway/tests/conftest.py
+++ b/packages/aspendrift-gateway/tests/conftest.py
@@ -127,6 +127,7 @@
         self.cut_off = set()
         self.sent = []
         self.states_by_id = {}
+        self.missing_features_by_id = {}
 
     def link(self, name):
         found = FakeLink(self, DaemonId(name))
@@ -169,6 +170,12 @@
             if state is MemberState.LIVE
         ]
 
+    def supports(self, daemon_id, feature):
+        return feature not in self._network.missing_features_by_id.get(daemon_id, ())
+
+    def live_ids_supporting(self, feature):
+        return [each for each in self.live_ids() if self.supports(each, feature)]
+
     def send_each(self, daemon_ids, topic, payload):
         for daemon_id in daemon_ids:
             if daemon_id != self.host.daemon_id:
--- a/packages/aspendrift-model/src/aspendrift_model/states.py
+++ b/packages/aspendrift-model/src/aspendrift_model/states.py
@@ -10,6 +10,7 @@
     "ItemKind",
     "MemberState",
     "OutcomeStatus",
+    "PeerFeature",
     "Priority",
     "ProfileState",
     "Ran",
@@ -88,6 +89,19 @@
     DEAD = "dead"
 
 
+class PeerFeature(Enum):
+    """What a daemon understands beyond version 0.1.0 of the messages between daemons.
+
+    The value is the number of the feature's bit in an announcement. A value is never
+    used again for something else.
+    """
+
+    PERMITS = 0
+    EVACUATIONS = 1
+    ANNOUNCEMENTS = 2
+    TARGET_LOADS = 3
+
+
 class AttemptEnd(Enum):
     """How one attempt of a stage on one target ended."""
 
--- a/packages/aspendrift-model/src/aspendrift_model/wire_peer.py
+++ b/packages/aspendrift-model/src/aspendrift_model/wire_peer.py
@@ -101,12 +101,18 @@
 
 
 class Gossip(msgspec.Struct, frozen=True, array_like=True):
-    """State piggybacked on probes and acknowledgements."""
+    """State piggybacked on probes and acknowledgements.
+
+    ``features`` are those that the sender understands, one bit for the value of each
+    `PeerFeature`. They are not part of the records of members, since a daemon of
+    another version relays these without the fields that it doesn't know.
+    """
 
     view_hash: int
     digest: RevisionDigest
     serving: bool = True
     updates: tuple[MemberUpdate, ...] = ()
+    features: int = 0
 
 
 class Probe(msgspec.Struct, frozen=True, array_like=True, tag="p"):
