Peer messages of unknown kinds are counted and logged

The exchanges of a gateway and the membership dropped what they could not decode without a trace. PeerDecoder counts such messages and logs them at a bounded rate by topic and origin. A job's failure that a later version added counts as an error rather than raising in the task that receives.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/membership.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/membership.py
@@ -12,8 +12,8 @@
 
 from aspendrift_daemon.events import Event, EventHub
 from aspendrift_daemon.interfaces import Clock, MembershipList, StoreUnavailable
+from aspendrift_daemon.peer_decoding import PeerDecoder
 from aspendrift_daemon.peers import PeerLink
-from aspendrift_model.decode_errors import DECODE_ERRORS
 from aspendrift_model.ids import DaemonId
 from aspendrift_model.settings_peers import PeerSettings
 from aspendrift_model.states import MemberState
@@ -119,7 +119,9 @@
         )
         self._prober = Prober(times)
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(MemberMessage)
+        self._decoder: PeerDecoder[MemberMessage] = PeerDecoder(
+            MemberMessage, MEMBER_TOPIC, events
+        )
         self._synced_at = -_MIN_SYNC_INTERVAL_S
         self._last_housekeeping_at = 0.0
         self._acknowledged: set[DaemonId] = set()
@@ -215,11 +217,10 @@
             )
 
     def _on_message(self, origin: DaemonId, payload: bytes) -> None:
-        try:
-            message = self._decoder.decode(payload)
-        except DECODE_ERRORS:
-            return
         now = self._clock.monotonic()
+        message = self._decoder.decode(origin, payload, now)
+        if message is None:
+            return
         if isinstance(message, Probe):
             self._on_probe(origin, message, now)
         elif isinstance(message, Ack):
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/link_exchange.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/link_exchange.py
@@ -14,9 +14,9 @@
 
 from aspendrift_daemon.events import EventHub
 from aspendrift_daemon.interfaces import Clock
+from aspendrift_daemon.peer_decoding import PeerDecoder
 from aspendrift_daemon.peers import PeerLink
 from aspendrift_gateway.events import LinksChanged, PeerLinksChanged
-from aspendrift_model.decode_errors import DECODE_ERRORS
 from aspendrift_model.ids import DaemonId
 from aspendrift_model.target_entries import TargetEntry
 from aspendrift_model.wire_work import LinksReport
@@ -69,7 +69,9 @@
         self._peers = PeersWithoutLinks()
         self._reported_at = float("-inf")
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(LinksReport)
+        self._decoder: PeerDecoder[LinksReport] = PeerDecoder(
+            LinksReport, LINKS_TOPIC, events
+        )
         self._task: asyncio.Task[None] | None = None
         self._probe: asyncio.Task[None] | None = None
         link.subscribe(LINKS_TOPIC, self._on_message)
@@ -146,13 +148,10 @@
         self._link.send_each(self._link.live_ids(), LINKS_TOPIC, message)
 
     def _on_message(self, origin: DaemonId, payload: bytes) -> None:
-        try:
-            message = self._decoder.decode(payload)
-        except DECODE_ERRORS:
-            return
-        if origin == self._link.host.daemon_id:
-            return
         now = self._clock.monotonic()
+        message = self._decoder.decode(origin, payload, now)
+        if message is None or origin == self._link.host.daemon_id:
+            return
         n_daemons = len(self._link.live_ids())
         if self._peers.reported(origin, message.is_lost, n_daemons, now):
             self._events.emit(PeerLinksChanged(origin, message.is_lost))
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/origin_exchange.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/origin_exchange.py
@@ -10,10 +10,10 @@
 
 from aspendrift_daemon.events import EventHub
 from aspendrift_daemon.interfaces import Clock
+from aspendrift_daemon.peer_decoding import PeerDecoder
 from aspendrift_daemon.peers import PeerLink
 from aspendrift_gateway.events import StreamOriginSought
 from aspendrift_gateway.system_state import SystemState
-from aspendrift_model.decode_errors import DECODE_ERRORS
 from aspendrift_model.ids import AttemptId, DaemonId, PoolName, SoftwareVersion
 from aspendrift_model.opaque_requests import OpaqueRequest
 from aspendrift_model.routes import Route
@@ -65,7 +65,9 @@
         self._open_by_number: dict[int, _OpenInquiry] = {}
         self._last_number = 0
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(OriginMessage)
+        self._decoder: PeerDecoder[OriginMessage] = PeerDecoder(
+            OriginMessage, ORIGIN_TOPIC, events
+        )
         link.subscribe(ORIGIN_TOPIC, self._on_message)
 
     @property
@@ -156,11 +158,10 @@
         self._link.send_each(daemon_ids, ORIGIN_TOPIC, self._encoder.encode(message))
 
     def _on_message(self, origin: DaemonId, payload: bytes) -> None:
-        try:
-            message = self._decoder.decode(payload)
-        except DECODE_ERRORS:
-            return
         now = self._clock.monotonic()
+        message = self._decoder.decode(origin, payload, now)
+        if message is None:
+            return
         if isinstance(message, StreamBegan):
             software = SoftwareVersion(message.software)
             self._origins.record(AttemptId(message.attempt_id), software, now)
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/pace_exchange.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/pace_exchange.py
@@ -14,9 +14,9 @@
 
 from aspendrift_daemon.events import EventHub
 from aspendrift_daemon.interfaces import Clock
+from aspendrift_daemon.peer_decoding import PeerDecoder
 from aspendrift_daemon.peers import PeerLink
 from aspendrift_gateway.events import SlowTargetsChanged
-from aspendrift_model.decode_errors import DECODE_ERRORS
 from aspendrift_model.ids import DaemonId, PoolName, TargetId
 from aspendrift_model.target_entries import TargetKey
 from aspendrift_model.wire_work import PaceMessage, PaceSamples, SlowTargets
@@ -64,7 +64,9 @@
         self._sent_by_pool: dict[PoolName, tuple[float, frozenset[TargetKey]]] = {}
         self._known_by_pool: dict[PoolName, frozenset[TargetKey]] = {}
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(PaceMessage)
+        self._decoder: PeerDecoder[PaceMessage] = PeerDecoder(
+            PaceMessage, PACE_TOPIC, events
+        )
         self._task: asyncio.Task[None] | None = None
         link.subscribe(PACE_TOPIC, self._on_message)
 
@@ -116,11 +118,10 @@
             self.step(self._clock.monotonic())
 
     def _on_message(self, origin: DaemonId, payload: bytes) -> None:
-        try:
-            message = self._decoder.decode(payload)
-        except DECODE_ERRORS:
-            return
         now = self._clock.monotonic()
+        message = self._decoder.decode(origin, payload, now)
+        if message is None:
+            return
         if isinstance(message, PaceSamples):
             self._on_samples(message, now)
         else:
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/peer_state.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/peer_state.py
@@ -18,6 +18,7 @@
 
 from aspendrift_daemon.events import EventHub
 from aspendrift_daemon.interfaces import Clock
+from aspendrift_daemon.peer_decoding import PeerDecoder
 from aspendrift_daemon.peers import PeerLink
 from aspendrift_gateway.events import ConfigurationRejected, StateSourceChanged
 from aspendrift_gateway.settings import GatewaySettings
@@ -27,7 +28,6 @@
     targets_interval_s,
 )
 from aspendrift_gateway.system_state import SystemState
-from aspendrift_model.decode_errors import DECODE_ERRORS
 from aspendrift_model.ids import DaemonId, TargetId
 from aspendrift_model.states import MemberState
 from aspendrift_model.store_rows import NO_POSITION, StorePosition, StoreRow
@@ -144,7 +144,9 @@
         self._compressed = (-1, b"")
         self._subscribers_by_id: dict[DaemonId, _Subscriber] = {}
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(StateMessage)
+        self._decoder: PeerDecoder[StateMessage] = PeerDecoder(
+            StateMessage, STATE_TOPIC, events
+        )
         self._tasks: set[asyncio.Task[None]] = set()
         link.subscribe(STATE_TOPIC, self._on_message)
         state.on_change(self._on_state_change)
@@ -339,11 +341,10 @@
         self._link.send(daemon_id, STATE_TOPIC, self._encoder.encode(message))
 
     def _on_message(self, origin: DaemonId, payload: bytes) -> None:
-        try:
-            message = self._decoder.decode(payload)
-        except DECODE_ERRORS:
-            return
         now = self._clock.monotonic()
+        message = self._decoder.decode(origin, payload, now)
+        if message is None:
+            return
         if isinstance(message, StateQuery):
             self._on_query(origin, message, now)
         elif isinstance(message, StateUpdate):
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/prompt_containment.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/prompt_containment.py
@@ -17,6 +17,7 @@
 
 from aspendrift_daemon.events import EventHub
 from aspendrift_daemon.interfaces import Clock
+from aspendrift_daemon.peer_decoding import PeerDecoder
 from aspendrift_daemon.peers import PeerLink
 from aspendrift_gateway.events import (
     Dependency,
@@ -98,7 +99,9 @@
         self._watch = DependencyWatch(Dependency.STORE_QUARANTINES, events)
         self._sync_at = float("-inf")
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(QuarantineMessage)
+        self._decoder: PeerDecoder[QuarantineMessage] = PeerDecoder(
+            QuarantineMessage, QUARANTINE_TOPIC, events
+        )
         self._tasks: set[asyncio.Task[None]] = set()
         link.subscribe(QUARANTINE_TOPIC, self._on_message)
 
@@ -167,11 +170,10 @@
     # Messages.
 
     def _on_message(self, origin: DaemonId, payload: bytes) -> None:
-        try:
-            message = self._decoder.decode(payload)
-        except DECODE_ERRORS:
-            return
         now = self._clock.monotonic()
+        message = self._decoder.decode(origin, payload, now)
+        if message is None:
+            return
         if isinstance(message, PromptCrash):
             self._on_crash(message, now)
         elif isinstance(message, PartsCompleted):
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
@@ -17,12 +17,12 @@
 
 from aspendrift_daemon.events import EventHub
 from aspendrift_daemon.interfaces import Clock
+from aspendrift_daemon.peer_decoding import PeerDecoder
 from aspendrift_daemon.peers import PeerLink
 from aspendrift_gateway.interfaces import TargetCodec
 from aspendrift_gateway.pool_runner import PoolRunner
 from aspendrift_gateway.system_state import SystemState
 from aspendrift_gateway.target_client import TargetClient
-from aspendrift_model.decode_errors import DECODE_ERRORS
 from aspendrift_model.hosts import Host
 from aspendrift_model.ids import AttemptId, DaemonId, PoolName, ZoneName
 from aspendrift_model.pieces import Handle, PieceFailure, PieceId, PieceWork
@@ -132,7 +132,9 @@
         self._sequence = 0
         self._task: asyncio.Task[None] | None = None
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(WorkMessage)
+        self._decoder: PeerDecoder[WorkMessage] = PeerDecoder(
+            WorkMessage, WORK_TOPIC, events
+        )
         link.subscribe(WORK_TOPIC, self._on_message)
 
     async def start(self) -> None:
@@ -367,11 +369,10 @@
         self._link.send(daemon_id, WORK_TOPIC, self._encoder.encode(message))
 
     def _on_message(self, origin: DaemonId, payload: bytes) -> None:
-        try:
-            message = self._decoder.decode(payload)
-        except DECODE_ERRORS:
-            return
         now = self._clock.monotonic()
+        message = self._decoder.decode(origin, payload, now)
+        if message is None:
+            return
         self._received_at_by_owner[origin] = now
         if isinstance(message, SubmitJob):
             self._on_submit(origin, message, now)
@@ -420,7 +421,7 @@
         job_id = JobId(message.job_id)
         submitted = self._submitted_by_id.get(job_id)
         if submitted is not None and submitted.owner == origin:
-            failure = PieceFailure(message.failure)
+            failure = _failure(message.failure)
             self._deliver(submitted.pool, JobUpdate(job_id, failure=failure))
 
     def _on_cancel(self, message: CancelJob) -> None:
@@ -431,6 +432,14 @@
             runner.cancel(job_id)
 
 
+def _failure(value: str) -> PieceFailure:
+    """Return a failure; an owner of a later version may send one not known here."""
+    try:
+        return PieceFailure(value)
+    except ValueError:
+        return PieceFailure.ERROR
+
+
 def _submit_message(pool: PoolName, job: StageJob, now: float) -> SubmitJob:
     first = job.works[0].piece_id
     return SubmitJob(
--- a/packages/aspendrift-gateway/tests/test_stage_dispatcher.py
+++ b/packages/aspendrift-gateway/tests/test_stage_dispatcher.py
@@ -19,10 +19,10 @@
     DaemonId,
     PoolName,
 )
-from aspendrift_model.pieces import Handle, PieceId, PieceWork
+from aspendrift_model.pieces import Handle, PieceFailure, PieceId, PieceWork
 from aspendrift_model.routes import PieceLimits, PoolSpec, RoutingConfiguration
 from aspendrift_model.states import MemberState
-from aspendrift_model.wire_work import PoolLoad, WorkMessage
+from aspendrift_model.wire_work import JobEnded, PoolLoad, WorkMessage
 from aspendrift_policy.chain_admission import ChainAdmission
 from aspendrift_policy.route_table import RouteTable
 from aspendrift_policy.stage_scheduler import JobId, StageJob, StageScheduler
@@ -234,6 +234,24 @@
     run_scenario(scenario)
 
 
+def test_failure_of_a_later_version_ends_the_job(run_scenario):
+    """An owner of a later version may report a failure that isn't known here.
+
+    An exception would end the task that receives the messages of all peers.
+    """
+
+    async def scenario(fleet):
+        owner, others = fleet.owner_and_others()
+        dispatcher = fleet.dispatchers_by_id[others[0]]
+        listener = Listener()
+        dispatcher.submit(POOL, job("a"), listener)
+        ended = msgspec.msgpack.encode(JobEnded("a", "later"))
+        dispatcher._on_message(owner, ended)
+        assert listener.failures == [PieceFailure.ERROR]
+
+    run_scenario(scenario)
+
+
 def test_results_are_freed_through_the_owner(run_scenario):
     async def scenario(fleet):
         owner, others = fleet.owner_and_others()
