Give no results of a copied stage answer to another request

A target that sent the answer to a batch call twice, late, on a connection in use again gave the handles of the first request's pieces to the second one: batch calls carry no id that their answer repeats. A handle that was returned before marks the copy now; the call counts as failed and its target's connections are not reused for a while. test_late_copy_of_an_answer_gives_no_results_to_the_next_call failed before with the handles a.0 and a.1 in the results of b.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
@@ -24,6 +24,7 @@
 from aspendrift_model.pieces import Handle, PieceFailure, PieceOutcome
 from aspendrift_model.target_entries import TargetEntry
 from aspendrift_policy.chain_admission import PoolMeasures, PoolMeter
+from aspendrift_policy.handle_history import HandleHistory
 from aspendrift_policy.stage_scheduler import (
     JobId,
     JobUpdate,
@@ -74,6 +75,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._is_step_scheduled = False
         self._pending_frees: list[Handle] = []
+        self._handles = HandleHistory()
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def stop(self) -> None:
@@ -163,6 +165,9 @@
         now = self._clock.monotonic()
         outcomes, is_full, detail = self._read(answer, len(call.works))
         key = call.target.key
+        if outcomes is not None and self._is_copy(outcomes, now):
+            self._client.disable_reuse(target_id, now)
+            outcomes, detail = None, "copy of an earlier answer"
         n_completed = 0
         if outcomes is None:
             updates = self.scheduler.failed(call.call_id, key, is_full, now)
@@ -203,6 +208,10 @@
         failures = [each.value for each in outcomes if isinstance(each, PieceFailure)]
         return outcomes, False, ",".join(failures)
 
+    def _is_copy(self, outcomes: Sequence[PieceOutcome], now: float) -> bool:
+        handles = [each for each in outcomes if not isinstance(each, PieceFailure)]
+        return self._handles.is_copy(handles, now)
+
     def _send_frees(self) -> None:
         handles, self._pending_frees = self._pending_frees, []
         entries_by_address = {entry.address: entry for entry in self._entries()}
--- a/packages/aspendrift-gateway/tests/test_stage_dispatcher.py
+++ b/packages/aspendrift-gateway/tests/test_stage_dispatcher.py
@@ -42,6 +42,12 @@
         self.completed = []
         self.freed = []
         self.n_calls = 0
+        self.repeats_answer = False
+        self.reuse_disabled = []
+        self._previous_body = b""
+
+    def disable_reuse(self, target_id, now):
+        self.reuse_disabled.append(target_id)
 
     async def send_and_read(self, target, call, headers, now):
         content = json.loads(call.body)
@@ -52,7 +58,12 @@
             await asyncio.sleep(CALL_S)
             self.completed += content["pieces"]
         head = AnswerHead(None, False, False, False, False)
-        return CompleteAnswer(200, (), head, call.body)
+        body = call.body
+        if self.repeats_answer and "free" not in content:
+            self.repeats_answer = False
+            body = self._previous_body
+        self._previous_body = call.body
+        return CompleteAnswer(200, (), head, body)
 
 
 class FakeCodec:
@@ -221,6 +232,21 @@
     run_scenario(scenario, n_daemons=1)
 
 
+def test_late_copy_of_an_answer_gives_no_results_to_the_next_call(run_scenario):
+    async def scenario(fleet):
+        dispatcher = fleet.dispatchers_by_id[DaemonId("d0")]
+        first, second = Listener(), Listener()
+        dispatcher.submit(POOL, job("a"), first)
+        await first.done.wait()
+        fleet.targets.repeats_answer = True
+        dispatcher.submit(POOL, job("b"), second)
+        await second.done.wait()
+        assert set(second.results.values()) == {"t1:1/b.0", "t1:1/b.1"}
+        assert fleet.targets.reuse_disabled == ["t1"]
+
+    run_scenario(scenario, n_daemons=1)
+
+
 def test_results_of_a_cancelled_job_are_freed(run_scenario):
     async def scenario(fleet):
         owner, others = fleet.owner_and_others()
