Count unreadable headers of targets; use the pace in load reports

The affinity slack was 8 requests, two thirds of a target of 12 slots. It is now an eighth of the slots, the same for 64 slots. The pace of a target's machine changes every 0.1 s to 0.6 s, so it is averaged over 2 s.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
@@ -494,8 +494,7 @@
             self._client.disable_reuse(entry.key.target_id, now)
             return _FailedAttempt(AttemptVerdict.FOREIGN, str(head.attempt_id), True)
         if head.load is not None:
-            load = head.load.n_running + head.load.n_waiting
-            self.chooser(routed.pool).reported(entry, load, now)
+            self.chooser(routed.pool).reported(entry, head.load, now)
         if head.has_not_run:
             if answer.status == _INPUTS_GONE and delivery.inputs:
                 self._no_early_free_until = now + _EARLY_FREE_BACKOFF_S
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
@@ -42,6 +42,7 @@
     "StreamOriginSought",
     "TargetBroke",
     "TargetChanged",
+    "TargetHeaderUnreadable",
 ]
 
 
@@ -230,6 +231,19 @@
     problem: str
 
 
+@dataclass(frozen=True, slots=True)
+class TargetHeaderUnreadable(Event):
+    """Headers of a target's answer could not be decoded, and were ignored.
+
+    Logged once per target and minute; ``n_answers`` had such a header since the last.
+    """
+
+    name: ClassVar[str] = "target_header_unreadable"
+    target_id: str
+    detail: str
+    n_answers: int
+
+
 @dataclass(frozen=True, slots=True)
 class RequestRouted(Event):
     """A request was matched to a route and a pool.
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -37,6 +37,7 @@
 from aspendrift_gateway.store_reader import StoreReader
 from aspendrift_gateway.system_state import SystemState
 from aspendrift_gateway.target_client import TargetClient
+from aspendrift_gateway.unreadable_headers import UnreadableHeaders
 from aspendrift_model.hosts import Host
 from aspendrift_model.ids import Fingerprint, Incarnation, PoolName, TargetId
 from aspendrift_model.opaque_requests import OpaqueRequest
@@ -112,8 +113,11 @@
         self.metrics.connect(events)
         self.state = SystemState(codec, events)
         self.store = StoreClient(settings.store_address, codec.store)
+        self.unreadable_headers = UnreadableHeaders(events)
         self.client = TargetClient(
-            codec.target, lambda key: self.peer_state.target_leaving(key)
+            codec.target,
+            lambda key: self.peer_state.target_leaving(key),
+            on_unreadable=self.unreadable_headers.record,
         )
         peers = _peer_settings(settings)
         self.link = PeerLink(peers, self._host(), self.clock, events, rng)
@@ -255,6 +259,12 @@
             "Origins of streams held",
             lambda: self.origins.n_held,
         )
+        self.metrics.gauge(
+            "targets.unreadable_headers",
+            "1",
+            "Answers of targets with a header that could not be decoded",
+            lambda: self.unreadable_headers.n_answers,
+        )
         self.metrics.gauge(
             "store.calls", "1", "Calls to the store", lambda: self.store.n_calls
         )
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/interfaces.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/interfaces.py
@@ -11,6 +11,7 @@
 from typing import Protocol
 
 from aspendrift_model.ids import AccountId, AttemptId, TargetId, ZoneName
+from aspendrift_model.load_reports import LoadReport
 from aspendrift_model.opaque_requests import Headers, OpaqueRequest
 from aspendrift_model.pieces import Handle, PieceOutcome, PieceWork
 from aspendrift_model.routes import RoutingConfiguration
@@ -116,23 +117,6 @@
     last_event_id: str | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class LoadReport:
-    """Running and waiting requests of a target, and its number of slots.
-
-    Parameters
-    ----------
-    slowdown : float
-        How long work takes on the machine of the target at this moment, relative to
-        the usual time. It changes many times a second.
-    """
-
-    n_running: int
-    n_waiting: int
-    n_slots: int
-    slowdown: float = 1.0
-
-
 @dataclass(frozen=True, slots=True)
 class AnswerHead:
     """Decoded head of a target's answer.
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
@@ -158,6 +158,9 @@
         Called with each target that says in an answer that it leaves.
     links : LinkObserver or None
         Told of all exchanges; while it says that the links are lost, nothing is sent.
+    on_unreadable : callable or None
+        Called with a target, the headers of its answer that could not be decoded, and
+        the time.
     """
 
     def __init__(
@@ -165,7 +168,9 @@
         codec: TargetCodec,
         on_leaving: Callable[[TargetKey], None],
         links: LinkObserver | None = None,
+        on_unreadable: Callable[[TargetId, str, float], None] | None = None,
     ) -> None:
+        self._on_unreadable = on_unreadable
         self.links = links
         self.codec = codec
         self._on_leaving = on_leaving
@@ -226,6 +231,8 @@
         head = self.codec.answer_head(response.status_code, answer_headers)
         if head.is_leaving:
             self._on_leaving(entry.key)
+        if head.unreadable and self._on_unreadable is not None:
+            self._on_unreadable(entry.key.target_id, head.unreadable, now)
         return Answer(
             response.status_code,
             answer_headers,
--- a/packages/aspendrift-gateway/tests/test_attempts.py
+++ b/packages/aspendrift-gateway/tests/test_attempts.py
@@ -8,6 +8,7 @@
 from aspendrift_gateway.interfaces import AnswerHead
 from aspendrift_gateway.refusals import Refusal
 from aspendrift_gateway.target_client import Answer, Broken, NotSent
+from aspendrift_model.load_reports import LoadReport
 from aspendrift_model.pieces import Handle
 from aspendrift_model.routes import RequestKind
 from aspendrift_model.states import RefusalReason
@@ -234,7 +235,8 @@
 
     async def run():
         sender = harness.sender()
-        sender.chooser(harness.delivery().routed.pool).reported(entry("t1"), 4, 0.0)
+        chooser = sender.chooser(harness.delivery().routed.pool)
+        chooser.reported(entry("t1"), LoadReport(4, 0, 4), 0.0)
         await sender.send(harness.delivery(STREAM, (Handle("a/1"),)))
 
     run_virtual(run())
--- a/packages/aspendrift-policy/src/aspendrift_policy/pool_choice.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/pool_choice.py
@@ -9,12 +9,14 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 from typing import Final
 
 from aspendrift_model.ids import PrefixKey, TargetId, ZoneName
+from aspendrift_model.load_reports import LoadReport
 from aspendrift_model.states import AttemptEnd
 from aspendrift_model.target_entries import TargetEntry, TargetKey
 from aspendrift_policy.affinity import target_hash, top_targets
@@ -31,10 +33,17 @@
 _MAX_REPORT_AGE_S: Final = 1.0
 # Cost of sending a request to another zone, as a share of one request.
 _CROSS_ZONE_COST: Final = 0.15
-# Affinity is ignored for targets with more load than a constant plus a multiple of the
-# mean load.
-_AFFINITY_LOAD_SLACK: Final = 8.0
+# Affinity is ignored for targets whose load is over a share of their slots plus a
+# multiple of the mean load. An eighth is 8 requests of 64 slots; a count of requests
+# would let small targets queue before their load counts.
+_AFFINITY_SLACK_SHARE: Final = 0.125
 _AFFINITY_LOAD_FACTOR: Final = 1.5
+# The slowdown of a machine changes every 0.1 s to 0.6 s, and a stream takes one to two
+# seconds. What counts is thus the mean over such a time, and one report is at most half
+# of the estimate, so that a moment's figure doesn't move all daemons to one target.
+_SLOWDOWN_SMOOTHING_S: Final = 2.0
+_MAX_SLOWDOWN_WEIGHT: Final = 0.5
+_MAX_SLOWDOWN: Final = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +64,7 @@
     reported: int = 0
     own_at_report: int = 0
     reported_at: float = float("-inf")
+    slowdown: float = 1.0
     took_s: float | None = None
     took_updated_at: float = float("-inf")
 
@@ -139,10 +149,16 @@
         if took_s is not None:
             self._update_response_time(state, took_s, now)
 
-    def reported(self, entry: TargetEntry, load: int, now: float) -> None:
+    def reported(self, entry: TargetEntry, report: LoadReport, now: float) -> None:
         """Record the load that a target reported."""
         state = self._state(entry)
-        state.reported = load
+        known = _decayed_slowdown(state, now)
+        age_s = now - state.reported_at
+        weight = min(
+            _MAX_SLOWDOWN_WEIGHT, 1.0 - math.exp(-age_s / _SLOWDOWN_SMOOTHING_S)
+        )
+        state.slowdown = known + weight * (min(report.slowdown, _MAX_SLOWDOWN) - known)
+        state.reported = report.n_requests
         state.own_at_report = state.n_own
         state.reported_at = now
 
@@ -154,6 +170,10 @@
         n_sent_since = max(0, state.n_own - state.own_at_report)
         return float(max(state.n_own, state.reported + n_sent_since))
 
+    def slowdown(self, entry: TargetEntry, now: float) -> float:
+        """Return how long work takes on a target's machine, smoothed; 1 is usual."""
+        return _decayed_slowdown(self._state(entry), now)
+
     def _without_slow(
         self, candidates: Sequence[TargetEntry], now: float
     ) -> Sequence[TargetEntry]:
@@ -165,18 +185,24 @@
         self, candidates: Sequence[TargetEntry], prefix: PrefixKey, now: float
     ) -> TargetEntry:
         hashes = [self._state(entry).hash for entry in candidates]
-        loads = [self.load(entry, now) for entry in candidates]
-        bound = _AFFINITY_LOAD_SLACK + _AFFINITY_LOAD_FACTOR * sum(loads) / len(loads)
+        shares = [
+            self.load(entry, now) * self.slowdown(entry, now) / max(1, entry.n_slots)
+            for entry in candidates
+        ]
+        mean_share = sum(shares) / len(shares)
+        bound = _AFFINITY_SLACK_SHARE + _AFFINITY_LOAD_FACTOR * mean_share
         ranked = top_targets(prefix, hashes, len(candidates))
         for index in ranked:
-            if loads[index] <= bound:
+            if shares[index] <= bound:
                 return candidates[index]
-        return candidates[min(ranked, key=loads.__getitem__)]
+        return candidates[min(ranked, key=shares.__getitem__)]
 
     def _expected_cost(self, entry: TargetEntry, zone: ZoneName, now: float) -> float:
         n_ahead = self.load(entry, now) / max(1, entry.n_slots)
         zone_cost = 0.0 if entry.zone == zone else _CROSS_ZONE_COST
-        return (1.0 + n_ahead + zone_cost) * self._time_factor(entry, now)
+        # Learned times include the slowdown of the machine, so it isn't counted twice.
+        slowness = max(self._time_factor(entry, now), self.slowdown(entry, now))
+        return (1.0 + n_ahead + zone_cost) * slowness
 
     def _time_factor(self, entry: TargetEntry, now: float) -> float:
         """Return a target's learned time over the pool's lowest, decaying to 1."""
@@ -232,3 +258,9 @@
         for target_id in list(self._states_by_id):
             if target_id not in listed:
                 del self._states_by_id[target_id]
+
+
+def _decayed_slowdown(state: _TargetState, now: float) -> float:
+    """Return the slowdown, which returns to the usual 1 without further reports."""
+    age_s = max(0.0, now - state.reported_at - _MAX_REPORT_AGE_S)
+    return 1.0 + (state.slowdown - 1.0) * math.exp(-age_s / _SLOWDOWN_SMOOTHING_S)
--- a/packages/aspendrift-policy/tests/test_naive.py
+++ b/packages/aspendrift-policy/tests/test_naive.py
@@ -5,6 +5,7 @@
 import random
 
 from aspendrift_model.ids import AttemptId, PoolName, TargetId, ZoneName
+from aspendrift_model.load_reports import LoadReport
 from aspendrift_model.pieces import PieceId, PieceWork
 from aspendrift_model.routes import PieceLimits
 from aspendrift_model.target_entries import TargetEntry, TargetKey
@@ -32,7 +33,7 @@
 def test_targets_are_chosen_round_robin_regardless_of_load():
     chooser = RoundRobinChooser(RULES, random.Random(0))
     entries = [target("a"), target("b")]
-    chooser.reported(entries[0], 50, 0.0)
+    chooser.reported(entries[0], LoadReport(8, 42, 8), 0.0)
     chosen = [
         chooser.choose(entries, ZONE, None, (), 0.0).key.target_id for _ in range(4)
     ]
