Name loaded targets of a pool to all daemons

A daemon sees a target once in 15 s, so its load reports are too old for its next request. Cached work returns to a released target over 8 s; at once, it filled the slots again.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Final, Protocol, TypeAlias
 
@@ -47,6 +47,7 @@
     TargetId,
     ZoneName,
 )
+from aspendrift_model.load_reports import LoadReport
 from aspendrift_model.opaque_requests import OpaqueRequest
 from aspendrift_model.pieces import Handle
 from aspendrift_model.routes import RequestKind, Route
@@ -55,6 +56,7 @@
 from aspendrift_policy.outliers import EjectionRules
 from aspendrift_policy.pool_choice import PoolChooser
 from aspendrift_policy.retry_budget import RetryBudgets
+from aspendrift_policy.target_loads import ObservedLoad
 
 __all__ = [
     "AttemptSender",
@@ -139,6 +141,7 @@
 
 
 BeginListener: TypeAlias = Callable[[AttemptId, SoftwareVersion], None]
+LoadListener: TypeAlias = Callable[[PoolName, TargetKey, LoadReport], None]
 PaceListener: TypeAlias = Callable[[PoolName, TargetKey, float], None]
 RequestOutcome: TypeAlias = Served | Refusal | InputsGone
 
@@ -272,6 +275,7 @@
         self._no_early_free_until = float("-inf")
         self._on_pace: PaceListener | None = None
         self._on_begin: BeginListener | None = None
+        self._on_load: LoadListener | None = None
 
     def report_paces(self, on_pace: PaceListener) -> None:
         """Report the mean gaps between events of streams, in seconds."""
@@ -281,6 +285,20 @@
         """Report the software version of each resumable stream before its events."""
         self._on_begin = on_begin
 
+    def report_loads(self, on_load: LoadListener) -> None:
+        """Report the loads that targets state in the heads of streams."""
+        self._on_load = on_load
+
+    def apply_loaded(
+        self,
+        pool: PoolName,
+        loads: Mapping[TargetKey, ObservedLoad],
+        now: float,
+        until: float,
+    ) -> None:
+        """Send no new work to the loaded targets of a pool until some time."""
+        self.chooser(pool).apply_loaded(loads, now, until)
+
     def avoid(self, pool: PoolName, slow: frozenset[TargetKey], until: float) -> None:
         """Avoid the slow targets of a pool until some time."""
         self.chooser(pool).avoid(slow, until)
@@ -495,6 +513,8 @@
             return _FailedAttempt(AttemptVerdict.FOREIGN, str(head.attempt_id), True)
         if head.load is not None:
             self.chooser(routed.pool).reported(entry, head.load, now)
+            if routed.route.kind is RequestKind.STREAMING and self._on_load is not None:
+                self._on_load(routed.pool, entry.key, head.load)
         if head.has_not_run:
             if answer.status == _INPUTS_GONE and delivery.inputs:
                 self._no_early_free_until = now + _EARLY_FREE_BACKOFF_S
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
@@ -23,6 +23,7 @@
     "GatewayStopped",
     "HandoverEnded",
     "LinksChanged",
+    "LoadedTargetsChanged",
     "PeerLinksChanged",
     "PromptQuarantined",
     "QuarantineLifted",
@@ -129,6 +130,20 @@
     valid_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class LoadedTargetsChanged(Event):
+    """The targets of a pool that get no new work, except work cached there that fits.
+
+    Logged at most once in 5 s for a pool. Without a further message of the pool's
+    owner, the list expires after ``valid_s``.
+    """
+
+    name: ClassVar[str] = "loaded_targets_changed"
+    pool: str
+    target_ids: tuple[str, ...]
+    valid_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class StateSourceChanged(Event):
     """The source of configuration and targets changed: the store or a peer.
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -20,6 +20,7 @@
 from aspendrift_gateway.handover import Handover
 from aspendrift_gateway.interfaces import AddressQuery, PlatformCodec
 from aspendrift_gateway.link_exchange import LinkExchange
+from aspendrift_gateway.load_exchange import LoadExchange
 from aspendrift_gateway.member_rows import MemberRows
 from aspendrift_gateway.origin_exchange import OriginExchange
 from aspendrift_gateway.pace_exchange import PaceExchange
@@ -200,6 +201,15 @@
             self.link, self.dispatcher.owner, self.sender.avoid, self.clock, events
         )
         self.sender.report_paces(self.paces.record)
+        self.loads = LoadExchange(
+            self.link,
+            self.dispatcher.owner,
+            self.sender.apply_loaded,
+            self.clock,
+            events,
+            rng,
+        )
+        self.sender.report_loads(self.loads.record)
         self.origins = OriginExchange(self.link, self.state, self.clock, events)
         self.sender.report_origins(self.origins.began)
         self.path = RequestPath(
@@ -244,30 +254,7 @@
         self.servers = self._make_servers(codec)
         self.state.on_change(self._on_state_change)
         self.state.on_era(self._on_store_era)
-        self.metrics.gauge(
-            "requests.open", "1", "Requests without an answer", lambda: self.path.n_open
-        )
-        self.metrics.gauge(
-            "prompts.quarantines",
-            "1",
-            "Quarantines of prompts held",
-            lambda: self.containment.n_quarantines,
-        )
-        self.metrics.gauge(
-            "streams.origins",
-            "1",
-            "Origins of streams held",
-            lambda: self.origins.n_held,
-        )
-        self.metrics.gauge(
-            "targets.unreadable_headers",
-            "1",
-            "Answers of targets with a header that could not be decoded",
-            lambda: self.unreadable_headers.n_answers,
-        )
-        self.metrics.gauge(
-            "store.calls", "1", "Calls to the store", lambda: self.store.n_calls
-        )
+        self._create_gauges()
 
     def is_ready(self) -> bool:
         """Return whether new callers should use this gateway."""
@@ -327,6 +314,38 @@
         chosen = stable_choice(members, query.zone, _MAX_ADDRESSES)
         return [member.host.url for member in chosen]
 
+    def _create_gauges(self) -> None:
+        self.metrics.gauge(
+            "requests.open", "1", "Requests without an answer", lambda: self.path.n_open
+        )
+        self.metrics.gauge(
+            "prompts.quarantines",
+            "1",
+            "Quarantines of prompts held",
+            lambda: self.containment.n_quarantines,
+        )
+        self.metrics.gauge(
+            "streams.origins",
+            "1",
+            "Origins of streams held",
+            lambda: self.origins.n_held,
+        )
+        self.metrics.gauge(
+            "targets.loaded",
+            "1",
+            "Targets that get no new work since they are loaded",
+            self.loads.n_listed,
+        )
+        self.metrics.gauge(
+            "targets.unreadable_headers",
+            "1",
+            "Answers of targets with a header that could not be decoded",
+            lambda: self.unreadable_headers.n_answers,
+        )
+        self.metrics.gauge(
+            "store.calls", "1", "Calls to the store", lambda: self.store.n_calls
+        )
+
     def _components(self) -> tuple[Component, ...]:
         return (
             self.reader,
@@ -335,6 +354,7 @@
             self.links,
             self.dispatcher,
             self.paces,
+            self.loads,
             self.containment,
         )
 
--- a/packages/aspendrift-model/src/aspendrift_model/wire_work.py
+++ b/packages/aspendrift-model/src/aspendrift_model/wire_work.py
@@ -15,6 +15,9 @@
     "JobEnded",
     "JobResults",
     "LinksReport",
+    "LoadMessage",
+    "LoadSamples",
+    "LoadedTargets",
     "OriginAnswer",
     "OriginMessage",
     "OriginQuery",
@@ -34,6 +37,7 @@
     "StreamBegan",
     "SubmitJob",
     "TargetLeaving",
+    "TargetLoadItem",
     "WorkMessage",
 ]
 
@@ -226,6 +230,29 @@
     targets: tuple[tuple[str, int], ...]
 
 
+# Id and start time of a target in milliseconds, its running and waiting requests and
+# slots, and the age of these figures in milliseconds.
+TargetLoadItem = tuple[str, int, int, int, int, int]
+
+
+class LoadSamples(msgspec.Struct, frozen=True, array_like=True, tag="l"):
+    """Load reports of targets, for the owner of their pool."""
+
+    pool: str
+    samples: tuple[TargetLoadItem, ...]
+
+
+class LoadedTargets(msgspec.Struct, frozen=True, array_like=True, tag="t"):
+    """The loaded targets of a pool, the most loaded first.
+
+    ``relay_to`` are the daemons that the recipient passes the message on to.
+    """
+
+    pool: str
+    targets: tuple[TargetLoadItem, ...]
+    relay_to: tuple[str, ...] = ()
+
+
 class StreamBegan(msgspec.Struct, frozen=True, array_like=True, tag="b"):
     """Tells a holder which software version began a stream."""
 
@@ -268,4 +295,6 @@
 
 PaceMessage = PaceSamples | SlowTargets
 
+LoadMessage = LoadSamples | LoadedTargets
+
 StateMessage = StateQuery | StateUpdate | CrashReport | TargetLeaving
--- a/packages/aspendrift-policy/src/aspendrift_policy/pool_choice.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/pool_choice.py
@@ -11,7 +11,7 @@
 
 import math
 import random
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -21,6 +21,7 @@
 from aspendrift_model.target_entries import TargetEntry, TargetKey
 from aspendrift_policy.affinity import target_hash, top_targets
 from aspendrift_policy.outliers import EjectionRules, HealthState, TargetHealth
+from aspendrift_policy.target_loads import LOADED_SHARE, ObservedLoad, is_loaded
 
 __all__ = ["ChoiceInputs", "PoolChooser"]
 
@@ -44,6 +45,10 @@
 _SLOWDOWN_SMOOTHING_S: Final = 2.0
 _MAX_SLOWDOWN_WEIGHT: Final = 0.5
 _MAX_SLOWDOWN: Final = 10.0
+# A target that is no longer loaded gets its cached work back over this time. All
+# daemons learn of it at once, from a list that is about 0.7 s old. In that time
+# the work of a hot prompt would fill all of its slots again.
+_RETURN_S: Final = 8.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +69,7 @@
     reported: int = 0
     own_at_report: int = 0
     reported_at: float = float("-inf")
+    is_loaded: bool = False
     slowdown: float = 1.0
     took_s: float | None = None
     took_updated_at: float = float("-inf")
@@ -78,11 +84,33 @@
         self._states_by_id: dict[TargetId, _TargetState] = {}
         self._slow: frozenset[TargetKey] = frozenset()
         self._slow_until = float("-inf")
+        self._listed: Mapping[TargetKey, ObservedLoad] = {}
+        self._listed_until = float("-inf")
+        self._own_at_list_by_key: dict[TargetKey, int] = {}
+        self._released_at_by_key: dict[TargetKey, float] = {}
 
     def avoid(self, slow: frozenset[TargetKey], until: float) -> None:
         """Choose slow targets only if there is no other, until some time."""
         self._slow, self._slow_until = slow, until
 
+    def apply_loaded(
+        self, loads: Mapping[TargetKey, ObservedLoad], now: float, until: float
+    ) -> None:
+        """Replace the targets that are loaded as far as all daemons know."""
+        returning = {
+            key: at
+            for key, at in self._released_at_by_key.items()
+            if now - at < _RETURN_S
+        }
+        returning |= dict.fromkeys(self._listed, min(now, self._listed_until))
+        self._released_at_by_key = returning
+        self._listed, self._listed_until = loads, until
+        self._own_at_list_by_key = {
+            state.key: state.n_own
+            for state in self._states_by_id.values()
+            if state.key in loads
+        }
+
     def choose(
         self,
         entries: Sequence[TargetEntry],
@@ -115,8 +143,13 @@
             return None
         if prefix is not None:
             return self._by_affinity(candidates, prefix, now)
+        free = [each for each in candidates if not self._is_loaded(each, now)]
+        if not free and len(candidates) > 2:
+            # All daemons have the same list, so the best of two avoids that they all
+            # choose the least loaded target.
+            free = self._rng.sample(candidates, 2)
         return min(
-            candidates,
+            free or candidates,
             key=lambda entry: (
                 self._expected_cost(entry, zone, now),
                 self._rng.random(),
@@ -131,7 +164,12 @@
     def inputs(self, entry: TargetEntry, now: float) -> ChoiceInputs:
         """Return the load figures of a target, for the log."""
         state = self._state(entry)
-        return ChoiceInputs(state.n_own, state.reported, now - state.reported_at)
+        listed = self._listed_load(state, now)
+        if listed is not None:
+            reported, at = listed.report.n_requests, listed.observed_at
+        else:
+            reported, at = state.reported, state.reported_at
+        return ChoiceInputs(state.n_own, reported, now - at)
 
     def sent(self, entry: TargetEntry) -> None:
         """Record a request that is sent to a target."""
@@ -159,13 +197,20 @@
         )
         state.slowdown = known + weight * (min(report.slowdown, _MAX_SLOWDOWN) - known)
         state.reported = report.n_requests
+        state.is_loaded = is_loaded(report)
         state.own_at_report = state.n_own
         state.reported_at = now
 
     def load(self, entry: TargetEntry, now: float) -> float:
         """Return the estimated number of requests at a target."""
         state = self._state(entry)
-        if now - state.reported_at > _MAX_REPORT_AGE_S:
+        listed = self._listed_load(state, now)
+        if listed is not None:
+            own_at_list = self._own_at_list_by_key.get(state.key, 0)
+            n_sent_since = max(0, state.n_own - own_at_list)
+            return float(max(state.n_own, listed.report.n_requests + n_sent_since))
+        is_old = now - state.reported_at > _MAX_REPORT_AGE_S
+        if is_old and not self._is_loaded(entry, now):
             return float(state.n_own)
         n_sent_since = max(0, state.n_own - state.own_at_report)
         return float(max(state.n_own, state.reported + n_sent_since))
@@ -192,11 +237,51 @@
         mean_share = sum(shares) / len(shares)
         bound = _AFFINITY_SLACK_SHARE + _AFFINITY_LOAD_FACTOR * mean_share
         ranked = top_targets(prefix, hashes, len(candidates))
+        if self._fits(candidates[ranked[0]], now):
+            return candidates[ranked[0]]
+        free = [i for i in ranked if not self._is_loaded(candidates[i], now)]
+        ranked = free or ranked
         for index in ranked:
-            if shares[index] <= bound:
+            if shares[index] <= bound and self._may_return(candidates[index], now):
                 return candidates[index]
         return candidates[min(ranked, key=shares.__getitem__)]
 
+    def _listed_load(self, state: _TargetState, now: float) -> ObservedLoad | None:
+        """Return what all daemons know of a target, unless this one knows better."""
+        listed = self._listed.get(state.key) if now < self._listed_until else None
+        if listed is None or state.reported_at > listed.observed_at:
+            return None
+        return listed
+
+    def _is_loaded(self, entry: TargetEntry, now: float) -> bool:
+        """Return whether a target is listed, and wasn't below the bound since."""
+        state = self._state(entry)
+        if now >= self._listed_until or state.key not in self._listed:
+            return False
+        return state.is_loaded or self._listed_load(state, now) is not None
+
+    def _fits(self, entry: TargetEntry, now: float) -> bool:
+        """Return whether a loaded target takes a request whose prompt it has cached.
+
+        The probability falls with the slots that are free, since all daemons see the
+        same load until the next message.
+        """
+        if not self._is_loaded(entry, now):
+            return False
+        n_free = entry.n_slots - self.load(entry, now)
+        n_reserved = (1.0 - LOADED_SHARE) * entry.n_slots
+        return n_free >= 1.0 and self._rng.random() * n_reserved < n_free
+
+    def _may_return(self, entry: TargetEntry, now: float) -> bool:
+        """Return whether a target that was loaded takes a request of its cached work.
+
+        The probability rises from 0 to 1 over the time of the return.
+        """
+        released_at = self._released_at_by_key.get(entry.key)
+        if released_at is None:
+            return True
+        return self._rng.random() * _RETURN_S < now - released_at
+
     def _expected_cost(self, entry: TargetEntry, zone: ZoneName, now: float) -> float:
         n_ahead = self.load(entry, now) / max(1, entry.n_slots)
         zone_cost = 0.0 if entry.zone == zone else _CROSS_ZONE_COST
