--- a/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
@@ -23,6 +23,7 @@
     "GatewayStopped",
     "HandoverEnded",
     "LinksChanged",
+    "LoadedTargetsChanged",
     "PeerLinksChanged",
     "PromptQuarantined",
     "QuarantineLifted",
@@ -44,6 +45,7 @@
     "TargetChanged",
     "ZoneEvacuated",
     "ZoneReturned",
+    "TargetHeaderUnreadable",
 ]
 
 
@@ -130,6 +132,20 @@
     valid_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class LoadedTargetsChanged(Event):
+    """The targets of a pool that get no new work, except work cached there that fits.
+
+    Logged at most once in 5 s for a pool. Without a further message of the pool's
+    owner, the list expires after ``valid_s``.
+    """
+
+    name: ClassVar[str] = "loaded_targets_changed"
+    pool: str
+    target_ids: tuple[str, ...]
+    valid_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class StateSourceChanged(Event):
     """The source of configuration and targets changed: the store or a peer.
@@ -260,6 +276,16 @@
     era: int
     version: int
     evacuated_s: float
+class TargetHeaderUnreadable(Event):
+    """Headers of a target's answer could not be decoded, and were ignored.
+
+    Logged once per target and minute; ``n_answers`` had such a header since the last.
+    """
+
+    name: ClassVar[str] = "target_header_unreadable"
+    target_id: str
+    detail: str
+    n_answers: int
 
 
 @dataclass(frozen=True, slots=True)
