--- a/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
@@ -276,6 +276,9 @@
     era: int
     version: int
     evacuated_s: float
+
+
+@dataclass(frozen=True, slots=True)
 class TargetHeaderUnreadable(Event):
     """Headers of a target's answer could not be decoded, and were ignored.
 
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -256,37 +256,7 @@
         self.servers = self._make_servers(codec)
         self.state.on_change(self._on_state_change)
         self.state.on_era(self._on_store_era)
-        self.metrics.gauge(
-            "requests.open", "1", "Requests without an answer", lambda: self.path.n_open
-        )
-        self.metrics.gauge(
-            "zones.evacuated",
-            "1",
-            "Availability zones whose targets are sent nothing",
-            lambda: len(self.state.evacuations.zones),
-        )
-        self.metrics.gauge(
-            "zones.evacuated_time",
-            "s",
-            "Time for which the zone evacuated first has been so; 0 without any",
-            lambda: self.state.evacuations.longest_s(self.clock.monotonic()),
-        )
-        self.metrics.gauge(
-            "prompts.quarantines",
-            "1",
-            "Quarantines of prompts held",
-            lambda: self.containment.n_quarantines,
-        )
-        self.metrics.gauge(
-            "streams.origins",
-            "1",
-            "Origins of streams held",
-            lambda: self.origins.n_held,
-        )
-        self.metrics.gauge(
-            "store.calls", "1", "Calls to the store", lambda: self.store.n_calls
-        )
-        self._create_gauges()
+        self._register_gauges()
 
     def is_ready(self) -> bool:
         """Return whether new callers should use this gateway."""
@@ -378,6 +348,39 @@
             "store.calls", "1", "Calls to the store", lambda: self.store.n_calls
         )
 
+    def _register_gauges(self) -> None:
+        self.metrics.gauge(
+            "requests.open", "1", "Requests without an answer", lambda: self.path.n_open
+        )
+        self.metrics.gauge(
+            "zones.evacuated",
+            "1",
+            "Availability zones whose targets are sent nothing",
+            lambda: len(self.state.evacuations.zones),
+        )
+        self.metrics.gauge(
+            "zones.evacuated_time",
+            "s",
+            "Time for which the zone evacuated first has been so; 0 without any",
+            lambda: self.state.evacuations.longest_s(self.clock.monotonic()),
+        )
+        self.metrics.gauge(
+            "prompts.quarantines",
+            "1",
+            "Quarantines of prompts held",
+            lambda: self.containment.n_quarantines,
+        )
+        self.metrics.gauge(
+            "streams.origins",
+            "1",
+            "Origins of streams held",
+            lambda: self.origins.n_held,
+        )
+        self.metrics.gauge(
+            "store.calls", "1", "Calls to the store", lambda: self.store.n_calls
+        )
+        self._create_gauges()
+
     def _components(self) -> tuple[Component, ...]:
         return (
             self.reader,
