Evacuated pools refuse at once; sources that replaced rejected readers are kept

A request whose stage pool has only evacuated targets is refused with the zones in its detail, and queued stage jobs end instead of waiting until the deadline. A change of the members led a follower back to the readers that the store turned away, so that two of them asked only each other: seen at 12 daemons with both readers rejected, where neither learned anything in 12 s.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
@@ -702,9 +702,8 @@
         if delivery.answer.has_begun:
             return Served(200, is_cut=True, detail="no target")
         if delivery.n_run == 0:
-            return Refusal(
-                RefusalReason.NO_TARGET, delivery.routed.pool, _SHORT_RETRY_AFTER_S
-            )
+            detail = self._state.no_target_detail(delivery.routed.pool)
+            return Refusal(RefusalReason.NO_TARGET, detail, _SHORT_RETRY_AFTER_S)
         return Refusal(RefusalReason.TARGET_FAILED, "no other target")
 
     def _report_broken(self, entry: TargetEntry, delivery: Delivery) -> None:
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/peer_state.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/peer_state.py
@@ -59,6 +59,8 @@
 _CHECK_INTERVAL_S: Final = 0.1
 # As long as a probe of the failure detector waits.
 _ANSWER_TIMEOUT_S: Final = 0.4
+# A request whose target is chosen may wait this long for a connection to it.
+_SEND_MARGIN_S: Final = 0.5
 # Interval between direct reads while the store rejects them.
 _STORE_RETRY_S: Final = 3.0
 # Margin for a call to the store.
@@ -279,7 +281,7 @@
             ),
             max(settings.drain_s - reserved_s, interval_s + _READ_MARGIN_S),
             max(
-                settings.evacuation_s - reserved_s,
+                settings.evacuation_s - reserved_s - _SEND_MARGIN_S,
                 long_poll_s(settings) + _READ_MARGIN_S,
             ),
         )
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
@@ -47,6 +47,8 @@
     ----------
     entries : callable
         Returns the usable targets of the pool.
+    is_evacuated : callable
+        Returns whether there are none because all are in evacuated zones.
     on_update : callable
         Receives job updates.
     """
@@ -56,6 +58,7 @@
         pool: PoolName,
         scheduler: StageScheduler,
         entries: Callable[[], Sequence[TargetEntry]],
+        is_evacuated: Callable[[], bool],
         client: TargetClient,
         codec: TargetCodec,
         clock: Clock,
@@ -66,6 +69,7 @@
         self.scheduler = scheduler
         self.meter = PoolMeter()
         self._entries = entries
+        self._is_evacuated = is_evacuated
         self._client = client
         self._codec = codec
         self._clock = clock
@@ -119,6 +123,10 @@
         self.scheduler.set_targets(self._entries())
         for update in self.scheduler.check_deadlines(now):
             self._on_update(update)
+        if self._is_evacuated():
+            # Refused at once, since nobody knows when the zone returns.
+            for update in self.scheduler.fail_queued():
+                self._on_update(update)
         for call in self.scheduler.plan(now):
             self._run(self._call(call))
         if self._timer is not None:
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
@@ -280,7 +280,8 @@
         routed = delivery.routed
         request, route = routed.request, routed.route
         if not self._state.registry.usable(routed.pool):
-            return Refusal(RefusalReason.NO_TARGET, routed.pool, _SHORT_RETRY_AFTER_S)
+            detail = self._state.no_target_detail(routed.pool)
+            return Refusal(RefusalReason.NO_TARGET, detail, _SHORT_RETRY_AFTER_S)
         refusal = await self._bind_origin(delivery)
         if refusal is not None:
             return refusal
@@ -341,6 +342,9 @@
 
     def _refuse_chain(self, chain: Chain, routed: RoutedRequest) -> Refusal | None:
         """Return a refusal if the stages can't be completed in time, else None."""
+        detail = self._evacuation_detail(chain)
+        if detail is not None:
+            return Refusal(RefusalReason.NO_TARGET, detail, _SHORT_RETRY_AFTER_S)
         now = self._clock.monotonic()
         remaining_s = routed.first_byte_deadline_at - now - _FIRST_EVENTS_S
         decision = self._admission.decide(chain, remaining_s, now)
@@ -349,6 +353,13 @@
         detail = f"predicted {decision.predicted_s:.2f} s"
         return Refusal(RefusalReason.OVERLOADED, detail, decision.retry_after_s)
 
+    def _evacuation_detail(self, chain: Chain) -> str | None:
+        """Return why a stage can't run now; None if its pools aren't evacuated."""
+        for stage, n_pieces in chain.stages():
+            if n_pieces and self._state.is_evacuated(stage.pool):
+                return self._state.no_target_detail(stage.pool)
+        return None
+
     async def _run_stages(
         self, opened: _OpenRequest, chain: Chain, delivery: Delivery, plan: StagePlan
     ) -> Served | Refusal:
@@ -408,6 +419,9 @@
         if failed.failure is PieceFailure.OVERDUE and not delivery.n_run:
             retry_s = self._admission.retry_after_s(chain, self._clock.monotonic())
             return Refusal(RefusalReason.OVERLOADED, detail, retry_s)
+        evacuation = self._evacuation_detail(chain)
+        if evacuation is not None:
+            detail = f"{detail}, {evacuation}"
         return self._abandon(delivery, detail)
 
     def _abandon(self, delivery: Delivery, detail: str) -> Served | Refusal:
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
@@ -327,6 +327,7 @@
                 pool,
                 self._make_scheduler(spec.pieces),
                 lambda: self._state.registry.usable(pool),
+                lambda: self._state.is_evacuated(pool),
                 self._client,
                 self._codec,
                 self._clock,
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/system_state.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/system_state.py
@@ -20,7 +20,7 @@
     ZoneReturned,
 )
 from aspendrift_gateway.interfaces import ConfigurationUnreadable, PlatformCodec
-from aspendrift_model.ids import TargetId, ZoneName
+from aspendrift_model.ids import PoolName, TargetId, ZoneName
 from aspendrift_model.store_rows import NO_POSITION, StorePosition, StoreRow
 from aspendrift_model.target_entries import TargetEntry, TargetKey, UnreadableEntry
 from aspendrift_policy.change_log import ChangeLog, Changes
@@ -174,6 +174,16 @@
         """Return when a zone last came back from an evacuation, if known."""
         return self.evacuations.returned_at(zone)
 
+    def no_target_detail(self, pool: PoolName) -> str:
+        """Return why a pool has no usable target, for logs and refusals."""
+        zones = self.registry.evacuated_zones(pool)
+        return f"{pool}: evacuated zones {', '.join(zones)}" if zones else pool
+
+    def is_evacuated(self, pool: PoolName) -> bool:
+        """Return whether a pool's targets can't be used since all are evacuated."""
+        registry = self.registry
+        return not registry.usable(pool) and bool(registry.evacuated_zones(pool))
+
     def target_changes(self, after: StorePosition) -> Changes:
         """Return the entries whose meaning changed after a position."""
         return self._targets.since(after)
--- a/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
@@ -369,6 +369,13 @@
                 self._check_overdue(target, call, now)
         return updates
 
+    def fail_queued(self) -> list[JobUpdate]:
+        """End the jobs with queued pieces, since no target is left for those."""
+        due = [job_id for job_id, job in self._jobs_by_id.items() if job.queued]
+        for job_id in due:
+            del self._jobs_by_id[job_id]
+        return [JobUpdate(job_id, failure=PieceFailure.ERROR) for job_id in due]
+
     def next_due(self, now: float) -> float | None:
         """Return when :meth:`plan` or :meth:`check_deadlines` is due next, or None."""
         times = [
--- a/packages/aspendrift-policy/src/aspendrift_policy/state_sources.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/state_sources.py
@@ -181,11 +181,15 @@
         return self._sources[self._index % len(self._sources)]
 
     def set_members(self, own_id: DaemonId, daemon_ids: Sequence[DaemonId]) -> None:
-        """Set the live daemons; the current source is kept if it is still a reader."""
+        """Set the live daemons; the current source is kept if it is still listed.
+
+        Also one that replaced the readers: hosts come and go all the time when the
+        store is in trouble, and readers that it turns away must not be asked again
+        after each change. One that is no reader any more is replaced as usual.
+        """
         before = self.source_id
         self._sources, self._n_readers = sources_in_order(own_id, daemon_ids)
-        readers = self._sources[: self._n_readers]
-        self._index = readers.index(before) if before in readers else 0
+        self._index = self._sources.index(before) if before in self._sources else 0
 
     def steps(self, now: float, times: SourceTimes) -> list[SourceStep]:
         """Return what is due: replacing a silent source, and the next query."""
--- a/packages/aspendrift-policy/tests/test_stage_scheduler.py
+++ b/packages/aspendrift-policy/tests/test_stage_scheduler.py
@@ -365,3 +365,30 @@
     for name, counts in pool.n_results_by_job.items():
         allowed = {0, 1} if name in pool.failed_jobs else {1}
         assert set(counts) <= allowed
+
+
+def test_pieces_that_wait_for_a_target_of_an_evacuated_zone_move_at_once():
+    # Its pieces would have waited for the busy slot in their own zone.
+    scheduler = make_scheduler(target("t1", "z1"), target("t2", "z2"))
+    spec = {"zone": ZoneName("z1"), "moved_bytes": 1e6}
+    scheduler.submit(job("a", **spec))
+    (open_call,) = scheduler.plan(0.0)
+    scheduler.submit(job("b", **spec))
+    assert scheduler.plan(LIMITS.call_duration_s(1) - 0.05) == []
+    scheduler.set_targets([target("t2", "z2")])
+    (call,) = scheduler.plan(LIMITS.call_duration_s(1) - 0.05)
+    assert call.target.key.target_id == "t2"
+    assert complete(scheduler, open_call, 0.3)
+
+
+def test_jobs_with_queued_pieces_fail_when_no_target_is_left():
+    # Open calls finish; what no target can run would wait until the deadline.
+    scheduler = make_scheduler(target("t1"))
+    scheduler.submit(job("a"))
+    (open_call,) = scheduler.plan(0.0)
+    scheduler.submit(job("b"))
+    scheduler.set_targets([])
+    (update,) = scheduler.fail_queued()
+    assert (update.job_id, update.failure) == ("b", PieceFailure.ERROR)
+    assert complete(scheduler, open_call, 0.2)
+    assert scheduler.n_jobs == 0
--- a/packages/aspendrift-policy/tests/test_state_sources.py
+++ b/packages/aspendrift-policy/tests/test_state_sources.py
@@ -116,6 +116,23 @@
     assert steps == ([ReadStore(query.daemon_id, failure)] if is_read else [])
 
 
+def test_change_of_the_members_leads_back_to_no_reader_that_was_just_replaced():
+    # Two readers that the store turned away asked only each other for as long as hosts
+    # came and went, and learned nothing.
+    ids = daemons(20)
+    own_id, *others = readers_in_order(ids)
+    found = StateFollower()
+    now, queried_ids = 0.0, []
+    while now < 1.5:
+        found.set_members(own_id, ids)
+        for query in queried(found.steps(now, TIMES)):
+            queried_ids.append(query.daemon_id)
+            found.answered(query.number, OLD, 9.0, now, TIMES)
+        now += 0.1
+    assert queried_ids[0] in others
+    assert queried_ids[1] not in others
+
+
 def test_answer_to_an_earlier_query_confirms_nothing():
     found = follower()
     (first,) = found.steps(0.0, TIMES)
--- a/packages/aspendrift-policy/tests/test_target_registry.py
+++ b/packages/aspendrift-policy/tests/test_target_registry.py
@@ -188,3 +188,16 @@
     for second in range(2, 7):
         registry.update([], [], now + second)
     assert usable(registry) == [entry("a").key, entry("b").key]
+
+
+def test_targets_of_an_evacuated_zone_are_listed_but_not_usable():
+    registry, now = steady_registry(entry("t"), entry("u"))
+    registry.set_evacuated(frozenset({ZoneName("z")}))
+    registry.update([entry("v")], [], now)
+    assert usable(registry) == []
+    assert registry.all_usable() == []
+    assert registry.evacuated_zones(POOL) == [ZoneName("z")]
+    # Versions are those that may have begun a stream, wherever their targets are.
+    assert "" in registry.version_history(POOL, now, 1.0).versions
+    registry.set_evacuated(frozenset())
+    assert len(usable(registry)) == 3
--- a/tests/aspendrift_platform/test_evacuation.py
+++ b/tests/aspendrift_platform/test_evacuation.py
@@ -103,3 +103,36 @@
         assert n_received(targets) == before
 
     run_scenario(scenario)
+
+
+def test_request_is_refused_at_once_when_a_pool_has_only_evacuated_targets(
+    run_scenario,
+):
+    # Stage jobs waited for a target until the caller timed out. The log names the
+    # evacuation, as nothing else tells it from targets that are gone.
+    async def scenario(cluster):
+        cluster.platform.store.remove("servers", "second-0")
+        target = await cluster.platform.add_target("second-z2", "second", zone=ZONE)
+        # Long enough that some pieces of a request are still queued behind its call.
+        target.work_s = 0.4
+        (gateway,) = cluster.gateways
+        await cluster.until(
+            lambda: (
+                usable_names(gateway) >= {"second-z2"}
+                and "second-0" not in usable_names(gateway)
+            )
+        )
+        waiting = asyncio.create_task(cluster.stream(gateway))
+        await cluster.until(lambda: target.n_received)
+        cluster.platform.evacuate(ZONE)
+        await until_evacuated(cluster, ZONE)
+        _, answer = await cluster.stream(gateway)
+        assert answer.status_code == 503
+        assert float(answer.headers["retry-after"]) > 0
+        _, answer = await waiting
+        assert answer.status_code == 503
+        ended = [each for each in cluster.events if each.name == "request_ended"]
+        assert all("second: evacuated zones z2" in each.detail for each in ended)
+        assert all(each.took_s < 2.0 for each in ended)
+
+    run_scenario(scenario)
