State is queried only from daemons that announce evacuations

A daemon of the previous version answers queries without the evacuations of zones. Readers are chosen among all, as that version does, and among those that may announce evacuations. Features are announced to each new member directly, since probes bring two daemons together only rarely.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/membership.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/membership.py
@@ -20,6 +20,7 @@
 from aspendrift_model.wire_peer import (
     Ack,
     BucketHashes,
+    FeatureAnnouncement,
     Gossip,
     MemberMessage,
     MemberUpdate,
@@ -44,6 +45,9 @@
 _TICK_INTERVAL_S: Final = 0.1
 _MAX_UPDATES_PER_MESSAGE: Final = 8
 _MAX_RELAYED: Final = 10
+# Bounds the announcements after all daemons of a large fleet started at once: 100 per
+# second, each of about 60 bytes.
+_MAX_ANNOUNCEMENTS_PER_TICK: Final = 10
 _MIN_SYNC_INTERVAL_S: Final = 1.0
 _DEAD_RETENTION_S: Final = 60.0
 _HOUSEKEEPING_INTERVAL_S: Final = 5.0
@@ -127,6 +131,7 @@
         self._acknowledged: set[DaemonId] = set()
         self._reported_states: dict[DaemonId, tuple[int, MemberState]] = {}
         self._reported_members: tuple[Member, ...] = ()
+        self._to_announce_to: dict[DaemonId, None] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         link.subscribe(MEMBER_TOPIC, self._on_message)
 
@@ -165,6 +170,7 @@
             self._link.add_seeds()
             self._link.close_idle(now)
         self._report_changes()
+        self._announce_features()
 
     def _run(self, coroutine: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(coroutine)
@@ -230,6 +236,8 @@
         elif isinstance(message, BucketHashes):
             differing = self._view.differing_updates(message.hashes)
             self._send(origin, ViewRecords(differing))
+        elif isinstance(message, FeatureAnnouncement):
+            self._link.record_features(origin, message.features)
         else:
             self._apply(message.updates, now)
 
@@ -309,6 +317,15 @@
     def _send(self, daemon_id: DaemonId, message: MemberMessage) -> None:
         self._link.send(daemon_id, MEMBER_TOPIC, self._encoder.encode(message))
 
+    def _announce_features(self) -> None:
+        """Send the own features to some of the members that are new in the view."""
+        if not self._link.announced_features:
+            self._to_announce_to.clear()
+        message = FeatureAnnouncement(self._link.announced_features)
+        for daemon_id in list(self._to_announce_to)[:_MAX_ANNOUNCEMENTS_PER_TICK]:
+            del self._to_announce_to[daemon_id]
+            self._send(daemon_id, message)
+
     def _report_changes(self) -> None:
         members_in_view = self._view.members()
         if members_in_view is self._reported_members:
@@ -317,7 +334,10 @@
         members = self._view.members_by_id
         for daemon_id, member in members.items():
             state = (int(member.host.incarnation), member.state)
-            if self._reported_states.get(daemon_id) != state:
+            known = self._reported_states.get(daemon_id)
+            if known != state:
+                if known is None or known[0] != state[0]:
+                    self._to_announce_to[daemon_id] = None
                 self._reported_states[daemon_id] = state
                 self._events.emit(MemberChanged(daemon_id, *state))
         for daemon_id in [
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/peers.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/peers.py
@@ -263,6 +263,22 @@
             daemon_id, member.host.incarnation, feature
         )
 
+    def lacks(self, daemon_id: DaemonId, feature: PeerFeature) -> bool:
+        """Return whether a daemon is known not to understand a feature.
+
+        Both this and :meth:`supports` are False while nothing is known, as in the
+        first seconds after a start.
+        """
+        member = self.view.members_by_id.get(daemon_id)
+        return member is not None and self._features.lacks(
+            daemon_id, member.host.incarnation, feature
+        )
+
+    @property
+    def n_feature_changes(self) -> int:
+        """Number of changes so far to what is known of the features of peers."""
+        return self._features.n_changes
+
     def live_ids_supporting(self, feature: PeerFeature) -> list[DaemonId]:
         """Return the ids of the live daemons that have announced a feature."""
         return [each for each in self.live_ids() if self.supports(each, feature)]
--- a/packages/aspendrift-daemon/tests/configuration/test_membership.py
+++ b/packages/aspendrift-daemon/tests/configuration/test_membership.py
@@ -187,3 +187,25 @@
         await world.until(lambda: world.have_converged() and world.all_serve(), 30)
 
     world.run(scenario())
+
+
+def test_features_are_announced_directly_to_each_new_member(world: Any) -> None:
+    """Probes alone take minutes to bring each daemon together with each other one.
+
+    Until then owners would be chosen among different daemons at each of them.
+    """
+
+    async def scenario() -> None:
+        await start_and_settle(world)
+        for number, name in enumerate(NAMES):
+            world.daemons[name].link.announced_features = number + 1
+        for daemon in world.daemons.values():
+            daemon.link.announced_by_id.clear()
+        await world.kill("d4")
+        await world.start("d4")
+        restarted = world.daemons["d4"].link
+        restarted.announced_features = 64
+        expected = {name: n + 1 for n, name in enumerate(NAMES) if name != "d4"}
+        await world.until(lambda: restarted.announced_by_id == expected, 5)
+
+    world.run(scenario())
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/peer_state.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/peer_state.py
@@ -29,7 +29,7 @@
 )
 from aspendrift_gateway.system_state import SystemState
 from aspendrift_model.ids import DaemonId, TargetId
-from aspendrift_model.states import MemberState
+from aspendrift_model.states import MemberState, PeerFeature
 from aspendrift_model.store_rows import NO_POSITION, StorePosition, StoreRow
 from aspendrift_model.target_entries import TargetKey
 from aspendrift_model.wire_peer import RevisionDigest
@@ -137,7 +137,7 @@
         self._on_crash = on_crash
         self._quarantines = quarantines
         self._follower = StateFollower()
-        self._known_members: object = None
+        self._known_members: tuple[object, int] | None = None
         self._is_reader = True
         self._known_suspended_s = suspended_s()
         self._pulled_at = _NEVER
@@ -174,7 +174,9 @@
 
     def n_readers(self) -> int:
         """Return the number of daemons that follow the store."""
-        return max(1, len(self.reader_ids()))
+        ids = self._candidate_ids()
+        readers = {*readers_in_order(ids), *readers_in_order(self._understanding(ids))}
+        return max(1, len(readers))
 
     def reader_ids(self) -> list[DaemonId]:
         """Return the daemons that follow the store."""
@@ -232,12 +234,19 @@
     def _update_role(self, now: float) -> None:
         """Follow the store if this daemon is a reader or knows no state yet."""
         members = self._link.members()
-        if members is not self._known_members:
-            self._known_members = members
+        known = self._known_members
+        n_changes = self._link.n_feature_changes
+        if known is None or members is not known[0] or n_changes != known[1]:
+            self._known_members = members, n_changes
             live_ids = self._candidate_ids()
+            sources = self._understanding(live_ids)
             own_id = self._link.host.daemon_id
-            self._is_reader = own_id in readers_in_order(live_ids)
-            self._follower.set_members(own_id, live_ids)
+            # Daemons of the previous version choose their sources among all.
+            self._is_reader = own_id in {
+                *readers_in_order(live_ids),
+                *readers_in_order(sources),
+            }
+            self._follower.set_members(own_id, sources)
         is_wanted = self._is_reader or not self._state.is_complete
         if is_wanted != self._reader.is_following:
             self._reader.follow(is_wanted)
@@ -258,6 +267,18 @@
             if state in (MemberState.LIVE, MemberState.JOINING)
         ]
 
+    def _understanding(self, daemon_ids: list[DaemonId]) -> list[DaemonId]:
+        """Return the daemons whose answers may tell of all that is followed here.
+
+        Those of which nothing is known count, as nobody knows any in the first second
+        after a loss of power.
+        """
+        return [
+            each
+            for each in daemon_ids
+            if not self._link.lacks(each, PeerFeature.EVACUATIONS)
+        ]
+
     def _times(self) -> SourceTimes:
         """Return the times of a follower.
 
--- a/packages/aspendrift-gateway/tests/conftest.py
+++ b/packages/aspendrift-gateway/tests/conftest.py
@@ -173,6 +173,13 @@
     def supports(self, daemon_id, feature):
         return feature not in self._network.missing_features_by_id.get(daemon_id, ())
 
+    def lacks(self, daemon_id, feature):
+        return not self.supports(daemon_id, feature)
+
+    @property
+    def n_feature_changes(self):
+        return len(self._network.missing_features_by_id)
+
     def live_ids_supporting(self, feature):
         return [each for each in self.live_ids() if self.supports(each, feature)]
 
--- a/packages/aspendrift-gateway/tests/test_peer_state.py
+++ b/packages/aspendrift-gateway/tests/test_peer_state.py
@@ -14,7 +14,7 @@
 from aspendrift_gateway.store_reader import StoreReader
 from aspendrift_gateway.system_state import SystemState
 from aspendrift_model.ids import PoolName
-from aspendrift_model.states import MemberState
+from aspendrift_model.states import MemberState, PeerFeature
 from aspendrift_model.wire_work import StateQuery, StateUpdate
 from aspendrift_policy.state_sources import readers_in_order
 from aspendrift_standins.virtual_time import VirtualClock, run_virtual
@@ -299,6 +299,35 @@
     run_world(scenario)
 
 
+@pytest.mark.parametrize("n_old", [1, 11, 20])
+def test_daemons_of_the_previous_version_are_no_source_of_state(n_old):
+    """The answers of a previous version lack the evacuations of zones.
+
+    A daemon that followed one would go on sending to a zone that was evacuated. Those
+    of the previous version still query the readers that they choose among all.
+    """
+
+    async def scenario(world):
+        ids = [each.daemon_id for each in world.daemons]
+        old_ids = set(readers_in_order(ids)[:1])
+        old_ids |= set([each for each in ids if each not in old_ids][: n_old - 1])
+        for daemon_id in old_ids:
+            world.network.missing_features_by_id[daemon_id] = {PeerFeature.EVACUATIONS}
+        await asyncio.sleep(1.0)
+        world.network.sent.clear()
+        await world.expect_change(world.daemons)
+        for origin, recipient, payload in world.network.sent:
+            if payload[1:3] == b"\xa1q" and origin not in old_ids:
+                assert recipient not in old_ids
+        following = {
+            each.daemon_id for each in world.daemons if each.reader.is_following
+        }
+        assert set(readers_in_order(ids)) <= following
+        assert len(following) <= 4
+
+    run_world(scenario, 20)
+
+
 def test_followers_stay_current_while_no_source_answers_for_long():
     async def scenario(world):
         for reader in world.readers:
--- a/packages/aspendrift-model/src/aspendrift_model/states.py
+++ b/packages/aspendrift-model/src/aspendrift_model/states.py
@@ -90,7 +90,7 @@
 
 
 class PeerFeature(Enum):
-    """What a daemon understands beyond version 0.1.0 of the messages between daemons.
+    """What a daemon understands beyond the first version of the peer messages.
 
     The value is the number of the feature's bit in an announcement. A value is never
     used again for something else.
--- a/packages/aspendrift-model/src/aspendrift_model/wire_peer.py
+++ b/packages/aspendrift-model/src/aspendrift_model/wire_peer.py
@@ -18,6 +18,7 @@
     "ChangesPull",
     "ConfigurationMessage",
     "Envelope",
+    "FeatureAnnouncement",
     "Gossip",
     "HeldRevision",
     "HeldRevisionQuery",
@@ -148,7 +149,18 @@
     updates: tuple[MemberUpdate, ...]
 
 
-MemberMessage = Probe | Ack | ProbeRequest | BucketHashes | ViewRecords
+class FeatureAnnouncement(msgspec.Struct, frozen=True, array_like=True, tag="f"):
+    """Features of the sender, as in `Gossip`; sent once to each new member.
+
+    A fleet of hundreds needs a minute until each daemon has probed each other one.
+    """
+
+    features: int
+
+
+MemberMessage = (
+    Probe | Ack | ProbeRequest | BucketHashes | ViewRecords | FeatureAnnouncement
+)
 
 
 class ItemRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/aspendrift-policy/src/aspendrift_policy/peer_features.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/peer_features.py
@@ -26,7 +26,8 @@
     """The latest incarnation of a daemon that sent a message, and its features."""
 
     incarnation: int
-    features: int = 0
+    # None until it announced some, or showed that it announces none.
+    features: int | None = None
 
 
 class FeatureTracker:
@@ -44,6 +45,7 @@
         self._own_id = own_id
         self.own_encoded = encoded_features(own_features)
         self._by_id: dict[DaemonId, _Announced] = {}
+        self.n_changes = 0
 
     def record_message(self, daemon_id: DaemonId, incarnation: int) -> bool:
         """Record a message of a daemon in view; return False if it is of an old one.
@@ -54,25 +56,33 @@
         known = self._by_id.get(daemon_id)
         if known is None or incarnation > known.incarnation:
             self._by_id[daemon_id] = _Announced(incarnation)
+            self.n_changes += known is not None
             return True
         return incarnation == known.incarnation
 
     def announced(self, daemon_id: DaemonId, features: int) -> None:
         """Record what a daemon announced in the message that was recorded last."""
         known = self._by_id.get(daemon_id)
-        if known is not None:
+        if known is not None and known.features != features:
             known.features = features
+            self.n_changes += 1
 
     def supports(
         self, daemon_id: DaemonId, incarnation: int, feature: PeerFeature
     ) -> bool:
         """Return whether a daemon announced a feature in an incarnation or later."""
-        if daemon_id == self._own_id:
-            return bool(self.own_encoded >> feature.value & 1)
-        known = self._by_id.get(daemon_id)
-        if known is None or known.incarnation < incarnation:
-            return False
-        return bool(known.features >> feature.value & 1)
+        features = self._features(daemon_id, incarnation)
+        return features is not None and _has(features, feature)
+
+    def lacks(
+        self, daemon_id: DaemonId, incarnation: int, feature: PeerFeature
+    ) -> bool:
+        """Return whether what a daemon announced in an incarnation lacks a feature.
+
+        False as long as nothing is known of the daemon.
+        """
+        features = self._features(daemon_id, incarnation)
+        return features is not None and not _has(features, feature)
 
     def retain(self, daemon_ids: Container[DaemonId]) -> None:
         """Forget the daemons that are no longer in view."""
@@ -81,3 +91,15 @@
             for daemon_id, announced in self._by_id.items()
             if daemon_id in daemon_ids
         }
+
+    def _features(self, daemon_id: DaemonId, incarnation: int) -> int | None:
+        if daemon_id == self._own_id:
+            return self.own_encoded
+        known = self._by_id.get(daemon_id)
+        if known is None or known.incarnation < incarnation:
+            return None
+        return known.features
+
+
+def _has(features: int, feature: PeerFeature) -> bool:
+    return bool(features >> feature.value & 1)
--- a/packages/aspendrift-policy/tests/test_peer_features.py
+++ b/packages/aspendrift-policy/tests/test_peer_features.py
@@ -25,6 +25,24 @@
     assert tracker.record_message(PEER, 1)
 
 
+def test_a_peer_lacks_a_feature_only_once_it_has_shown_that() -> None:
+    """After a loss of power nobody has announced anything yet.
+
+    If silence counted as a lack, each daemon would take itself for the only one that
+    has the feature.
+    """
+    tracker = FeatureTracker(OWN, PeerFeature)
+    assert not tracker.lacks(PEER, 1, PeerFeature.PERMITS)
+    tracker.record_message(PEER, 1)
+    assert not tracker.lacks(PEER, 1, PeerFeature.PERMITS)
+    tracker.announced(PEER, 0)
+    assert tracker.lacks(PEER, 1, PeerFeature.PERMITS)
+    assert tracker.n_changes == 1
+    tracker.record_message(PEER, 2)
+    assert not tracker.lacks(PEER, 2, PeerFeature.PERMITS)
+    assert not tracker.lacks(OWN, 1, PeerFeature.PERMITS)
+
+
 def test_features_of_a_later_version_are_ignored() -> None:
     """A bit that this version doesn't know must not hide those that it knows."""
     tracker = FeatureTracker(OWN, [PeerFeature.TARGET_LOADS])
