--- a/packages/aspendrift-daemon/src/aspendrift_daemon/configuration.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/configuration.py
@@ -22,8 +22,8 @@
     StoreUnavailable,
     TableService,
 )
+from aspendrift_daemon.peer_decoding import PeerDecoder
 from aspendrift_model.configuration import Configuration
-from aspendrift_model.decode_errors import DECODE_ERRORS
 from aspendrift_model.hosts import Host
 from aspendrift_model.ids import DaemonId
 from aspendrift_model.settings_peers import PeerSettings
@@ -140,7 +140,9 @@
         self._reloaded_at = -_MIN_RELOAD_INTERVAL_S
         self._polls_until = 0.0
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(ConfigurationMessage)
+        self._decoder: PeerDecoder[ConfigurationMessage] = PeerDecoder(
+            ConfigurationMessage, CONFIGURATION_TOPIC, events
+        )
         self._cached_members: Sequence[tuple[Host, MemberState]] = ()
         self._hosts_by_id: dict[DaemonId, Host] = {}
         self._cached_ids: list[DaemonId] = []
@@ -364,16 +366,16 @@
             self._send(daemon_id, HeldRevisionQuery(self._log.revision))
 
     def _on_message(self, origin: DaemonId, payload: bytes) -> None:
-        try:
-            message = self._decoder.decode(payload)
-        except DECODE_ERRORS:
+        now = self._clock.monotonic()
+        message = self._decoder.decode(origin, payload, now)
+        if message is None:
             return
         if isinstance(message, ChangePush):
             self._apply_changes(
                 [message.change], DaemonId(message.confirm_to), message.hops
             )
             if self._log.has_gap():
-                self._pull_from(origin, self._clock.monotonic())
+                self._pull_from(origin, now)
         elif isinstance(message, Changes):
             self._apply_changes(message.changes, None)
         elif isinstance(message, HeldRevision):
