Keep the limits of targets across all daemons

A target that is cold, or states a limit, gets a request or stage call only with a dated permit of its owner. Requests choose another target without one, wait only if there is none, and are refused at once with the time to retry. A target that answers 503 with a time is left alone for it.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
@@ -27,6 +27,12 @@
     PromptGuard,
     TargetCodec,
 )
+from aspendrift_gateway.permit_exchange import Permit, PermitExchange, Restrictions
+from aspendrift_gateway.permitted_choice import (
+    ChoiceRefused,
+    PermittedChoice,
+    PermittedTarget,
+)
 from aspendrift_gateway.refusals import POISON_RETRY_AFTER_S, Refusal
 from aspendrift_gateway.stream_pace import StreamPace
 from aspendrift_gateway.system_state import SystemState
@@ -98,6 +104,7 @@
 _UNCONFIRMED_END: Final = "ended with its connection, target gone"
 _SERVER_ERROR: Final = 500
 _INPUTS_GONE: Final = 409
+_UNAVAILABLE: Final = 503
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,11 +162,15 @@
 
 @dataclass(frozen=True, slots=True)
 class _FailedAttempt:
-    """An attempt without an outcome for the caller."""
+    """An attempt without an outcome for the caller.
+
+    ``backs_off`` if the target said for how long it accepts nothing.
+    """
 
     verdict: AttemptVerdict
     detail: str
     may_have_run: bool
+    backs_off: bool = False
 
 
 @dataclass(slots=True)
@@ -272,6 +283,11 @@
         self._no_early_free_until = float("-inf")
         self._on_pace: PaceListener | None = None
         self._on_begin: BeginListener | None = None
+        self._permits: PermitExchange | None = None
+
+    def require_permits(self, permits: PermitExchange) -> None:
+        """Send requests to limited targets only with a permit."""
+        self._permits = permits
 
     def report_paces(self, on_pace: PaceListener) -> None:
         """Report the mean gaps between events of streams, in seconds."""
@@ -321,10 +337,14 @@
                     f"quarantined parts {parts}",
                     Refusal(RefusalReason.POISON, parts, POISON_RETRY_AFTER_S),
                 )
-            entry = self._choose(delivery, now)
-            if entry is None:
-                return self._no_target(delivery)
-            result = await self._attempt(delivery, entry)
+            restrictions = self._restrictions(routed.pool, now)
+            if restrictions is None:
+                chosen = self._choose_unlimited(delivery, now)
+            else:
+                chosen = await self._choose_permitted(delivery, restrictions, now)
+            if isinstance(chosen, ChoiceRefused):
+                return self._refuse_choice(delivery, chosen)
+            result = await self._attempt(delivery, chosen)
             if not isinstance(result, _FailedAttempt):
                 return result
             if not self._may_retry(delivery, result):
@@ -347,20 +367,61 @@
             chooser.forget_failures()
 
     def _choose(
-        self, delivery: Delivery, now: float, is_dry_run: bool = False
+        self,
+        delivery: Delivery,
+        now: float,
+        is_dry_run: bool = False,
+        skipped: frozenset[TargetId] = frozenset(),
     ) -> TargetEntry | None:
         routed = delivery.routed
         usable = self._state.registry.usable(routed.pool)
-        excluded = _excluded(delivery, usable)
+        excluded = _excluded(delivery, usable) | skipped
         return self.chooser(routed.pool).choose(
             usable, self._zone, _prefix(routed), excluded, now, is_dry_run
         )
 
+    def _restrictions(self, pool: PoolName, now: float) -> Restrictions | None:
+        if self._permits is None:
+            return None
+        usable = self._state.registry.usable(pool)
+        return self._permits.restrictions(pool, usable, now)
+
+    def _choose_unlimited(
+        self, delivery: Delivery, now: float
+    ) -> PermittedTarget | ChoiceRefused:
+        entry = self._choose(delivery, now)
+        if entry is None:
+            return ChoiceRefused(None, "no target")
+        return PermittedTarget(entry, Permit())
+
+    async def _choose_permitted(
+        self, delivery: Delivery, restrictions: Restrictions, now: float
+    ) -> PermittedTarget | ChoiceRefused:
+        """Choose a target of a pool with limited ones, and get a permit if needed."""
+        assert self._permits is not None
+        routed = delivery.routed
+
+        def usable() -> list[TargetEntry]:
+            entries = self._state.registry.usable(routed.pool)
+            excluded = _excluded(delivery, entries)
+            return [each for each in entries if each.key.target_id not in excluded]
+
+        ends_at = min(routed.deadline_at, routed.first_byte_deadline_at)
+        choice = PermittedChoice(
+            self._permits,
+            self.chooser(routed.pool),
+            self._clock,
+            usable,
+            lambda skipped, at: self._choose(delivery, at, skipped=skipped),
+            ends_at - routed.route.objective_s,
+        )
+        return await choice.target(restrictions, now)
+
     async def _attempt(
-        self, delivery: Delivery, entry: TargetEntry
+        self, delivery: Delivery, chosen: PermittedTarget
     ) -> Served | InputsGone | _FailedAttempt:
         """Make one attempt; record every outcome in the target's load and health."""
-        routed = delivery.routed
+        routed, entry = delivery.routed, chosen.entry
         began_at = self._clock.monotonic()
         chooser = self.chooser(routed.pool)
         load_state = chooser.inputs(entry, began_at)
@@ -397,6 +458,8 @@
                 )
             else:
                 verdict = AttemptVerdict.NOT_RUN
+            if self._permits is not None and verdict is AttemptVerdict.NOT_SENT:
+                self._permits.release(chosen.permit)
             return result
         finally:
             now = self._clock.monotonic()
@@ -501,8 +564,9 @@
                 self._no_early_free_until = now + _EARLY_FREE_BACKOFF_S
                 delivery.tried.discard(entry.key.target_id)
                 return InputsGone()
+            backs_off = answer.status == _UNAVAILABLE and head.retry_after_s is not None
             return _FailedAttempt(
-                AttemptVerdict.NOT_RUN, f"status {answer.status}", False
+                AttemptVerdict.NOT_RUN, f"status {answer.status}", False, backs_off
             )
         is_success = 200 <= answer.status < 300
         if head.is_encoded or (is_success and not head.is_signed):
@@ -672,7 +736,7 @@
             delivery.n_not_run += 1
             if delivery.n_not_run > _MAX_NOT_RUN_ATTEMPTS:
                 return False
-            if result.verdict is AttemptVerdict.NOT_SENT:
+            if result.verdict is AttemptVerdict.NOT_SENT or result.backs_off:
                 return True
             if not budget.may_retry(now):
                 return False
@@ -707,6 +771,17 @@
             )
         return Refusal(RefusalReason.TARGET_FAILED, "no other target")
 
+    def _refuse_choice(
+        self, delivery: Delivery, refused: ChoiceRefused
+    ) -> Served | Refusal:
+        """Return the outcome of a request that no target may be sent in time."""
+        if refused.retry_after_s is None:
+            return self._no_target(delivery)
+        return delivery.unserved(
+            refused.detail,
+            Refusal(RefusalReason.OVERLOADED, refused.detail, refused.retry_after_s),
+        )
+
     def _report_broken(self, entry: TargetEntry, delivery: Delivery) -> None:
         routed = delivery.routed
         parts = tuple(part.part_id for part in routed.request.prompt)
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
@@ -24,6 +24,8 @@
     "HandoverEnded",
     "LinksChanged",
     "PeerLinksChanged",
+    "PermitDenial",
+    "PermitRefused",
     "PromptQuarantined",
     "QuarantineLifted",
     "QuarantineSource",
@@ -40,8 +42,10 @@
     "StateSourceChanged",
     "StoreEraChanged",
     "StreamOriginSought",
+    "TargetBacksOff",
     "TargetBroke",
     "TargetChanged",
+    "TargetLimited",
 ]
 
 
@@ -77,6 +81,16 @@
     STORE = "store"
 
 
+class PermitDenial(Enum):
+    """Why a daemon has no permit for a request to a limited target."""
+
+    NONE_LEFT = "none_left"
+    NO_ANSWER = "no_answer"
+    NO_OWNER = "no_owner"
+    EXPIRED = "expired"
+    BACKS_OFF = "backs_off"
+
+
 @dataclass(frozen=True, slots=True)
 class GatewayReady(Event):
     """The gateway accepts requests."""
@@ -390,6 +404,44 @@
     n_events: int
 
 
+@dataclass(frozen=True, slots=True)
+class TargetLimited(Event):
+    """A target needs permits from now on, or with ``limit`` "none" no longer.
+
+    ``limit`` is "cold" or "stated"; ``permits_per_s`` is what its owner issues.
+    """
+
+    name: ClassVar[str] = "target_limited"
+    target_id: str
+    pool: str
+    limit: str
+    permits_per_s: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class PermitRefused(Event):
+    """No permit for a target was granted; logged once per second and target.
+
+    With ``none_left`` the owner has issued all; with ``no_answer`` it was silent; with
+    ``no_owner`` no daemon issues permits of this target yet.
+    """
+
+    name: ClassVar[str] = "permit_refused"
+    target_id: str
+    pool: str
+    reason: PermitDenial
+    retry_after_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class TargetBacksOff(Event):
+    """A target answered 503 with the time for which it accepts nothing."""
+
+    name: ClassVar[str] = "target_backs_off"
+    target_id: str
+    retry_after_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class PromptQuarantined(Event):
     """Requests whose prompt has all of these parts are refused from now on.
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -24,6 +24,7 @@
 from aspendrift_gateway.origin_exchange import OriginExchange
 from aspendrift_gateway.pace_exchange import PaceExchange
 from aspendrift_gateway.peer_state import PeerState
+from aspendrift_gateway.permit_exchange import PermitExchange
 from aspendrift_gateway.policies import POLICIES_BY_KIND
 from aspendrift_gateway.prompt_containment import PromptContainment
 from aspendrift_gateway.refusals import Refusal
@@ -196,6 +197,7 @@
             self.link, self.dispatcher.owner, self.sender.avoid, self.clock, events
         )
         self.sender.report_paces(self.paces.record)
+        self.permits = self._make_permits()
         self.origins = OriginExchange(self.link, self.state, self.clock, events)
         self.sender.report_origins(self.origins.began)
         self.path = RequestPath(
@@ -317,6 +319,25 @@
         chosen = stable_choice(members, query.zone, _MAX_ADDRESSES)
         return [member.host.url for member in chosen]
 
+    def _make_permits(self) -> PermitExchange:
+        """Return the exchange of permits, used by all that sends to targets."""
+        permits = PermitExchange(
+            self.link, self.state, lambda: self.settings, self.clock, self.events
+        )
+        self.client.on_head = permits.record_answer
+        self.sender.require_permits(permits)
+        self.dispatcher.require_permits(permits)
+        rates = permits.rates
+        for name, description, observe in (
+            ("limited", "Targets that need permits", lambda: permits.n_limited),
+            ("held", "Permits of own targets in use", lambda: rates.n_held),
+            ("issued", "Permits issued since the start", lambda: rates.n_issued),
+            ("denied", "Permits denied since the start", lambda: rates.n_denied),
+            ("returned", "Permits returned since the start", lambda: rates.n_returned),
+        ):
+            self.metrics.gauge(f"permits.{name}", "1", description, observe)
+        return permits
+
     def _components(self) -> tuple[Component, ...]:
         return (
             self.reader,
@@ -325,6 +346,7 @@
             self.links,
             self.dispatcher,
             self.paces,
+            self.permits,
             self.containment,
         )
 
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/interfaces.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/interfaces.py
@@ -153,6 +153,8 @@
     requests_per_s : float or None
         Requests per second that the target takes from all daemons together, if it
         limits them.
+    retry_after_s : float or None
+        Time for which the target asks to be sent nothing, in seconds.
     unreadable : str
         Name and value of a header that could not be decoded; empty if there was none.
     """
@@ -167,6 +169,7 @@
     is_leaving: bool = False
     requests_per_s: float | None = None
     unreadable: str = ""
+    retry_after_s: float | None = None
 
 
 class TargetCodec(Protocol):
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
@@ -14,6 +14,7 @@
     StageFreeFailed,
 )
 from aspendrift_gateway.interfaces import TargetCodec
+from aspendrift_gateway.permit_exchange import Permit, PermitExchange
 from aspendrift_gateway.target_client import (
     Broken,
     CompleteAnswer,
@@ -37,6 +38,10 @@
 # Frees requested within this time are sent in one call.
 _FREE_DELAY_S: Final = 0.01
 _FREE_TIMEOUT_S: Final = 1.0
+# Frees that got no permit are collected for at least this long, so that they take few
+# of the permits.
+_MIN_POSTPONED_FREE_S: Final = 0.5
+_UNLIMITED: Final = Permit()
 _OK: Final = 200
 
 
@@ -49,6 +54,8 @@
         Returns the usable targets of the pool.
     on_update : callable
         Receives job updates.
+    permits : PermitExchange or None
+        Gives the permits for calls to limited targets.
     """
 
     def __init__(
@@ -61,6 +68,7 @@
         clock: Clock,
         events: EventHub,
         on_update: Callable[[JobUpdate], None],
+        permits: PermitExchange | None = None,
     ) -> None:
         self.pool = pool
         self.scheduler = scheduler
@@ -71,6 +79,7 @@
         self._clock = clock
         self._events = events
         self._on_update = on_update
+        self._permits = permits
         self._timer: asyncio.TimerHandle | None = None
         self._is_step_scheduled = False
         self._pending_frees: list[Handle] = []
@@ -117,6 +126,7 @@
         self._is_step_scheduled = False
         now = self._clock.monotonic()
         self.scheduler.set_targets(self._entries())
+        self._pause_restricted(now)
         for update in self.scheduler.check_deadlines(now):
             self._on_update(update)
         for call in self.scheduler.plan(now):
@@ -129,6 +139,23 @@
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(max(0.005, due - now), self.schedule_step)
 
+    def _pause_restricted(self, now: float) -> None:
+        """Plan no calls to targets that would get no permit, or that back off."""
+        permits, entries = self._permits, self._entries()
+        if permits is None or permits.restrictions(self.pool, entries, now) is None:
+            return
+        for entry in entries:
+            sendable_at = permits.sendable_at(entry, now)
+            if sendable_at > now:
+                self.scheduler.pause_target(entry.key, sendable_at)
+
+    async def _permit(self, entry: TargetEntry, now: float) -> Permit | float:
+        """Return a permit for a call to a target, or the time to ask again."""
+        if self._permits is None or not self._permits.is_restricted(entry, now):
+            return _UNLIMITED
+        outcome = await self._permits.acquire(entry, now)
+        return outcome if isinstance(outcome, Permit) else outcome.retry_at
+
     def _run(self, coroutine: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
@@ -140,6 +167,10 @@
             dict.fromkeys(work.piece_id.attempt_id for work in call.works)
         )
         target_id = call.target.key.target_id
+        permit = await self._permit(call.target, sent_at)
+        if not isinstance(permit, Permit):
+            self._postpone(call, permit)
+            return
         self._events.emit(
             StageCallSent(
                 call.call_id,
@@ -160,6 +191,8 @@
                 )
         except TimeoutError:
             answer = Broken("timeout")
+        if isinstance(answer, NotSent) and self._permits is not None:
+            self._permits.release(permit)
         now = self._clock.monotonic()
         outcomes, is_full, detail = self._read(answer, len(call.works))
         key = call.target.key
@@ -188,6 +221,14 @@
             self._on_update(update)
         self.schedule_step()
 
+    def _postpone(self, call: PlannedCall, until: float) -> None:
+        """Queue the pieces of a call again that got no permit."""
+        key, now = call.target.key, self._clock.monotonic()
+        for update in self.scheduler.failed(call.call_id, key, True, now):
+            self._on_update(update)
+        self.scheduler.pause_target(key, until)
+        self.schedule_step()
+
     def _read(
         self, answer: CompleteAnswer | NotSent | Broken, n_pieces: int
     ) -> tuple[tuple[PieceOutcome, ...] | None, bool, str]:
@@ -220,6 +261,11 @@
         headers = self._codec.stage_headers(entry.key.target_id)
         call = self._codec.stage_free(handles)
         now = self._clock.monotonic()
+        permit = await self._permit(entry, now)
+        if not isinstance(permit, Permit):
+            delay_s = max(_MIN_POSTPONED_FREE_S, permit - now)
+            asyncio.get_running_loop().call_later(delay_s, self.free, handles)
+            return
         answer: CompleteAnswer | NotSent | Broken
         try:
             async with asyncio.timeout(_FREE_TIMEOUT_S):
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
@@ -19,6 +19,7 @@
 from aspendrift_daemon.interfaces import Clock
 from aspendrift_daemon.peers import PeerLink
 from aspendrift_gateway.interfaces import TargetCodec
+from aspendrift_gateway.permit_exchange import PermitExchange
 from aspendrift_gateway.pool_runner import PoolRunner
 from aspendrift_gateway.system_state import SystemState
 from aspendrift_gateway.target_client import TargetClient
@@ -131,10 +132,15 @@
         self._loads_sent_at = 0.0
         self._sequence = 0
         self._task: asyncio.Task[None] | None = None
+        self._permits: PermitExchange | None = None
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(WorkMessage)
         link.subscribe(WORK_TOPIC, self._on_message)
 
+    def require_permits(self, permits: PermitExchange) -> None:
+        """Send calls to limited targets only with a permit."""
+        self._permits = permits
+
     async def start(self) -> None:
         """Start monitoring the owners of jobs."""
         self._task = asyncio.create_task(self._step_forever())
@@ -332,6 +338,7 @@
                 self._clock,
                 self._events,
                 lambda update: self._on_update(pool, update),
+                self._permits,
             )
             self._runners_by_pool[pool] = runner
         runner.scheduler.set_limits(spec.pieces)
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
@@ -167,6 +167,8 @@
         links: LinkObserver | None = None,
     ) -> None:
         self.links = links
+        # Told the target, status and head of each answer.
+        self.on_head: Callable[[TargetKey, int, AnswerHead], None] | None = None
         self.codec = codec
         self._on_leaving = on_leaving
         self._by_id: dict[TargetId, tuple[str, _Connections]] = {}
@@ -226,6 +228,8 @@
         head = self.codec.answer_head(response.status_code, answer_headers)
         if head.is_leaving:
             self._on_leaving(entry.key)
+        if self.on_head is not None:
+            self.on_head(entry.key, response.status_code, head)
         return Answer(
             response.status_code,
             answer_headers,
--- a/packages/aspendrift-model/src/aspendrift_model/wire_work.py
+++ b/packages/aspendrift-model/src/aspendrift_model/wire_work.py
@@ -22,6 +22,11 @@
     "PartsCompleted",
     "PaceMessage",
     "PaceSamples",
+    "PermitGrant",
+    "PermitMessage",
+    "PermitQuery",
+    "PermitRefusal",
+    "PermitReturn",
     "PoolLoad",
     "PromptCrash",
     "QuarantineChanged",
@@ -264,8 +269,51 @@
     is_lost: bool
 
 
+class PermitQuery(msgspec.Struct, frozen=True, array_like=True, tag="q"):
+    """Asks the owner of a target for a permit to send it one request.
+
+    ``interval_us`` and ``window_ms`` are those of the limit that the sender knows of;
+    ``max_wait_ms`` is how long it would wait for the date of a permit.
+    """
+
+    number: int
+    target_id: str
+    born_ms: int
+    interval_us: int
+    window_ms: int
+    max_wait_ms: int
+
+
+class PermitGrant(msgspec.Struct, frozen=True, array_like=True, tag="g"):
+    """A permit that may be used after a wait, and is then valid for some time."""
+
+    number: int
+    permit: int
+    wait_ms: int
+    valid_ms: int
+
+
+class PermitRefusal(msgspec.Struct, frozen=True, array_like=True, tag="d"):
+    """Denies a permit, and tells when to ask again.
+
+    ``is_owner`` is whether the sender issues permits of the target now.
+    """
+
+    number: int
+    retry_ms: int
+    is_owner: bool
+
+
+class PermitReturn(msgspec.Struct, frozen=True, array_like=True, tag="r"):
+    """Returns a permit that wasn't used."""
+
+    permit: int
+
+
 OriginMessage = StreamBegan | OriginQuery | OriginAnswer
 
 PaceMessage = PaceSamples | SlowTargets
 
+PermitMessage = PermitQuery | PermitGrant | PermitRefusal | PermitReturn
+
 StateMessage = StateQuery | StateUpdate | CrashReport | TargetLeaving
--- a/packages/aspendrift-policy/src/aspendrift_policy/pool_choice.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/pool_choice.py
@@ -154,6 +154,15 @@
         n_sent_since = max(0, state.n_own - state.own_at_report)
         return float(max(state.n_own, state.reported + n_sent_since))
 
+    def has_free_slot(self, entry: TargetEntry, now: float) -> bool:
+        """Return whether a target is healthy and has a free slot by its load."""
+        return self._is_open(entry, now) and self.load(entry, now) < entry.n_slots
+
+    def declined(self, entry: TargetEntry, now: float) -> None:
+        """Record that no request followed the choice of a target."""
+        health = self._state(entry).health
+        health.attempt_ended(AttemptEnd.CANCELLED, now, self._rng, False)
+
     def _without_slow(
         self, candidates: Sequence[TargetEntry], now: float
     ) -> Sequence[TargetEntry]:
--- a/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
@@ -355,6 +355,12 @@
                 updates += self._piece_failed(job_id, work, PieceFailure.ERROR)
         return updates
 
+    def pause_target(self, key: TargetKey, until: float) -> None:
+        """Plan no call to a target before a time."""
+        target = self._targets_by_key.get(key)
+        if target is not None:
+            target.backoff_until = max(target.backoff_until, until)
+
     def check_deadlines(self, now: float) -> list[JobUpdate]:
         """End expired jobs, and queue the pieces of overdue calls again."""
         updates = [
--- a/packages/aspendrift-policy/src/aspendrift_policy/target_registry.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/target_registry.py
@@ -18,7 +18,12 @@
 from aspendrift_model.target_entries import TargetEntry, TargetKey, UnreadableEntry
 from aspendrift_policy.stream_origins import VersionHistory
 
-__all__ = ["RegistryChange", "RegistryChangeKind", "TargetRegistry"]
+__all__ = [
+    "EntryTimes",
+    "RegistryChange",
+    "RegistryChangeKind",
+    "TargetRegistry",
+]
 
 # Time for entries that lapsed during an outage to be registered again: about two
 # seconds according to the platform's documentation, less the time that a snapshot takes
@@ -54,6 +59,23 @@
     problem: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class EntryTimes:
+    """Times at which an entry and its target became known; monotonic, in seconds.
+
+    Parameters
+    ----------
+    received_at : float
+        When the entry was received.
+    appeared_at : float
+        When the target appeared or restarted; minus infinity if it was in the first
+        list, since its age is then unknown.
+    """
+
+    received_at: float
+    appeared_at: float
+
+
 class TargetRegistry:
     """Usable targets by pool."""
 
@@ -69,6 +91,12 @@
         self._version_left_at: dict[tuple[PoolName, SoftwareVersion], float] = {}
         self._read_at = float("-inf")
         self._outage_ended_at = float("-inf")
+        self._is_first_list = True
+        self._times_by_key: dict[TargetKey, EntryTimes] = {}
+
+    def entry_times(self, key: TargetKey) -> EntryTimes | None:
+        """Return when a listed target became known."""
+        return self._times_by_key.get(key)
 
     def usable(self, pool: PoolName) -> Sequence[TargetEntry]:
         """Return the targets of a pool that accept new work."""
@@ -111,6 +139,7 @@
             if isinstance(entry, TargetEntry):
                 listed_ids.add(entry.key.target_id)
             changes += self._apply_entry(entry, now)
+        self._is_first_list = False
         for target_id in [
             each for each in self.entries_by_id if each not in listed_ids
         ]:
@@ -173,6 +202,7 @@
         if known == entry:
             return []
         self.entries_by_id[target_id] = entry
+        self._record_times(known, entry, now)
         if entry.is_draining:
             _record_key(self._drained_keys, entry.key)
         kind = _change_kind(known, entry)
@@ -180,7 +210,9 @@
 
     def _apply_unreadable(self, entry: UnreadableEntry) -> list[RegistryChange]:
         """Remove a target whose entry can no longer be parsed."""
-        self.entries_by_id.pop(entry.target_id, None)
+        known = self.entries_by_id.pop(entry.target_id, None)
+        if known is not None:
+            self._times_by_key.pop(known.key, None)
         self._missing_since_by_id.pop(entry.target_id, None)
         kind = RegistryChangeKind.UNREADABLE
         return [RegistryChange(kind, entry.target_id, None, entry.problem)]
@@ -208,8 +240,19 @@
         if entry is None:
             return []
         _record_key(self._gone_keys, entry.key)
+        self._times_by_key.pop(entry.key, None)
         return [RegistryChange(RegistryChangeKind.GONE, target_id, entry)]
 
+    def _record_times(
+        self, known: TargetEntry | None, entry: TargetEntry, now: float
+    ) -> None:
+        before = None if known is None else self._times_by_key.pop(known.key, None)
+        if known is not None and known.key == entry.key and before is not None:
+            appeared_at = before.appeared_at
+        else:
+            appeared_at = float("-inf") if self._is_first_list else now
+        self._times_by_key[entry.key] = EntryTimes(now, appeared_at)
+
     def _rebuild_pools(
         self, changes: list[RegistryChange], now: float
     ) -> list[RegistryChange]:
--- a/tests/aspendrift_platform/platform_emulator.py
+++ b/tests/aspendrift_platform/platform_emulator.py
@@ -217,6 +217,12 @@
         self.n_while_leaving = 0
         self.is_down = False
         self.is_leaving = False
+        self.cold_left_s = 0.0
+        # What answers state: requests per second, and on 503 the time to stay away.
+        self.limit_per_s = None
+        self.retry_after_s = None
+        # Times at which requests and stage calls arrived.
+        self.arrived_at = []
 
     def crash(self, down_s=0.3):
         """Break off everything; start again under another id after a while."""
@@ -239,7 +245,7 @@
             "version": self.version,
             "slots": 8,
             "state": state,
-            "coldLeftMs": 0,
+            "coldLeftMs": int(self.cold_left_s * 1000),
             "seq": 1,
             "born": self.born,
         }
@@ -252,9 +258,16 @@
             raise ConnectionError("target is down")
         if self.is_leaving:
             self.n_while_leaving += scope["path"] != "/-/stage-free"
-            send = self._with_leaving(send)
+            send = self._with_header(send, b"server-leaving", "1")
+        if self.limit_per_s is not None:
+            send = self._with_header(send, b"server-limit", f"{self.limit_per_s}")
         if headers.get(b"expected-instance", self.name) != self.name:
             await reply(send, 421, headers=[(b"instance-id", self.name.encode())])
+            return
+        self.arrived_at.append(asyncio.get_running_loop().time())
+        if self.retry_after_s is not None:
+            retry_after = (b"retry-after", f"{self.retry_after_s}".encode())
+            await reply(send, 503, headers=[(b"not-executed", b"1"), retry_after])
         elif scope["path"] == "/-/stage-run":
             await self._run_stage(json.loads(body)["items"], send)
         elif scope["path"] == "/-/stage-free":
@@ -266,16 +279,16 @@
         else:
             await self._run(scope, headers, send)
 
-    def _with_leaving(self, send):
-        """Return ``send`` with the header that tells that this target leaves."""
+    def _with_header(self, send, name, value):
+        """Return ``send`` with another header of the answer."""
 
-        async def send_with_leaving(message):
+        async def send_with_header(message):
             if message["type"] == "http.response.start":
-                leaving = (b"server-leaving", b"1")
-                message = {**message, "headers": [*message["headers"], leaving]}
+                header = (name, value.encode())
+                message = {**message, "headers": [*message["headers"], header]}
             await send(message)
 
-        return send_with_leaving
+        return send_with_header
 
     async def _run_stage(self, items, send):
         await asyncio.sleep(self.work_s)
@@ -374,8 +387,9 @@
         servers = self._servers_by_address.values()
         await asyncio.gather(*(server.stop() for server in servers))
 
-    async def add_target(self, name, service, **changes):
+    async def add_target(self, name, service, cold_left_s=0.0, **changes):
         target = Target(self, name, service, **changes)
+        target.cold_left_s = cold_left_s
         self.targets_by_name[name] = target
         await self._serve(target.address, target)
         target.register()
@@ -471,6 +485,8 @@
             "retryBudgetRatio": 0.2,
             "budgetWindowS": 10,
             "budgetExtra": 50,
+            "coldOverrun": 1.5,
+            "coldSlack": 5,
         },
         "platform": {"address": store, "writesPerS": 400, "readsPerS": 2000},
         "limits": {"maxFds": 1000},
