--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -25,6 +25,7 @@
 from aspendrift_gateway.origin_exchange import OriginExchange
 from aspendrift_gateway.pace_exchange import PaceExchange
 from aspendrift_gateway.peer_state import PeerState
+from aspendrift_gateway.permit_exchange import PermitExchange
 from aspendrift_gateway.policies import POLICIES_BY_KIND
 from aspendrift_gateway.prompt_containment import PromptContainment
 from aspendrift_gateway.refusals import Refusal
@@ -212,6 +213,7 @@
             rng,
         )
         self.sender.report_loads(self.loads.record)
+        self.permits = self._make_permits()
         self.origins = OriginExchange(self.link, self.state, self.clock, events)
         self.sender.report_origins(self.origins.began)
         self.path = RequestPath(
@@ -381,6 +383,25 @@
         )
         self._create_gauges()
 
+    def _make_permits(self) -> PermitExchange:
+        """Return the exchange of permits, used by all that sends to targets."""
+        permits = PermitExchange(
+            self.link, self.state, lambda: self.settings, self.clock, self.events
+        )
+        self.client.on_head = permits.record_answer
+        self.sender.require_permits(permits)
+        self.dispatcher.require_permits(permits)
+        rates = permits.rates
+        for name, description, observe in (
+            ("limited", "Targets that need permits", lambda: permits.n_limited),
+            ("held", "Permits of own targets in use", lambda: rates.n_held),
+            ("issued", "Permits issued since the start", lambda: rates.n_issued),
+            ("denied", "Permits denied since the start", lambda: rates.n_denied),
+            ("returned", "Permits returned since the start", lambda: rates.n_returned),
+        ):
+            self.metrics.gauge(f"permits.{name}", "1", description, observe)
+        return permits
+
     def _components(self) -> tuple[Component, ...]:
         return (
             self.reader,
@@ -390,6 +411,7 @@
             self.dispatcher,
             self.paces,
             self.loads,
+            self.permits,
             self.containment,
         )
 
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
@@ -172,6 +172,8 @@
     ) -> None:
         self._on_unreadable = on_unreadable
         self.links = links
+        # Told the target, status and head of each answer.
+        self.on_head: Callable[[TargetKey, int, AnswerHead], None] | None = None
         self.codec = codec
         self._on_leaving = on_leaving
         self._by_id: dict[TargetId, tuple[str, _Connections]] = {}
@@ -233,6 +235,8 @@
             self._on_leaving(entry.key)
         if head.unreadable and self._on_unreadable is not None:
             self._on_unreadable(entry.key.target_id, head.unreadable, now)
+        if self.on_head is not None:
+            self.on_head(entry.key, response.status_code, head)
         return Answer(
             response.status_code,
             answer_headers,
