--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -386,7 +386,13 @@
     def _make_permits(self) -> PermitExchange:
         """Return the exchange of permits, used by all that sends to targets."""
         permits = PermitExchange(
-            self.link, self.state, lambda: self.settings, self.clock, self.events
+            self.link,
+            self.state,
+            lambda: self.settings,
+            self.clock,
+            self.events,
+            self.state.returned_at,
+            lambda: self.link.live_ids_supporting(PeerFeature.PERMITS),
         )
         self.client.on_head = permits.record_answer
         self.sender.require_permits(permits)
