Bound what is held for slow readers; a slow caller is no stall of the target

A caller that read slowly used up the time in which its target had to send: a resumable stream was sent again elsewhere, and a complete answer that may repeat was fetched a second time and begun twice. A target that sent a byte now and then never counted as stalled. Time in sending to the caller does not count now, and only complete events are progress; the three tests in test_attempts.py failed before. Bodies of requests, answers read as a whole and parts that callers have not read have budgets that are shares of the process's memory; without room for another part the answer that has waited longest is broken off.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
@@ -195,6 +196,8 @@
     software : SoftwareVersion or None
         Software version of the target that began the stream; other versions can't
         continue it. None before the first event.
+    is_answer_complete : bool
+        Whether an answer that is no stream was read as a whole.
     """
 
     routed: RoutedRequest
@@ -210,6 +213,7 @@
     n_events_before: int = 0
     is_counted: bool = False
     software: SoftwareVersion | None = None
+    is_answer_complete: bool = False
 
     @property
     def last_event_id(self) -> str | None:
@@ -538,6 +542,8 @@
                 finally:
                     await answer.close()
         except TimeoutError:
+            if delivery.is_answer_complete:
+                return Served(200, is_cut=True, detail="deadline, caller reads slowly")
             return _FailedAttempt(AttemptVerdict.TIMED_OUT, f"{timeout_s:.3f} s", True)
         finally:
             if early_free is not None:
@@ -594,10 +600,14 @@
             )
         if is_success and routed.route.kind is RequestKind.STREAMING:
             return await self._forward_stream(delivery, entry, answer, timeout)
-        return await self._forward_answer(delivery, entry, answer)
+        return await self._forward_answer(delivery, entry, answer, timeout)
 
     async def _forward_answer(
-        self, delivery: Delivery, entry: TargetEntry, answer: Answer
+        self,
+        delivery: Delivery,
+        entry: TargetEntry,
+        answer: Answer,
+        timeout: asyncio.Timeout,
     ) -> Served | _FailedAttempt:
         """Read a complete answer, then send it to the caller."""
         if not answer.head.is_signed:
@@ -619,6 +629,9 @@
             return _FailedAttempt(
                 AttemptVerdict.FAILED_BY_TARGET, f"status {answer.status}", True
             )
+        # The target is done; a caller that reads slowly is no reason to try another.
+        delivery.is_answer_complete = True
+        self._reschedule(timeout, delivery, math.inf)
         await delivery.answer.begin(
             answer.status, end_to_end_headers(answer.headers, len(body))
         )
@@ -635,7 +648,6 @@
     ) -> Served | _FailedAttempt:
         """Forward a stream event by event."""
         routed, relay = delivery.routed, delivery.relay
-        loop = asyncio.get_running_loop()
         stall_timeout_s = max(
             _MIN_STALL_TIMEOUT_S, _STALL_TIMEOUT_FACTOR * routed.route.event_gap_s
         )
@@ -650,14 +662,14 @@
                 pace.record(relay.n_events, self._clock.monotonic())
                 if pace.is_due():
                     self._report_pace(routed.pool, entry, pace)
-                if events:
-                    self._bind_software(delivery, entry)
-                    await self._send_events(delivery, answer, events)
+                if not events:
+                    continue
+                self._bind_software(delivery, entry)
+                # Time in which the caller does not read is no stall of the target.
+                self._reschedule(timeout, delivery, math.inf)
+                await self._send_events(delivery, answer, events)
                 if may_resume:
-                    remaining_s = routed.deadline_at - self._clock.monotonic()
-                    timeout.reschedule(
-                        loop.time() + min(stall_timeout_s, max(0.0, remaining_s))
-                    )
+                    self._reschedule(timeout, delivery, stall_timeout_s)
         except (httpx.HTTPError, OSError) as error:
             self._report_broken(entry, delivery)
             return self._stream_broke(delivery, type(error).__name__)
@@ -694,6 +706,14 @@
         """
         return answer.is_delimited or await self._client.accepts_connections(entry)
 
+    def _reschedule(
+        self, timeout: asyncio.Timeout, delivery: Delivery, within_s: float
+    ) -> None:
+        """End the exchange after some time from now, at the deadline at the latest."""
+        now = self._clock.monotonic()
+        remaining_s = min(within_s, max(0.0, delivery.routed.deadline_at - now))
+        timeout.reschedule(asyncio.get_running_loop().time() + remaining_s)
+
     def _bind_software(self, delivery: Delivery, entry: TargetEntry) -> None:
         """Record which software version began the stream."""
         if delivery.software is not None:
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/caller_answer.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/caller_answer.py
@@ -6,13 +6,17 @@
 
 from aspendrift_model.opaque_requests import Headers
 
-__all__ = ["CallerAnswer", "end_to_end_headers"]
+__all__ = ["CallerAnswer", "CallerStalled", "end_to_end_headers"]
 
 _HOP_BY_HOP_HEADERS: Final = frozenset(
     {b"connection", b"keep-alive", b"transfer-encoding", b"proxy-connection"}
 )
 
 
+class CallerStalled(Exception):
+    """A caller does not read its answer, and the memory for it is needed."""
+
+
 class CallerAnswer(Protocol):
     """The answer to one request, sent in parts."""
 
@@ -22,7 +26,7 @@
         """Send the head of the answer."""
 
     async def send(self, content: bytes) -> None:
-        """Send a part of the body."""
+        """Send a part of the body; raises `CallerStalled`."""
 
     async def end(self) -> None:
         """Send the end of the body."""
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -49,6 +49,7 @@
 from aspendrift_model.target_entries import TargetEntry
 from aspendrift_model.wire_work import CrashReport
 from aspendrift_policy.addresses import stable_choice
+from aspendrift_policy.buffer_budget import BufferShares
 from aspendrift_policy.leaving import LeavePhase, LeaveProcedure, LeaveTimes
 from aspendrift_policy.poison import PoisonLimits, SuspectTracker
 from aspendrift_policy.retry_budget import RetryBudgets, RetryLimit
@@ -116,10 +117,12 @@
         self.state = SystemState(codec, events)
         self.store = StoreClient(settings.store_address, codec.store)
         self.unreadable_headers = UnreadableHeaders(events)
+        self.buffers = BufferShares.within(settings.memory_bytes)
         self.client = TargetClient(
             codec.target,
             lambda key: self.peer_state.target_leaving(key),
             on_unreadable=self.unreadable_headers.record,
+            buffers=self.buffers.answers,
         )
         peers = _peer_settings(settings)
         self.link = PeerLink(
@@ -434,7 +437,11 @@
     def _make_servers(self, codec: PlatformCodec) -> list[AppServer]:
         settings = self.settings
         front = RequestApp(
-            self.path, codec.caller, self._limits, self.shutdown.is_leaving
+            self.path,
+            codec.caller,
+            self._limits,
+            self.shutdown.is_leaving,
+            self.buffers,
         )
         control = ControlApp(
             codec.caller,
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
@@ -18,7 +18,7 @@
     RoutedRequest,
     Served,
 )
-from aspendrift_gateway.caller_answer import CallerAnswer
+from aspendrift_gateway.caller_answer import CallerAnswer, CallerStalled
 from aspendrift_gateway.events import RequestEnded, RequestRouted
 from aspendrift_gateway.handover import Handover
 from aspendrift_gateway.interfaces import CallerCodec, PromptGuard
@@ -193,6 +193,8 @@
         """Serve a request; if :meth:`end_open` cancels it, classify its outcome."""
         try:
             return await self._serve(opened, answer)
+        except CallerStalled:
+            return Served(200, is_cut=True, detail="caller does not read")
         except asyncio.CancelledError:
             if not opened.is_ended_early or opened.task is None:
                 raise
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/servers.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/servers.py
@@ -18,6 +18,7 @@
 
 from aspendrift_daemon.embedded_server import EmbeddedServer, listen
 from aspendrift_daemon.limits import ConnectionLimits, limited_protocol
+from aspendrift_gateway.caller_answer import CallerStalled
 from aspendrift_gateway.handover import HANDED_OVER_HEADER
 from aspendrift_gateway.interfaces import AddressQuery, BadRequest, CallerCodec
 from aspendrift_gateway.refusals import Refusal, refusal_body, refusal_status
@@ -26,6 +27,7 @@
 from aspendrift_model.opaque_requests import Headers
 from aspendrift_model.routes import ServerLimits
 from aspendrift_model.states import RefusalReason
+from aspendrift_policy.buffer_budget import BufferShares, UnreadAnswers
 
 __all__ = ["AppServer", "ControlApp", "RequestApp"]
 
@@ -35,6 +37,11 @@
 
 _CLOSE: Final = (b"connection", b"close")
 _CLOSE_TIMEOUT_S: Final = 1
+_PART_BYTES: Final = 64 * 1024
+# Memory of an answer whose caller does not read: a part that waits, and as much in the
+# buffer of the connection.
+_UNREAD_BYTES: Final = 2 * _PART_BYTES
+_SHORT_RETRY_AFTER_S: Final = 0.5
 
 _logger = structlog.get_logger("aspendrift.front")
 
@@ -47,12 +54,27 @@
     """A request body is larger than the configuration allows."""
 
 
+class _BuffersFull(Exception):
+    """The bodies that are being received and served take too much memory."""
+
+
 class _AsgiAnswer:
-    """The answer to one request over ASGI."""
+    """The answer to one request over ASGI.
+
+    Parameters
+    ----------
+    unread : UnreadAnswers
+        Parts of all answers that callers have not read yet.
+    """
 
-    def __init__(self, send: Send, is_leaving: Callable[[], bool]) -> None:
+    def __init__(
+        self, send: Send, is_leaving: Callable[[], bool], unread: UnreadAnswers
+    ) -> None:
         self._send = send
         self._is_leaving = is_leaving
+        self._unread = unread
+        self._sending: asyncio.Task[Any] | None = None
+        self._is_stalled = False
         self.has_begun = False
         self.is_aborted = False
 
@@ -67,10 +89,32 @@
         )
 
     async def send(self, content: bytes) -> None:
-        """Send a part of the body."""
-        await self._send(
-            {"type": "http.response.body", "body": content, "more_body": True}
-        )
+        """Send a part of the body; raises `CallerStalled`.
+
+        In parts, each of which waits for the caller to read the ones before.
+        """
+        for start in range(0, len(content), _PART_BYTES):
+            await self._send_part(content[start : start + _PART_BYTES])
+
+    async def _send_part(self, part: bytes) -> None:
+        self._sending = asyncio.current_task()
+        number = self._unread.began(_UNREAD_BYTES, self._break_off)
+        try:
+            await self._send(
+                {"type": "http.response.body", "body": part, "more_body": True}
+            )
+        except asyncio.CancelledError:
+            if not self._is_stalled or self._sending is None:
+                raise
+            self._sending.uncancel()
+            raise CallerStalled from None
+        finally:
+            self._unread.ended(number)
+
+    def _break_off(self) -> None:
+        if self._sending is not None:
+            self._is_stalled = True
+            self._sending.cancel()
 
     async def end(self) -> None:
         """Send the end of the body."""
@@ -105,6 +149,8 @@
         Returns the limits in force.
     is_leaving : callable
         Returns whether to close connections after their answer.
+    buffers : BufferShares
+        Memory for the bodies of requests, and for answers that are not read.
     """
 
     def __init__(
@@ -113,26 +159,38 @@
         codec: CallerCodec,
         limits: Callable[[], ServerLimits],
         is_leaving: Callable[[], bool],
+        buffers: BufferShares,
     ) -> None:
         self._path = path
         self._codec = codec
         self._limits = limits
         self._is_leaving = is_leaving
+        self._buffers = buffers
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
-        answer = _AsgiAnswer(send, self._is_leaving)
+        answer = _AsgiAnswer(send, self._is_leaving, self._buffers.unread)
+        body = bytearray()
         try:
-            body = await self._read_body(receive)
+            if await self._has_body(receive, answer, body):
+                await self._serve(scope, receive, answer, bytes(body))
         except _CallerGone:
             return
         except _TooLarge:
             await self._reject(answer, RefusalReason.TOO_LARGE, "")
-            return
-        except asyncio.CancelledError:
-            # The server shuts down before the request is complete.
-            await self._reject(answer, RefusalReason.LEAVING, "")
-            return
+        except _BuffersFull:
+            _logger.warning(
+                "request_buffers_full", n_bytes=self._buffers.requests.n_bytes
+            )
+            await self._reject(
+                answer, RefusalReason.OVERLOADED, "memory", _SHORT_RETRY_AFTER_S
+            )
+        finally:
+            self._buffers.requests.release(len(body))
+
+    async def _serve(
+        self, scope: Scope, receive: Receive, answer: _AsgiAnswer, body: bytes
+    ) -> None:
         target_path = scope["raw_path"]
         if scope["query_string"]:
             target_path += b"?" + scope["query_string"]
@@ -160,23 +218,41 @@
         if answer.is_aborted or (serving.cancelled() and answer.has_begun):
             raise _Cut
 
-    async def _read_body(self, receive: Receive) -> bytes:
-        body = bytearray()
+    async def _has_body(
+        self, receive: Receive, answer: _AsgiAnswer, body: bytearray
+    ) -> bool:
+        """Read a body; refuse the request if the server shuts down before its end."""
+        try:
+            await self._read_body(receive, body)
+        except asyncio.CancelledError:
+            await self._reject(answer, RefusalReason.LEAVING, "")
+            return False
+        return True
+
+    async def _read_body(self, receive: Receive, body: bytearray) -> None:
+        """Append what the caller sends; its bytes are reserved as they are appended."""
         limit = self._limits().body_bytes
         while True:
             message = await receive()
             if message["type"] == "http.disconnect":
                 raise _CallerGone
-            body += message.get("body", b"")
-            if len(body) > limit:
+            part = message.get("body", b"")
+            if len(body) + len(part) > limit:
                 raise _TooLarge
+            if not self._buffers.requests.reserve(len(part)):
+                raise _BuffersFull
+            body += part
             if not message.get("more_body", False):
-                return bytes(body)
+                return
 
     async def _reject(
-        self, answer: _AsgiAnswer, reason: RefusalReason, detail: str
+        self,
+        answer: _AsgiAnswer,
+        reason: RefusalReason,
+        detail: str,
+        retry_after_s: float | None = None,
     ) -> None:
-        headers = self._codec.refusal_headers(AttemptId(""), None)
+        headers = self._codec.refusal_headers(AttemptId(""), retry_after_s)
         await answer.begin(refusal_status(reason), (*headers, _CLOSE))
         await answer.send(refusal_body(Refusal(reason, detail)))
         await answer.end()
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/settings.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/settings.py
@@ -50,6 +50,8 @@
     cold_overrun, cold_slack : float
         Requests that all daemons together may send a cold target within one second: a
         multiple of the rate that it tolerates, plus a constant.
+    memory_bytes : float
+        Memory that the process may use.
     """
 
     daemon_id: DaemonId
@@ -70,6 +72,7 @@
     retry_window_s: float
     retry_extra: float
     max_files: int
+    memory_bytes: float
     policies: PolicyKind = PolicyKind.LEARNED
     evacuation_s: float = 5.0
     cold_overrun: float = 1.0
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
@@ -23,6 +23,7 @@
 from aspendrift_model.ids import TargetId
 from aspendrift_model.opaque_requests import Headers
 from aspendrift_model.target_entries import TargetEntry, TargetKey
+from aspendrift_policy.buffer_budget import BufferBudget
 
 __all__ = [
     "Answer",
@@ -47,7 +48,8 @@
 # connection for this long.
 _NO_REUSE_S: Final = 10.0
 _FRAMING_HEADERS: Final = frozenset({b"content-length", b"transfer-encoding"})
-# Bytes of one answer that is read as a whole, and of all of them that are being read.
+# Bytes of one answer that is read as a whole, and by default of all of them that are
+# being read.
 _MAX_BODY_BYTES: Final = 16 * 1024 * 1024
 _MAX_BUFFERED_BYTES: Final = 64 * 1024 * 1024
 _NOT_SENT: Final = (httpx.ConnectError, httpx.ConnectTimeout)
@@ -75,22 +77,21 @@
 class _Buffers:
     """Counts the bytes of the answers that are being read as a whole."""
 
-    def __init__(self) -> None:
-        self._n_bytes = 0
+    def __init__(self, budget: BufferBudget | None = None) -> None:
+        self._budget = budget or BufferBudget(_MAX_BUFFERED_BYTES)
 
     async def read(self, chunks: AsyncIterator[bytes]) -> bytes:
         """Return all bytes; raises `AnswerTooLarge` if they are too many."""
         body = bytearray()
         try:
             async for chunk in chunks:
+                if not self._budget.reserve(len(chunk)):
+                    raise AnswerTooLarge("buffers of answers are full")
                 body += chunk
-                self._n_bytes += len(chunk)
                 if len(body) > _MAX_BODY_BYTES:
                     raise AnswerTooLarge(f"over {_MAX_BODY_BYTES} bytes")
-                if self._n_bytes > _MAX_BUFFERED_BYTES:
-                    raise AnswerTooLarge("buffers of answers are full")
         finally:
-            self._n_bytes -= len(body)
+            self._budget.release(len(body))
         return bytes(body)
 
 
@@ -169,6 +170,7 @@
         on_leaving: Callable[[TargetKey], None],
         links: LinkObserver | None = None,
         on_unreadable: Callable[[TargetId, str, float], None] | None = None,
+        buffers: BufferBudget | None = None,
     ) -> None:
         self._on_unreadable = on_unreadable
         self.links = links
@@ -178,7 +180,7 @@
         self._on_leaving = on_leaving
         self._by_id: dict[TargetId, tuple[str, _Connections]] = {}
         self._closing: set[asyncio.Task[None]] = set()
-        self._buffers = _Buffers()
+        self._buffers = _Buffers(buffers)
         self.connections_per_target = 16
 
     async def close(self) -> None:
--- a/packages/aspendrift-gateway/tests/conftest.py
+++ b/packages/aspendrift-gateway/tests/conftest.py
@@ -371,6 +371,7 @@
     body: bytes = b""
     is_ended: bool = False
     is_aborted: bool = False
+    send_s: float = 0.0
 
     async def begin(self, status, headers):
         self.has_begun = True
@@ -378,6 +379,8 @@
         self.headers = headers
 
     async def send(self, content):
+        if self.send_s:
+            await asyncio.sleep(self.send_s)
         self.body += content
 
     async def end(self):
--- a/packages/aspendrift-gateway/tests/test_attempts.py
+++ b/packages/aspendrift-gateway/tests/test_attempts.py
@@ -198,6 +198,29 @@
     assert harness.client.responses[0].is_closed
 
 
+def test_stream_is_not_cut_because_its_caller_reads_slowly(make_harness):
+    harness = make_harness(Reply(chunks=(events(1), events(2), events(3))))
+    harness.answer.send_s = 2.0
+    assert send(harness, RESUMABLE) == Served(200)
+    assert harness.answer.body == events(1, 2, 3)
+    assert len(harness.client.sent) == 1
+
+
+def test_answer_is_not_fetched_again_because_its_caller_reads_slowly(make_harness):
+    harness = make_harness(Reply())
+    harness.answer.send_s = 2.0
+    assert send(harness) == Served(200)
+    assert len(harness.client.sent) == 1
+
+
+def test_stream_without_whole_events_counts_as_stalled(make_harness):
+    trickle = (events(1), *(b"d" for _ in range(40)))
+    harness = make_harness(Reply(chunks=trickle, gap_s=0.5), Reply(chunks=(events(2),)))
+    assert send(harness, RESUMABLE) == Served(200)
+    assert harness.answer.body == events(1, 2)
+    assert harness.client.responses[0].is_closed
+
+
 def test_stream_keeps_its_position_when_inputs_are_recomputed(make_harness):
     """Guards against a resumed stream that restarts at its first event.
 
