--- a/packages/aspendrift-gateway/src/aspendrift_gateway/permit_exchange.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/permit_exchange.py
@@ -68,8 +68,12 @@
 # Views of the members differ for about this long, so that a daemon that says that it
 # isn't the owner is soon asked again, or not any more.
 _MAX_OTHER_OWNER_S: Final = 1.0
-# A denial of one target is logged at most at this interval.
+# A denial or back-off of one target is logged at most at this interval.
 _LOG_INTERVAL_S: Final = 1.0
+# Interval of the check which targets are limited, for the log: it visits each target.
+_CHECK_INTERVAL_S: Final = 0.5
+# Limits of pools that are kept, over changes of the configuration.
+_MAX_COLD_LIMITS: Final = 64
 _MS_PER_S: Final = 1000.0
 _US_PER_S: Final = 1e6
 _MISDIRECTED: Final = 421
@@ -147,6 +151,8 @@
         self._last_number = 0
         self._refused_by_key: dict[TargetKey, PermitRefusedUntil] = {}
         self._logged_at_by_key: dict[TargetKey, float] = {}
+        self._backoff_logged_at_by_key: dict[TargetKey, float] = {}
+        self._limits_checked_at = _NEVER
         self._silent_until_by_owner: dict[DaemonId, float] = {}
         self._limited_keys: frozenset[TargetKey] = frozenset()
         self._task: asyncio.Task[None] | None = None
@@ -176,10 +182,15 @@
         if status == _MISDIRECTED:
             return
         now = self._clock.monotonic()
-        self.targets.apply_stated(key, head.requests_per_s)
+        # A limit that can't be decoded is still one, so the last one stays.
+        if head.requests_per_s is not None or not head.unreadable:
+            self.targets.apply_stated(key, head.requests_per_s)
         retry_after_s = head.retry_after_s
         if status == _UNAVAILABLE and retry_after_s is not None:
-            if self.targets.back_off(key, retry_after_s, now):
+            is_new = self.targets.back_off(key, retry_after_s, now)
+            logged_at = self._backoff_logged_at_by_key.get(key, _NEVER)
+            if is_new and now - logged_at >= _LOG_INTERVAL_S:
+                self._backoff_logged_at_by_key[key] = now
                 self._events.emit(TargetBacksOff(key.target_id, retry_after_s))
 
     def restrictions(
@@ -261,7 +272,9 @@
         members = self._link.members()
         n_live = len(self._link.live_ids())
         self.rates.step(self._owners(), n_live, len(members), now)
-        self._log_limited(now)
+        if now - self._limits_checked_at >= _CHECK_INTERVAL_S:
+            self._limits_checked_at = now
+            self._log_limited(now)
 
     async def _step_forever(self) -> None:
         while True:
@@ -277,8 +290,9 @@
         key = (spec.cold, settings.cold_overrun, settings.cold_slack)
         found = self._cold_by_spec.get(key)
         if found is None:
-            self._cold_by_spec = {key: cold_limit(*key), **self._cold_by_spec}
-            found = self._cold_by_spec[key]
+            if len(self._cold_by_spec) >= _MAX_COLD_LIMITS:
+                self._cold_by_spec.clear()
+            found = self._cold_by_spec[key] = cold_limit(*key)
         return found
 
     def _cold_until(self, entry: TargetEntry) -> float:
@@ -438,6 +452,8 @@
         if any(change.kind in _ENDED for change in changes):
             present = {entry.key for entry in listed.values()}
             self.targets.retain(present)
+            for key in self._backoff_logged_at_by_key.keys() - present:
+                del self._backoff_logged_at_by_key[key]
 
     def _send(self, daemon_id: DaemonId, message: PermitMessage) -> None:
         self._link.send(daemon_id, PERMIT_TOPIC, self._encoder.encode(message))
--- a/packages/aspendrift-gateway/tests/conftest.py
+++ b/packages/aspendrift-gateway/tests/conftest.py
@@ -387,6 +387,7 @@
     prompts: FakePromptGuard = field(default_factory=FakePromptGuard)
     budget_floor_per_s: float = 100.0
     seed: int = 0
+    last_sender: object = None
 
     def sender(self):
         loop = asyncio.get_running_loop()
--- a/packages/aspendrift-policy/src/aspendrift_policy/target_rates.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/target_rates.py
@@ -49,7 +49,8 @@
 _PERMIT_VALID_S: Final = 0.5
 # A permit that is issued again has to be valid for longer than a message takes.
 _MIN_VALID_S: Final = 0.06
-# Permits are dated at most this far ahead: a longer wait is left to the caller.
+# Permits are dated at most this far ahead: a longer wait is left to the caller. A new
+# owner waits for as long beside the window, since those of the owner before are in use.
 _MAX_AHEAD_S: Final = 1.0
 # Longer pauses between two steps count as a suspension of the process. Other daemons
 # take longer to replace an owner.
@@ -83,7 +84,7 @@
     interval_s : float
         Time between the dates of two permits, in seconds.
     window_s : float
-        Window of the bound; a new owner issues nothing for this time.
+        Window of the bound; a new owner issues nothing for longer than this.
     """
 
     kind: LimitKind
@@ -184,7 +185,8 @@
     """Issues the permits of the targets that this daemon owns.
 
     It issues nothing for a target unless it was the owner, was in contact with at least
-    half of the members and was running throughout the window of the target's limit.
+    half of the members and was running throughout the window of the target's limit, and
+    for a second more.
     Disjoint groups of daemons have at most two owners in this way.
     """
 
@@ -219,7 +221,8 @@
         """
         self._record_running(now)
         self._apply_view(frozenset(candidates), 2 * n_live >= n_members, now)
-        while len(self._views) > 1 and self._views[1].since < now - _STATED_WINDOW_S:
+        relevant_since = now - _STATED_WINDOW_S - _MAX_AHEAD_S
+        while len(self._views) > 1 and self._views[1].since < relevant_since:
             self._views.popleft()
         for number, (_, date) in list(self._issued_by_number.items()):
             if date + _PERMIT_VALID_S < now:
@@ -238,7 +241,8 @@
     ) -> PermitDecision:
         """Issue a permit that may be used within ``max_wait_s``, or deny it."""
         self._record_running(now)
-        hold_s = self._hold_s(key, min(window_s, _STATED_WINDOW_S), now)
+        window_s = min(window_s, _STATED_WINDOW_S)
+        hold_s = self._hold_s(key, window_s + _MAX_AHEAD_S, now)
         if hold_s > 0.0:
             self.n_denied += 1
             return DeniedPermit(hold_s, is_owner=False)
@@ -292,12 +296,12 @@
         bucket.free_dates.remove(date)
         return date
 
-    def _hold_s(self, key: TargetKey, window_s: float, now: float) -> float:
-        """Return for how long nothing is issued; at least the window for non-owners."""
+    def _hold_s(self, key: TargetKey, start_s: float, now: float) -> float:
+        """Return for how long nothing is issued; ``start_s`` is that of a new owner."""
         since = self._running_since
         until = now
         for view in reversed(self._views):
-            if until <= now - window_s:
+            if until <= now - start_s:
                 break
             if not self._owns(view, key):
                 since = max(since, until)
@@ -306,7 +310,7 @@
         else:
             # Nothing is known of the time before the first view.
             since = max(since, until)
-        return max(0.0, since + window_s - now)
+        return max(0.0, since + start_s - now)
 
     def _owns(self, view: _View, key: TargetKey) -> bool:
         if not view.is_in_contact:
--- a/packages/aspendrift-policy/tests/test_target_registry.py
+++ b/packages/aspendrift-policy/tests/test_target_registry.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import math
+
 from hypothesis import given
 from hypothesis import strategies as st
 
 from aspendrift_model.ids import PoolName, TargetId, ZoneName
 from aspendrift_model.target_entries import TargetEntry, TargetKey, UnreadableEntry
-from aspendrift_policy.target_registry import RegistryChangeKind, TargetRegistry
+from aspendrift_policy.target_registry import (
+    EntryTimes,
+    RegistryChangeKind,
+    TargetRegistry,
+)
 
 POOL = PoolName("p")
 
@@ -188,3 +194,17 @@
     for second in range(2, 7):
         registry.update([], [], now + second)
     assert usable(registry) == [entry("a").key, entry("b").key]
+
+
+def test_age_of_a_target_is_unknown_only_in_the_first_list():
+    """A target that is new to a running daemon is cold whatever its entry says."""
+    registry = TargetRegistry()
+    registry.replace([entry("a", born=1)], 5.0)
+    assert registry.entry_times(entry("a", born=1).key) == EntryTimes(5.0, -math.inf)
+    registry.replace([entry("a", born=1), entry("b")], 6.0)
+    registry.replace([entry("a", born=1, draining=True), entry("b")], 7.0)
+    assert registry.entry_times(entry("a", born=1).key) == EntryTimes(7.0, -math.inf)
+    assert registry.entry_times(entry("b").key) == EntryTimes(6.0, 6.0)
+    registry.replace([entry("a", born=2)], 8.0)
+    assert registry.entry_times(entry("a", born=2).key) == EntryTimes(8.0, 8.0)
+    assert registry.entry_times(entry("a", born=1).key) is None
--- a/tests/aspendrift_platform/test_headers.py
+++ b/tests/aspendrift_platform/test_headers.py
@@ -195,6 +195,12 @@
     assert answer_head(200, ((b"Server-Limit", b"many"),)).unreadable
 
 
+def test_time_that_a_target_asks_to_be_left_alone_is_decoded():
+    assert answer_head(503, ((b"Retry-After", b"1.5"),)).retry_after_s == 1.5
+    assert answer_head(503, ()).retry_after_s is None
+    assert answer_head(503, ((b"Retry-After", b"-1"),)).unreadable
+
+
 def test_refusal_has_a_retry_time():
     headers = dict(PlatformCallerCodec().refusal_headers(AttemptId("a"), 0.25))
     assert headers[b"retry-after"] == b"0.250"
