Ask again for permits that are more than a second away

A request with a long caller timeout was refused at once, though a permit would have come in time: owners date permits at most a second ahead.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/permit_exchange.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/permit_exchange.py
@@ -39,6 +39,7 @@
     PermitReturn,
 )
 from aspendrift_policy.target_rates import (
+    MAX_AHEAD_S,
     IssuedPermit,
     LimitedTargets,
     RateLimit,
@@ -240,8 +241,10 @@
         Parameters
         ----------
         max_wait_s : float
-            How long to wait for the date of a permit at most, in seconds.
+            How long to wait for the date of a permit at most, in seconds; owners date
+            none further ahead than ``MAX_AHEAD_S``.
         """
+        max_wait_s = min(max_wait_s, MAX_AHEAD_S)
         backoff_until = self.targets.backoff_until(entry.key, now)
         if backoff_until is not None:
             return PermitRefusedUntil(backoff_until, PermitDenial.BACKS_OFF)
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/permitted_choice.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/permitted_choice.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Final, TypeAlias
@@ -19,10 +20,12 @@
 from aspendrift_model.ids import TargetId
 from aspendrift_model.target_entries import TargetEntry
 from aspendrift_policy.pool_choice import PoolChooser
+from aspendrift_policy.target_rates import MAX_AHEAD_S
 
 __all__ = ["ChoiceRefused", "PermittedChoice", "PermittedTarget"]
 
-# Targets that are asked for a dated permit before a request is refused.
+# Times that owners are asked for a dated permit before a request is refused. In an
+# overload more would only delay the refusal.
 _MAX_WAITS: Final = 3
 # Callers are told to wait at least this long.
 _MIN_RETRY_S: Final = 0.05
@@ -102,10 +105,15 @@
         """Wait for the first permit of any target, if it comes in time."""
         for _ in range(_MAX_WAITS):
             entry = self._next_entry(now)
-            max_wait_s = self.latest_at - now
-            if entry is None or self.permits.sendable_at(entry, now) > now + max_wait_s:
+            if entry is None:
+                break
+            sendable_at = self.permits.sendable_at(entry, now)
+            if sendable_at > self.latest_at:
                 break
-            outcome = await self.permits.acquire(entry, now, max_wait_s)
+            if sendable_at > now + MAX_AHEAD_S:
+                await asyncio.sleep(sendable_at - now - MAX_AHEAD_S)
+                now = self.clock.monotonic()
+            outcome = await self.permits.acquire(entry, now, self.latest_at - now)
             now = self.clock.monotonic()
             if isinstance(outcome, Permit):
                 if self._is_usable(entry):
--- a/packages/aspendrift-gateway/tests/test_permit_exchange.py
+++ b/packages/aspendrift-gateway/tests/test_permit_exchange.py
@@ -273,6 +273,21 @@
     run_virtual(run())
 
 
+def test_request_waits_for_a_permit_that_is_more_than_a_second_away(make_harness):
+    """Owners date no permits so far ahead, so it has to ask again."""
+
+    async def run():
+        names = {"t1", "t2", "t3"}
+        cold = ColdLimit(60.0, 0.25)
+        harness, daemon = cold_harness(make_harness, names, *[Reply()] * 4, cold=cold)
+        found = await send_all(harness, daemon, 4, route(timeout_s=8.0))
+        assert found == [Served(200)] * 4
+        assert asyncio.get_running_loop().time() == pytest.approx(7.0, abs=0.1)
+        assert len(harness.client.sent) == 4
+
+    run_virtual(run())
+
+
 class BackingOff(FakeClient):
     """Targets whose 503 says for how long they accept nothing."""
 
--- a/packages/aspendrift-policy/src/aspendrift_policy/target_rates.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/target_rates.py
@@ -24,6 +24,7 @@
 from aspendrift_policy.owner_choice import owners_in_order
 
 __all__ = [
+    "MAX_AHEAD_S",
     "DeniedPermit",
     "IssuedPermit",
     "LimitKind",
@@ -51,7 +52,7 @@
 _MIN_VALID_S: Final = 0.06
 # Permits are dated at most this far ahead: a longer wait is left to the caller. A new
 # owner waits for as long beside the window, since those of the owner before are in use.
-_MAX_AHEAD_S: Final = 1.0
+MAX_AHEAD_S: Final = 1.0
 # Longer pauses between two steps count as a suspension of the process. Other daemons
 # take longer to replace an owner.
 _MAX_PAUSE_S: Final = 0.5
@@ -221,7 +222,7 @@
         """
         self._record_running(now)
         self._apply_view(frozenset(candidates), 2 * n_live >= n_members, now)
-        relevant_since = now - _STATED_WINDOW_S - _MAX_AHEAD_S
+        relevant_since = now - _STATED_WINDOW_S - MAX_AHEAD_S
         while len(self._views) > 1 and self._views[1].since < relevant_since:
             self._views.popleft()
         for number, (_, date) in list(self._issued_by_number.items()):
@@ -242,12 +243,12 @@
         """Issue a permit that may be used within ``max_wait_s``, or deny it."""
         self._record_running(now)
         window_s = min(window_s, _STATED_WINDOW_S)
-        hold_s = self._hold_s(key, window_s + _MAX_AHEAD_S, now)
+        hold_s = self._hold_s(key, window_s + MAX_AHEAD_S, now)
         if hold_s > 0.0:
             self.n_denied += 1
             return DeniedPermit(hold_s, is_owner=False)
         bucket = self._buckets_by_key.setdefault(key, _Bucket(now))
-        max_wait_s = min(max_wait_s, _MAX_AHEAD_S)
+        max_wait_s = min(max_wait_s, MAX_AHEAD_S)
         date = self._reissued_date(bucket, max_wait_s, now)
         if date is None:
             date = max(now, bucket.next_at)
--- a/packages/aspendrift-policy/tests/test_pool_choice.py
+++ b/packages/aspendrift-policy/tests/test_pool_choice.py
@@ -124,3 +124,24 @@
     assert choose(chooser, entries, 0.1).key.target_id == "t2"
     assert chooser.load(entries[0], 0.1) == 3.0
     assert chooser.load(entries[0], 5.0) == 0.0
+
+
+def test_probe_that_is_not_sent_leaves_the_target_due_for_another():
+    """Without it, a target that got no permit for its probe stays ejected for ever."""
+    chooser, entries = make_chooser(), [entry("t1"), entry("t2")]
+    chooser.sent(entries[0])
+    chooser.ended(entries[0], AttemptEnd.NOT_SENT, None, 0.0)
+    for now in (2.0, 2.1):
+        assert choose(chooser, entries, now).key.target_id == "t1"
+        assert choose(chooser, entries, now).key.target_id == "t2"
+        chooser.declined(entries[0], now)
+
+
+def test_target_has_a_free_slot_while_healthy_and_not_full():
+    chooser, target = make_chooser(), entry("t1")
+    assert chooser.has_free_slot(target, 0.0)
+    for _ in range(4):
+        chooser.sent(target)
+    assert not chooser.has_free_slot(target, 0.0)
+    chooser.ended(target, AttemptEnd.NOT_SENT, None, 0.0)
+    assert not chooser.has_free_slot(target, 0.0)
