--- a/packages/aspendrift-gateway/tests/test_evacuation_spread.py
+++ b/packages/aspendrift-gateway/tests/test_evacuation_spread.py
@@ -17,7 +17,6 @@
 from aspendrift_model.wire_work import StateUpdate
 from aspendrift_standins.virtual_time import run_virtual
 
-from . import test_peer_state
 from .test_peer_state import Daemon, World, run_world
 
 # Times of a deployment with evacuations.
@@ -32,7 +31,7 @@
 
 @pytest.fixture(autouse=True)
 def deployment(monkeypatch):
-    monkeypatch.setattr(test_peer_state, "SETTINGS", SETTINGS)
+    monkeypatch.setitem(run_world.__globals__, "SETTINGS", SETTINGS)
 
 
 def evacuate(world, zone=ZONE, value=b"{}"):
--- a/packages/aspendrift-policy/tests/test_target_registry.py
+++ b/packages/aspendrift-policy/tests/test_target_registry.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import math
+
 from hypothesis import given
 from hypothesis import strategies as st
 
 from aspendrift_model.ids import PoolName, TargetId, ZoneName
 from aspendrift_model.target_entries import TargetEntry, TargetKey, UnreadableEntry
-from aspendrift_policy.target_registry import RegistryChangeKind, TargetRegistry
+from aspendrift_policy.target_registry import (
+    EntryTimes,
+    RegistryChangeKind,
+    TargetRegistry,
+)
 
 POOL = PoolName("p")
 
@@ -201,3 +207,16 @@
     assert "" in registry.version_history(POOL, now, 1.0).versions
     registry.set_evacuated(frozenset())
     assert len(usable(registry)) == 3
+
+def test_age_of_a_target_is_unknown_only_in_the_first_list():
+    """A target that is new to a running daemon is cold whatever its entry says."""
+    registry = TargetRegistry()
+    registry.replace([entry("a", born=1)], 5.0)
+    assert registry.entry_times(entry("a", born=1).key) == EntryTimes(5.0, -math.inf)
+    registry.replace([entry("a", born=1), entry("b")], 6.0)
+    registry.replace([entry("a", born=1, draining=True), entry("b")], 7.0)
+    assert registry.entry_times(entry("a", born=1).key) == EntryTimes(7.0, -math.inf)
+    assert registry.entry_times(entry("b").key) == EntryTimes(6.0, 6.0)
+    registry.replace([entry("a", born=2)], 8.0)
+    assert registry.entry_times(entry("a", born=2).key) == EntryTimes(8.0, 8.0)
+    assert registry.entry_times(entry("a", born=1).key) is None
