--- a/tools/soak_mixed_builds.py
+++ b/tools/soak_mixed_builds.py
@@ -254,7 +254,10 @@
         pauses = asyncio.create_task(self._watch_pauses())
         tasks: list[asyncio.Task[None]] = []
         try:
-            await asyncio.gather(*(host.start(self.old) for host in self.hosts))
+            # Hosts that start at once read the list of members before all are in it,
+            # and again only 10 s later.
+            for host in self.hosts:
+                await host.start(self.old)
             tasks = [asyncio.create_task(self._run_caller(n)) for n in range(N_CALLERS)]
             await self._observe_owners()
             await self._replace_all(self.new, is_withdrawn=True)
