--- a/tools/soak_mixed_builds.py
+++ b/tools/soak_mixed_builds.py
@@ -60,6 +60,8 @@
 # On a busy machine an owner is also suspected after a pause of a quarter of a second.
 # Owners that differ because of the builds differ in each window.
 _MAX_OWNERS_WINDOWS: Final = 5
+# A small budget, so that it is spent while all targets of a pool fail.
+_RETRIES_EXTRA: Final = 10
 _PAUSE_CHECK_S: Final = 0.1
 _MIN_PAUSE_S: Final = 2.0
 _STOP_TIMEOUT_S: Final = 20.0
@@ -154,7 +156,9 @@
         self.name = name
         self.folder = folder
         port = int(free_address().rpartition(":")[2])
-        self.settings = {**settings(name, store, [port, port]), "ip": ip}
+        found = settings(name, store, [port, port])
+        bounds = {**found["bounds"], "budgetExtra": _RETRIES_EXTRA}
+        self.settings = {**found, "ip": ip, "bounds": bounds}
         self.front = self.settings["listen"]["front"]
         self.ready = self.settings["listen"]["ready"]
         self.settings_file = folder / f"{name}.json"
