--- a/packages/aspendrift-policy/tests/test_target_registry.py
+++ b/packages/aspendrift-policy/tests/test_target_registry.py
@@ -208,6 +208,7 @@
     registry.set_evacuated(frozenset())
     assert len(usable(registry)) == 3
 
+
 def test_age_of_a_target_is_unknown_only_in_the_first_list():
     """A target that is new to a running daemon is cold whatever its entry says."""
     registry = TargetRegistry()
