Divide work of a model pool by the learned speeds of its targets

The owner of a pool learns speeds from the gaps between events that it gets already, and sends them at most once in 5 s. Work that is cached at a target that was loaded returns by how loaded it was. Lists that take many bytes are sent at up to 1 s.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
@@ -299,6 +299,12 @@
         """Send no new work to the loaded targets of a pool until some time."""
         self.chooser(pool).apply_loaded(loads, now, until)
 
+    def apply_speeds(
+        self, pool: PoolName, speeds: Mapping[TargetKey, float], until: float
+    ) -> None:
+        """Divide the work of a pool by the speeds of its targets until some time."""
+        self.chooser(pool).apply_speeds(speeds, until)
+
     def avoid(self, pool: PoolName, slow: frozenset[TargetKey], until: float) -> None:
         """Avoid the slow targets of a pool until some time."""
         self.chooser(pool).avoid(slow, until)
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
@@ -44,6 +44,7 @@
     "TargetBroke",
     "TargetChanged",
     "TargetHeaderUnreadable",
+    "TargetSpeedsChanged",
 ]
 
 
@@ -144,6 +145,19 @@
     valid_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class TargetSpeedsChanged(Event):
+    """The speeds by which work is divided between the targets of a pool.
+
+    Each is a target and its speed relative to the median; the others have 1. Sent by
+    the pool's owner at most once in 5 s.
+    """
+
+    name: ClassVar[str] = "target_speeds_changed"
+    pool: str
+    speeds: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class StateSourceChanged(Event):
     """The source of configuration and targets changed: the store or a peer.
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -198,7 +198,13 @@
             self.containment,
         )
         self.paces = PaceExchange(
-            self.link, self.dispatcher.owner, self.sender.avoid, self.clock, events
+            self.link,
+            self.dispatcher.owner,
+            self.sender.avoid,
+            self.sender.apply_speeds,
+            self.clock,
+            events,
+            rng,
         )
         self.sender.report_paces(self.paces.record)
         self.loads = LoadExchange(
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/load_exchange.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/load_exchange.py
@@ -31,6 +31,7 @@
     LoadTracker,
     ObservedLoad,
     is_loaded,
+    list_interval_s,
     max_listed,
     relay_groups,
     sample_interval_s,
@@ -43,8 +44,7 @@
 _STEP_INTERVAL_S: Final = 0.25
 # Targets in one message of samples; a daemon rarely sees more in its interval.
 _MAX_SAMPLES: Final = 4
-# Loaded targets are sent at most at this interval, and the list expires after a few.
-_SEND_INTERVAL_S: Final = 0.5
+# The list of loaded targets expires after a few of its intervals.
 _LIST_TTL_S: Final = 1.5
 # Samples that wait longer than this for their interval say nothing any more.
 _MAX_PENDING_S: Final = 1.0
@@ -149,21 +149,23 @@
 
     def _send_loaded(self, pool: PoolName, tracker: LoadTracker, now: float) -> None:
         """Send the loaded targets of a pool; an empty list once they are none."""
-        sent_at, had_some = self._sent_by_pool.get(pool, (_NEVER, False))
-        if now - sent_at < _SEND_INTERVAL_S:
+        next_at, had_some = self._sent_by_pool.get(pool, (_NEVER, False))
+        if now < next_at:
             return
         loaded = tracker.loaded(now)
         if not (loaded or had_some):
             return
-        self._sent_by_pool[pool] = now, bool(loaded)
         own_id = self._link.host.daemon_id
         daemon_ids = [each for each in self._link.live_ids() if each != own_id]
         listed = dict(list(loaded.items())[: max_listed(len(daemon_ids))])
         items = _items(listed, now)
         self._on_loaded(LoadedTargets(pool, items), now)
+        n_bytes = 0
         for group in relay_groups(daemon_ids, self._rng):
-            message = LoadedTargets(pool, items, group.others)
-            self._link.send(group.relay, LOAD_TOPIC, self._encoder.encode(message))
+            encoded = self._encoder.encode(LoadedTargets(pool, items, group.others))
+            self._link.send(group.relay, LOAD_TOPIC, encoded)
+            n_bytes += len(encoded)
+        self._sent_by_pool[pool] = now + list_interval_s(n_bytes), bool(loaded)
 
     async def _step_forever(self) -> None:
         while True:
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/pace_exchange.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/pace_exchange.py
@@ -1,13 +1,14 @@
 """Exchanges the paces of model targets, so that all daemons avoid slow ones.
 
-The owner of a pool collects the samples of all daemons and sends the targets that it
-finds slow to every daemon.
+The owner of a pool collects the samples of all daemons. It sends every daemon the
+targets that it finds slow, and more rarely the speeds that it learned.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+import random
+from collections.abc import Callable, Mapping
 from typing import Final
 
 import msgspec
@@ -15,12 +16,19 @@
 from aspendrift_daemon.events import EventHub
 from aspendrift_daemon.interfaces import Clock
 from aspendrift_daemon.peers import PeerLink
-from aspendrift_gateway.events import SlowTargetsChanged
+from aspendrift_gateway.events import SlowTargetsChanged, TargetSpeedsChanged
 from aspendrift_model.decode_errors import DECODE_ERRORS
 from aspendrift_model.ids import DaemonId, PoolName, TargetId
 from aspendrift_model.target_entries import TargetKey
-from aspendrift_model.wire_work import PaceMessage, PaceSamples, SlowTargets
+from aspendrift_model.wire_work import (
+    PaceMessage,
+    PaceSamples,
+    SlowTargets,
+    TargetSpeeds,
+)
 from aspendrift_policy.pace import PaceTracker
+from aspendrift_policy.target_loads import relay_groups
+from aspendrift_policy.target_speeds import SpeedTracker, speed_of, speeds_interval_s
 
 __all__ = ["PACE_TOPIC", "PaceExchange"]
 
@@ -31,7 +39,12 @@
 # few of them.
 _SEND_INTERVAL_S: Final = 1.0
 _AVOIDED_S: Final = 3.0
+# Speeds are valid for a few intervals, so that they outlast a change of the owner.
+_SPEEDS_TTL_INTERVALS: Final = 4.0
+# Speeds in one message; of more, the ones that differ most are sent.
+_MAX_SPEEDS: Final = 128
 _US_PER_S: Final = 1e6
+_MS_PER_S: Final = 1000.0
 _NEVER_SENT: Final[tuple[float, frozenset[TargetKey]]] = (float("-inf"), frozenset())
 
 
@@ -44,6 +57,8 @@
         Returns the daemon that owns a pool.
     avoid : callable
         Called with a pool, its slow targets and the time until which to avoid them.
+    apply_speeds : callable
+        Called with a pool, its targets' speeds and the time until which they are valid.
     """
 
     def __init__(
@@ -51,14 +66,21 @@
         link: PeerLink,
         owner: Callable[[PoolName, float], DaemonId],
         avoid: Callable[[PoolName, frozenset[TargetKey], float], None],
+        apply_speeds: Callable[[PoolName, Mapping[TargetKey, float], float], None],
         clock: Clock,
         events: EventHub,
+        rng: random.Random,
     ) -> None:
         self._link = link
         self._owner = owner
         self._avoid = avoid
         self._clock = clock
         self._events = events
+        self._apply_speeds = apply_speeds
+        self._rng = rng
+        self._speeds_by_pool: dict[PoolName, SpeedTracker] = {}
+        self._next_speeds_by_pool: dict[PoolName, float] = {}
+        self._known_speeds_by_pool: dict[PoolName, Mapping[TargetKey, float]] = {}
         self._pending_by_pool: dict[PoolName, list[tuple[str, int, int]]] = {}
         self._trackers_by_pool: dict[PoolName, PaceTracker] = {}
         self._sent_by_pool: dict[PoolName, tuple[float, frozenset[TargetKey]]] = {}
@@ -95,6 +117,8 @@
                 self._link.send(owner, PACE_TOPIC, self._encoder.encode(message))
         for pool, tracker in self._trackers_by_pool.items():
             self._send_slow(pool, frozenset(tracker.slow(now)), now)
+        for pool, speeds in self._speeds_by_pool.items():
+            self._send_speeds(pool, speeds.steps(now), now)
 
     def _send_slow(
         self, pool: PoolName, slow: frozenset[TargetKey], now: float
@@ -110,6 +134,30 @@
         encoded = self._encoder.encode(message)
         self._link.send_each(self._link.live_ids(), PACE_TOPIC, encoded)
 
+    def _send_speeds(
+        self, pool: PoolName, steps: Mapping[TargetKey, int], now: float
+    ) -> None:
+        """Send the speeds of a pool, unless they were sent a short time ago."""
+        has_sent = pool in self._next_speeds_by_pool
+        if not (steps or has_sent) or now < self._next_speeds_by_pool.get(pool, now):
+            return
+        largest = sorted(steps.items(), key=lambda each: -abs(each[1]))[:_MAX_SPEEDS]
+        items = tuple((key.target_id, key.born_ms, step) for key, step in largest)
+        own_id = self._link.host.daemon_id
+        others = [each for each in self._link.live_ids() if each != own_id]
+        groups = relay_groups(others, self._rng)
+        n_bytes = len(groups) * len(self._encoder.encode(items))
+        interval_s = speeds_interval_s(n_bytes)
+        left_ms = int(interval_s * _SPEEDS_TTL_INTERVALS * _MS_PER_S)
+        if steps:
+            self._next_speeds_by_pool[pool] = now + interval_s
+        else:
+            del self._next_speeds_by_pool[pool]
+        self._on_speeds(TargetSpeeds(pool, items, left_ms), now)
+        for group in groups:
+            message = TargetSpeeds(pool, items, left_ms, group.others)
+            self._link.send(group.relay, PACE_TOPIC, self._encoder.encode(message))
+
     async def _step_forever(self) -> None:
         while True:
             await asyncio.sleep(_STEP_INTERVAL_S)
@@ -123,15 +171,44 @@
         now = self._clock.monotonic()
         if isinstance(message, PaceSamples):
             self._on_samples(message, now)
+        elif isinstance(message, TargetSpeeds):
+            self._relay_speeds(message)
+            self._on_speeds(message, now)
         else:
             self._on_slow(message, now)
 
     def _on_samples(self, message: PaceSamples, now: float) -> None:
         pool = PoolName(message.pool)
         tracker = self._trackers_by_pool.setdefault(pool, PaceTracker())
+        speeds = self._speeds_by_pool.setdefault(pool, SpeedTracker())
         for target_id, born_ms, gap_us in message.samples:
             key = TargetKey(TargetId(target_id), born_ms)
             tracker.record(key, gap_us / _US_PER_S, now)
+            speeds.record(key, gap_us / _US_PER_S, now)
+
+    def _relay_speeds(self, message: TargetSpeeds) -> None:
+        if message.relay_to:
+            onward = TargetSpeeds(message.pool, message.targets, message.left_ms)
+            others = [DaemonId(each) for each in message.relay_to]
+            self._link.send_each(others, PACE_TOPIC, self._encoder.encode(onward))
+
+    def _on_speeds(self, message: TargetSpeeds, now: float) -> None:
+        pool = PoolName(message.pool)
+        speeds = {
+            TargetKey(TargetId(target_id), born_ms): speed_of(step)
+            for target_id, born_ms, step in message.targets
+        }
+        self._apply_speeds(pool, speeds, now + message.left_ms / _MS_PER_S)
+        if speeds != self._known_speeds_by_pool.get(pool, {}):
+            self._known_speeds_by_pool[pool] = speeds
+            self._events.emit(
+                TargetSpeedsChanged(
+                    pool,
+                    tuple(
+                        f"{key.target_id}={speeds[key]:.2f}" for key in sorted(speeds)
+                    ),
+                )
+            )
 
     def _on_slow(self, message: SlowTargets, now: float) -> None:
         pool = PoolName(message.pool)
--- a/packages/aspendrift-gateway/tests/test_pace_exchange.py
+++ b/packages/aspendrift-gateway/tests/test_pace_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 
 from aspendrift_daemon.events import EventHub
 from aspendrift_gateway.pace_exchange import PaceExchange
@@ -20,6 +21,7 @@
 class Daemon:
     def __init__(self, name, network, owner_id):
         self.avoided = []
+        self.speeds = []
         self.events = []
         hub = EventHub()
         hub.connect_all(self.events.append)
@@ -27,8 +29,10 @@
             network.link(name),
             lambda pool, now: owner_id,
             lambda pool, slow, until: self.avoided.append((slow, until)),
+            lambda pool, speeds, until: self.speeds.append((speeds, until)),
             VirtualClock(asyncio.get_running_loop()),
             hub,
+            random.Random(name),
         )
 
 
@@ -90,6 +94,35 @@
     run_daemons(scenario)
 
 
+def test_every_daemon_learns_the_speeds_of_targets_and_of_their_end():
+    """Guards against equal shares for targets of which some are 1.6 times as fast."""
+
+    async def scenario(daemons):
+        gaps_s = (0.02 / 1.6, 0.02 / 1.6, 0.02, 0.02, 0.02, 0.02 / 0.6, 0.02 / 0.6)
+        keys = [TargetKey(TargetId(f"t{number}"), 1) for number in range(len(gaps_s))]
+
+        async def observe_for(seconds, gaps_s):
+            for _ in range(seconds):
+                for key, gap_s in zip(keys, gaps_s, strict=True):
+                    for daemon in daemons:
+                        daemon.exchange.record(POOL, key, gap_s)
+                await asyncio.sleep(1.0)
+
+        await observe_for(20, gaps_s)
+        now = asyncio.get_running_loop().time()
+        for daemon in daemons:
+            speeds, until = daemon.speeds[-1]
+            assert until > now + 10.0
+            assert sorted(speeds) == [*keys[:2], *keys[-2:]]
+            assert 1.4 <= speeds[keys[0]] <= 1.7
+            assert 0.59 <= speeds[keys[-1]] <= 0.72
+            assert len(daemon.speeds) <= 5
+        await observe_for(40, [0.02] * len(gaps_s))
+        assert [daemon.speeds[-1][0] for daemon in daemons] == [{}] * len(daemons)
+
+    run_daemons(scenario)
+
+
 def stream(gaps_s, n_before=0):
     """Record one event after each gap."""
     pace = StreamPace(n_before)
--- a/packages/aspendrift-model/src/aspendrift_model/wire_work.py
+++ b/packages/aspendrift-model/src/aspendrift_model/wire_work.py
@@ -38,6 +38,7 @@
     "SubmitJob",
     "TargetLeaving",
     "TargetLoadItem",
+    "TargetSpeeds",
     "WorkMessage",
 ]
 
@@ -230,6 +231,19 @@
     targets: tuple[tuple[str, int], ...]
 
 
+class TargetSpeeds(msgspec.Struct, frozen=True, array_like=True, tag="v"):
+    """Targets of a pool whose speed differs from the median.
+
+    Each of ``targets`` is an id, a start in milliseconds, and the speed in quarters
+    of a doubling. ``relay_to`` are the daemons that the recipient passes this on to.
+    """
+
+    pool: str
+    targets: tuple[tuple[str, int, int], ...]
+    left_ms: int
+    relay_to: tuple[str, ...] = ()
+
+
 # Id and start time of a target in milliseconds, its running and waiting requests and
 # slots, and the age of these figures in milliseconds.
 TargetLoadItem = tuple[str, int, int, int, int, int]
@@ -293,7 +307,7 @@
 
 OriginMessage = StreamBegan | OriginQuery | OriginAnswer
 
-PaceMessage = PaceSamples | SlowTargets
+PaceMessage = PaceSamples | SlowTargets | TargetSpeeds
 
 LoadMessage = LoadSamples | LoadedTargets
 
--- a/packages/aspendrift-policy/src/aspendrift_policy/affinity.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/affinity.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from collections.abc import Iterable, Sequence
 from typing import Final
@@ -24,7 +25,10 @@
 
 
 def top_targets(
-    prefix_key: PrefixKey, hashes: Sequence[int], n_targets: int
+    prefix_key: PrefixKey,
+    hashes: Sequence[int],
+    n_targets: int,
+    shares: Sequence[float] | None = None,
 ) -> list[int]:
     """Return the indices of the highest-ranked targets for a prefix.
 
@@ -36,14 +40,25 @@
         ``target_hash`` of each candidate.
     n_targets : int
         Maximum number of indices to return, best first.
+    shares : sequence of float or None
+        Relative number of prefixes that rank each candidate first; None if equal.
 
     Notes
     -----
     Uses rendezvous hashing (highest random weight): when a target is added or
-    removed, only the prefixes that rank it first move to another target.
+    removed, only the prefixes that rank it first move to another target. With shares,
+    a weight is raised to the inverse of the share, which keeps the order if the shares
+    are equal.
     """
     seed = xxhash.xxh3_64_intdigest(prefix_key.encode())
     weights = [((seed ^ each) * _HASH_MULTIPLIER) & _UINT64_MASK for each in hashes]
+    if shares is not None:
+        ranks = [
+            math.log((weight + 1) / (_UINT64_MASK + 1)) / share
+            for weight, share in zip(weights, shares, strict=True)
+        ]
+        order = sorted(range(len(ranks)), key=ranks.__getitem__, reverse=True)
+        return order[:n_targets]
     order = sorted(range(len(weights)), key=weights.__getitem__, reverse=True)
     return order[:n_targets]
 
--- a/packages/aspendrift-policy/src/aspendrift_policy/pool_choice.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/pool_choice.py
@@ -45,10 +45,17 @@
 _SLOWDOWN_SMOOTHING_S: Final = 2.0
 _MAX_SLOWDOWN_WEIGHT: Final = 0.5
 _MAX_SLOWDOWN: Final = 10.0
-# A target that is no longer loaded gets its cached work back over this time. All
-# daemons learn of it at once, from a list that is about 0.7 s old. In that time
-# the work of a hot prompt would fill all of its slots again.
+# A target that was loaded gets its cached work back over this time. All daemons learn
+# at once that it is free again, from a list that is about 0.7 s old. In that time the
+# work of a hot prompt would fill all of its slots again. The part that it doesn't get
+# at first is this multiple of its load over the bound: all of it from full slots on.
 _RETURN_S: Final = 8.0
+_EXCESS_WEIGHT: Final = 4.0
+# If more than this share of a pool is loaded, the rest can't take the work of all of
+# them: it would be loaded in turn, and the work move back and forth. Then only the most
+# loaded ones are avoided, up to the second share of the pool.
+_MAX_LOADED_SHARE: Final = 0.3
+_MAX_AVOIDED_SHARE: Final = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +82,18 @@
     took_updated_at: float = float("-inf")
 
 
+@dataclass(frozen=True, slots=True)
+class _Return:
+    """Share of the work cached at a target that it doesn't get yet."""
+
+    share: float
+    at: float
+
+    def share_now(self, now: float) -> float:
+        """Return the share now, if the target wasn't loaded since."""
+        return self.share - max(0.0, now - self.at) / _RETURN_S
+
+
 class PoolChooser:
     """Chooses targets of a pool by load, response time and health, for one daemon."""
 
@@ -87,7 +106,9 @@
         self._listed: Mapping[TargetKey, ObservedLoad] = {}
         self._listed_until = float("-inf")
         self._own_at_list_by_key: dict[TargetKey, int] = {}
-        self._released_at_by_key: dict[TargetKey, float] = {}
+        self._return_by_key: dict[TargetKey, _Return] = {}
+        self._speed_by_key: Mapping[TargetKey, float] = {}
+        self._speeds_until = float("-inf")
 
     def avoid(self, slow: frozenset[TargetKey], until: float) -> None:
         """Choose slow targets only if there is no other, until some time."""
@@ -97,13 +118,16 @@
         self, loads: Mapping[TargetKey, ObservedLoad], now: float, until: float
     ) -> None:
         """Replace the targets that are loaded as far as all daemons know."""
-        returning = {
-            key: at
-            for key, at in self._released_at_by_key.items()
-            if now - at < _RETURN_S
-        }
-        returning |= dict.fromkeys(self._listed, min(now, self._listed_until))
-        self._released_at_by_key = returning
+        returning = {}
+        for key, known in self._return_by_key.items():
+            share = known.share if key in self._listed else known.share_now(now)
+            if share > 0.0:
+                returning[key] = _Return(share, now)
+        for key, load in loads.items():
+            share = min(1.0, _EXCESS_WEIGHT * (load.share - LOADED_SHARE))
+            if share > 0.0 and (key not in returning or share > returning[key].share):
+                returning[key] = _Return(share, now)
+        self._return_by_key = returning
         self._listed, self._listed_until = loads, until
         self._own_at_list_by_key = {
             state.key: state.n_own
@@ -111,6 +135,10 @@
             if state.key in loads
         }
 
+    def apply_speeds(self, speeds: Mapping[TargetKey, float], until: float) -> None:
+        """Replace the speeds that differ from the median of the pool."""
+        self._speed_by_key, self._speeds_until = speeds, until
+
     def choose(
         self,
         entries: Sequence[TargetEntry],
@@ -143,16 +171,17 @@
             return None
         if prefix is not None:
             return self._by_affinity(candidates, prefix, now)
-        free = [each for each in candidates if not self._is_loaded(each, now)]
-        if not free and len(candidates) > 2:
+        avoided = self._avoided(candidates, now)
+        free = [each for each in candidates if each.key not in avoided]
+        if len(free) > 2 and any(self._is_loaded(each, now) for each in free):
             # All daemons have the same list, so the best of two avoids that they all
             # choose the least loaded target.
-            free = self._rng.sample(candidates, 2)
+            free = self._rng.sample(free, 2)
         return min(
             free or candidates,
             key=lambda entry: (
                 self._expected_cost(entry, zone, now),
-                self._rng.random(),
+                self._rng.expovariate(self._speed(entry, now)),
             ),
         )
 
@@ -230,19 +259,29 @@
         self, candidates: Sequence[TargetEntry], prefix: PrefixKey, now: float
     ) -> TargetEntry:
         hashes = [self._state(entry).hash for entry in candidates]
+        speeds = [self._speed(entry, now) for entry in candidates]
         shares = [
-            self.load(entry, now) * self.slowdown(entry, now) / max(1, entry.n_slots)
-            for entry in candidates
+            self.load(entry, now)
+            * self.slowdown(entry, now)
+            / (max(1, entry.n_slots) * speed)
+            for entry, speed in zip(candidates, speeds, strict=True)
         ]
         mean_share = sum(shares) / len(shares)
         bound = _AFFINITY_SLACK_SHARE + _AFFINITY_LOAD_FACTOR * mean_share
-        ranked = top_targets(prefix, hashes, len(candidates))
+        has_speeds = any(speed != 1.0 for speed in speeds)
+        ranked = top_targets(
+            prefix, hashes, len(candidates), speeds if has_speeds else None
+        )
         if self._fits(candidates[ranked[0]], now):
             return candidates[ranked[0]]
-        free = [i for i in ranked if not self._is_loaded(candidates[i], now)]
-        ranked = free or ranked
+        avoided = self._avoided(candidates, now)
+        ranked = [i for i in ranked if candidates[i].key not in avoided] or ranked
+        n_returning = sum(each.key in self._return_by_key for each in candidates)
+        is_full = n_returning > _MAX_LOADED_SHARE * len(candidates)
         for index in ranked:
-            if shares[index] <= bound and self._may_return(candidates[index], now):
+            if shares[index] > bound:
+                continue
+            if is_full or self._may_return(candidates[index], now):
                 return candidates[index]
         return candidates[min(ranked, key=shares.__getitem__)]
 
@@ -260,6 +299,16 @@
             return False
         return state.is_loaded or self._listed_load(state, now) is not None
 
+    def _avoided(
+        self, candidates: Sequence[TargetEntry], now: float
+    ) -> frozenset[TargetKey]:
+        """Return the loaded targets; only the most loaded if the pool is full."""
+        loaded = [each for each in candidates if self._is_loaded(each, now)]
+        if len(loaded) > _MAX_LOADED_SHARE * len(candidates):
+            loaded.sort(key=lambda each: -self.load(each, now) / max(1, each.n_slots))
+            loaded = loaded[: max(1, int(_MAX_AVOIDED_SHARE * len(candidates)))]
+        return frozenset(each.key for each in loaded)
+
     def _fits(self, entry: TargetEntry, now: float) -> bool:
         """Return whether a loaded target takes a request whose prompt it has cached.
 
@@ -272,18 +321,20 @@
         n_reserved = (1.0 - LOADED_SHARE) * entry.n_slots
         return n_free >= 1.0 and self._rng.random() * n_reserved < n_free
 
-    def _may_return(self, entry: TargetEntry, now: float) -> bool:
-        """Return whether a target that was loaded takes a request of its cached work.
+    def _speed(self, entry: TargetEntry, now: float) -> float:
+        """Return a target's speed, relative to the median of the pool."""
+        if now >= self._speeds_until:
+            return 1.0
+        return self._speed_by_key.get(entry.key, 1.0)
 
-        The probability rises from 0 to 1 over the time of the return.
-        """
-        released_at = self._released_at_by_key.get(entry.key)
-        if released_at is None:
-            return True
-        return self._rng.random() * _RETURN_S < now - released_at
+    def _may_return(self, entry: TargetEntry, now: float) -> bool:
+        """Return whether a target that was loaded takes a request cached there."""
+        found = self._return_by_key.get(entry.key)
+        return found is None or self._rng.random() >= found.share_now(now)
 
     def _expected_cost(self, entry: TargetEntry, zone: ZoneName, now: float) -> float:
         n_ahead = self.load(entry, now) / max(1, entry.n_slots)
+        n_ahead /= self._speed(entry, now)
         zone_cost = 0.0 if entry.zone == zone else _CROSS_ZONE_COST
         # Learned times include the slowdown of the machine, so it isn't counted twice.
         slowness = max(self._time_factor(entry, now), self.slowdown(entry, now))
--- a/packages/aspendrift-policy/src/aspendrift_policy/target_loads.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/target_loads.py
@@ -24,6 +24,7 @@
     "ObservedLoad",
     "RelayGroup",
     "is_loaded",
+    "list_interval_s",
     "max_listed",
     "relay_groups",
     "sample_interval_s",
@@ -42,6 +43,11 @@
 # Bytes that the owner sends at once to all relays together, and about what one target
 # and the name of one daemon take.
 _ROUND_BYTES: Final = 8192
+# Lists are sent at this interval, or at a longer one if they take many bytes; they are
+# valid for 1.5 s.
+_MIN_LIST_INTERVAL_S: Final = 0.5
+_MAX_LIST_INTERVAL_S: Final = 1.0
+_LIST_BYTES_PER_S: Final = 8192.0
 _TARGET_BYTES: Final = 32
 _DAEMON_BYTES: Final = 12
 _MIN_LISTED: Final = 4
@@ -102,6 +108,13 @@
     return max(_MIN_SAMPLE_INTERVAL_S, n_daemons / _SAMPLES_PER_S)
 
 
+def list_interval_s(n_bytes: int) -> float:
+    """Return the time until the next list, after one of this many bytes in all."""
+    return min(
+        _MAX_LIST_INTERVAL_S, max(_MIN_LIST_INTERVAL_S, n_bytes / _LIST_BYTES_PER_S)
+    )
+
+
 def max_listed(n_daemons: int) -> int:
     """Return the number of targets that the owner may name to all daemons at once."""
     n_groups = max(1, isqrt(n_daemons))
--- a/packages/aspendrift-policy/tests/test_target_loads.py
+++ b/packages/aspendrift-policy/tests/test_target_loads.py
@@ -19,10 +19,12 @@
 from aspendrift_policy.target_loads import (
     LoadTracker,
     ObservedLoad,
+    list_interval_s,
     max_listed,
     relay_groups,
     sample_interval_s,
 )
+from aspendrift_policy.target_speeds import SpeedTracker, speed_of
 
 RULES = EjectionRules(2, 1.0, 8.0, 0.0)
 ZONE = ZoneName("z1")
@@ -137,19 +139,30 @@
 
     A target has slots and a queue. Its head comes when a stream starts, its first
     event after the prompt was read. Loads travel as they do between daemons: samples
-    after up to 0.25 s, at the interval of each daemon, lists each 0.5 s.
+    after up to 0.25 s, at the interval of each daemon, lists each 0.5 s to 1 s.
     """
 
-    def __init__(self, seed, n_daemons, n_targets, n_slots, shares_loads, speeds=(1,)):
+    def __init__(
+        self,
+        seed,
+        n_daemons,
+        n_targets,
+        n_slots,
+        shares_loads,
+        speeds=(1,),
+        learns=False,
+    ):
         self.rng = random.Random(seed)
         self.entries = [entry(f"t{n:02}", n_slots) for n in range(n_targets)]
         self.factors = {
-            each.key: speeds[n % len(speeds)] for n, each in enumerate(self.entries)
+            each.key: 1 / speeds[n % len(speeds)] for n, each in enumerate(self.entries)
         }
         self.choosers = [make_chooser(f"{seed}/{n}") for n in range(n_daemons)]
         self.sampled_at = dict.fromkeys(self.choosers, float("-inf"))
         self.shares_loads = shares_loads
         self.tracker = LoadTracker()
+        self.learns = learns
+        self.speeds = SpeedTracker()
         self.n_running = Counter()
         self.queues = {each.key: deque() for each in self.entries}
         self.first_s = []
@@ -195,9 +208,10 @@
             report = LoadReport(self.n_running[key], len(queue), target.n_slots)
             chooser.reported(target, report, now)
             self.sample(now, chooser, target, report)
-            self.at(now + first_s + 0.6 * slowness, self.end, chooser, target)
+            self.at(now + first_s + 0.6 * slowness, self.end, chooser, target, slowness)
 
-    def end(self, now, chooser, target):
+    def end(self, now, chooser, target, slowness):
+        self.speeds.record(target.key, 0.02 * slowness, now)
         chooser.ended(target, AttemptEnd.ANSWERED, None, now)
         self.n_running[target.key] -= 1
         self.serve(now, target)
@@ -217,7 +231,14 @@
             loads = dict(found[: max_listed(len(self.choosers))])
             for chooser in self.choosers:
                 chooser.apply_loaded(loads, now, now + 1.5)
-        self.at(now + 0.5, self.share)
+        if self.learns:
+            steps = self.speeds.steps(now)
+            speeds = {key: speed_of(step) for key, step in steps.items()}
+            for chooser in self.choosers:
+                chooser.apply_speeds(speeds, now + 20.0)
+        n_listed = min(len(self.tracker.loaded(now)), max_listed(len(self.choosers)))
+        n_bytes = 27 * n_listed * len(self.choosers) ** 0.5
+        self.at(now + list_interval_s(n_bytes), self.share)
 
 
 def share_over(times_s, limit_s):
@@ -239,3 +260,26 @@
     assert share_over(times[True], 1.0) < 0.1 * share_over(times[False], 1.0)
     p95 = {each: quantiles(times[each], n=20)[-1] for each in times}
     assert p95[True] < 0.5 * p95[False]
+
+
+FACTORS = (0.6, 1.0, 1.6)
+# Streams per second that 56 targets of 12 slots with these speeds serve at most.
+CAPACITY_PER_S = sum(12 * FACTORS[n % 3] / (0.68 * 2) for n in range(56))
+
+
+def play_speeds(share, learns):
+    """Return the times of streams that arrived once speeds may have been learned."""
+    game = Play(1, 61, 56, 12, learns, FACTORS, learns)
+    times_s = game.play(CAPACITY_PER_S * share, 380, 24.0)
+    return times_s[len(times_s) // 2 :]
+
+
+@pytest.mark.parametrize(("share", "gain"), [(0.5, 0.1), (0.9, 0.5)])
+def test_work_is_divided_by_what_targets_of_three_speeds_finish(share, gain):
+    """Guards against queues at slow targets while fast ones are idle.
+
+    Speeds and loads are compared with counts of each daemon's own requests.
+    """
+    before, after = play_speeds(share, False), play_speeds(share, True)
+    assert share_over(after, 1.0) < gain * share_over(before, 1.0)
+    assert sum(after) / len(after) < 0.6 * sum(before) / len(before)
