--- a/packages/aspendrift-gateway/src/aspendrift_gateway/load_exchange.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/load_exchange.py
@@ -15,9 +15,9 @@
 
 from aspendrift_daemon.events import EventHub
 from aspendrift_daemon.interfaces import Clock
+from aspendrift_daemon.peer_decoding import PeerDecoder
 from aspendrift_daemon.peers import PeerLink
 from aspendrift_gateway.events import LoadedTargetsChanged
-from aspendrift_model.decode_errors import DECODE_ERRORS
 from aspendrift_model.ids import DaemonId, PoolName, TargetId
 from aspendrift_model.load_reports import LoadReport
 from aspendrift_model.target_entries import TargetKey
@@ -31,6 +31,7 @@
     LoadTracker,
     ObservedLoad,
     is_loaded,
+    list_interval_s,
     max_listed,
     relay_groups,
     sample_interval_s,
@@ -43,8 +44,7 @@
 _STEP_INTERVAL_S: Final = 0.25
 # Targets in one message of samples; a daemon rarely sees more in its interval.
 _MAX_SAMPLES: Final = 4
-# Loaded targets are sent at most at this interval, and the list expires after a few.
-_SEND_INTERVAL_S: Final = 0.5
+# The list of loaded targets expires after a few of its intervals.
 _LIST_TTL_S: Final = 1.5
 # Samples that wait longer than this for their interval say nothing any more.
 _MAX_PENDING_S: Final = 1.0
@@ -91,7 +91,9 @@
         self._listed_by_pool: dict[PoolName, tuple[frozenset[TargetKey], float]] = {}
         self._logged_by_pool: dict[PoolName, tuple[frozenset[TargetKey], float]] = {}
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(LoadMessage)
+        self._decoder: PeerDecoder[LoadMessage] = PeerDecoder(
+            LoadMessage, LOAD_TOPIC, events
+        )
         self._task: asyncio.Task[None] | None = None
         link.subscribe(LOAD_TOPIC, self._on_message)
 
@@ -149,21 +151,23 @@
 
     def _send_loaded(self, pool: PoolName, tracker: LoadTracker, now: float) -> None:
         """Send the loaded targets of a pool; an empty list once they are none."""
-        sent_at, had_some = self._sent_by_pool.get(pool, (_NEVER, False))
-        if now - sent_at < _SEND_INTERVAL_S:
+        next_at, had_some = self._sent_by_pool.get(pool, (_NEVER, False))
+        if now < next_at:
             return
         loaded = tracker.loaded(now)
         if not (loaded or had_some):
             return
-        self._sent_by_pool[pool] = now, bool(loaded)
         own_id = self._link.host.daemon_id
         daemon_ids = [each for each in self._link.live_ids() if each != own_id]
         listed = dict(list(loaded.items())[: max_listed(len(daemon_ids))])
         items = _items(listed, now)
         self._on_loaded(LoadedTargets(pool, items), now)
+        n_bytes = 0
         for group in relay_groups(daemon_ids, self._rng):
-            message = LoadedTargets(pool, items, group.others)
-            self._link.send(group.relay, LOAD_TOPIC, self._encoder.encode(message))
+            encoded = self._encoder.encode(LoadedTargets(pool, items, group.others))
+            self._link.send(group.relay, LOAD_TOPIC, encoded)
+            n_bytes += len(encoded)
+        self._sent_by_pool[pool] = now + list_interval_s(n_bytes), bool(loaded)
 
     async def _step_forever(self) -> None:
         while True:
@@ -174,11 +178,10 @@
         return self._trackers_by_pool.setdefault(pool, LoadTracker())
 
     def _on_message(self, origin: DaemonId, payload: bytes) -> None:
-        try:
-            message = self._decoder.decode(payload)
-        except DECODE_ERRORS:
-            return
         now = self._clock.monotonic()
+        message = self._decoder.decode(origin, payload, now)
+        if message is None:
+            return
         if isinstance(message, LoadSamples):
             tracker = self._tracker(PoolName(message.pool))
             for key, load in _loads(message.samples, now).items():
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/permit_exchange.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/permit_exchange.py
@@ -17,6 +17,7 @@
 
 from aspendrift_daemon.events import EventHub
 from aspendrift_daemon.interfaces import Clock
+from aspendrift_daemon.peer_decoding import PeerDecoder
 from aspendrift_daemon.peers import PeerLink
 from aspendrift_gateway.events import (
     PermitDenial,
@@ -27,7 +28,6 @@
 from aspendrift_gateway.interfaces import AnswerHead
 from aspendrift_gateway.settings import GatewaySettings
 from aspendrift_gateway.system_state import SystemState
-from aspendrift_model.decode_errors import DECODE_ERRORS
 from aspendrift_model.ids import DaemonId, PoolName, TargetId, ZoneName
 from aspendrift_model.routes import ColdLimit
 from aspendrift_model.target_entries import TargetEntry, TargetKey
@@ -158,7 +158,9 @@
         self._limited_keys: frozenset[TargetKey] = frozenset()
         self._task: asyncio.Task[None] | None = None
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(PermitMessage)
+        self._decoder: PeerDecoder[PermitMessage] = PeerDecoder(
+            PermitMessage, PERMIT_TOPIC, events
+        )
         link.subscribe(PERMIT_TOPIC, self._on_message)
         state.on_change(self._on_state_change)
 
@@ -462,9 +464,8 @@
         self._link.send(daemon_id, PERMIT_TOPIC, self._encoder.encode(message))
 
     def _on_message(self, origin: DaemonId, payload: bytes) -> None:
-        try:
-            message = self._decoder.decode(payload)
-        except DECODE_ERRORS:
+        message = self._decoder.decode(origin, payload, self._clock.monotonic())
+        if message is None:
             return
         if isinstance(message, PermitQuery):
             self._on_query(origin, message)
