--- a/packages/aspendrift-policy/src/aspendrift_policy/pool_choice.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/pool_choice.py
@@ -294,15 +294,17 @@
 
     def _is_loaded(self, entry: TargetEntry, now: float) -> bool:
         """Return whether a target is listed, and wasn't below the bound since."""
-        state = self._state(entry)
-        if now >= self._listed_until or state.key not in self._listed:
+        if now >= self._listed_until or entry.key not in self._listed:
             return False
+        state = self._state(entry)
         return state.is_loaded or self._listed_load(state, now) is not None
 
     def _avoided(
         self, candidates: Sequence[TargetEntry], now: float
     ) -> frozenset[TargetKey]:
         """Return the loaded targets; only the most loaded if the pool is full."""
+        if now >= self._listed_until or not self._listed:
+            return frozenset()
         loaded = [each for each in candidates if self._is_loaded(each, now)]
         if len(loaded) > _MAX_LOADED_SHARE * len(candidates):
             loaded.sort(key=lambda each: -self.load(each, now) / max(1, each.n_slots))
@@ -398,5 +400,7 @@
 
 def _decayed_slowdown(state: _TargetState, now: float) -> float:
     """Return the slowdown, which returns to the usual 1 without further reports."""
+    if state.slowdown == 1.0:
+        return 1.0
     age_s = max(0.0, now - state.reported_at - _MAX_REPORT_AGE_S)
     return 1.0 + (state.slowdown - 1.0) * math.exp(-age_s / _SLOWDOWN_SMOOTHING_S)
