--- a/packages/aspendrift-policy/src/aspendrift_policy/target_registry.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/target_registry.py
@@ -82,9 +82,12 @@
         return [entry for found in self._by_pool.values() for entry in found]
 
     def evacuated_zones(self, pool: PoolName) -> list[ZoneName]:
-        """Return the evacuated zones in which a pool has targets."""
-        entries = self.entries_by_id.values()
-        zones = {each.zone for each in entries if each.pool == pool}
+        """Return the evacuated zones whose targets a pool could use otherwise."""
+        zones = {
+            each.zone
+            for each in self.entries_by_id.values()
+            if each.pool == pool and not each.is_draining
+        }
         return sorted(zones & self._evacuated)
 
     def set_evacuated(self, zones: frozenset[ZoneName]) -> None:
--- a/packages/aspendrift-policy/tests/test_target_registry.py
+++ b/packages/aspendrift-policy/tests/test_target_registry.py
@@ -199,5 +199,9 @@
     assert registry.evacuated_zones(POOL) == [ZoneName("z")]
     # Versions are those that may have begun a stream, wherever their targets are.
     assert "" in registry.version_history(POOL, now, 1.0).versions
+    # A pool that drains is without targets for another reason.
+    assert registry.evacuated_zones(PoolName("q")) == []
+    registry.update([entry("w", pool=PoolName("q"), draining=True)], [], now)
+    assert registry.evacuated_zones(PoolName("q")) == []
     registry.set_evacuated(frozenset())
     assert len(usable(registry)) == 3
