Service times without waiting; overdue stage jobs go last

The owner of a pool learns the fixed time of its calls and the time per piece, and sends them with PoolLoad. The objective of a stage job is that of its request minus the service times of the later stages. Before, times with waiting were subtracted, so in an overload every job seemed overdue.

Jobs that can't meet their objective go after all others, also if they have started. They are given up after two full calls without capacity, while jobs that can be on time wait, so that their inputs are freed.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine, Iterable, Sequence
+from dataclasses import replace
 from typing import Final
 
 from aspendrift_daemon.events import EventHub
@@ -105,7 +106,14 @@
 
     def measures(self, now: float) -> PoolMeasures:
         """Return the throughput and the backlog of the pool."""
-        return self.meter.measures(self.scheduler.backlog(), now)
+        times = self.scheduler.times
+        return replace(
+            self.meter.measures(self.scheduler.backlog(), now),
+            capacity_per_s=self.scheduler.capacity_per_s(),
+            usual_call_s=times.usual_s,
+            call_s=times.call_s,
+            piece_s=times.piece_s,
+        )
 
     def schedule_step(self) -> None:
         """Schedule one scheduler step for all changes in this event loop iteration."""
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
@@ -293,7 +293,15 @@
                 for each in measures.loads
             )
             encoded = self._encoder.encode(
-                PoolLoad(pool, measures.completed_per_s, loads)
+                PoolLoad(
+                    pool,
+                    measures.completed_per_s,
+                    loads,
+                    measures.capacity_per_s,
+                    measures.usual_call_s,
+                    measures.call_s,
+                    measures.piece_s,
+                )
             )
             self._link.send_each(self._link.live_ids(), WORK_TOPIC, encoded)
 
@@ -385,7 +393,14 @@
             self._on_ended(origin, message)
         elif isinstance(message, PoolLoad):
             loads = tuple(RankLoad(*each) for each in message.loads)
-            measures = PoolMeasures(message.made_per_s, loads)
+            measures = PoolMeasures(
+                message.made_per_s,
+                loads,
+                message.capacity_per_s,
+                message.usual_call_s,
+                message.call_s,
+                message.piece_s,
+            )
             self._admission.update_measures(PoolName(message.pool), measures, now)
         elif isinstance(message, CancelJob):
             self._on_cancel(message)
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/stage_run.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/stage_run.py
@@ -19,7 +19,7 @@
 from aspendrift_model.routes import PoolSpec, Route
 from aspendrift_policy.chain_admission import ChainAdmission
 from aspendrift_policy.overdue_admission import OverdueAdmission, OverdueDecision
-from aspendrift_policy.stage_plan import StagePlan
+from aspendrift_policy.stage_plan import StagePlan, StageTimes
 from aspendrift_policy.stage_scheduler import JobId, JobUpdate, StageJob
 from aspendrift_policy.stage_times import StageTimeEstimates
 
@@ -88,6 +88,12 @@
         self.rng = rng
         self._admission = admission
 
+    def service_times(self, plan: StagePlan, demand: StageDemand) -> StageTimes:
+        """Return the times of the stages of a request without waiting."""
+        return self._admission.service_times(
+            demand.route, plan.n_pieces, demand.pools_by_name
+        )
+
     def is_backlogged(self, pool: PoolName, demand: StageDemand) -> bool:
         """Return whether a pool has a backlog of pieces."""
         spec = demand.pools_by_name.get(pool)
@@ -162,6 +168,8 @@
         times = self._runner.times.times(
             demand.route, demand.rank, demand.pools_by_name
         )
+        # Times with waiting would grow in an overload until every job seemed overdue.
+        service = self._runner.service_times(self._plan, demand)
         wait_s = max(0.0, demand.deadline_at - now)
         for stage in self._plan.ready_stages():
             if stage in self._jobs_by_stage:
@@ -175,7 +183,7 @@
             if slack_s > 0:
                 wait_s = min(wait_s, slack_s)
                 continue
-            after_s = self._plan.remaining_s(times) - times.of(stage)
+            after_s = self._plan.remaining_s(service) - service.of(stage)
             self._start(stage, after_s, now)
         return wait_s
 
--- a/packages/aspendrift-model/src/aspendrift_model/wire_work.py
+++ b/packages/aspendrift-model/src/aspendrift_model/wire_work.py
@@ -99,12 +99,17 @@
     """Load of a pool as measured by its owner.
 
     Each item of ``loads`` is a rank, its number of waiting pieces and its
-    arrivals per second.
+    arrivals per second. The capacity in pieces per second and the times of calls are
+    learned by the owner; 0 if they are unknown.
     """
 
     pool: str
     made_per_s: float
     loads: tuple[tuple[int, int, float], ...]
+    capacity_per_s: float = 0.0
+    usual_call_s: float = 0.0
+    call_s: float = 0.0
+    piece_s: float = 0.0
 
 
 class OwnerHeartbeat(msgspec.Struct, frozen=True, array_like=True, tag="o"):
--- a/packages/aspendrift-policy/src/aspendrift_policy/chain_admission.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/chain_admission.py
@@ -21,6 +21,7 @@
 from aspendrift_model.ids import PoolName
 from aspendrift_model.routes import PoolSpec, Route, StageSpec
 from aspendrift_policy.load_estimate import DecayedRate
+from aspendrift_policy.stage_plan import StageTimes
 
 __all__ = [
     "Admit",
@@ -70,10 +71,20 @@
     ----------
     completed_per_s : float
         Pieces that the pool completes per second; 0 unless it is saturated.
+    capacity_per_s : float
+        Pieces that its usable targets complete per second with full calls; 0 if that
+        is unknown.
+    usual_call_s, call_s, piece_s : float
+        Average time of the recent calls, fixed time of a call and time per piece, as
+        learned; 0 if they are unknown.
     """
 
     completed_per_s: float
     loads: tuple[RankLoad, ...]
+    capacity_per_s: float = 0.0
+    usual_call_s: float = 0.0
+    call_s: float = 0.0
+    piece_s: float = 0.0
 
     def wait_s(self, rank: int, nominal_per_s: float) -> float:
         """Return the expected wait of a new piece of a rank."""
@@ -219,6 +230,46 @@
             return Admit(predicted_s)
         return RefuseChain(predicted_s, self.retry_after_s(chain, now))
 
+    def service_times(
+        self,
+        route: Route,
+        n_pieces: Mapping[int, int],
+        pools_by_name: Mapping[PoolName, PoolSpec],
+    ) -> StageTimes:
+        """Return the time of each stage of a request without waiting.
+
+        Learned times have no maximum age: they are better than configured ones.
+
+        Parameters
+        ----------
+        n_pieces : mapping
+            Number of pieces of each stage that the request has, by stage index.
+        """
+        return StageTimes(
+            {
+                stage.index: self._service_s(
+                    stage.pool, n_pieces.get(stage.index, 0), pools_by_name
+                )
+                for stage in route.stages
+            }
+        )
+
+    def _service_s(
+        self,
+        pool: PoolName,
+        n_pieces: int,
+        pools_by_name: Mapping[PoolName, PoolSpec],
+    ) -> float:
+        spec = pools_by_name.get(pool)
+        if spec is None or spec.pieces is None or n_pieces == 0:
+            return 0.0
+        _, measures = self._measures_by_pool.get(pool, _NO_MEASURES)
+        n_pieces = min(n_pieces, spec.pieces.batch)
+        if not measures.call_s:
+            return spec.pieces.call_duration_s(n_pieces)
+        own_s = measures.call_s + n_pieces * measures.piece_s
+        return max(own_s, measures.usual_call_s)
+
     def is_backlogged(
         self,
         pool: PoolName,
--- a/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
@@ -10,6 +10,11 @@
 urgent pieces of any job, up to the batch size and the free memory of the target. A job
 starts only while the pool has memory for all of its results, and jobs that have started
 go before those that have not.
+
+Jobs that can't meet their objective any more go after all others, whether they have
+started or not. With a backlog and arrivals near the capacity, work for them would
+otherwise make every later job overdue as well. An overdue job that gets no capacity
+for a while is given up, so that its inputs are freed.
 """
 
 from __future__ import annotations
@@ -29,6 +34,7 @@
 )
 from aspendrift_model.routes import PieceLimits
 from aspendrift_model.target_entries import TargetEntry, TargetKey
+from aspendrift_policy.stage_times import CallTimes
 
 __all__ = [
     "JobId",
@@ -79,6 +85,12 @@
 _MAX_LEFT_OUT: Final = 8
 # A job fails after this many failures per piece.
 _MAX_FAILURES_PER_PIECE: Final = 3
+# An overdue job of which no piece was sent for this many full calls, while jobs that
+# can be on time wait, is given up: the pool has no capacity left for it.
+_GIVE_UP_CALLS: Final = 2.0
+# A call is not made smaller than this share of a full one to end within the objective
+# of its most urgent piece; smaller calls would cost more than a fifth of the capacity.
+_MIN_CALL_SHARE: Final = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,6 +162,8 @@
     incomplete: set[PieceId]
     n_failures: int = 0
     has_started: bool = False
+    # Time since which the job is overdue and got no capacity.
+    unserved_since: float | None = None
 
     @property
     def n_queued(self) -> int:
@@ -225,6 +239,8 @@
     is_fifo = False
 
     def __init__(self, limits: PieceLimits) -> None:
+        self.limits = limits
+        self.times = CallTimes(limits)
         self.set_limits(limits)
         self._targets_by_key: dict[TargetKey, _Target] = {}
         self._jobs_by_id: dict[JobId, _Job] = {}
@@ -232,6 +248,8 @@
         self._held_bytes_by_key: dict[TargetKey, float] = {}
         self._usable: frozenset[TargetKey] = frozenset()
         self._next_call_id = 0
+        # Whether jobs that can be on time wait for a slot.
+        self._has_waiting_on_time = False
 
     @property
     def n_jobs(self) -> int:
@@ -239,8 +257,10 @@
         return len(self._jobs_by_id)
 
     def set_limits(self, limits: PieceLimits) -> None:
-        """Replace the limits of the targets."""
-        self.limits = limits
+        """Replace the limits; learned times stay unless the limits differ."""
+        if limits != self.limits:
+            self.limits = limits
+            self.times = CallTimes(limits)
 
     def set_targets(self, entries: Iterable[TargetEntry]) -> None:
         """Replace the set of targets; open calls to removed targets may still end."""
@@ -281,6 +301,7 @@
         }
         waiting = self._ordered_jobs(free_at, now)
         limit = self._call_size(waiting, free_at, now)
+        full_s = self.limits.full_call_s
         calls: list[PlannedCall] = []
         while waiting and free_at:
             slot = self._best_slot(free_at, waiting[0])
@@ -297,8 +318,12 @@
             if is_free:
                 calls.append(self._record_call(target, selected, expected_s, now))
             free_at[slot] = max(free_at[slot], now) + expected_s
-            if all(at > now + self.limits.full_call_s for at in free_at.values()):
+            if all(at > now + full_s for at in free_at.values()):
                 break
+        self._has_waiting_on_time = any(
+            job.queued and job.unserved_since is None
+            for job in self._jobs_by_id.values()
+        )
         return calls
 
     def ended(
@@ -360,7 +385,7 @@
         updates = [
             JobUpdate(job_id, failure=failure)
             for job_id, job in self._jobs_by_id.items()
-            if (failure := _expiry_failure(job, now)) is not None
+            if (failure := self._expiry_failure(job, now)) is not None
         ]
         for each in updates:
             del self._jobs_by_id[each.job_id]
@@ -409,6 +434,11 @@
             by_rank[rank] = by_rank.get(rank, 0) + job.n_queued
         return by_rank
 
+    def capacity_per_s(self) -> float:
+        """Return the pieces per second that the usable targets complete, full calls."""
+        per_target = self.limits.max_concurrent_pieces / self.times.full_call_s
+        return len(self._usable) * per_target
+
     def _call_size(
         self, jobs: Sequence[_Job], free_at: Mapping[_Slot, float], now: float
     ) -> int:
@@ -418,6 +448,8 @@
         number of calls stays the same and the last one ends sooner.
         """
         batch = self.limits.batch
+        if jobs and not self.is_fifo:
+            batch = self._batch_within(jobs[0].spec.objective_at - now)
         n_queued = sum(job.n_queued for job in jobs)
         n_calls = math.ceil(n_queued / batch)
         n_free = sum(at <= now for at in free_at.values())
@@ -425,21 +457,54 @@
             return batch
         return math.ceil(n_queued / n_calls)
 
+    def _batch_within(self, remaining_s: float) -> int:
+        """Return the size of the largest call that ends within a time.
+
+        It is a full call if the time is too short for a call of the smallest share.
+        """
+        batch = self.limits.batch
+        smallest = math.ceil(batch * _MIN_CALL_SHARE)
+        n_fit = int((remaining_s - self.times.call_s) / max(1e-9, self.times.piece_s))
+        return min(batch, n_fit) if n_fit >= smallest else batch
+
+    def _earliest_done_at(self, n_queued: int, now: float) -> float:
+        """Return the end of the smallest call that starts now with a backlog."""
+        smallest = math.ceil(self.limits.batch * _MIN_CALL_SHARE)
+        return now + self.times.call_duration_s(min(smallest, n_queued))
+
+    def _expiry_failure(self, job: _Job, now: float) -> PieceFailure | None:
+        if job.spec.deadline_at <= now:
+            return PieceFailure.OVERDUE
+        if job.spec.inputs_until <= now and job.queued:
+            return PieceFailure.INPUT_GONE
+        if (
+            self._has_waiting_on_time
+            and job.unserved_since is not None
+            and len(job.queued) == len(job.incomplete)
+            and now - job.unserved_since > _GIVE_UP_CALLS * self.times.full_call_s
+        ):
+            return PieceFailure.OVERDUE
+        return None
+
     def _ordered_jobs(self, free_at: Mapping[_Slot, float], now: float) -> list[_Job]:
         """Return the jobs with queued pieces in the order in which they are served.
 
         Jobs that have started go first. Those that can meet their objectives follow,
-        by objective as far as all of them then meet it, else by rank.
+        by objective as far as all of them then meet it, else by rank. Overdue jobs go
+        last, also those that have started.
         """
         jobs = [job for job in self._jobs_by_id.values() if job.queued]
         if self.is_fifo or not free_at:
             return jobs
-        done_at = now + self.limits.full_call_s
+        done_at = self._earliest_done_at(sum(job.n_queued for job in jobs), now)
         jobs.sort(key=lambda job: _urgency(job, done_at))
-        started = [job for job in jobs if job.has_started]
-        others = jobs[len(started) :]
-        late = [job for job in others if job.spec.objective_at < done_at]
-        on_time = others[: len(others) - len(late)]
+        late = [job for job in jobs if job.spec.objective_at < done_at]
+        for job in late:
+            if job.unserved_since is None:
+                job.unserved_since = now
+        in_time = jobs[: len(jobs) - len(late)]
+        started = [job for job in in_time if job.has_started]
+        on_time = in_time[len(started) :]
         n_ahead = sum(job.n_queued for job in started)
         forecast = self._forecast(free_at, n_ahead)
         return [*started, *_order_by_objective(on_time, forecast), *late]
@@ -452,7 +517,7 @@
             for target in (self._targets_by_key[key] for key, _ in free_at)
         )
         begins_at = sum(free_at.values()) / len(free_at) + n_ahead / pieces_per_s
-        return _Forecast(begins_at, pieces_per_s, full_s)
+        return _Forecast(begins_at, pieces_per_s, self.times.full_call_s)
 
     def _slot_free_times(self, target: _Target, now: float) -> list[float]:
         """Return the time at which each slot of a target is free.
@@ -528,6 +593,8 @@
                 for work in works:
                     del job.queued[work.piece_id]
                 job.has_started = True
+                if job.unserved_since is not None:
+                    job.unserved_since = now
             if not is_sent or not job.queued:
                 jobs.remove(job)
         return selected
@@ -632,7 +699,9 @@
         if target is None:
             return
         target.n_failures = 0
-        ratio = (now - call.sent_at) / self.limits.call_duration_s(len(call.plan.works))
+        n_pieces, took_s = len(call.plan.works), now - call.sent_at
+        ratio = took_s / self.limits.call_duration_s(n_pieces)
+        self.times.record(n_pieces, took_s)
         target.slowness += _SLOWNESS_WEIGHT * (max(0.5, ratio) - target.slowness)
 
     def _piece_failed(
@@ -707,16 +776,8 @@
         return self.limits.call_duration_s(n_pieces) * target.slowness
 
 
-def _expiry_failure(job: _Job, now: float) -> PieceFailure | None:
-    if job.spec.deadline_at <= now:
-        return PieceFailure.OVERDUE
-    if job.spec.inputs_until <= now and job.queued:
-        return PieceFailure.INPUT_GONE
-    return None
-
-
 def _urgency(job: _Job, done_at: float) -> tuple[bool, bool, int, float]:
-    """Return the sort key of a job: started, then able to meet its objective, by rank.
+    """Return the sort key of a job: able to meet its objective, then started, by rank.
 
     ``done_at`` is the time at which a job that starts now is completed. A job that
     would miss its objective goes after those that can still meet theirs; otherwise all
@@ -724,8 +785,8 @@
     """
     spec = job.spec
     return (
-        not job.has_started,
         spec.objective_at < done_at,
+        not job.has_started,
         spec.rank,
         spec.objective_at,
     )
--- a/packages/aspendrift-policy/tests/test_stage_scheduler_ranks.py
+++ b/packages/aspendrift-policy/tests/test_stage_scheduler_ranks.py
@@ -8,7 +8,7 @@
 import pytest
 
 from aspendrift_model.ids import AttemptId, PoolName, TargetId, ZoneName
-from aspendrift_model.pieces import Handle, PieceId, PieceWork
+from aspendrift_model.pieces import Handle, PieceFailure, PieceId, PieceWork
 from aspendrift_model.routes import PieceLimits
 from aspendrift_model.target_entries import TargetEntry, TargetKey
 from aspendrift_policy.stage_scheduler import JobId, StageJob, StageScheduler
@@ -150,3 +150,32 @@
     load.play(60.0)
     assert load.on_time[0] >= 0.9 * load.n_jobs[0]
     assert load.on_time[2] < 0.9 * load.n_jobs[2]
+
+
+def test_started_job_that_is_overdue_goes_after_those_that_can_be_on_time():
+    """Guards against a backlog of overdue jobs that makes every new one overdue."""
+    scheduler = make_scheduler()
+    scheduler.submit(job("overdue", 0, 0.3, n_pieces=30))
+    (call,) = scheduler.plan(0.0)
+    end(scheduler, call, 0.28)
+    scheduler.submit(job("new", 2, 1.2, n_pieces=20))
+    (call,) = scheduler.plan(0.28)
+    assert {work.piece_id.attempt_id for work in call.works} == {"new"}
+
+
+def test_overdue_job_is_given_up_while_the_pool_has_no_capacity_for_it():
+    """Guards against inputs that overdue jobs hold until their caller times out."""
+    scheduler = make_scheduler()
+    now, given_up = 0.0, []
+    scheduler.submit(job("overdue", 0, 0.0))
+    for number in range(8):
+        for part in ("a", "b"):
+            scheduler.submit(job(f"{part}{number}", 0, now + 1.5, n_pieces=20))
+        given_up += scheduler.check_deadlines(now)
+        calls = scheduler.plan(now)
+        now += 0.28
+        for call in calls:
+            end(scheduler, call, now)
+    assert [(each.job_id, each.failure) for each in given_up] == [
+        ("overdue", PieceFailure.OVERDUE)
+    ]
--- a/packages/aspendrift-policy/tests/test_stage_times.py
+++ b/packages/aspendrift-policy/tests/test_stage_times.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
 from aspendrift_model.ids import PoolName
@@ -13,10 +15,11 @@
     StageSpec,
     WeightedPool,
 )
-from aspendrift_policy.stage_times import StageTimeEstimates
+from aspendrift_policy.stage_times import CallTimes, StageTimeEstimates
 
 POOL = PoolName("p")
-POOLS = {POOL: PoolSpec(POOL, 10, PieceLimits(1, 2, 4, 0.15, 0.03, 1e6, 4.0))}
+LIMITS = PieceLimits(1, 2, 4, 0.15, 0.03, 1e6, 4.0)
+POOLS = {POOL: PoolSpec(POOL, 10, LIMITS)}
 ROUTE = Route(
     name="r",
     host="h",
@@ -46,3 +49,17 @@
     assert not stage_times.is_congested(POOL, 0, POOLS)
     assert stage_times.is_congested(POOL, 2, POOLS)
     assert not stage_times.is_congested(POOL, 1, POOLS)
+
+
+def test_call_times_are_learned_where_the_configured_ones_are_half_of_them():
+    """Guards against objectives of stage jobs that rest on configured times."""
+    times = CallTimes(LIMITS)
+    rng = random.Random(0)
+    for _ in range(200):
+        n_pieces = rng.randint(1, LIMITS.batch)
+        actual_s = 2 * LIMITS.call_duration_s(n_pieces)
+        times.record(n_pieces, actual_s * rng.uniform(0.9, 1.1))
+    for n_pieces in (1, LIMITS.batch):
+        assert times.call_duration_s(n_pieces) == pytest.approx(
+            2 * LIMITS.call_duration_s(n_pieces), rel=0.1
+        )
