--- a/packages/aspendrift-policy/src/aspendrift_policy/chain_admission.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/chain_admission.py
@@ -117,7 +117,7 @@
         Overdue work goes after it and is not counted.
         """
         n_ahead = sum(count for each, count in self.on_time if each <= rank)
-        if n_ahead == 0:
+        if n_ahead == 0 or self.capacity_per_s <= 0:
             return 0.0
         higher_ranks_per_s = sum(
             each.arrivals_per_s for each in self.loads if each.rank < rank
@@ -251,10 +251,14 @@
         Time until the last stage is completed behind work that can be on time.
     share : float
         Share of such chains that start.
+    is_partial : bool
+        Whether the owner of a pool sent no capacity: it has no usable target, or runs
+        an earlier version.
     """
 
     on_time_s: float
     share: float
+    is_partial: bool
 
 
 class ChainAdmission:
@@ -322,6 +326,8 @@
             Time for which the chain has been held.
         """
         outlook = self._outlook(chain, account, now)
+        if outlook.is_partial:
+            return self.decide(chain, remaining_s, now)
         jitter = self._rng.uniform(1 - _PREDICTION_JITTER, 1 + _PREDICTION_JITTER)
         excess_s = outlook.on_time_s * jitter - objective_left_s
         if excess_s <= 0 and self._rng.random() < outlook.share:
@@ -351,6 +357,7 @@
     def _outlook(self, chain: Chain, account: int, now: float) -> _Outlook:
         end_s_by_index: dict[int, float] = {}
         share = 1.0
+        is_partial = False
         for stage, count in chain.stages():
             end_s = max(
                 (end_s_by_index.get(each, 0.0) for each in stage.after), default=0.0
@@ -361,10 +368,12 @@
                     stage.pool, _NO_MEASURES
                 )
                 if now - measured_at <= _MEASURES_MAX_AGE_S:
+                    is_partial |= measures.capacity_per_s <= 0
                     share = min(share, measures.shares.of(chain.rank, account))
                     end_s += measures.start_wait_s(chain.rank)
             end_s_by_index[stage.index] = end_s
-        return _Outlook(max(end_s_by_index.values(), default=0.0), share)
+        on_time_s = max(end_s_by_index.values(), default=0.0)
+        return _Outlook(on_time_s, share, is_partial)
 
     def _record_refused(self, chain: Chain, account: int, now: float) -> None:
         for stage, count in chain.stages():
--- a/packages/aspendrift-policy/tests/test_chain_admission.py
+++ b/packages/aspendrift-policy/tests/test_chain_admission.py
@@ -212,3 +212,10 @@
     assert isinstance(decide_start(controller), RefuseChain)
     assert controller.take_refused(SECOND, 1, 7, 0.0) == 16.0
     assert controller.take_refused(SECOND, 1, 7, 0.0) == 0.0
+
+
+def test_load_of_an_owner_of_an_earlier_version_still_refuses_what_cannot_be_done():
+    """Guards against admitting everything while versions are mixed."""
+    controller = admission()
+    controller.update_measures(SECOND, measures((1, 600, 20.0)), 0.0)
+    assert isinstance(decide_start(controller), RefuseChain)
--- a/tools/measure_chain_load.py
+++ b/tools/measure_chain_load.py
@@ -456,10 +456,11 @@
     chain = Chain(_route(0, 6.2), USUAL_PIECES, 0, dict.fromkeys(POOLS, 200), pools)
     for pool in POOLS:
         loads = tuple(RankLoad(rank, 1000, 400.0) for rank in range(3))
-        admission.update_measures(pool, PoolMeasures(1e4, loads), 0.0)
-    print(
-        f"decision on a chain: {_cost_us(lambda: admission.decide(chain, 6, 0)):.0f} us"
-    )
+        on_time = tuple((rank, 100) for rank in range(3))
+        measures = PoolMeasures(1e4, loads, 1e4, on_time=on_time)
+        admission.update_measures(pool, measures, 0.0)
+    decision_us = _cost_us(lambda: admission.decide_start(chain, 0, 1.1, 6, 0, 0))
+    print(f"decision on a chain: {decision_us:.0f} us")
     print(f"plan of 200 targets and 2000 jobs: {plan_us(200, 2000):.0f} us")
 
 
