--- a/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
@@ -10,6 +10,11 @@
 urgent pieces of any job, up to the batch size and the free memory of the target. A job
 starts only while the pool has memory for all of its results, and jobs that have started
 go before those that have not.
+
+Jobs that can't meet their objective any more go after all others, whether they have
+started or not. With a backlog and arrivals near the capacity, work for them would
+otherwise make every later job overdue as well. An overdue job that gets no capacity
+for a while is given up, so that its inputs are freed.
 """
 
 from __future__ import annotations
@@ -29,6 +34,7 @@
 )
 from aspendrift_model.routes import PieceLimits
 from aspendrift_model.target_entries import TargetEntry, TargetKey
+from aspendrift_policy.stage_times import CallTimes
 
 __all__ = [
     "JobId",
@@ -79,6 +85,15 @@
 _MAX_LEFT_OUT: Final = 8
 # A job fails after this many failures per piece.
 _MAX_FAILURES_PER_PIECE: Final = 3
+# An overdue job of which no piece was sent for this many full calls, while jobs that
+# can be on time wait, is given up: the pool has no capacity left for it.
+_GIVE_UP_CALLS: Final = 2.0
+# A call is not made smaller than this share of a full one to end within the objective
+# of its most urgent piece; smaller calls would cost more than a fifth of the capacity.
+_MIN_CALL_SHARE: Final = 0.5
+# A call that is smaller than a full one gets this share of a full one more if that
+# completes a job, which otherwise would wait for a second call.
+_MAX_EXTENSION_SHARE: Final = 0.17
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,6 +116,11 @@
     inputs_until : float
         Time until which the inputs are retained. A job with pieces still queued then
         fails, so that no call is spent on missing inputs.
+    n_refused : float
+        Pieces of refused requests of the same account that the job also stands for in
+        the measured demand.
+    account : int
+        Hash of the client account; 0 without one.
     """
 
     job_id: JobId
@@ -112,6 +132,8 @@
     zone: ZoneName | None = None
     moved_bytes: float = 0.0
     inputs_until: float = math.inf
+    n_refused: float = 0.0
+    account: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,11 +172,17 @@
     incomplete: set[PieceId]
     n_failures: int = 0
     has_started: bool = False
+    # Time since which the job is overdue and got no capacity.
+    unserved_since: float | None = None
 
     @property
     def n_queued(self) -> int:
         return len(self.queued)
 
+    @property
+    def has_inputs(self) -> bool:
+        return bool(self.spec.works and self.spec.works[0].inputs)
+
 
 @dataclass(slots=True)
 class _Call:
@@ -225,13 +253,22 @@
     is_fifo = False
 
     def __init__(self, limits: PieceLimits) -> None:
+        self.limits = limits
+        self.times = CallTimes(limits)
         self.set_limits(limits)
         self._targets_by_key: dict[TargetKey, _Target] = {}
         self._jobs_by_id: dict[JobId, _Job] = {}
         self._results_by_handle: dict[Handle, _Result] = {}
         self._held_bytes_by_key: dict[TargetKey, float] = {}
         self._usable: frozenset[TargetKey] = frozenset()
+        # Results of a size that fit into the memory of the pool, during one plan.
+        self._n_fit_by_size: dict[float, int] = {}
         self._next_call_id = 0
+        # Whether jobs that can be on time wait for a slot.
+        self._has_waiting_on_time = False
+        # Until then, overdue jobs get nothing: each of their pieces would make a call
+        # longer that others wait for.
+        self._contended_until = -math.inf
 
     @property
     def n_jobs(self) -> int:
@@ -239,8 +276,10 @@
         return len(self._jobs_by_id)
 
     def set_limits(self, limits: PieceLimits) -> None:
-        """Replace the limits of the targets."""
-        self.limits = limits
+        """Replace the limits; learned times stay unless the limits differ."""
+        if limits != self.limits:
+            self.limits = limits
+            self.times = CallTimes(limits)
 
     def set_targets(self, entries: Iterable[TargetEntry]) -> None:
         """Replace the set of targets; open calls to removed targets may still end."""
@@ -272,6 +311,7 @@
 
     def plan(self, now: float) -> list[PlannedCall]:
         """Return the calls to send now and record them as sent."""
+        self._n_fit_by_size.clear()
         self._expire_results(now)
         free_at = {
             (key, number): at
@@ -279,17 +319,30 @@
             if key in self._usable
             for number, at in enumerate(self._slot_free_times(target, now))
         }
+        n_free = sum(at <= now for at in free_at.values())
+        if n_free == 0:
+            self._has_waiting_on_time = self._is_on_time_queued()
+            return []
         waiting = self._ordered_jobs(free_at, now)
+        if now < self._contended_until:
+            waiting = [job for job in waiting if job.unserved_since is None]
         limit = self._call_size(waiting, free_at, now)
+        full_s = self.limits.full_call_s
         calls: list[PlannedCall] = []
-        while waiting and free_at:
-            slot = self._best_slot(free_at, waiting[0])
+        full_s_by_key = {
+            key: full_s * self._assumed_slowness(target)
+            for key, target in self._targets_by_key.items()
+        }
+        # Pieces are set aside for a busy slot only if that leaves a free one to others.
+        while waiting and n_free:
+            slot = self._best_slot(free_at, waiting[0], full_s_by_key)
             target = self._targets_by_key[slot[0]]
             # If the best slot is busy, its pieces wait for it and join no other call.
             is_free = free_at[slot] <= now
             selected = self._select_pieces(
                 waiting, target, free_at, now, limit, is_free
             )
+            n_free -= is_free
             if not selected:
                 del free_at[slot]
                 continue
@@ -297,8 +350,11 @@
             if is_free:
                 calls.append(self._record_call(target, selected, expected_s, now))
             free_at[slot] = max(free_at[slot], now) + expected_s
-            if all(at > now + self.limits.full_call_s for at in free_at.values()):
+            if all(at > now + full_s for at in free_at.values()):
                 break
+        self._has_waiting_on_time = self._is_on_time_queued()
+        if self._has_waiting_on_time and calls:
+            self._contended_until = now + self.times.full_call_s
         return calls
 
     def ended(
@@ -363,10 +419,11 @@
 
     def check_deadlines(self, now: float) -> list[JobUpdate]:
         """End expired jobs, and queue the pieces of overdue calls again."""
+        self._mark_overdue(now)
         updates = [
             JobUpdate(job_id, failure=failure)
             for job_id, job in self._jobs_by_id.items()
-            if (failure := _expiry_failure(job, now)) is not None
+            if (failure := self._expiry_failure(job, now)) is not None
         ]
         for each in updates:
             del self._jobs_by_id[each.job_id]
@@ -422,6 +479,20 @@
             by_rank[rank] = by_rank.get(rank, 0) + job.n_queued
         return by_rank
 
+    def backlog_on_time(self) -> Mapping[int, int]:
+        """Return the number of queued pieces of jobs that can be on time, by rank."""
+        by_rank: dict[int, int] = {}
+        for job in self._jobs_by_id.values():
+            if job.queued and job.unserved_since is None:
+                rank = job.spec.rank
+                by_rank[rank] = by_rank.get(rank, 0) + job.n_queued
+        return by_rank
+
+    def capacity_per_s(self) -> float:
+        """Return the pieces per second that the usable targets complete, full calls."""
+        per_target = self.limits.max_concurrent_pieces / self.times.full_call_s
+        return len(self._usable) * per_target
+
     def _call_size(
         self, jobs: Sequence[_Job], free_at: Mapping[_Slot, float], now: float
     ) -> int:
@@ -431,6 +502,8 @@
         number of calls stays the same and the last one ends sooner.
         """
         batch = self.limits.batch
+        if jobs and not self.is_fifo:
+            batch = self._batch_within(jobs[0].spec.objective_at - now)
         n_queued = sum(job.n_queued for job in jobs)
         n_calls = math.ceil(n_queued / batch)
         n_free = sum(at <= now for at in free_at.values())
@@ -438,24 +511,80 @@
             return batch
         return math.ceil(n_queued / n_calls)
 
+    def _batch_within(self, remaining_s: float) -> int:
+        """Return the size of the largest call that ends within a time.
+
+        It is a full call if the time is too short for a call of the smallest share.
+        """
+        batch = self.limits.batch
+        smallest = math.ceil(batch * _MIN_CALL_SHARE)
+        n_fit = int((remaining_s - self.times.call_s) / max(1e-9, self.times.piece_s))
+        return min(batch, n_fit) if n_fit >= smallest else batch
+
+    def _earliest_done_at(self, n_queued: int, now: float) -> float:
+        """Return the end of the smallest call that starts now with a backlog."""
+        smallest = math.ceil(self.limits.batch * _MIN_CALL_SHARE)
+        return now + self.times.call_duration_s(min(smallest, n_queued))
+
+    def _mark_overdue(self, now: float) -> float:
+        """Mark queued jobs that can't be on time; return when they would be done."""
+        n_queued = sum(job.n_queued for job in self._jobs_by_id.values())
+        done_at = self._earliest_done_at(n_queued, now)
+        if not self.is_fifo:
+            for job in self._jobs_by_id.values():
+                if job.unserved_since is None and job.queued:
+                    if job.spec.objective_at < done_at:
+                        job.unserved_since = now
+        return done_at
+
+    def _is_on_time_queued(self) -> bool:
+        return any(
+            job.queued and job.unserved_since is None
+            for job in self._jobs_by_id.values()
+        )
+
+    def _expiry_failure(self, job: _Job, now: float) -> PieceFailure | None:
+        if job.spec.deadline_at <= now:
+            return PieceFailure.OVERDUE
+        if job.spec.inputs_until <= now and job.queued:
+            return PieceFailure.INPUT_GONE
+        if (
+            self._has_waiting_on_time
+            and job.unserved_since is not None
+            and len(job.queued) == len(job.incomplete)
+            and now - job.unserved_since > _GIVE_UP_CALLS * self.times.full_call_s
+        ):
+            return PieceFailure.OVERDUE
+        return None
+
     def _ordered_jobs(self, free_at: Mapping[_Slot, float], now: float) -> list[_Job]:
         """Return the jobs with queued pieces in the order in which they are served.
 
-        Jobs that have started go first. Those that can meet their objectives follow,
-        by objective as far as all of them then meet it, else by rank.
+        Jobs that have started go first, then those with inputs, by objective: their
+        chains were chosen by rank when they started, and waiting for higher ranks now
+        would waste the work of the earlier stages. The others that can meet their
+        objectives follow, by objective as far as all of them then meet it, else by
+        rank. Overdue jobs go last, also those that have started.
         """
         jobs = [job for job in self._jobs_by_id.values() if job.queued]
         if self.is_fifo or not free_at:
             return jobs
-        done_at = now + self.limits.full_call_s
+        done_at = self._mark_overdue(now)
         jobs.sort(key=lambda job: _urgency(job, done_at))
-        started = [job for job in jobs if job.has_started]
-        others = jobs[len(started) :]
-        late = [job for job in others if job.spec.objective_at < done_at]
-        on_time = others[: len(others) - len(late)]
-        n_ahead = sum(job.n_queued for job in started)
+        late = [job for job in jobs if job.spec.objective_at < done_at]
+        in_time = jobs[: len(jobs) - len(late)]
+        started = [job for job in in_time if job.has_started]
+        others = in_time[len(started) :]
+        continued = [job for job in others if job.has_inputs]
+        on_time = [job for job in others if not job.has_inputs]
+        n_ahead = sum(job.n_queued for job in (*started, *continued))
         forecast = self._forecast(free_at, n_ahead)
-        return [*started, *_order_by_objective(on_time, forecast), *late]
+        return [
+            *started,
+            *_by_objective(continued),
+            *_order_by_objective(on_time, forecast),
+            *late,
+        ]
 
     def _forecast(self, free_at: Mapping[_Slot, float], n_ahead: int) -> _Forecast:
         """Return the forecast of ends for jobs behind a number of pieces."""
@@ -465,7 +594,7 @@
             for target in (self._targets_by_key[key] for key, _ in free_at)
         )
         begins_at = sum(free_at.values()) / len(free_at) + n_ahead / pieces_per_s
-        return _Forecast(begins_at, pieces_per_s, full_s)
+        return _Forecast(begins_at, pieces_per_s, self.times.full_call_s)
 
     def _slot_free_times(self, target: _Target, now: float) -> list[float]:
         """Return the time at which each slot of a target is free.
@@ -485,13 +614,14 @@
         busy = [max(at, end) for end in ends[-n_slots:]]
         return [at] * (n_slots - len(busy)) + busy
 
-    def _best_slot(self, free_at: Mapping[_Slot, float], job: _Job) -> _Slot:
+    def _best_slot(
+        self,
+        free_at: Mapping[_Slot, float],
+        job: _Job,
+        full_s_by_key: Mapping[TargetKey, float],
+    ) -> _Slot:
         """Return the slot that ends a call first; on a tie, one in the job's zone."""
-        full_s = self.limits.full_call_s
-        ends_at = {
-            slot: at + full_s * self._assumed_slowness(self._targets_by_key[slot[0]])
-            for slot, at in free_at.items()
-        }
+        ends_at = {slot: at + full_s_by_key[slot[0]] for slot, at in free_at.items()}
         latest = min(ends_at.values()) + _END_TOLERANCE_S
         return min(
             (slot for slot, at in ends_at.items() if at <= latest),
@@ -525,11 +655,12 @@
         free_bytes = self._free_bytes(target, now)
         selected: list[tuple[_Job, PieceWork]] = []
         for job in list(jobs):
-            if len(selected) == limit:
+            if len(selected) >= limit:
                 break
             if not self._may_run(job, target, free_at, now):
                 continue
-            works = list(job.queued.values())[: limit - len(selected)]
+            n_max = self._n_addable(job, len(selected), limit)
+            works = list(job.queued.values())[:n_max]
             size = job.spec.result_bytes
             if is_sent and size > 0:
                 works = works[: max(0, int(free_bytes / size))]
@@ -541,10 +672,20 @@
                 for work in works:
                     del job.queued[work.piece_id]
                 job.has_started = True
+                if job.unserved_since is not None:
+                    job.unserved_since = now
             if not is_sent or not job.queued:
                 jobs.remove(job)
         return selected
 
+    def _n_addable(self, job: _Job, n_selected: int, limit: int) -> int:
+        """Return how many pieces of a job a call may get beside those selected."""
+        n_max = limit - n_selected
+        n_over = job.n_queued - n_max
+        if 0 < n_over <= self.limits.batch * _MAX_EXTENSION_SHARE:
+            return min(job.n_queued, self.limits.batch - n_selected)
+        return n_max
+
     def _may_run(
         self,
         job: _Job,
@@ -606,11 +747,13 @@
         size = job.spec.result_bytes
         if size <= 0:
             return True
-        n_fit = sum(
-            max(0, int(self._free_bytes(target, now) / size))
-            for key, target in self._targets_by_key.items()
-            if key in self._usable
-        )
+        n_fit = self._n_fit_by_size.get(size)
+        if n_fit is None:
+            n_fit = self._n_fit_by_size[size] = sum(
+                max(0, int(self._free_bytes(target, now) / size))
+                for key, target in self._targets_by_key.items()
+                if key in self._usable
+            )
         return n_fit >= len(job.queued)
 
     def _record_call(
@@ -645,7 +788,9 @@
         if target is None:
             return
         target.n_failures = 0
-        ratio = (now - call.sent_at) / self.limits.call_duration_s(len(call.plan.works))
+        n_pieces, took_s = len(call.plan.works), now - call.sent_at
+        ratio = took_s / self.limits.call_duration_s(n_pieces)
+        self.times.record(n_pieces, took_s)
         target.slowness += _SLOWNESS_WEIGHT * (max(0.5, ratio) - target.slowness)
 
     def _piece_failed(
@@ -702,6 +847,7 @@
             self._add_held_bytes(result.key, -result.n_bytes)
 
     def _add_held_bytes(self, key: TargetKey, n_bytes: float) -> None:
+        self._n_fit_by_size.clear()
         held = self._held_bytes_by_key.get(key, 0.0) + n_bytes
         if held > 0.5:
             self._held_bytes_by_key[key] = held
@@ -720,16 +866,8 @@
         return self.limits.call_duration_s(n_pieces) * target.slowness
 
 
-def _expiry_failure(job: _Job, now: float) -> PieceFailure | None:
-    if job.spec.deadline_at <= now:
-        return PieceFailure.OVERDUE
-    if job.spec.inputs_until <= now and job.queued:
-        return PieceFailure.INPUT_GONE
-    return None
-
-
 def _urgency(job: _Job, done_at: float) -> tuple[bool, bool, int, float]:
-    """Return the sort key of a job: started, then able to meet its objective, by rank.
+    """Return the sort key of a job: able to meet its objective, then started, by rank.
 
     ``done_at`` is the time at which a job that starts now is completed. A job that
     would miss its objective goes after those that can still meet theirs; otherwise all
@@ -737,8 +875,8 @@
     """
     spec = job.spec
     return (
-        not job.has_started,
         spec.objective_at < done_at,
+        not job.has_started,
         spec.rank,
         spec.objective_at,
     )
