--- a/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
@@ -524,6 +524,17 @@
                         job.unserved_since = now
         return done_at
 
+    def _is_in_call(self, job: _Job) -> bool:
+        """Return whether a call still works on pieces of a job and uses its inputs.
+
+        Pieces of a call that takes too long are queued again while it is open.
+        """
+        return any(
+            job.spec.job_id in call.job_ids
+            for target in self._targets_by_key.values()
+            for call in target.calls_by_id.values()
+        )
+
     def _is_on_time_queued(self) -> bool:
         return any(
             job.queued and job.unserved_since is None
@@ -540,6 +551,7 @@
             and job.unserved_since is not None
             and len(job.queued) == len(job.incomplete)
             and now - job.unserved_since > _GIVE_UP_CALLS * self.times.full_call_s
+            and not self._is_in_call(job)
         ):
             return PieceFailure.OVERDUE
         return None
--- a/packages/aspendrift-policy/tests/test_stage_scheduler_ranks.py
+++ b/packages/aspendrift-policy/tests/test_stage_scheduler_ranks.py
@@ -179,3 +179,25 @@
     assert [(each.job_id, each.failure) for each in given_up] == [
         ("overdue", PieceFailure.OVERDUE)
     ]
+
+
+def test_overdue_job_is_not_given_up_while_a_call_uses_its_inputs():
+    """Guards against inputs that are freed under a slow call that runs on.
+
+    The pieces of such a call are queued again while it is open.
+    """
+    scheduler = make_scheduler(2)
+    scheduler.submit(job("slow", 0, 1.0, n_pieces=20))
+    (slow_call,) = scheduler.plan(0.0)
+    now, updates = 0.0, []
+    for number in range(20):
+        for part in ("a", "b", "c"):
+            scheduler.submit(job(f"{part}{number}", 0, now + 0.9, n_pieces=20))
+        updates += scheduler.check_deadlines(now)
+        calls = scheduler.plan(now)
+        now += 0.28
+        for call in calls:
+            if not any(work.piece_id.attempt_id == "slow" for work in call.works):
+                end(scheduler, call, now)
+    assert "slow" not in {each.job_id for each in updates}
+    assert end(scheduler, slow_call, now)[0].job_id == "slow"
