Overdue stage jobs use spare places of calls while others stay on time

Now only jobs that are left over when all free slots have calls do, and overdue pieces join calls as far as the pieces that can be on time stay so.

--- a/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
@@ -264,7 +264,9 @@
         # Results of a size that fit into the memory of the pool, during one plan.
         self._n_fit_by_size: dict[float, int] = {}
         self._next_call_id = 0
-        # Whether jobs that can be on time wait for a slot.
+        # Whether jobs that can be on time were left over when all free slots had calls.
+        # Those that arrive while all slots work are no sign of that: with room in the
+        # calls, the next one takes them.
         self._has_waiting_on_time = False
         # Until then, overdue jobs get nothing: each of their pieces would make a call
         # longer that others wait for.
@@ -321,7 +323,6 @@
         }
         n_free = sum(at <= now for at in free_at.values())
         if n_free == 0:
-            self._has_waiting_on_time = self._is_on_time_queued()
             return []
         waiting = self._ordered_jobs(free_at, now)
         if now < self._contended_until:
@@ -352,7 +353,9 @@
             free_at[slot] = max(free_at[slot], now) + expected_s
             if all(at > now + full_s for at in free_at.values()):
                 break
-        self._has_waiting_on_time = self._is_on_time_queued()
+        self._has_waiting_on_time = n_free == 0 and any(
+            job.unserved_since is None and not _prefers_zone(job) for job in waiting
+        )
         if self._has_waiting_on_time and calls:
             self._contended_until = now + self.times.full_call_s
         return calls
@@ -521,6 +524,11 @@
         n_fit = int((remaining_s - self.times.call_s) / max(1e-9, self.times.piece_s))
         return min(batch, n_fit) if n_fit >= smallest else batch
 
+    def _n_within(self, remaining_s: float) -> int:
+        """Return the number of pieces of a call that ends within a time."""
+        n_fit = (remaining_s - self.times.call_s) / max(1e-9, self.times.piece_s)
+        return int(min(float(self.limits.batch), max(0.0, n_fit)))
+
     def _earliest_done_at(self, n_queued: int, now: float) -> float:
         """Return the end of the smallest call that starts now with a backlog."""
         smallest = math.ceil(self.limits.batch * _MIN_CALL_SHARE)
@@ -548,12 +556,6 @@
             for call in target.calls_by_id.values()
         )
 
-    def _is_on_time_queued(self) -> bool:
-        return any(
-            job.queued and job.unserved_since is None
-            for job in self._jobs_by_id.values()
-        )
-
     def _expiry_failure(self, job: _Job, now: float) -> PieceFailure | None:
         if job.spec.deadline_at <= now:
             return PieceFailure.OVERDUE
@@ -671,8 +673,8 @@
                 break
             if not self._may_run(job, target, free_at, now):
                 continue
-            n_max = self._n_addable(job, len(selected), limit)
-            works = list(job.queued.values())[:n_max]
+            works = list(job.queued.values())
+            works = works[: self._n_addable(job, selected, limit, now)]
             size = job.spec.result_bytes
             if is_sent and size > 0:
                 works = works[: max(0, int(free_bytes / size))]
@@ -690,9 +692,26 @@
                 jobs.remove(job)
         return selected
 
-    def _n_addable(self, job: _Job, n_selected: int, limit: int) -> int:
-        """Return how many pieces of a job a call may get beside those selected."""
+    def _n_addable(
+        self,
+        job: _Job,
+        selected: Sequence[tuple[_Job, PieceWork]],
+        limit: int,
+        now: float,
+    ) -> int:
+        """Return how many pieces of a job a call may get beside those selected.
+
+        Overdue pieces get spare places only as far as the others stay on time.
+        """
+        n_selected = len(selected)
         n_max = limit - n_selected
+        if job.unserved_since is not None:
+            on_time = (each for each, _ in selected if each.unserved_since is None)
+            objective_at = min(
+                (each.spec.objective_at for each in on_time), default=math.inf
+            )
+            n_in_time = self._n_within(objective_at - now)
+            return max(0, min(n_max, n_in_time - n_selected))
         n_over = job.n_queued - n_max
         if 0 < n_over <= self.limits.batch * _MAX_EXTENSION_SHARE:
             return min(job.n_queued, self.limits.batch - n_selected)
@@ -723,9 +742,7 @@
         within the maximum wait.
         """
         spec = job.spec
-        if spec.zone is None or spec.zone == target.entry.zone:
-            return False
-        if spec.moved_bytes < _LARGE_TRANSFER_BYTES:
+        if not _prefers_zone(job) or spec.zone == target.entry.zone:
             return False
         free_times = [
             free_at[slot]
@@ -920,6 +937,12 @@
     return [*chosen, *left_out]
 
 
+def _prefers_zone(job: _Job) -> bool:
+    """Return whether a job waits for a slot in its zone for a short time."""
+    spec = job.spec
+    return spec.zone is not None and spec.moved_bytes >= _LARGE_TRANSFER_BYTES
+
+
 def _is_in_zone(job: _Job, target: _Target) -> bool:
     return job.spec.zone is None or job.spec.zone == target.entry.zone
 
