--- a/tools/measure_evacuation.py
+++ b/tools/measure_evacuation.py
@@ -26,7 +26,7 @@
 from aspendrift_model.hosts import Host, Location
 from aspendrift_model.ids import DaemonId, Incarnation, RegionName, TargetId, ZoneName
 from aspendrift_model.routes import RoutingConfiguration
-from aspendrift_model.states import MemberState
+from aspendrift_model.states import MemberState, PeerFeature
 from aspendrift_model.target_entries import UnreadableEntry
 from aspendrift_policy.state_sources import readers_in_order
 from aspendrift_standins.virtual_time import VirtualClock, run_virtual
@@ -137,6 +137,19 @@
         """Return all daemons."""
         return self.known
 
+    @property
+    def n_feature_changes(self) -> int:
+        """Number of changes to what is known of the features of others."""
+        return 0
+
+    def supports(self, daemon_id: DaemonId, feature: PeerFeature) -> bool:
+        """Return True: all daemons are of the present release."""
+        return True
+
+    def lacks(self, daemon_id: DaemonId, feature: PeerFeature) -> bool:
+        """Return False, see :meth:`supports`."""
+        return False
+
     def send(self, daemon_id: DaemonId, topic: str, payload: bytes) -> None:
         """Send a message."""
         handler = self._links_by_id[daemon_id]._handler
