Ration chains only where the settings ask for it

ASPENDRIFT_POLICIES=rationed selects it. The tests of the scheduler on pass with RankedScheduler in place of StageScheduler.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/policies.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/policies.py
@@ -13,6 +13,7 @@
 from aspendrift_policy.naive import AdmitAll, OneByOneScheduler, RoundRobinChooser
 from aspendrift_policy.outliers import EjectionRules
 from aspendrift_policy.pool_choice import PoolChooser
+from aspendrift_policy.ranked import RankedAdmission, RankedScheduler
 from aspendrift_policy.stage_scheduler import StageScheduler
 
 __all__ = ["POLICIES_BY_KIND", "Policies"]
@@ -28,6 +29,7 @@
 
 
 POLICIES_BY_KIND: Final = {
-    PolicyKind.LEARNED: Policies(PoolChooser, ChainAdmission, StageScheduler),
+    PolicyKind.LEARNED: Policies(PoolChooser, RankedAdmission, RankedScheduler),
+    PolicyKind.RATIONED: Policies(PoolChooser, ChainAdmission, StageScheduler),
     PolicyKind.NAIVE: Policies(RoundRobinChooser, AdmitAll, OneByOneScheduler),
 }
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/settings.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/settings.py
@@ -12,9 +12,13 @@
 
 
 class PolicyKind(Enum):
-    """Policies in use: the product's own, or naive ones for comparison."""
+    """Policies in use: the product's own, or naive ones for comparison.
+
+    With ``RATIONED``, chains that can't be on time yield to those that can.
+    """
 
     LEARNED = "learned"
+    RATIONED = "rationed"
     NAIVE = "naive"
 
 
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/stage_run.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/stage_run.py
@@ -125,7 +125,12 @@
         return self._admission.take_refused(pool, demand.rank, demand.account, now)
 
     def service_times(self, plan: StagePlan, demand: StageDemand) -> StageTimes:
-        """Return the times of the stages of a request without waiting."""
+        """Return the times of the stages of a request without waiting.
+
+        Those with waiting are returned if chains are not rationed.
+        """
+        if not self._admission.is_rationed:
+            return self.times.times(demand.route, demand.rank, demand.pools_by_name)
         return self._admission.service_times(
             demand.route, plan.n_pieces, demand.pools_by_name
         )
--- a/packages/aspendrift-policy/src/aspendrift_policy/chain_admission.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/chain_admission.py
@@ -264,6 +264,9 @@
 class ChainAdmission:
     """Admits requests by the latest measures of the pools of their stages."""
 
+    # Whether objectives of stage jobs are set by service times, without waiting.
+    is_rationed = True
+
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         # Time and number of the refused pieces that no job has reported yet.
--- a/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
@@ -251,6 +251,8 @@
 
     # Whether jobs are ordered by submission instead of urgency.
     is_fifo = False
+    # Whether overdue jobs yield their capacity to jobs that can be on time.
+    is_rationed = True
 
     def __init__(self, limits: PieceLimits) -> None:
         self.limits = limits
@@ -325,7 +327,7 @@
         if n_free == 0:
             return []
         waiting = self._ordered_jobs(free_at, now)
-        if now < self._contended_until:
+        if self.is_rationed and now < self._contended_until:
             waiting = [job for job in waiting if job.unserved_since is None]
         limit = self._call_size(waiting, free_at, now)
         full_s = self.limits.full_call_s
@@ -492,7 +494,12 @@
         return by_rank
 
     def capacity_per_s(self) -> float:
-        """Return the pieces per second that the usable targets complete, full calls."""
+        """Return the pieces per second that the usable targets complete, full calls.
+
+        It is 0 without rationing, as from an owner that doesn't know it.
+        """
+        if not self.is_rationed:
+            return 0.0
         per_target = self.limits.max_concurrent_pieces / self.times.full_call_s
         return len(self._usable) * per_target
 
@@ -505,7 +512,7 @@
         number of calls stays the same and the last one ends sooner.
         """
         batch = self.limits.batch
-        if jobs and not self.is_fifo:
+        if jobs and self.is_rationed and not self.is_fifo:
             batch = self._batch_within(jobs[0].spec.objective_at - now)
         n_queued = sum(job.n_queued for job in jobs)
         n_calls = math.ceil(n_queued / batch)
@@ -562,7 +569,8 @@
         if job.spec.inputs_until <= now and job.queued:
             return PieceFailure.INPUT_GONE
         if (
-            self._has_waiting_on_time
+            self.is_rationed
+            and self._has_waiting_on_time
             and job.unserved_since is not None
             and len(job.queued) == len(job.incomplete)
             and now - job.unserved_since > _GIVE_UP_CALLS * self.times.full_call_s
@@ -583,6 +591,8 @@
         jobs = [job for job in self._jobs_by_id.values() if job.queued]
         if self.is_fifo or not free_at:
             return jobs
+        if not self.is_rationed:
+            return self._ranked_jobs(jobs, free_at, now)
         done_at = self._mark_overdue(now)
         jobs.sort(key=lambda job: _urgency(job, done_at))
         late = [job for job in jobs if job.spec.objective_at < done_at]
@@ -600,6 +610,20 @@
             *late,
         ]
 
+    def _ranked_jobs(
+        self, jobs: list[_Job], free_at: Mapping[_Slot, float], now: float
+    ) -> list[_Job]:
+        """Return jobs that have started first, then those that can be on time."""
+        done_at = now + self.limits.full_call_s
+        jobs.sort(key=lambda job: (not job.has_started, *_urgency(job, done_at)))
+        started = [job for job in jobs if job.has_started]
+        others = jobs[len(started) :]
+        late = [job for job in others if job.spec.objective_at < done_at]
+        on_time = others[: len(others) - len(late)]
+        n_ahead = sum(job.n_queued for job in started)
+        forecast = self._forecast(free_at, n_ahead)
+        return [*started, *_order_by_objective(on_time, forecast), *late]
+
     def _forecast(self, free_at: Mapping[_Slot, float], n_ahead: int) -> _Forecast:
         """Return the forecast of ends for jobs behind a number of pieces."""
         full_s = self.limits.full_call_s
@@ -705,6 +729,8 @@
         """
         n_selected = len(selected)
         n_max = limit - n_selected
+        if not self.is_rationed:
+            return n_max
         if job.unserved_since is not None:
             on_time = (each for each, _ in selected if each.unserved_since is None)
             objective_at = min(
