--- a/packages/aspendrift-policy/tests/test_ranked.py
+++ b/packages/aspendrift-policy/tests/test_ranked.py
@@ -16,7 +16,7 @@
 
 
 def n_given_up(scheduler):
-    """Submit more jobs than one target completes; return how many are given up early."""
+    """Submit more jobs than a target completes; return how many are given up."""
     scheduler.set_targets(targets(1))
     for number in range(40):
         scheduler.submit(job(f"{number}", 0, 0.1 + number * 0.02, n_pieces=20))
