--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -76,6 +76,8 @@
 # of each other server; the rest is for targets, the store and peers.
 _CALLER_FILES_SHARE: Final = 0.5
 _CONTROL_FILES_SHARE: Final = 0.05
+# Features of this build. Work of later stages is not announced yet.
+_FEATURES: Final = frozenset(PeerFeature) - {PeerFeature.ANNOUNCEMENTS}
 # Changes after which a target's connections can't be used any more.
 _ENDED: Final = frozenset({RegistryChangeKind.GONE, RegistryChangeKind.RESTARTED})
 
@@ -126,7 +128,7 @@
         )
         peers = _peer_settings(settings)
         self.link = PeerLink(
-            peers, self._host(), self.clock, events, rng, features=PeerFeature
+            peers, self._host(), self.clock, events, rng, features=_FEATURES
         )
         self.links = LinkExchange(
             self.link,
@@ -327,10 +329,22 @@
         chosen = stable_choice(members, query.zone, _MAX_ADDRESSES)
         return [member.host.url for member in chosen]
 
-    def _create_gauges(self) -> None:
+    def _register_gauges(self) -> None:
         self.metrics.gauge(
             "requests.open", "1", "Requests without an answer", lambda: self.path.n_open
         )
+        self.metrics.gauge(
+            "zones.evacuated",
+            "1",
+            "Availability zones whose targets are sent nothing",
+            lambda: len(self.state.evacuations.zones),
+        )
+        self.metrics.gauge(
+            "zones.evacuated_time",
+            "s",
+            "Time for which the zone evacuated first has been so; 0 without any",
+            lambda: self.state.evacuations.longest_s(self.clock.monotonic()),
+        )
         self.metrics.gauge(
             "prompts.quarantines",
             "1",
@@ -343,6 +357,9 @@
             "Origins of streams held",
             lambda: self.origins.n_held,
         )
+        self.metrics.gauge(
+            "store.calls", "1", "Calls to the store", lambda: self.store.n_calls
+        )
         self.metrics.gauge(
             "targets.loaded",
             "1",
@@ -356,41 +373,17 @@
             lambda: self.unreadable_headers.n_answers,
         )
         self.metrics.gauge(
-            "store.calls", "1", "Calls to the store", lambda: self.store.n_calls
-        )
-
-    def _register_gauges(self) -> None:
-        self.metrics.gauge(
-            "requests.open", "1", "Requests without an answer", lambda: self.path.n_open
-        )
-        self.metrics.gauge(
-            "zones.evacuated",
+            "answers.unread",
             "1",
-            "Availability zones whose targets are sent nothing",
-            lambda: len(self.state.evacuations.zones),
-        )
-        self.metrics.gauge(
-            "zones.evacuated_time",
-            "s",
-            "Time for which the zone evacuated first has been so; 0 without any",
-            lambda: self.state.evacuations.longest_s(self.clock.monotonic()),
+            "Answers that wait for their callers to read",
+            lambda: self.buffers.unread.n_waiting,
         )
         self.metrics.gauge(
-            "prompts.quarantines",
-            "1",
-            "Quarantines of prompts held",
-            lambda: self.containment.n_quarantines,
-        )
-        self.metrics.gauge(
-            "streams.origins",
-            "1",
-            "Origins of streams held",
-            lambda: self.origins.n_held,
-        )
-        self.metrics.gauge(
-            "store.calls", "1", "Calls to the store", lambda: self.store.n_calls
+            "requests.buffered",
+            "By",
+            "Bodies of requests that are received or served",
+            lambda: self.buffers.requests.n_bytes,
         )
-        self._create_gauges()
 
     def _make_permits(self) -> PermitExchange:
         """Return the exchange of permits, used by all that sends to targets."""
