Failing tests: a request handed over meets an older configuration

A gateway without links to targets that knows a new key hands the request over to one that doesn't, and its caller gets 401.

--- a/tests/aspendrift_platform/test_lost_links.py
+++ b/tests/aspendrift_platform/test_lost_links.py
@@ -133,3 +133,49 @@
         assert len(cluster.gateways[0].addresses(query)) == 3
 
     run_scenario(scenario, n_gateways=3)
+
+
+def freeze_configuration(gateway):
+    """Let a gateway learn of no further configuration."""
+    gateway.state.apply_configuration = lambda value, source: None
+
+
+async def move_key(cluster, *gateways):
+    """Replace the key of the account; return once these gateways know it."""
+    tenants = [{"name": "account", "apiKeys": ["new"]}]
+    cluster.platform.configure(2, tenants=tenants)
+    await cluster.until(
+        lambda: all(each.state.configuration_version == 2 for each in gateways)
+    )
+
+
+def test_request_handed_over_meets_no_older_configuration(run_scenario):
+    async def scenario(cluster):
+        stranded, behind, current = cluster.gateways
+        Links(stranded).cut()
+        await until_served(cluster, stranded, "/safe/a")
+        freeze_configuration(behind)
+        await move_key(cluster, stranded, current)
+        for _ in range(12):
+            attempt_id, answer = await cluster.call(stranded, "/safe/b", key="new")
+            assert answer.status_code == 200
+            assert answer.text == f"answer to {attempt_id}"
+
+    run_scenario(scenario, n_gateways=3)
+
+
+def test_request_is_refused_as_not_run_if_all_others_are_behind(run_scenario):
+    async def scenario(cluster):
+        stranded, *others = cluster.gateways
+        Links(stranded).cut()
+        await until_served(cluster, stranded, "/safe/a")
+        for gateway in others:
+            freeze_configuration(gateway)
+        await move_key(cluster, stranded)
+        for _ in range(6):
+            attempt_id, answer = await cluster.call(stranded, "/once/b", key="new")
+            assert answer.status_code == 503
+            assert float(answer.headers["retry-after"]) > 0
+            assert cluster.platform.records.ran[attempt_id] == 0
+
+    run_scenario(scenario, n_gateways=3)
