A request handed over never meets an older configuration

What callers saw: a daemon that knew a new key or route answered 401 or 404 for it, or had a moved route run by the old service, after it had served by the newer configuration.

A daemon without links to targets admits a request by its own configuration and hands it over; the daemon that got it matched it again, by whatever it held. Class: a decision made on one version of shared state and carried out on another.

The marker of a handed-over request names the version by which it was admitted. A daemon whose own is older declines with 421, asks the first one for its newer configuration, and the request goes to another daemon; unreachable daemons still end the search after two. An earlier release reads the marker as before and declines nothing.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
@@ -216,12 +216,16 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestHandedOver(Event):
-    """A request is sent to another daemon, since this one reaches no target."""
+    """A request is sent to another daemon, since this one reaches no target.
+
+    ``configuration_version`` is that of the configuration that admitted it here.
+    """
 
     name: ClassVar[str] = "request_handed_over"
     request_id: str
     peer_id: str
     left_s: float
+    configuration_version: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -256,6 +256,7 @@
             events,
             self._refuses_new,
             lambda: self.settings.configuration_s,
+            self.peer_state.pull,
         )
         self.leaving = LeaveProcedure(LeaveTimes.within(settings.grace_s))
         self.shutdown = Shutdown(
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/handover.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/handover.py
@@ -3,13 +3,16 @@
 The request goes to the address that the other daemon has for callers, as its caller
 sent it, and the answer comes back as it arrives. So everything that holds between a
 caller and a daemon holds here too: the deadline, the account, "not run", an answer
-that is broken off, and a caller that leaves. A request is handed over once.
+that is broken off, and a caller that leaves. A request is handed over once. A daemon
+whose configuration is older than the one by which the request was admitted declines it.
 """
 
 from __future__ import annotations
 
 import asyncio
 import random
+from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import Final
 
 import httpx
@@ -30,16 +33,20 @@
     TargetClient,
 )
 from aspendrift_model.hosts import Host
-from aspendrift_model.ids import PoolName, SoftwareVersion, TargetId
+from aspendrift_model.ids import DaemonId, PoolName, SoftwareVersion, TargetId
+from aspendrift_model.opaque_requests import HandedOver, Headers
 from aspendrift_model.routes import RequestKind
 from aspendrift_model.states import MemberState, RefusalReason
 from aspendrift_model.target_entries import TargetEntry, TargetKey
 
-__all__ = ["HANDED_OVER_HEADER", "Handover"]
+__all__ = ["HANDED_OVER_HEADER", "Handover", "split_marker"]
 
 HANDED_OVER_HEADER: Final = b"aspendrift-handed-over"
 
-_MAX_PEERS_TRIED: Final = 2
+# Daemons that can't be reached take a connection timeout each, those that decline a
+# round trip.
+_MAX_UNREACHABLE: Final = 2
+_MAX_PEERS_TRIED: Final = 6
 # Minimum time before the deadline for a handover to be worthwhile.
 _MIN_REMAINING_S: Final = 0.03
 _CONNECTIONS_PER_PEER: Final = 64
@@ -47,6 +54,41 @@
 _LINKS_RETURN_S: Final = 1.0
 # Statuses that guarantee that a request has not run and never will.
 _NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
+# The other daemon's configuration is older. It answers a caller's request, or that of a
+# target, with another status.
+_DECLINED: Final = 421
+
+
+@dataclass(frozen=True, slots=True)
+class _Declined:
+    """The other daemon did not run the request and never will."""
+
+    detail: str
+
+
+def split_marker(
+    headers: Iterable[tuple[bytes, bytes]],
+) -> tuple[Headers, HandedOver | None]:
+    """Return the caller's headers, and the daemon that handed the request over."""
+    kept: list[tuple[bytes, bytes]] = []
+    found: HandedOver | None = None
+    for name, value in headers:
+        if name == HANDED_OVER_HEADER:
+            found = _decode_marker(value)
+        else:
+            kept.append((name, value))
+    return tuple(kept), found
+
+
+def _decode_marker(value: bytes) -> HandedOver:
+    daemon_id, _, version = value.decode("latin-1").partition(";")
+    known = version.isascii() and version.isdigit()
+    return HandedOver(DaemonId(daemon_id), int(version) if known else -1)
+
+
+def _encode_marker(handed_over: HandedOver) -> bytes:
+    version = handed_over.configuration_version
+    return f"{handed_over.daemon_id};{version}".encode("latin-1")
 
 
 class Handover:
@@ -89,20 +131,31 @@
             route.may_repeat and delivery.n_run < route.max_attempts
         )
 
-    async def send(self, delivery: Delivery) -> Served | Refusal:
-        """Hand a request over; refuse it at once if no daemon reaches a target."""
+    async def send(
+        self, delivery: Delivery, configuration_version: int
+    ) -> Served | Refusal:
+        """Hand a request over; refuse it at once if no daemon reaches a target.
+
+        Parameters
+        ----------
+        configuration_version : int
+            Version of the configuration by which this daemon admitted the request.
+        """
         request = delivery.routed.request
-        peers = [] if request.handed_over_by else self._peers()
+        peers = [] if request.handed_over else self._peers()
         detail = "no daemon reaches a target"
+        n_unreachable = 0
         for peer in peers[:_MAX_PEERS_TRIED]:
             began_at = self._clock.monotonic()
             left_s = delivery.routed.deadline_at - began_at
             if left_s < _MIN_REMAINING_S:
                 return delivery.past_deadline()
             self._events.emit(
-                RequestHandedOver(request.attempt_id, peer.daemon_id, left_s)
+                RequestHandedOver(
+                    request.attempt_id, peer.daemon_id, left_s, configuration_version
+                )
             )
-            outcome = await self._send_to(peer, delivery, left_s)
+            outcome = await self._send_to(peer, delivery, left_s, configuration_version)
             took_s = self._clock.monotonic() - began_at
             status = outcome.status if isinstance(outcome, Served) else 0
             detail = outcome.detail
@@ -111,8 +164,11 @@
                     request.attempt_id, peer.daemon_id, status, detail, took_s
                 )
             )
-            if not isinstance(outcome, NotSent):
+            if isinstance(outcome, Served | Refusal):
                 return outcome
+            n_unreachable += isinstance(outcome, NotSent)
+            if n_unreachable == _MAX_UNREACHABLE:
+                break
         refusal = Refusal(RefusalReason.NO_TARGET, detail, _LINKS_RETURN_S)
         return delivery.unserved(detail, refusal)
 
@@ -133,10 +189,15 @@
         return peers
 
     async def _send_to(
-        self, peer: Host, delivery: Delivery, left_s: float
-    ) -> Served | Refusal | NotSent:
+        self,
+        peer: Host,
+        delivery: Delivery,
+        left_s: float,
+        configuration_version: int,
+    ) -> Served | Refusal | NotSent | _Declined:
         request = delivery.routed.request
-        marker = (HANDED_OVER_HEADER, self._link.host.daemon_id.encode())
+        origin = HandedOver(self._link.host.daemon_id, configuration_version)
+        marker = (HANDED_OVER_HEADER, _encode_marker(origin))
         headers = (*self._codec.handed_over(request, left_s), marker)
         target_path = request.target_path.decode("latin-1")
         call = HttpCall(request.method, target_path, request.body)
@@ -152,6 +213,8 @@
                 if not isinstance(answer, Answer):
                     return Refusal(RefusalReason.OUTCOME_UNKNOWN, answer.detail)
                 try:
+                    if answer.status == _DECLINED:
+                        return _Declined("the configuration there is older")
                     return await self._forward(delivery, answer)
                 finally:
                     await answer.close()
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/peer_state.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/peer_state.py
@@ -187,6 +187,13 @@
         """Return the daemons that follow the store."""
         return readers_in_order(self._candidate_ids())
 
+    def pull(self, daemon_id: DaemonId) -> None:
+        """Query a daemon that holds a newer configuration."""
+        now = self._clock.monotonic()
+        if now - self._pulled_at >= _MIN_PULL_INTERVAL_S:
+            self._pulled_at = now
+            self._send_query(daemon_id, 0)
+
     # State that membership probes carry.
 
     def digest(self, now: float, is_answer: bool) -> RevisionDigest:
@@ -212,10 +219,8 @@
         now: float,
     ) -> None:
         """Query a peer that holds a newer configuration."""
-        is_newer = digest.revision > self._state.configuration_version
-        if is_newer and now - self._pulled_at >= _MIN_PULL_INTERVAL_S:
-            self._pulled_at = now
-            self._send_query(daemon_id, 0)
+        if digest.revision > self._state.configuration_version:
+            self.pull(daemon_id)
 
     def is_serving(self, now: float) -> bool:
         """Return whether this daemon accepts requests."""
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/refusals.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/refusals.py
@@ -13,13 +13,14 @@
 
 POISON_RETRY_AFTER_S: Final = 60.0
 
-# Status that guarantees that the request has not run and never will.
+# Status that guarantees that the request has not run and never will, as 421 does.
 _NOT_RUN_STATUS: Final = 503
 _STATUS_BY_REASON: Final = {
     RefusalReason.BAD_REQUEST: 400,
     RefusalReason.UNAUTHENTICATED: 401,
     RefusalReason.NOT_FOUND: 404,
     RefusalReason.TOO_LARGE: 413,
+    RefusalReason.CONFIGURATION_BEHIND: 421,
     RefusalReason.TARGET_FAILED: 502,
     RefusalReason.OUTCOME_UNKNOWN: 502,
     RefusalReason.INTERNAL: 502,
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
@@ -35,7 +35,7 @@
     StagesRunner,
 )
 from aspendrift_gateway.system_state import SystemState
-from aspendrift_model.ids import AccountId, Fingerprint, PoolName
+from aspendrift_model.ids import AccountId, DaemonId, Fingerprint, PoolName
 from aspendrift_model.opaque_requests import OpaqueRequest
 from aspendrift_model.pieces import PieceFailure
 from aspendrift_model.routes import KeyedAccount, Route
@@ -114,6 +114,8 @@
     max_denial_age_s : callable
         Returns the age of the configuration up to which an unknown route or key is
         denied: the time in which a new configuration must be in force.
+    on_behind : callable
+        Called with a daemon that holds a newer configuration than this one.
     """
 
     def __init__(
@@ -131,6 +133,7 @@
         events: EventHub,
         refuses_new: Callable[[OpaqueRequest, float], Refusal | None],
         max_denial_age_s: Callable[[], float],
+        on_behind: Callable[[DaemonId], None],
     ) -> None:
         self._state = state
         self._stages = stages
@@ -145,6 +148,7 @@
         self._events = events
         self._refuses_new = refuses_new
         self._max_denial_age_s = max_denial_age_s
+        self._on_behind = on_behind
         self._ages = RequestAges()
         self._open: dict[int, _OpenRequest] = {}
         self._sequence = 0
@@ -215,6 +219,9 @@
             return Refusal(
                 RefusalReason.NOT_READY, "no configuration", _SHORT_RETRY_AFTER_S
             )
+        refusal = self._refuse_behind(table, request)
+        if refusal is not None:
+            return refusal
         matched = self._match(table, request, now)
         if isinstance(matched, Refusal):
             return matched
@@ -263,6 +270,22 @@
                 self._prompts.completed(request)
         return outcome
 
+    def _refuse_behind(
+        self, table: RouteTable, request: OpaqueRequest
+    ) -> Refusal | None:
+        """Return a refusal if another daemon admitted a request by a newer table.
+
+        To its caller the configuration would otherwise go back.
+        """
+        origin, version = request.handed_over, table.configuration.version
+        if origin is None or origin.configuration_version <= version:
+            return None
+        self._on_behind(origin.daemon_id)
+        return Refusal(
+            RefusalReason.CONFIGURATION_BEHIND,
+            f"version {version}, admitted by {origin.configuration_version}",
+        )
+
     async def _run_or_hand_over(
         self, opened: _OpenRequest, table: RouteTable, delivery: Delivery
     ) -> Served | Refusal:
@@ -271,7 +294,7 @@
             outcome = await self._run(opened, table, delivery)
             if isinstance(outcome, Served) or not self._handover.is_due(delivery):
                 return outcome
-        return await self._handover.send(delivery)
+        return await self._handover.send(delivery, table.configuration.version)
 
     async def _run(
         self, opened: _OpenRequest, table: RouteTable, delivery: Delivery
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/servers.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/servers.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from typing import Any, Final
 
@@ -19,11 +19,11 @@
 from aspendrift_daemon.embedded_server import EmbeddedServer, listen
 from aspendrift_daemon.limits import ConnectionLimits, limited_protocol
 from aspendrift_gateway.caller_answer import CallerStalled
-from aspendrift_gateway.handover import HANDED_OVER_HEADER
+from aspendrift_gateway.handover import split_marker
 from aspendrift_gateway.interfaces import AddressQuery, BadRequest, CallerCodec
 from aspendrift_gateway.refusals import Refusal, refusal_body, refusal_status
 from aspendrift_gateway.request_path import RequestPath
-from aspendrift_model.ids import AttemptId, DaemonId
+from aspendrift_model.ids import AttemptId
 from aspendrift_model.opaque_requests import Headers
 from aspendrift_model.routes import ServerLimits
 from aspendrift_model.states import RefusalReason
@@ -194,13 +194,13 @@
         target_path = scope["raw_path"]
         if scope["query_string"]:
             target_path += b"?" + scope["query_string"]
-        headers, handed_over_by = _without_marker(scope["headers"])
+        headers, handed_over = split_marker(scope["headers"])
         request = self._codec.request(scope["method"], target_path, headers, body)
         if isinstance(request, BadRequest):
             await self._reject(answer, RefusalReason.BAD_REQUEST, request.detail)
             return
-        if handed_over_by is not None:
-            request = replace(request, handed_over_by=handed_over_by)
+        if handed_over is not None:
+            request = replace(request, handed_over=handed_over)
         serving = asyncio.create_task(self._path.serve(request, answer))
         watching = asyncio.create_task(_wait_for_close(receive))
         try:
@@ -258,17 +258,6 @@
         await answer.end()
 
 
-def _without_marker(
-    headers: Iterable[tuple[bytes, bytes]],
-) -> tuple[Headers, DaemonId | None]:
-    """Return the headers of a caller, and the daemon that handed the request over."""
-    kept = tuple(each for each in headers if each[0] != HANDED_OVER_HEADER)
-    for name, value in headers:
-        if name == HANDED_OVER_HEADER:
-            return kept, DaemonId(value.decode("latin-1"))
-    return kept, None
-
-
 class ControlApp:
     """ASGI application for readiness, addresses and metrics.
 
--- a/packages/aspendrift-gateway/tests/test_handover.py
+++ b/packages/aspendrift-gateway/tests/test_handover.py
@@ -11,10 +11,15 @@
 
 from aspendrift_daemon.events import EventHub
 from aspendrift_gateway.attempts import Delivery, RoutedRequest, Served
-from aspendrift_gateway.handover import HANDED_OVER_HEADER, Handover
+from aspendrift_gateway.handover import (
+    HANDED_OVER_HEADER,
+    Handover,
+    split_marker,
+)
 from aspendrift_gateway.refusals import Refusal, refusal_status
 from aspendrift_gateway.target_client import Broken, NotSent
 from aspendrift_model.ids import DaemonId, Fingerprint
+from aspendrift_model.opaque_requests import HandedOver
 from aspendrift_model.routes import RequestKind
 from aspendrift_model.states import MemberState, RefusalReason
 from aspendrift_standins.virtual_time import VirtualClock, run_virtual
@@ -32,6 +37,8 @@
 
 ONCE = route(RequestKind.NON_IDEMPOTENT, max_attempts=1)
 STREAM = route(RequestKind.STREAMING)
+VERSION = 21
+BEHIND = Reply(status=421, chunks=(b"{}",), is_signed=False)
 REFUSED = Reply(status=503, chunks=(b"{}",), is_signed=False)
 
 
@@ -104,7 +111,7 @@
         self.delivery = Delivery(routed, self.answer, FakeProgress())
         self.delivery.n_run = self.n_run
         self.is_due = handover.is_due(self.delivery)
-        return await handover.send(self.delivery)
+        return await handover.send(self.delivery, VERSION)
 
 
 def test_answer_of_the_other_daemon_is_forwarded_whole():
@@ -119,7 +126,7 @@
 def test_request_says_who_handed_it_over_and_how_much_time_is_left():
     world = World(Reply())
     world.send()
-    assert (HANDED_OVER_HEADER, b"own") in world.client.headers
+    assert (HANDED_OVER_HEADER, b"own;21") in world.client.headers
     assert (b"left", b"2.0") in world.client.headers
 
 
@@ -143,6 +150,32 @@
     assert len({each.target_id for each in world.client.sent}) == 2
 
 
+def test_daemon_whose_configuration_is_older_is_replaced_by_another():
+    world = World(BEHIND, BEHIND, Reply())
+    assert world.send().status == 200
+    assert len({each.target_id for each in world.client.sent}) == 3
+
+
+def test_request_is_refused_as_not_run_if_all_daemons_are_behind():
+    world = World(BEHIND, BEHIND, BEHIND)
+    outcome = world.send()
+    assert refusal_status(outcome.reason) == 503
+    assert outcome.retry_after_s > 0
+
+
+@pytest.mark.parametrize(
+    ("value", "found"),
+    [
+        (b"a;21", HandedOver(DaemonId("a"), 21)),
+        (b"a", HandedOver(DaemonId("a"))),
+        (b"a;x", HandedOver(DaemonId("a"))),
+    ],
+)
+def test_marker_of_any_release_is_no_header_of_the_caller(value, found):
+    headers = [(b"a", b"1"), (HANDED_OVER_HEADER, value), (b"b", b"2")]
+    assert split_marker(headers) == (((b"a", b"1"), (b"b", b"2")), found)
+
+
 def test_request_that_may_have_reached_the_other_daemon_is_not_sent_again():
     world = World(Broken("reset"), Reply())
     outcome = world.send()
@@ -166,7 +199,7 @@
 
 def test_request_is_handed_over_once():
     world = World()
-    outcome = world.send(handed_over_by=DaemonId("a"))
+    outcome = world.send(handed_over=HandedOver(DaemonId("a")))
     assert outcome.reason is RefusalReason.NO_TARGET
     assert world.client.sent == []
 
--- a/packages/aspendrift-model/src/aspendrift_model/opaque_requests.py
+++ b/packages/aspendrift-model/src/aspendrift_model/opaque_requests.py
@@ -6,7 +6,7 @@
 
 from aspendrift_model.ids import AttemptId, DaemonId, PromptPartId
 
-__all__ = ["Headers", "OpaqueRequest", "PromptPart"]
+__all__ = ["HandedOver", "Headers", "OpaqueRequest", "PromptPart"]
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -19,6 +19,18 @@
     n_tokens: int
 
 
+@dataclass(frozen=True, slots=True)
+class HandedOver:
+    """The daemon that received a request but reaches no target.
+
+    ``configuration_version`` is that of the configuration by which it admitted the
+    request, -1 if it did not tell.
+    """
+
+    daemon_id: DaemonId
+    configuration_version: int = -1
+
+
 @dataclass(frozen=True, slots=True)
 class OpaqueRequest:
     """A caller's request: the forwarded message and the caller's metadata.
@@ -44,8 +56,8 @@
         Last event that the caller received before the stream was interrupted.
     resumes : AttemptId or None
         Attempt of the caller with which that stream began.
-    handed_over_by : DaemonId or None
-        Daemon that received the request but can't reach a target.
+    handed_over : HandedOver or None
+        Where the request comes from, unless it comes from its caller.
     """
 
     method: str
@@ -62,7 +74,7 @@
     piece_key: str = ""
     last_event_id: str | None = None
     resumes: AttemptId | None = None
-    handed_over_by: DaemonId | None = None
+    handed_over: HandedOver | None = None
 
     @property
     def shared_parts(self) -> tuple[PromptPartId, ...]:
--- a/packages/aspendrift-model/src/aspendrift_model/outcomes.py
+++ b/packages/aspendrift-model/src/aspendrift_model/outcomes.py
@@ -83,6 +83,9 @@
     _R.LEAVING: RefusalRule(503, _ELSEWHERE, "The daemon is shutting down."),
     _R.ISOLATED: RefusalRule(503, _ELSEWHERE, "The daemon is cut off from the others."),
     _R.NOT_READY: RefusalRule(503, _ELSEWHERE, "The daemon has no configuration yet."),
+    _R.CONFIGURATION_BEHIND: RefusalRule(
+        421, _ELSEWHERE, "Another daemon admitted the request by a newer configuration."
+    ),
     _R.POISON: RefusalRule(
         422, _STOP, "Targets stopped while they ran a request with this content."
     ),
--- a/packages/aspendrift-model/src/aspendrift_model/states.py
+++ b/packages/aspendrift-model/src/aspendrift_model/states.py
@@ -155,6 +155,7 @@
     LEAVING = "leaving"
     ISOLATED = "isolated"
     NOT_READY = "not_ready"
+    CONFIGURATION_BEHIND = "configuration_behind"
     POISON = "poison"
     CALLER_GONE = "caller_gone"
     INTERNAL = "internal"
