Keep limits and back-offs of targets whose entries lapse

What a target saw: requests within the time for which it had asked for none, or beyond the limit that it states, after its entry had lapsed while the store was away and came back for the same incarnation.

A daemon dropped both with the entry. Class: state of one thing kept under the lifetime of another. An entry that is gone says nothing of the target; what it stated holds for its incarnation. Both are now retained for five minutes after the target was last listed, and end when it restarts.

The new test failed before for both kinds. The last check of test_target_backs_off_for_the_longest_stated_time asserted the fault (nothing left once a target isn't listed); two tests replace it, of the end of the retention and of a restart.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/permit_exchange.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/permit_exchange.py
@@ -456,7 +456,7 @@
         listed = self._state.registry.entries_by_id
         if any(change.kind in _ENDED for change in changes):
             present = {entry.key for entry in listed.values()}
-            self.targets.retain(present)
+            self.targets.retain(present, self._clock.monotonic())
             for key in self._backoff_logged_at_by_key.keys() - present:
                 del self._backoff_logged_at_by_key[key]
 
--- a/packages/aspendrift-gateway/tests/test_permit_exchange.py
+++ b/packages/aspendrift-gateway/tests/test_permit_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
@@ -191,6 +192,40 @@
     run_fleet(scenario, cold=None)
 
 
+def relist(daemon, *entries):
+    """Apply a complete list of targets."""
+    now = asyncio.get_running_loop().time()
+    daemon.state._report(daemon.state.registry.replace(entries, now))
+
+
+@pytest.mark.parametrize("stated", [{"retry_after_s": 9.0}, {"requests_per_s": 2.0}])
+def test_entry_that_lapses_and_returns_lifts_no_restriction(run_fleet, stated):
+    async def scenario(fleet):
+        daemon = fleet.others[0]
+        head = replace(HEAD, **stated)
+        daemon.permits.record_answer(TARGET.key, 503, head)
+        relist(daemon)
+        await asyncio.sleep(1.0)
+        relist(daemon, TARGET)
+        now = asyncio.get_running_loop().time()
+        assert daemon.permits.is_restricted(TARGET, now)
+
+    run_fleet(scenario, cold=None)
+
+
+def test_restarted_target_is_not_restricted(run_fleet):
+    async def scenario(fleet):
+        daemon = fleet.others[0]
+        daemon.permits.record_answer(TARGET.key, 503, replace(HEAD, requests_per_s=2.0))
+        daemon.permits.record_answer(TARGET.key, 503, replace(HEAD, retry_after_s=9.0))
+        restarted = entry("t1", born=2)
+        relist(daemon, restarted)
+        now = asyncio.get_running_loop().time()
+        assert not daemon.permits.is_restricted(restarted, now)
+
+    run_fleet(scenario, cold=None)
+
+
 def test_only_the_owner_grants(run_fleet):
     """An answer of another daemon than the owner gives no permit."""
 
--- a/packages/aspendrift-policy/src/aspendrift_policy/target_rates.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/target_rates.py
@@ -14,6 +14,7 @@
 
 from collections import deque
 from collections.abc import Collection, Iterable
+from collections.abc import Set as AbstractSet
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Final, TypeAlias
@@ -64,6 +65,9 @@
 _IDLE_S: Final = 10.0
 # Longest time for which a target's ``Retry-After`` is followed.
 _MAX_BACKOFF_S: Final = 300.0
+# Time for which what an unlisted target stated is retained: its entry may only have
+# lapsed while the store was away.
+_UNLISTED_RETENTION_S: Final = 300.0
 _NEVER: Final = float("-inf")
 # Tolerance for the rounding of times in messages.
 _EPSILON_S: Final = 1e-6
@@ -346,6 +350,7 @@
     def __init__(self) -> None:
         self._stated_by_key: dict[TargetKey, tuple[float, RateLimit]] = {}
         self._backoff_until_by_key: dict[TargetKey, float] = {}
+        self._unlisted_since_by_key: dict[TargetKey, float] = {}
 
     @property
     def n_stated(self) -> int:
@@ -404,8 +409,21 @@
             cold if now < cold_until else None, None if stated is None else stated[1]
         )
 
-    def retain(self, keys: Collection[TargetKey]) -> None:
-        """Remove all other targets."""
+    def retain(self, listed: AbstractSet[TargetKey], now: float) -> None:
+        """Remove the targets that were not listed for a long time, or restarted."""
+        listed_ids = {key.target_id for key in listed}
+        known = self._stated_by_key.keys() | self._backoff_until_by_key.keys()
+        unlisted = {
+            key: self._unlisted_since_by_key.get(key, now)
+            for key in known.difference(listed)
+            if key.target_id not in listed_ids
+        }
+        self._unlisted_since_by_key = {
+            key: since
+            for key, since in unlisted.items()
+            if now - since < _UNLISTED_RETENTION_S
+        }
+        kept = self._unlisted_since_by_key.keys() | listed
         for by_key in (self._stated_by_key, self._backoff_until_by_key):
-            for key in by_key.keys() - keys:
+            for key in by_key.keys() - kept:
                 del by_key[key]
--- a/packages/aspendrift-policy/tests/test_target_rates.py
+++ b/packages/aspendrift-policy/tests/test_target_rates.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from aspendrift_model.ids import DaemonId, PoolName, TargetId, ZoneName
@@ -158,6 +160,24 @@
     assert targets.backoff_until(KEY, 11.9) == 12.0
     assert targets.backoff_until(KEY, 12.0) is None
     assert targets.is_empty
+
+
+def test_what_a_target_stated_is_forgotten_after_it_is_unlisted_for_long():
+    targets = LimitedTargets()
+    targets.back_off(KEY, 250.0, 20.0)
+    targets.apply_stated(KEY, 2.0)
+    targets.retain(set(), 30.0)
+    targets.retain({KEY}, 320.0)
+    targets.retain(set(), 325.0)
+    targets.retain(set(), 624.0)
+    assert targets.n_stated == 1
+    targets.retain(set(), 625.0)
+    assert targets.is_empty
+
+
+def test_what_a_target_stated_is_forgotten_when_it_restarts():
+    targets = LimitedTargets()
     targets.back_off(KEY, 2.0, 20.0)
-    targets.retain(set())
+    targets.apply_stated(KEY, 2.0)
+    targets.retain({replace(KEY, born_ms=KEY.born_ms + 1)}, 20.5)
     assert targets.is_empty
