Don't use an awaited permit once its target asked for rest

What a target saw: requests more than half a second after it had answered 503 with Retry-After, from requests that were waiting for the date of a permit, up to a second ahead, when the answer came.

Whether a target backs off was asked before the wait for a permit and not after it. Class: a condition checked before a wait and relied on after it. The permit now goes back to its owner, and the request chooses again.

The test failed before. Looked for elsewhere: calls of stages and frees get their permits in the same place without a wait; a connection that is being made can delay a request past its choice by half a second for the pool and half a second for the connection, so that only one that waits for both is later than the rule allows; left as it is.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/permit_exchange.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/permit_exchange.py
@@ -257,6 +257,14 @@
         if refused is not None and refused.retry_at > now + max_wait_s:
             return refused
         outcome = await self._ask(entry.key, limit, max_wait_s, now)
+        if isinstance(outcome, Permit):
+            # The target may have said meanwhile that it wants nothing.
+            backoff_until = self.targets.backoff_until(
+                entry.key, self._clock.monotonic()
+            )
+            if backoff_until is not None:
+                self.release(outcome)
+                return PermitRefusedUntil(backoff_until, PermitDenial.BACKS_OFF)
         if isinstance(outcome, PermitRefusedUntil):
             self._record_refusal(entry, outcome, now)
         else:
--- a/packages/aspendrift-gateway/tests/test_permit_exchange.py
+++ b/packages/aspendrift-gateway/tests/test_permit_exchange.py
@@ -213,6 +213,23 @@
     run_fleet(scenario, cold=None)
 
 
+def test_permit_that_is_awaited_is_not_used_once_the_target_backs_off(run_fleet):
+    async def scenario(fleet):
+        owner = next(each for each in fleet.daemons if each not in fleet.others)
+        daemon = fleet.others[0]
+        await daemon.acquire()
+        waiting = asyncio.create_task(daemon.acquire(max_wait_s=0.9))
+        await asyncio.sleep(0.05)
+        daemon.permits.record_answer(TARGET.key, 503, replace(HEAD, retry_after_s=3.0))
+        refused = await waiting
+        assert isinstance(refused, PermitRefusedUntil)
+        assert refused.reason is PermitDenial.BACKS_OFF
+        await asyncio.sleep(0.01)
+        assert owner.permits.rates.n_returned == 1
+
+    run_fleet(scenario)
+
+
 def test_restarted_target_is_not_restricted(run_fleet):
     async def scenario(fleet):
         daemon = fleet.others[0]
