Count an answer of the configuration feed as current from when it was sent

What callers could see: 404 or 401 for a route or key that was accepted longer ago than the bound, at a daemon that took its configuration for recent, and at those who ask it.

An answer of the feed counted as current when it was processed. One that was on its way, or in a busy process, for a time d made the state look younger by d, and the denial of unknown routes uses the whole bound. Class: the age of knowledge taken at its arrival.

The new test failed before: answers 0.7 s late counted as current from 2.208 s on where they were of 1.508 s. The fake store answers a long poll as of its end now, as the platform does, and not as of its beginning. No record shows that this was the users' case.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/store_reader.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/store_reader.py
@@ -104,6 +104,7 @@
         self._configuration = DependencyWatch(Dependency.STORE_CONFIGURATION, events)
         self._targets = DependencyWatch(Dependency.STORE_TARGETS, events)
         self._feed_position = NO_POSITION
+        self._is_configuration_confirmed = False
         self._changed_at = float("-inf")
         self._following = asyncio.Event()
         self._following.set()
@@ -149,8 +150,14 @@
             await asyncio.sleep(delay_s * self._rng.uniform(0.9, 1.1))
 
     async def _read_configuration(self) -> float:
-        """Wait for a change of the configuration; return the delay before the next."""
-        if not await self._update_configuration(long_poll_s(self._settings())):
+        """Wait for a change of the configuration; return the delay before the next.
+
+        An answer with a change may have been on its way for long, so that the next call
+        does not wait.
+        """
+        is_confirmed = self._is_configuration_confirmed
+        wait_s = long_poll_s(self._settings()) if is_confirmed else 0.0
+        if not await self._update_configuration(wait_s):
             return _RETRY_DELAY_S
         return _RETRY_DELAY_S if self._state.table is None else 0.0
 
@@ -185,8 +192,11 @@
             if row.key == codec.configuration_key and row.value is not None:
                 self._state.apply_configuration(row.value, "store")
         self._apply_evacuations(result, is_full_read)
-        # A long poll returns what was current at its answer.
-        read_at = self._clock.monotonic() if wait_s > 0 else requested_at
+        read_at = requested_at
+        if not (is_full_read or result.rows):
+            # The store answered after the whole wait at the earliest.
+            read_at = min(requested_at + wait_s, self._clock.monotonic())
+        self._is_configuration_confirmed = is_full_read or not result.rows
         state = self._state
         state.configuration_confirmed_at = max(
             state.configuration_confirmed_at, read_at
--- a/packages/aspendrift-gateway/tests/conftest.py
+++ b/packages/aspendrift-gateway/tests/conftest.py
@@ -73,6 +73,9 @@
         self.is_down = False
         self.loses_history = False
         self.hides_changes = False
+        # Time from an answer of the feed to its arrival.
+        self.late_s = 0.0
+        self.answered_at = []
         self.calls = []
 
     def view(self):
@@ -111,6 +114,13 @@
             found = StoreRows((), self.content.version, era=self.content.era)
         if wait_s and isinstance(found, StoreRows) and not found.rows:
             await asyncio.sleep(wait_s)
+            if self.is_down:
+                return StoreFailure("down")
+            if not self.hides_changes:
+                found = self._found(table, lambda row: row.version > after)
+        if table == self.codec.configuration_table:
+            self.answered_at.append(asyncio.get_running_loop().time())
+        await asyncio.sleep(self.late_s)
         return found
 
     async def _rows(self, kind, table, wanted):
@@ -118,6 +128,9 @@
         await asyncio.sleep(0.004)
         if self.is_down:
             return StoreFailure("down")
+        return self._found(table, wanted)
+
+    def _found(self, table, wanted):
         rows = [row for (name, _), row in self.content.rows.items() if name == table]
         found = tuple(row for row in rows if wanted(row))
         return StoreRows(found, self.content.version, era=self.content.era)
--- a/packages/aspendrift-gateway/tests/test_store_reader.py
+++ b/packages/aspendrift-gateway/tests/test_store_reader.py
@@ -6,6 +6,8 @@
 import random
 from types import SimpleNamespace
 
+import pytest
+
 from aspendrift_daemon.events import EventHub
 from aspendrift_gateway.store_reader import StoreReader
 from aspendrift_gateway.system_state import SystemState
@@ -16,6 +18,8 @@
 from .conftest import FakeStore
 
 POOL = PoolName("p")
+# Time in which a configuration must be in force.
+CONFIGURATION_S = 4.0
 
 
 def run_scenario(scenario, reads_per_s=1000.0, n_readers=1):
@@ -33,7 +37,7 @@
             state,
             lambda: SimpleNamespace(
                 drain_s=2.0,
-                configuration_s=4.0,
+                configuration_s=CONFIGURATION_S,
                 evacuation_s=5.0,
                 store_reads_per_s=reads_per_s,
             ),
@@ -124,6 +128,24 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("changes", [False, True])
+def test_late_answer_of_the_feed_does_not_count_as_current(changes):
+    async def scenario(store, state, events):
+        store.late_s = 0.7
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        for step in range(200):
+            if changes and step % 40 == 0:
+                store.put("configuration", "routes", str(step + 4).encode())
+            await asyncio.sleep(0.05)
+            arrived = [t for t in store.answered_at if t + store.late_s <= loop.time()]
+            latest_at = max(arrived, default=began_at)
+            assert state.configuration_confirmed_at <= latest_at
+            assert loop.time() - state.configuration_confirmed_at < CONFIGURATION_S
+
+    run_scenario(scenario)
+
+
 def test_outage_and_its_end_are_each_reported_once():
     async def scenario(store, state, events):
         store.is_down = True
