A content that completed at one daemon is refused as poison by none

What callers saw: 503 with reason poison for an hour, for a content that ran to its end all the time, at daemons that had not run it themselves.

That a content is known good was known to the daemon at which it completed alone; a crash report names the content to all others, and two broken connections within two minutes put it in quarantine there. Class: evidence shared on one side only. A crash report now says for how long its content is known good at the origin, and a daemon that knows a content to which two crashes were reported tells the others. Nobody holds it for longer than the daemon at which it completed.

Contents that never complete are treated as before.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
@@ -17,6 +17,7 @@
     "AttemptVerdict",
     "ConfigurationApplied",
     "ConfigurationRejected",
+    "ContentCleared",
     "Dependency",
     "DependencyChanged",
     "GatewayReady",
@@ -240,6 +241,14 @@
     took_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class ContentCleared(Event):
+    """A content leaves its quarantine, since it completed at another daemon."""
+
+    name: ClassVar[str] = "content_cleared"
+    fingerprint: str
+
+
 @dataclass(frozen=True, slots=True)
 class StoreEraChanged(Event):
     """The store came back from a copy; what was written since then is lost."""
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -16,6 +16,7 @@
 from aspendrift_daemon.peers import PeerLink
 from aspendrift_daemon.shutdown import Shutdown
 from aspendrift_gateway.attempts import AttemptSender
+from aspendrift_gateway.content_crashes import ContentCrashes
 from aspendrift_gateway.events import GatewayReady, GatewayStopped
 from aspendrift_gateway.handover import Handover
 from aspendrift_gateway.interfaces import AddressQuery, PlatformCodec
@@ -41,17 +42,16 @@
 from aspendrift_gateway.target_client import TargetClient
 from aspendrift_gateway.unreadable_headers import UnreadableHeaders
 from aspendrift_model.hosts import Host
-from aspendrift_model.ids import Fingerprint, Incarnation, PoolName, TargetId
+from aspendrift_model.ids import Fingerprint, Incarnation, PoolName
 from aspendrift_model.opaque_requests import OpaqueRequest
 from aspendrift_model.routes import ServerLimits
 from aspendrift_model.settings_peers import PeerSettings
 from aspendrift_model.states import PeerFeature, RefusalReason
 from aspendrift_model.target_entries import TargetEntry
-from aspendrift_model.wire_work import CrashReport
 from aspendrift_policy.addresses import stable_choice
 from aspendrift_policy.buffer_budget import BufferShares
 from aspendrift_policy.leaving import LeavePhase, LeaveProcedure, LeaveTimes
-from aspendrift_policy.poison import PoisonLimits, SuspectTracker
+from aspendrift_policy.poison import SuspectTracker
 from aspendrift_policy.retry_budget import RetryBudgets, RetryLimit
 from aspendrift_policy.stage_times import StageTimeEstimates
 from aspendrift_policy.target_registry import RegistryChange, RegistryChangeKind
@@ -141,7 +141,12 @@
         )
         self.client.links = self.links
         self.peer_client = TargetClient(codec.target, lambda key: None)
-        self.suspects = SuspectTracker(PoisonLimits())
+        self.crashes = ContentCrashes(
+            lambda report: self.peer_state.broadcast_completed(report),
+            self.clock,
+            events,
+            rng,
+        )
         self.reader = StoreReader(
             self.store,
             self.state,
@@ -169,7 +174,8 @@
             rng,
             suspended_s,
             self.is_serving,
-            self._on_crash_report,
+            self.crashes.reported,
+            self.crashes.completed_elsewhere,
             self.containment,
         )
         self.rows = MemberRows(self.store, events, rng)
@@ -272,6 +278,11 @@
         self.state.on_era(self._on_store_era)
         self._register_gauges()
 
+    @property
+    def suspects(self) -> SuspectTracker:
+        """Contents suspected of crashing targets."""
+        return self.crashes.suspects
+
     def is_ready(self) -> bool:
         """Return whether new callers should use this gateway."""
         return self.is_serving() and not self.links.is_lost
@@ -300,6 +311,7 @@
         """End open requests; stop the servers, then the components in reverse order."""
         self.events.emit(GatewayStopped(self.settings.daemon_id, self.path.n_open))
         self.path.end_open()
+        self.crashes.stop()
         # Concurrently, since each server waits for its open connections.
         await asyncio.gather(*(server.stop() for server in self.servers))
         for component in reversed(self._components()):
@@ -519,14 +531,7 @@
         """Suspect a content whose target broke, at this daemon and all others."""
         if self.links.is_lost:
             return
-        report = CrashReport(entry.key.target_id, entry.key.born_ms, fingerprint)
-        self._on_crash_report(report)
-        self.peer_state.broadcast_crash(report)
-
-    def _on_crash_report(self, report: CrashReport) -> None:
-        instance_id = TargetId(f"{report.target_id}/{report.born_ms}")
-        now = self.clock.monotonic()
-        self.suspects.record_crash(instance_id, [Fingerprint(report.fingerprint)], now)
+        self.peer_state.broadcast_crash(self.crashes.report(entry.key, fingerprint))
 
 
 def _retry_limit(settings: GatewaySettings) -> RetryLimit:
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/peer_state.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/peer_state.py
@@ -34,6 +34,7 @@
 from aspendrift_model.target_entries import TargetKey
 from aspendrift_model.wire_peer import RevisionDigest
 from aspendrift_model.wire_work import (
+    ContentCompleted,
     CrashReport,
     StateMessage,
     StateQuery,
@@ -112,6 +113,8 @@
         Returns whether this daemon accepts requests.
     on_crash : callable
         Called with reports of peers on targets that broke while running a request.
+    on_completed : callable
+        Called with reports of peers on contents that completed there.
     quarantines : SharedQuarantines
         Quarantines that daemons are told with the state.
     """
@@ -128,6 +131,7 @@
         suspended_s: Callable[[], float],
         is_ready: Callable[[], bool],
         on_crash: Callable[[CrashReport], None],
+        on_completed: Callable[[ContentCompleted], None],
         quarantines: SharedQuarantines,
     ) -> None:
         self._link = link
@@ -140,6 +144,7 @@
         self._suspended_s = suspended_s
         self._is_ready = is_ready
         self._on_crash = on_crash
+        self._on_completed = on_completed
         self._quarantines = quarantines
         self._follower = StateFollower()
         self._known_members: tuple[object, int] | None = None
@@ -171,6 +176,10 @@
         """Notify every daemon that a target broke while it ran a request."""
         self._link.broadcast(STATE_TOPIC, self._encoder.encode(report))
 
+    def broadcast_completed(self, report: ContentCompleted) -> None:
+        """Notify every daemon that a content completed at this one."""
+        self._link.broadcast(STATE_TOPIC, self._encoder.encode(report))
+
     def target_leaving(self, key: TargetKey) -> None:
         """Use a target no more that says that it leaves, and tell every daemon."""
         if self._state.target_leaving(key, self._clock.monotonic()):
@@ -393,6 +402,8 @@
         elif isinstance(message, TargetLeaving):
             key = TargetKey(TargetId(message.target_id), message.born_ms)
             self._state.target_leaving(key, now)
+        elif isinstance(message, ContentCompleted):
+            self._on_completed(message)
         else:
             self._on_crash(message)
 
--- a/packages/aspendrift-gateway/tests/test_peer_state.py
+++ b/packages/aspendrift-gateway/tests/test_peer_state.py
@@ -59,6 +59,7 @@
             lambda: self.suspended_s,
             lambda: True,
             lambda report: None,
+            lambda content: None,
             SimpleNamespace(digest=lambda: 0, answer=lambda daemon_id, digest: None),
         )
 
--- a/packages/aspendrift-model/src/aspendrift_model/wire_work.py
+++ b/packages/aspendrift-model/src/aspendrift_model/wire_work.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "CancelJob",
+    "ContentCompleted",
     "CrashReport",
     "FreeResults",
     "JobAccepted",
@@ -194,11 +195,23 @@
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True, tag="c"):
-    """Reports that a connection broke while the target ran this content."""
+    """Reports that a connection broke while the target ran this content.
+
+    ``known_good_ms`` is the time for which the content, which completed lately, is no
+    suspect at the origin; 0 if it is one.
+    """
 
     target_id: str
     born_ms: int
     fingerprint: str
+    known_good_ms: int = 0
+
+
+class ContentCompleted(msgspec.Struct, frozen=True, array_like=True, tag="d"):
+    """Reports that a content completed lately that crashes of targets are blamed on."""
+
+    fingerprint: str
+    known_good_ms: int
 
 
 class TargetLeaving(msgspec.Struct, frozen=True, array_like=True, tag="l"):
@@ -381,4 +394,4 @@
 LoadMessage = LoadSamples | LoadedTargets
 PermitMessage = PermitQuery | PermitGrant | PermitRefusal | PermitReturn
 
-StateMessage = StateQuery | StateUpdate | CrashReport | TargetLeaving
+StateMessage = StateQuery | StateUpdate | CrashReport | ContentCompleted | TargetLeaving
--- a/packages/aspendrift-policy/src/aspendrift_policy/poison.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/poison.py
@@ -41,11 +41,15 @@
 
 @dataclass(slots=True)
 class _Crash:
-    """A crash of one target and the contents that may have caused it."""
+    """A crash of one target and the contents that may have caused it.
+
+    ``cleared`` are contents that were in flight and are known good here.
+    """
 
     target_id: TargetId
     at: float
     suspects: set[Fingerprint] = field(default_factory=set)
+    cleared: set[Fingerprint] = field(default_factory=set)
 
 
 class SuspectTracker:
@@ -73,11 +77,9 @@
         self._expire(now)
         crash = self._find_or_add_crash(target_id, now)
         free_capacity = self._limits.max_suspects_per_crash - len(crash.suspects)
-        not_known_good = {
-            content
-            for content in contents
-            if self._known_good_until.get(content, now) <= now
-        }
+        known_good = {each for each in contents if self.known_good_s(each, now) > 0.0}
+        not_known_good = set(contents) - known_good
+        crash.cleared |= known_good
         crash.suspects.update(
             sorted(not_known_good - crash.suspects)[: max(0, free_capacity)]
         )
@@ -111,12 +113,40 @@
         a content shared by many requests, such as an empty body, is in flight on
         every target that crashes or loses a connection.
         """
+        self._mark_known_good(content, now + self._limits.known_good_s)
+
+    def _mark_known_good(self, content: Fingerprint, until: float) -> None:
         self.clear(content)
-        self._known_good_until[content] = now + self._limits.known_good_s
+        self._known_good_until[content] = until
         self._known_good_until.move_to_end(content)
         while len(self._known_good_until) > self._limits.max_known_good:
             self._known_good_until.popitem(last=False)
 
+    def known_good_s(self, content: Fingerprint, now: float) -> float:
+        """Return for how long a content stays known good; 0 if it isn't."""
+        return max(0.0, self._known_good_until.get(content, now) - now)
+
+    def exonerate(self, content: Fingerprint, left_s: float, now: float) -> bool:
+        """Mark a content as known good for as long as at another daemon.
+
+        Not for longer, or daemons that tell each other would never end it. Return
+        whether the content was in quarantine, which this ends.
+        """
+        left_s = min(left_s, self._limits.known_good_s)
+        if left_s <= self.known_good_s(content, now):
+            return False
+        was_quarantined = self._quarantined_until.pop(content, now) > now
+        self._mark_known_good(content, now + left_s)
+        return was_quarantined
+
+    def is_disputed(self, content: Fingerprint, now: float) -> bool:
+        """Return whether others may quarantine a content that is known good here.
+
+        They do after two targets crashed with it, if it never completed there.
+        """
+        targets = {each.target_id for each in self._crashes if content in each.cleared}
+        return len(targets) > 1 and self.known_good_s(content, now) > 0.0
+
     def content_state(self, content: Fingerprint, now: float) -> ContentState:
         """Return the state of a content."""
         if self._quarantined_until.get(content, now) > now:
--- a/packages/aspendrift-policy/tests/test_poison.py
+++ b/packages/aspendrift-policy/tests/test_poison.py
@@ -139,3 +139,37 @@
     tracker.mark_known_good(content, 1.0)
     assert tracker.record_crash(TargetId("t2"), [content], 20.0) == ()
     assert tracker.record_crash(TargetId("t3"), [content], 21.0) == (content,)
+
+
+def test_quarantine_ends_when_the_content_completed_at_another_daemon() -> None:
+    suspects = tracker()
+    suspects.record_crash("t1", {"a"}, 1.0)
+    suspects.record_crash("t2", {"a"}, 2.0)
+    assert suspects.exonerate("a", 20.0, 3.0)
+    assert suspects.content_state("a", 3.0) is ContentState.CLEAN
+    assert suspects.record_crash("t3", {"a"}, 4.0) == ()
+    assert not suspects.exonerate("b", 20.0, 5.0)
+
+
+def test_content_is_known_good_for_no_longer_than_where_it_completed() -> None:
+    suspects = tracker()
+    suspects.exonerate("a", 20.0, 3.0)
+    assert suspects.known_good_s("a", 13.0) == 10.0
+    suspects.exonerate("a", 5.0, 13.0)
+    assert suspects.known_good_s("a", 13.0) == 10.0
+    assert suspects.known_good_s("a", 23.0) == 0.0
+    suspects.record_crash("t1", {"a"}, 24.0)
+    suspects.record_crash("t2", {"a"}, 25.0)
+    assert suspects.content_state("a", 25.0) is ContentState.QUARANTINED
+
+
+def test_known_good_content_is_disputed_after_two_targets_crashed() -> None:
+    suspects = tracker()
+    suspects.mark_known_good("a", 0.0)
+    suspects.record_crash("t1", {"a", "b"}, 1.0)
+    suspects.record_crash("t1", {"a", "b"}, 20.0)
+    assert not suspects.is_disputed("a", 20.0)
+    suspects.record_crash("t2", {"a", "b"}, 21.0)
+    assert suspects.is_disputed("a", 21.0)
+    assert not suspects.is_disputed("b", 21.0)
+    assert not suspects.is_disputed("a", 200.0)
--- a/tools/measure_evacuation.py
+++ b/tools/measure_evacuation.py
@@ -182,6 +182,7 @@
             lambda: 0.0,
             lambda: True,
             lambda report: None,
+            lambda content: None,
             SimpleNamespace(digest=lambda: 0, answer=lambda daemon_id, digest: None),
         )
 
