Announce a completed content only if the crash report didn't tell

A report whose origin knows the content has told all daemons, so that none of them needs another message. The contents noted at a crash are bounded like its suspects.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/content_crashes.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/content_crashes.py
@@ -62,20 +62,15 @@
         return report
 
     def reported(self, report: CrashReport) -> None:
-        """Record a crash; clear its content if it completed here."""
+        """Record a crash; clear its content for all if it completed here."""
         instance_id = TargetId(f"{report.target_id}/{report.born_ms}")
         content = Fingerprint(report.fingerprint)
         now = self._clock.monotonic()
         if report.known_good_ms:
             self._exonerate(content, report.known_good_ms, now)
         self.suspects.record_crash(instance_id, [content], now)
-        is_scheduled = content in self._scheduled_by_content
-        if self.suspects.is_disputed(content, now) and not is_scheduled:
-            delay_s = self._rng.uniform(0.0, _MAX_ANNOUNCEMENT_DELAY_S)
-            loop = asyncio.get_running_loop()
-            self._scheduled_by_content[content] = loop.call_later(
-                delay_s, self._clear, content
-            )
+        if not report.known_good_ms and self.suspects.is_disputed(content, now):
+            self._schedule(content)
 
     def completed_elsewhere(self, report: ContentCompleted) -> None:
         """Apply what another daemon announced."""
@@ -85,15 +80,23 @@
             scheduled.cancel()
         self._exonerate(content, report.known_good_ms, self._clock.monotonic())
 
+    def _schedule(self, content: Fingerprint) -> None:
+        if content not in self._scheduled_by_content:
+            delay_s = self._rng.uniform(0.0, _MAX_ANNOUNCEMENT_DELAY_S)
+            loop = asyncio.get_running_loop()
+            self._scheduled_by_content[content] = loop.call_later(
+                delay_s, self._announce_completed, content
+            )
+
+    def _announce_completed(self, content: Fingerprint) -> None:
+        del self._scheduled_by_content[content]
+        known_good_ms = self._known_good_ms(content, self._clock.monotonic())
+        if known_good_ms:
+            self._announce(ContentCompleted(content, known_good_ms))
+
     def _exonerate(self, content: Fingerprint, left_ms: int, now: float) -> None:
         if self.suspects.exonerate(content, left_ms / _MS_PER_S, now):
             self._events.emit(ContentCleared(content))
 
     def _known_good_ms(self, content: Fingerprint, now: float) -> int:
         return int(self.suspects.known_good_s(content, now) * _MS_PER_S)
-
-    def _clear(self, content: Fingerprint) -> None:
-        del self._scheduled_by_content[content]
-        known_good_ms = self._known_good_ms(content, self._clock.monotonic())
-        if known_good_ms:
-            self._announce(ContentCompleted(content, known_good_ms))
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/handover.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/handover.py
@@ -54,8 +54,8 @@
 _LINKS_RETURN_S: Final = 1.0
 # Statuses that guarantee that a request has not run and never will.
 _NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
-# The other daemon's configuration is older. It answers a caller's request, or that of a
-# target, with another status.
+# Status of a daemon that declines since its configuration is older. Neither a target's
+# answer that it forwards nor one to a caller has this status.
 _DECLINED: Final = 421
 
 
--- a/packages/aspendrift-policy/src/aspendrift_policy/poison.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/poison.py
@@ -79,7 +79,8 @@
         free_capacity = self._limits.max_suspects_per_crash - len(crash.suspects)
         known_good = {each for each in contents if self.known_good_s(each, now) > 0.0}
         not_known_good = set(contents) - known_good
-        crash.cleared |= known_good
+        n_free = self._limits.max_suspects_per_crash - len(crash.cleared)
+        crash.cleared.update(sorted(known_good - crash.cleared)[: max(0, n_free)])
         crash.suspects.update(
             sorted(not_known_good - crash.suspects)[: max(0, free_capacity)]
         )
