Log what holds up the jobs of a stage pool

The logs didn't tell whether late stage jobs wait since the host of their pool's owner can't carry the calls, since overdue jobs go first, or since results fill the memory of the targets. The owner logs all three once per second and pool (stage_pool_state), and each call has its size. A gauge has the delay of the event loop. No logic changes.

Checked: tests of the packages; a test that each of the three is told apart.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
@@ -40,6 +40,7 @@
     "StageCallSent",
     "StageFreeFailed",
     "StagePoolRationed",
+    "StagePoolState",
     "StageJobEnded",
     "StageJobSent",
     "StateSourceChanged",
@@ -398,7 +399,10 @@
 
 @dataclass(frozen=True, slots=True)
 class StageCallSent(Event):
-    """A batch call was sent to a target; ``n_jobs`` jobs have incomplete pieces."""
+    """A batch call was sent to a target; ``n_jobs`` jobs have incomplete pieces.
+
+    ``n_bytes`` is the size of its body.
+    """
 
     name: ClassVar[str] = "stage_call_sent"
     call_id: int
@@ -408,6 +412,7 @@
     request_ids: tuple[str, ...]
     n_jobs: int
     expected_s: float
+    n_bytes: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -453,6 +458,32 @@
     n_limited_accounts: int
 
 
+@dataclass(frozen=True, slots=True)
+class StagePoolState(Event):
+    """What holds up the jobs of a stage pool: its host, its order or its memory.
+
+    Logged by the pool's owner, at most once per second and pool, while there are jobs.
+    ``n_overdue`` jobs can't meet their objectives, ``n_without_memory`` don't fit into
+    the free memory of the targets, of which ``memory_share`` is in use.
+    ``full_call_s`` is the learned time of a full call, ``configured_s`` the configured
+    one. ``sent_bytes_per_s`` are the bodies of the calls since the last line, and
+    ``loop_lag_s`` the longest delay of the owner's event loop.
+    """
+
+    name: ClassVar[str] = "stage_pool_state"
+    pool: str
+    n_jobs: int
+    n_overdue: int
+    n_without_memory: int
+    memory_share: float
+    n_working: int
+    n_targets: int
+    full_call_s: float
+    configured_s: float
+    sent_bytes_per_s: float
+    loop_lag_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptSent(Event):
     """An attempt began: the request is being sent to a target.
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -385,6 +385,12 @@
             "Answers of targets with a header that could not be decoded",
             lambda: self.unreadable_headers.n_answers,
         )
+        self.metrics.gauge(
+            "loop.lag",
+            "s",
+            "Longest delay of the event loop in the last second",
+            self.dispatcher.loop_lag_s,
+        )
         self.metrics.gauge(
             "answers.unread",
             "1",
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
@@ -91,6 +91,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._is_step_scheduled = False
         self._pending_frees: list[Handle] = []
+        self._n_sent_bytes = 0
         self._handles = HandleHistory()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -138,6 +139,11 @@
             shares=self.demand.shares(capacity_per_s, sum(on_time.values()), now),
         )
 
+    def take_sent_bytes(self) -> int:
+        """Return the bytes of the calls since the last time, and count anew."""
+        n_bytes, self._n_sent_bytes = self._n_sent_bytes, 0
+        return n_bytes
+
     def schedule_step(self) -> None:
         """Schedule one scheduler step for all changes in this event loop iteration."""
         if not self._is_step_scheduled:
@@ -197,6 +203,8 @@
         if not isinstance(permit, Permit):
             self._postpone(call, permit)
             return
+        encoded = self._codec.stage_run(call.works)
+        self._n_sent_bytes += len(encoded.body)
         self._events.emit(
             StageCallSent(
                 call.call_id,
@@ -206,9 +214,9 @@
                 request_ids,
                 self.scheduler.n_jobs,
                 call.expected_s,
+                len(encoded.body),
             )
         )
-        encoded = self._codec.stage_run(call.works)
         headers = self._codec.stage_headers(target_id)
         try:
             async with asyncio.timeout(call.timeout_s):
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
@@ -20,7 +20,7 @@
 from aspendrift_daemon.interfaces import Clock
 from aspendrift_daemon.peer_decoding import PeerDecoder
 from aspendrift_daemon.peers import PeerLink
-from aspendrift_gateway.events import StagePoolRationed
+from aspendrift_gateway.events import StagePoolRationed, StagePoolState
 from aspendrift_gateway.interfaces import TargetCodec
 from aspendrift_gateway.permit_exchange import PermitExchange
 from aspendrift_gateway.pool_runner import PoolRunner
@@ -48,6 +48,7 @@
     RankLoad,
 )
 from aspendrift_policy.chain_shares import StartShares
+from aspendrift_policy.loop_lag import LagWindow
 from aspendrift_policy.owner_choice import owners_in_order
 from aspendrift_policy.stage_scheduler import JobId, JobUpdate, StageJob, StageScheduler
 
@@ -79,6 +80,8 @@
 _LOADS_PER_S: Final = 200.0
 # Shortest interval between log lines on the rationing of one pool.
 _RATIONING_LOG_INTERVAL_S: Final = 1.0
+# Interval between log lines on the state of the pools scheduled here.
+_STATE_LOG_INTERVAL_S: Final = 1.0
 
 
 @dataclass(slots=True)
@@ -137,6 +140,8 @@
         self._loads_sent_at = 0.0
         self._loaded_pools: set[PoolName] = set()
         self._rationing_logged_at: dict[PoolName, float] = {}
+        self._state_logged_at = clock.monotonic()
+        self._lag = LagWindow()
         self._sequence = 0
         self._task: asyncio.Task[None] | None = None
         self._permits: PermitExchange | None = None
@@ -268,10 +273,17 @@
         for runner in self._runners_by_pool.values():
             runner.schedule_step()
 
+    def loop_lag_s(self) -> float:
+        """Return the longest recent delay of this daemon's event loop, in seconds."""
+        return self._lag.longest_s(self._clock.monotonic())
+
     async def _step_forever(self) -> None:
         while True:
+            due_at = self._clock.monotonic() + _STEP_INTERVAL_S
             await asyncio.sleep(_STEP_INTERVAL_S)
-            self.step(self._clock.monotonic())
+            now = self._clock.monotonic()
+            self._lag.record(now - due_at, now)
+            self.step(now)
 
     def step(self, now: float) -> None:
         """Resubmit jobs of lost owners; send heartbeats and pool loads."""
@@ -291,6 +303,9 @@
             if now - self._loads_sent_at >= interval_s:
                 self._loads_sent_at = now
                 self._send_loads(now)
+        if now - self._state_logged_at >= _STATE_LOG_INTERVAL_S:
+            self._log_states(now - self._state_logged_at, now)
+            self._state_logged_at = now
 
     def _send_loads(self, now: float) -> None:
         """Send the load of the pools scheduled here to every daemon.
@@ -351,6 +366,29 @@
             )
         )
 
+    def _log_states(self, since_s: float, now: float) -> None:
+        for pool, runner in self._runners_by_pool.items():
+            n_bytes = runner.take_sent_bytes()
+            scheduler = runner.scheduler
+            if not scheduler.n_jobs:
+                continue
+            state = scheduler.state(now)
+            self._events.emit(
+                StagePoolState(
+                    pool,
+                    state.n_jobs,
+                    state.n_overdue,
+                    state.n_without_memory,
+                    state.memory_share,
+                    state.n_working,
+                    state.n_targets,
+                    scheduler.times.full_call_s,
+                    scheduler.limits.full_call_s,
+                    n_bytes / since_s,
+                    self._lag.longest_s(now),
+                )
+            )
+
     def _is_lost(self, submitted: _SubmittedJob, now: float) -> bool:
         received_at = self._received_at_by_owner.get(submitted.owner, 0.0)
         if not submitted.is_accepted:
--- a/packages/aspendrift-gateway/tests/test_stage_dispatcher.py
+++ b/packages/aspendrift-gateway/tests/test_stage_dispatcher.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 import pytest
 
 from aspendrift_daemon.events import EventHub
+from aspendrift_gateway.events import StagePoolState
 from aspendrift_gateway.interfaces import AnswerHead, HttpCall
 from aspendrift_gateway.stage_dispatcher import StageDispatcher
 from aspendrift_gateway.system_state import SystemState
@@ -223,6 +224,25 @@
     run_scenario(scenario)
 
 
+def test_owner_tells_what_holds_up_the_jobs_of_its_pool(run_scenario):
+    async def scenario(fleet):
+        dispatcher = fleet.dispatchers_by_id[DaemonId("d0")]
+        lines = []
+        dispatcher._events.connect_all(lines.append)
+        overdue = replace(job("late", 16), objective_at=0.1)
+        large = replace(job("large"), result_bytes=LIMITS.result_memory_bytes)
+        await asyncio.sleep(0.95)
+        for each in (overdue, large):
+            dispatcher.submit(POOL, each, Listener())
+        await asyncio.sleep(0.3)
+        state = next(each for each in lines if isinstance(each, StagePoolState))
+        assert (state.n_jobs, state.n_overdue, state.n_without_memory) == (2, 1, 1)
+        assert (state.n_working, state.n_targets) == (1, 1)
+        assert state.sent_bytes_per_s > 0
+
+    run_scenario(scenario, n_daemons=1)
+
+
 def test_single_daemon_schedules_by_itself(run_scenario):
     async def scenario(fleet):
         listener = Listener()
--- a/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
@@ -40,6 +40,7 @@
     "JobId",
     "JobUpdate",
     "PlannedCall",
+    "PoolState",
     "StageJob",
     "StageScheduler",
 ]
@@ -165,6 +166,30 @@
     failure: PieceFailure | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class PoolState:
+    """What holds up the jobs of a pool at one moment.
+
+    Parameters
+    ----------
+    n_overdue : int
+        Jobs with queued pieces that can't meet their objectives.
+    n_without_memory : int
+        Jobs that have not started and don't fit into the free memory of the targets.
+    memory_share : float
+        Share of the memory for results that is in use, of all usable targets.
+    n_working, n_targets : int
+        Usable targets with a call, and all of them.
+    """
+
+    n_jobs: int
+    n_overdue: int
+    n_without_memory: int
+    memory_share: float
+    n_working: int
+    n_targets: int
+
+
 @dataclass(slots=True)
 class _Job:
     spec: StageJob
@@ -493,6 +518,25 @@
                 by_rank[rank] = by_rank.get(rank, 0) + job.n_queued
         return by_rank
 
+    def state(self, now: float) -> PoolState:
+        """Return what holds up the jobs; for logs and metrics."""
+        self._n_fit_by_size.clear()
+        done_at = now + self.times.full_call_s
+        queued = [job for job in self._jobs_by_id.values() if job.queued]
+        targets = [self._targets_by_key[key] for key in self._usable]
+        memory_bytes = len(targets) * self.limits.result_memory_bytes
+        free_bytes = sum(max(0.0, self._free_bytes(each, now)) for each in targets)
+        return PoolState(
+            len(self._jobs_by_id),
+            sum(job.spec.objective_at < done_at for job in queued),
+            sum(
+                not job.has_started and not self._fits_pool(job, now) for job in queued
+            ),
+            1.0 - free_bytes / memory_bytes if memory_bytes else 0.0,
+            sum(bool(each.calls_by_id) for each in targets),
+            len(targets),
+        )
+
     def capacity_per_s(self) -> float:
         """Return the pieces per second that the usable targets complete, full calls.
 
