--- a/tools/measure_chain_load.py
+++ b/tools/measure_chain_load.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import json
+import math
 import random
 import statistics
 import time
@@ -158,11 +159,18 @@
 
 
 class _Link:
-    """Delivers messages to the other daemons after the latency."""
+    """Delivers messages to the other daemons after the latency.
 
-    def __init__(self, network: _Network, name: str) -> None:
+    All that a daemon sends passes its host's own link, one after the other.
+    """
+
+    def __init__(
+        self, network: _Network, name: str, bits_per_s: float = math.inf
+    ) -> None:
         location = Location(ZoneName("z1"), RegionName("r"))
         self.host = Host(DaemonId(name), Incarnation(1), location, "", "")
+        self._bits_per_s = bits_per_s
+        self._free_at = 0.0
         self._handlers: list[Callable[[DaemonId, bytes], None]] = []
         self._network = network
         network.links.append(self)
@@ -180,12 +188,20 @@
     def live_ids(self) -> list[DaemonId]:
         return [host.daemon_id for host, _ in self.members()]
 
+    def transfer_s(self, n_bytes: int) -> float:
+        """Queue bytes for the link; return the time until the last one is sent."""
+        now = asyncio.get_running_loop().time()
+        sending_s = n_bytes * 8 / self._bits_per_s
+        self._free_at = max(now, self._free_at) + sending_s
+        return self._free_at - now
+
     def send(self, daemon_id: DaemonId, topic: str, payload: bytes) -> None:
         loop = asyncio.get_running_loop()
+        delay_s = LATENCY_S + self.transfer_s(len(payload))
         for link in self._network.links:
             if link.host.daemon_id == daemon_id:
                 for handler in link._handlers:
-                    loop.call_later(LATENCY_S, handler, self.host.daemon_id, payload)
+                    loop.call_later(delay_s, handler, self.host.daemon_id, payload)
 
     def send_each(self, ids: Iterable[DaemonId], topic: str, payload: bytes) -> None:
         for daemon_id in ids:
@@ -238,13 +254,29 @@
         return outcomes
 
 
+class _TargetClient:
+    """Sends the calls of one daemon over its host's link."""
+
+    def __init__(self, targets: _Targets, link: _Link) -> None:
+        self._targets = targets
+        self._link = link
+
+    async def send_and_read(
+        self, target: TargetEntry, call: HttpCall, headers: object, now: float
+    ) -> CompleteAnswer:
+        await asyncio.sleep(self._link.transfer_s(len(call.body)))
+        return await self._targets.send_and_read(target, call, headers, now)
+
+
 class _Codec:
     def stage_run(self, works: Sequence[Any]) -> HttpCall:
         pieces = [
             f"{work.piece_id.attempt_id}.{work.piece_id.stage}.{work.piece_id.piece}"
             for work in works
         ]
-        return HttpCall("POST", "/", json.dumps({"pieces": pieces}).encode())
+        inputs = [work.inputs for work in works]
+        body = json.dumps({"pieces": pieces, "inputs": inputs}).encode()
+        return HttpCall("POST", "/", body)
 
     def stage_free(self, handles: Sequence[Handle]) -> HttpCall:
         return HttpCall("POST", "/", json.dumps({"free": list(handles)}).encode())
@@ -298,6 +330,8 @@
     variant: Variant
     load: Load
     seed: int
+    # Rates of the links of the daemons' hosts.
+    bits_per_s: tuple[float, ...] = (math.inf,) * N_DAEMONS
     results: list[Result] = field(default_factory=list)
     n_without_memory: int = 0
 
@@ -328,15 +362,16 @@
             name: PoolSpec(name, 10, limits) for name, (limits, *_) in POOLS.items()
         }
         daemons = []
-        for number in range(N_DAEMONS):
+        for number, bits_per_s in enumerate(self.bits_per_s):
+            link = _Link(network, f"d{number}", bits_per_s)
             state = SystemState(None, EventHub())
             state.registry.replace(_entries(), 0.0)
             state.table = RouteTable(RoutingConfiguration(1, (), pools))
             admission = self.variant.admission(random.Random(f"{self.seed}/{number}"))
             dispatcher = StageDispatcher(
-                _Link(network, f"d{number}"),  # type: ignore[arg-type]
+                link,  # type: ignore[arg-type]
                 state,
-                targets,  # type: ignore[arg-type]
+                _TargetClient(targets, link),  # type: ignore[arg-type]
                 _Codec(),  # type: ignore[arg-type]
                 admission,
                 clock,
