Assign pools and readers of the store to hosts that can carry the work

All calls of a pool pass its owner, which a hash of the pool's name chose among all daemons. A full call of a late stage is 28 kB, since each of its pieces names the results of the stage before, and eight targets need 0.8 MB/s; most hosts of the deployment send 0.6 MB/s and have a third of a core. Calls took 0.55 s instead of 0.27 s.

The settings state the processor and the link of a host, and nothing read them. They are part of the records of members and of their rows in the store now. Each pool has a demand, from its configured call times and the number of its targets, and belongs to a host of which it takes about the smallest share, after the shares of larger pools; the hash decides among hosts that are alike, so equal hosts keep their pools. Readers of the store, whom up to forty daemons query, are chosen in the same way. While a member is of a build that doesn't know capacities, all daemons choose as before.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/peers.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/peers.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, replace
 from enum import Enum
 from pathlib import Path
@@ -22,7 +22,7 @@
 from aspendrift_daemon.events import Event, EventHub
 from aspendrift_daemon.interfaces import Clock, MessageHandler, Topic
 from aspendrift_model.decode_errors import DECODE_ERRORS
-from aspendrift_model.hosts import Host, Location
+from aspendrift_model.hosts import Host, HostCapacity, Location
 from aspendrift_model.ids import DaemonId, Incarnation, RegionName, ZoneName
 from aspendrift_model.settings_peers import PeerSettings
 from aspendrift_model.states import MemberState, PeerFeature
@@ -158,6 +158,9 @@
         self._in: zmq.asyncio.Socket | None = None
         self._cached_members: tuple[Member, ...] = ()
         self._hosts: Sequence[tuple[Host, MemberState]] = ()
+        self._capacity_by_id: dict[DaemonId, HostCapacity] = {}
+        # Members and feature changes that the capacities were taken from.
+        self._capacities_of: tuple[Sequence[tuple[Host, MemberState]], int] = ((), -1)
         self.counters = LinkCounters()
         self.view = MemberView(host, clock.monotonic())
         self._features = FeatureTracker(host.daemon_id, features)
@@ -253,6 +256,32 @@
             if state is MemberState.LIVE
         ]
 
+    def capacities(self) -> Mapping[DaemonId, HostCapacity]:
+        """Return the capacities of the hosts of all daemons that may own work.
+
+        Empty if one of them is of a build that doesn't know capacities, since all
+        daemons have to choose the same owners. The same object is returned until
+        something changes.
+        """
+        members = self.members()
+        n_changes = self._features.n_changes
+        if members is not self._capacities_of[0] or n_changes != self._capacities_of[1]:
+            self._capacities_of = (members, n_changes)
+            candidates = [
+                host
+                for host, state in members
+                if state in (MemberState.LIVE, MemberState.JOINING)
+            ]
+            self._capacity_by_id = {
+                host.daemon_id: host.capacity for host in candidates
+            }
+            if any(
+                self.lacks(host.daemon_id, PeerFeature.CAPACITIES)
+                for host in candidates
+            ):
+                self._capacity_by_id = {}
+        return self._capacity_by_id
+
     def supports(self, daemon_id: DaemonId, feature: PeerFeature) -> bool:
         """Return whether a daemon has announced a feature since its last start.
 
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
@@ -101,13 +101,15 @@
 
 @dataclass(frozen=True, slots=True)
 class GatewayReady(Event):
-    """The gateway accepts requests."""
+    """The gateway accepts requests; ``cores`` and link are those of its host."""
 
     name: ClassVar[str] = "gateway_ready"
     daemon_id: str
     incarnation: int
     front_address: str
     configuration_version: int
+    cores: float
+    link_bits_per_s: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -304,6 +304,8 @@
                 host.incarnation,
                 self.settings.front_address,
                 self.state.configuration_version,
+                host.capacity.cores,
+                host.capacity.link_bits_per_s,
             )
         )
 
@@ -450,6 +452,7 @@
             settings.location,
             settings.front_address,
             f"tcp://{settings.ip}:{settings.peer_ports[0]}",
+            capacity=settings.capacity,
         )
 
     def _make_servers(self, codec: PlatformCodec) -> list[AppServer]:
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/member_rows.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/member_rows.py
@@ -99,6 +99,8 @@
                 own_host.location.zone,
                 own_host.location.region,
                 peer_key=own_host.peer_key,
+                cores=own_host.capacity.cores,
+                link_bits_per_s=own_host.capacity.link_bits_per_s,
             )
             value = msgspec.json.encode(entry)
             if isinstance(
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/peer_state.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/peer_state.py
@@ -189,12 +189,16 @@
     def n_readers(self) -> int:
         """Return the number of daemons that follow the store."""
         ids = self._candidate_ids()
-        readers = {*readers_in_order(ids), *readers_in_order(self._understanding(ids))}
+        capacities = self._link.capacities()
+        readers = {
+            *readers_in_order(ids, capacities),
+            *readers_in_order(self._understanding(ids), capacities),
+        }
         return max(1, len(readers))
 
     def reader_ids(self) -> list[DaemonId]:
         """Return the daemons that follow the store."""
-        return readers_in_order(self._candidate_ids())
+        return readers_in_order(self._candidate_ids(), self._link.capacities())
 
     def pull(self, daemon_id: DaemonId) -> None:
         """Query a daemon that holds a newer configuration."""
@@ -260,13 +264,14 @@
             self._known_members = members, n_changes
             live_ids = self._candidate_ids()
             sources = self._understanding(live_ids)
+            capacities = self._link.capacities()
             own_id = self._link.host.daemon_id
             # Daemons of the previous version choose their sources among all.
             self._is_reader = own_id in {
-                *readers_in_order(live_ids),
-                *readers_in_order(sources),
+                *readers_in_order(live_ids, capacities),
+                *readers_in_order(sources, capacities),
             }
-            self._follower.set_members(own_id, sources)
+            self._follower.set_members(own_id, sources, capacities)
         is_wanted = self._is_reader or not self._state.is_complete
         if is_wanted != self._reader.is_following:
             self._reader.follow(is_wanted)
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/settings.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/settings.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from aspendrift_model.hosts import Location
+from aspendrift_model.hosts import HostCapacity, Location
 from aspendrift_model.ids import DaemonId
 
 __all__ = ["GatewaySettings", "PolicyKind"]
@@ -56,6 +56,8 @@
         multiple of the rate that it tolerates, plus a constant.
     memory_bytes : float
         Memory that the process may use.
+    capacity : HostCapacity
+        Processor and link of the host.
     """
 
     daemon_id: DaemonId
@@ -81,3 +83,4 @@
     evacuation_s: float = 5.0
     cold_overrun: float = 1.0
     cold_slack: float = 0.0
+    capacity: HostCapacity = HostCapacity()
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
@@ -10,7 +10,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -26,7 +26,7 @@
 from aspendrift_gateway.pool_runner import PoolRunner
 from aspendrift_gateway.system_state import SystemState
 from aspendrift_gateway.target_client import TargetClient
-from aspendrift_model.hosts import Host
+from aspendrift_model.hosts import Host, HostCapacity
 from aspendrift_model.ids import AttemptId, DaemonId, PoolName, ZoneName
 from aspendrift_model.pieces import Handle, PieceFailure, PieceId, PieceWork
 from aspendrift_model.routes import PieceLimits
@@ -49,7 +49,12 @@
 )
 from aspendrift_policy.chain_shares import StartShares
 from aspendrift_policy.loop_lag import LagWindow
-from aspendrift_policy.owner_choice import owners_in_order
+from aspendrift_policy.owner_choice import (
+    HostDemand,
+    assign_pools,
+    owners_in_order,
+    pool_demand,
+)
 from aspendrift_policy.stage_scheduler import JobId, JobUpdate, StageJob, StageScheduler
 
 __all__ = ["WORK_TOPIC", "JobListener", "StageDispatcher"]
@@ -132,8 +137,11 @@
         self._origins_by_job: dict[JobId, tuple[DaemonId, PoolName]] = {}
         self._received_at_by_owner: dict[DaemonId, float] = {}
         self._suspected_until: dict[DaemonId, float] = {}
-        # Owners for the members and suspects that they were chosen from.
+        # Owners for the members, suspects, capacities and demands that they were
+        # chosen from.
         self._owner_by_pool: dict[PoolName, DaemonId] = {}
+        self._capacity_by_id: Mapping[DaemonId, HostCapacity] = {}
+        self._demand_by_pool: dict[PoolName, HostDemand] = {}
         self._members: Sequence[tuple[Host, MemberState]] = ()
         self._suspects: frozenset[DaemonId] = frozenset()
         self._heartbeat_sent_at = 0.0
@@ -179,15 +187,39 @@
         suspects = self._without_links(now).union(
             each for each, until in self._suspected_until.items() if until > now
         )
-        if members is not self._members or suspects != self._suspects:
+        capacities = self._link.capacities()
+        if (
+            members is not self._members
+            or suspects != self._suspects
+            or capacities is not self._capacity_by_id
+        ):
             self._members, self._suspects = members, suspects
+            self._capacity_by_id = capacities
+            self._update_demands()
             self._owner_by_pool.clear()
+        if not self._owner_by_pool:
+            self._owner_by_pool = assign_pools(
+                self._demand_by_pool, self._candidates(now), capacities
+            )
         found = self._owner_by_pool.get(pool)
         if found is None:
             found = owners_in_order(pool, self._candidates(now))[0]
             self._owner_by_pool[pool] = found
         return found
 
+    def _update_demands(self) -> bool:
+        """Update what owning each pool takes; return whether that changed."""
+        table = self._state.table
+        if table is None:
+            return False
+        demands = {
+            pool: pool_demand(spec, self.n_targets(pool), len(self._members))
+            for pool, spec in table.configuration.pools_by_name.items()
+        }
+        is_changed = demands != self._demand_by_pool
+        self._demand_by_pool = demands
+        return is_changed
+
     def _candidates(self, now: float) -> list[DaemonId]:
         """Return the daemons that may own pools.
 
@@ -270,6 +302,8 @@
 
     def targets_changed(self) -> None:
         """Apply the targets and limits now in force."""
+        if self._update_demands():
+            self._owner_by_pool.clear()
         for runner in self._runners_by_pool.values():
             runner.schedule_step()
 
--- a/packages/aspendrift-gateway/tests/conftest.py
+++ b/packages/aspendrift-gateway/tests/conftest.py
@@ -145,6 +145,7 @@
         self.sent = []
         self.states_by_id = {}
         self.missing_features_by_id = {}
+        self.capacity_by_id = {}
 
     def link(self, name):
         found = FakeLink(self, DaemonId(name))
@@ -193,6 +194,9 @@
     def lacks(self, daemon_id, feature):
         return not self.supports(daemon_id, feature)
 
+    def capacities(self):
+        return self._network.capacity_by_id
+
     @property
     def n_feature_changes(self):
         return len(self._network.missing_features_by_id)
--- a/packages/aspendrift-model/src/aspendrift_model/hosts.py
+++ b/packages/aspendrift-model/src/aspendrift_model/hosts.py
@@ -6,7 +6,7 @@
 
 from aspendrift_model.ids import DaemonId, Incarnation, RegionName, ZoneName
 
-__all__ = ["Host", "Link", "Location"]
+__all__ = ["Host", "HostCapacity", "Link", "Location"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,6 +32,27 @@
     one_way_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class HostCapacity:
+    """What a host gives its daemon, as the settings of the process state it.
+
+    Parameters
+    ----------
+    cores : float
+        Processor time per second, in cores of the usual speed; 0 if unknown.
+    link_bits_per_s : float
+        Rate of the host's own link, in bits per second; 0 if unknown.
+    """
+
+    cores: float = 0.0
+    link_bits_per_s: float = 0.0
+
+    @property
+    def is_known(self) -> bool:
+        """Whether the settings stated both."""
+        return self.cores > 0 and self.link_bits_per_s > 0
+
+
 @dataclass(frozen=True, slots=True)
 class Host:
     """An entry host and the daemon process that runs on it.
@@ -49,6 +70,8 @@
         ZeroMQ endpoint for peers, such as ``tcp://127.0.0.1:7000``.
     peer_key : str
         CURVE public key in Z85 encoding; empty for a plaintext link.
+    capacity : HostCapacity
+        What the host gives the daemon.
     """
 
     daemon_id: DaemonId
@@ -57,3 +80,4 @@
     url: str
     peer_endpoint: str
     peer_key: str = ""
+    capacity: HostCapacity = HostCapacity()
--- a/packages/aspendrift-model/src/aspendrift_model/states.py
+++ b/packages/aspendrift-model/src/aspendrift_model/states.py
@@ -100,6 +100,7 @@
     EVACUATIONS = 1
     ANNOUNCEMENTS = 2
     TARGET_LOADS = 3
+    CAPACITIES = 4
 
 
 class AttemptEnd(Enum):
--- a/packages/aspendrift-model/src/aspendrift_model/wire_peer.py
+++ b/packages/aspendrift-model/src/aspendrift_model/wire_peer.py
@@ -56,13 +56,15 @@
 
 
 class HostRecord(msgspec.Struct, frozen=True, array_like=True):
-    """Location and addresses of a daemon."""
+    """Location, addresses and capacity of a daemon; 0 if the latter is unknown."""
 
     zone: str
     region: str
     url: str
     peer_endpoint: str
     peer_key: str = ""
+    cores: float = 0.0
+    link_bits_per_s: float = 0.0
 
 
 class MemberUpdate(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/aspendrift-model/src/aspendrift_model/wire_platform.py
+++ b/packages/aspendrift-model/src/aspendrift_model/wire_platform.py
@@ -100,6 +100,8 @@
     region: str
     leaving: bool = False
     peer_key: str = ""
+    cores: float = 0.0
+    link_bits_per_s: float = 0.0
 
 
 class HostList(msgspec.Struct, frozen=True):
--- a/packages/aspendrift-policy/src/aspendrift_policy/host_list.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/host_list.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from typing import Final
 
-from aspendrift_model.hosts import Host, Location
+from aspendrift_model.hosts import Host, HostCapacity, Location
 from aspendrift_model.ids import DaemonId, Incarnation, RegionName, ZoneName
 from aspendrift_model.states import MemberState
 from aspendrift_model.wire_platform import HostEntry
@@ -63,4 +63,5 @@
         entry.url,
         entry.peer_endpoint,
         entry.peer_key,
+        HostCapacity(entry.cores, entry.link_bits_per_s),
     )
--- a/packages/aspendrift-policy/src/aspendrift_policy/membership.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/membership.py
@@ -17,7 +17,7 @@
 
 import xxhash
 
-from aspendrift_model.hosts import Host, Location
+from aspendrift_model.hosts import Host, HostCapacity, Location
 from aspendrift_model.ids import DaemonId, Incarnation, RegionName, ZoneName
 from aspendrift_model.states import MemberState
 from aspendrift_model.wire_peer import HostRecord, MemberUpdate
@@ -65,9 +65,15 @@
 
 def host_record(host: Host) -> HostRecord:
     """Return the wire form of a host."""
-    location = host.location
+    location, capacity = host.location, host.capacity
     return HostRecord(
-        location.zone, location.region, host.url, host.peer_endpoint, host.peer_key
+        location.zone,
+        location.region,
+        host.url,
+        host.peer_endpoint,
+        host.peer_key,
+        capacity.cores,
+        capacity.link_bits_per_s,
     )
 
 
@@ -81,6 +87,7 @@
         record.url,
         record.peer_endpoint,
         record.peer_key,
+        HostCapacity(record.cores, record.link_bits_per_s),
     )
 
 
@@ -311,6 +318,9 @@
     ) -> Member | None:
         if update.host is not None:
             host = host_from_record(update.daemon_id, update.incarnation, update.host)
+            if known is not None and not host.capacity.is_known:
+                # A daemon of another version relays records without the capacity.
+                host = replace(host, capacity=known.host.capacity)
         elif known is not None and known.host.incarnation == update.incarnation:
             host = known.host
         else:
--- a/packages/aspendrift-policy/src/aspendrift_policy/state_sources.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/state_sources.py
@@ -10,15 +10,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from enum import Enum
 from typing import Final, TypeAlias
 
 import xxhash
 
+from aspendrift_model.hosts import HostCapacity
 from aspendrift_model.ids import DaemonId, PoolName
-from aspendrift_policy.owner_choice import owners_in_order
+from aspendrift_policy.owner_choice import HostDemand, owners_in_order
 
 __all__ = [
     "QuerySource",
@@ -39,6 +40,10 @@
 _MAX_FOLLOWERS_PER_READER: Final = 40
 # A daemon that replaced the readers as source is given up for them after this time.
 _READERS_RETRY_S: Final = 2.0
+# What answering the queries of a follower takes: the bound on the control traffic of a
+# daemon, and some messages a second.
+_FOLLOWER_DEMAND: Final = HostDemand(cores=0.001, link_bits_per_s=90_000.0)
+_NO_CAPACITIES: Final[Mapping[DaemonId, HostCapacity]] = {}
 # Share of the query interval after which the next reader is asked when one is stale and
 # the store can't be read: with a full interval each, 8 readers take 6 s.
 _NEXT_READER_SHARE: Final = 0.25
@@ -49,20 +54,32 @@
     return max(_MIN_READERS, -(-n_daemons // _MAX_FOLLOWERS_PER_READER))
 
 
-def readers_in_order(daemon_ids: Sequence[DaemonId]) -> list[DaemonId]:
+def readers_in_order(
+    daemon_ids: Sequence[DaemonId],
+    capacity_by_id: Mapping[DaemonId, HostCapacity] = _NO_CAPACITIES,
+) -> list[DaemonId]:
     """Return the daemons that follow the store, in the same order at all daemons."""
-    return owners_in_order(_READERS, daemon_ids)[: n_readers(len(daemon_ids))]
+    n_followers = min(len(daemon_ids), _MAX_FOLLOWERS_PER_READER)
+    demand = HostDemand(
+        n_followers * _FOLLOWER_DEMAND.cores,
+        n_followers * _FOLLOWER_DEMAND.link_bits_per_s,
+    )
+    order = owners_in_order(_READERS, daemon_ids, demand, capacity_by_id)
+    return order[: n_readers(len(daemon_ids))]
 
 
 def sources_in_order(
-    own_id: DaemonId, daemon_ids: Sequence[DaemonId]
+    own_id: DaemonId,
+    daemon_ids: Sequence[DaemonId],
+    capacity_by_id: Mapping[DaemonId, HostCapacity] = _NO_CAPACITIES,
 ) -> tuple[list[DaemonId], int]:
     """Return the other daemons in order of preference, and the number of readers.
 
     The readers come first, in an order of each daemon's own so that their followers
     are spread evenly.
     """
-    readers = [each for each in readers_in_order(daemon_ids) if each != own_id]
+    chosen = readers_in_order(daemon_ids, capacity_by_id)
+    readers = [each for each in chosen if each != own_id]
     others = [each for each in daemon_ids if each != own_id and each not in readers]
     return _own_order(own_id, readers) + _own_order(own_id, others), len(readers)
 
@@ -183,7 +200,12 @@
             return None
         return self._sources[self._index % len(self._sources)]
 
-    def set_members(self, own_id: DaemonId, daemon_ids: Sequence[DaemonId]) -> None:
+    def set_members(
+        self,
+        own_id: DaemonId,
+        daemon_ids: Sequence[DaemonId],
+        capacity_by_id: Mapping[DaemonId, HostCapacity] = _NO_CAPACITIES,
+    ) -> None:
         """Set the live daemons; the current source is kept if it is still listed.
 
         Also one that replaced the readers: hosts come and go all the time when the
@@ -191,7 +213,9 @@
         after each change. One that is no reader any more is replaced as usual.
         """
         before = self.source_id
-        self._sources, self._n_readers = sources_in_order(own_id, daemon_ids)
+        self._sources, self._n_readers = sources_in_order(
+            own_id, daemon_ids, capacity_by_id
+        )
         self._index = self._sources.index(before) if before in self._sources else 0
 
     def steps(self, now: float, times: SourceTimes) -> list[SourceStep]:
--- a/tools/measure_chain_load.py
+++ b/tools/measure_chain_load.py
@@ -25,7 +25,7 @@
 from aspendrift_gateway.stage_run import StageDemand, StagesCompleted, StagesRunner
 from aspendrift_gateway.system_state import SystemState
 from aspendrift_gateway.target_client import CompleteAnswer
-from aspendrift_model.hosts import Host, Location
+from aspendrift_model.hosts import Host, HostCapacity, Location
 from aspendrift_model.ids import (
     AccountId,
     AttemptId,
@@ -168,13 +168,17 @@
         self, network: _Network, name: str, bits_per_s: float = math.inf
     ) -> None:
         location = Location(ZoneName("z1"), RegionName("r"))
-        self.host = Host(DaemonId(name), Incarnation(1), location, "", "")
+        capacity = HostCapacity(1.0, bits_per_s)
+        self.host = Host(
+            DaemonId(name), Incarnation(1), location, "", "", capacity=capacity
+        )
         self._bits_per_s = bits_per_s
         self._free_at = 0.0
         self._handlers: list[Callable[[DaemonId, bytes], None]] = []
         self._network = network
         network.links.append(self)
         self._members: list[tuple[Host, MemberState]] = []
+        self._capacity_by_id: dict[DaemonId, HostCapacity] = {}
 
     def subscribe(self, topic: str, handler: Callable[[DaemonId, bytes], None]) -> None:
         self._handlers.append(handler)
@@ -185,6 +189,13 @@
             self._members = [(link.host, MemberState.LIVE) for link in links]
         return self._members
 
+    def capacities(self) -> dict[DaemonId, HostCapacity]:
+        if len(self._capacity_by_id) != len(self._network.links):
+            self._capacity_by_id = {
+                host.daemon_id: host.capacity for host, _ in self.members()
+            }
+        return self._capacity_by_id
+
     def live_ids(self) -> list[DaemonId]:
         return [host.daemon_id for host, _ in self.members()]
 
--- a/tools/measure_evacuation.py
+++ b/tools/measure_evacuation.py
@@ -12,7 +12,7 @@
 import asyncio
 import random
 import statistics
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from types import SimpleNamespace
 from typing import Any, Final
@@ -23,7 +23,7 @@
 from aspendrift_gateway.store_client import HistoryGone, StoreFailure
 from aspendrift_gateway.store_reader import StoreReader
 from aspendrift_gateway.system_state import SystemState
-from aspendrift_model.hosts import Host, Location
+from aspendrift_model.hosts import Host, HostCapacity, Location
 from aspendrift_model.ids import DaemonId, Incarnation, RegionName, TargetId, ZoneName
 from aspendrift_model.routes import RoutingConfiguration
 from aspendrift_model.states import MemberState, PeerFeature
@@ -46,6 +46,7 @@
 POLL_S: Final = 0.02
 WARM_UP_S: Final = 5.0
 MAX_DEGRADED_BEFORE_S: Final = 4.0
+NO_CAPACITIES: Final[Mapping[DaemonId, HostCapacity]] = {}
 
 
 class Codec:
@@ -137,6 +138,10 @@
         """Return all daemons."""
         return self.known
 
+    def capacities(self) -> Mapping[DaemonId, HostCapacity]:
+        """Return no capacities: all hosts are alike."""
+        return NO_CAPACITIES
+
     @property
     def n_feature_changes(self) -> int:
         """Number of changes to what is known of the features of others."""
