A gateway that starts again adds no repeats within a window

A new process began with half a bucket of repeats, although its predecessor may have spent its part in the same window, and, as it knew no other member yet, with half of the bucket of a single daemon.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -196,7 +196,7 @@
             self.links.without_links,
         )
         self.budgets: RetryBudgets[PoolName] = RetryBudgets.within(
-            _retry_limit(settings), 1
+            _retry_limit(settings), 1, self.clock.monotonic()
         )
         self.sender = AttemptSender(
             settings.location.zone,
--- a/packages/aspendrift-policy/src/aspendrift_policy/retry_budget.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/retry_budget.py
@@ -3,10 +3,14 @@
 A budget is a token bucket. Where all daemons share a limit on the retries within a
 window, each of them gets an equal part of what flows in and of what a bucket holds, so
 that all of them together stay within the limit also when every bucket is full.
+
+A process does not know what its predecessor on the host spent. Its buckets start empty
+until a window has passed since its start.
 """
 
 from __future__ import annotations
 
+import math
 import random
 from collections import OrderedDict
 from dataclasses import dataclass
@@ -58,7 +62,9 @@
     floor_per_s : float
         Tokens added per second.
     size : float
-        Maximum number of tokens; a new budget has half of it.
+        Maximum number of tokens.
+    tokens : float
+        Number of tokens at the beginning.
     now : float
         Current time in seconds.
     """
@@ -66,12 +72,12 @@
     __slots__ = ("_at", "_share", "_size", "_tokens", "floor_per_s")
 
     def __init__(
-        self, share: float, floor_per_s: float, size: float, now: float
+        self, share: float, floor_per_s: float, size: float, tokens: float, now: float
     ) -> None:
         self._share = share
         self.floor_per_s = floor_per_s
         self._size = size
-        self._tokens = size / 2
+        self._tokens = tokens
         self._at = now
 
     def set_size(self, size: float) -> None:
@@ -108,18 +114,30 @@
         Tokens that each first attempt adds to its budget.
     floor_per_s : float
         Tokens added to each budget per second.
+    half_full_from : float
+        Time in seconds from which new budgets start with half of their tokens; earlier
+        ones start empty.
     """
 
-    def __init__(self, share: float, floor_per_s: float) -> None:
+    def __init__(
+        self, share: float, floor_per_s: float, half_full_from: float = -math.inf
+    ) -> None:
         self._share = share
         self._floor_per_s = floor_per_s
+        self._half_full_from = half_full_from
         self._size = _BUCKET_SIZE
         self._budgets_by_key: OrderedDict[_K, RetryBudget] = OrderedDict()
 
     @classmethod
-    def within(cls, limit: RetryLimit, n_daemons: int) -> RetryBudgets[_K]:
-        """Return one daemon's part of the budgets under a common limit."""
-        budgets = cls(limit.share * _ATTEMPTS_SHARE, 0.0)
+    def within(
+        cls, limit: RetryLimit, n_daemons: int, started_at: float = -math.inf
+    ) -> RetryBudgets[_K]:
+        """Return one daemon's part of the budgets under a common limit.
+
+        ``started_at`` is when the process started, in seconds.
+        """
+        half_full_from = started_at + limit.window_s
+        budgets = cls(limit.share * _ATTEMPTS_SHARE, 0.0, half_full_from)
         budgets.divide(limit, n_daemons)
         return budgets
 
@@ -136,7 +154,10 @@
         """Return the budget of a key."""
         budget = self._budgets_by_key.get(key)
         if budget is None:
-            budget = RetryBudget(self._share, self._floor_per_s, self._size, now)
+            tokens = self._size / 2 if now >= self._half_full_from else 0.0
+            budget = RetryBudget(
+                self._share, self._floor_per_s, self._size, tokens, now
+            )
             self._budgets_by_key[key] = budget
             if len(self._budgets_by_key) > _MAX_KEYS:
                 self._budgets_by_key.popitem(last=False)
--- a/packages/aspendrift-policy/tests/test_retry_budget.py
+++ b/packages/aspendrift-policy/tests/test_retry_budget.py
@@ -58,6 +58,20 @@
         assert n_retries <= 0.2 * n_attempts + 56.0
 
 
+def test_restarts_within_a_window_add_no_retries() -> None:
+    limit = RetryLimit(0.0, 60.0, 10.0)
+    n_retries = 0
+    for step in range(40):
+        # Five daemons, each of which is killed twice a second.
+        now = 100.0 + step / 4
+        for _ in range(5):
+            budget = RetryBudgets[str].within(limit, 5, now).of("pool", now)
+            while budget.may_retry(now + 0.2):
+                budget.consume()
+                n_retries += 1
+    assert n_retries <= 60
+
+
 def test_bucket_that_shrinks_loses_its_tokens() -> None:
     limit = RetryLimit(0.0, 50.0, 10.0)
     budgets = RetryBudgets[str].within(limit, 1)
--- /dev/null
+++ b/tests/aspendrift_platform/gateway_process.py
@@ -0,0 +1,75 @@
+"""A gateway in a process of its own, as the platform starts it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import httpx
+from platform_emulator import free_address, settings
+
+_MAIN = "from aspendrift_platform.main import main; raise SystemExit(main())"
+
+
+class GatewayProcess:
+    """A gateway process with a loopback address of its own.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder for its settings and its log.
+    number : int
+        Last part of its address; the metrics port is the same in all processes.
+    """
+
+    def __init__(self, folder, number, store_address, **bounds):
+        self.name = f"g{number}"
+        port = int(free_address().rpartition(":")[2])
+        found = settings(self.name, store_address, [port, port])
+        found["bounds"].update(bounds)
+        ip = f"127.0.0.{number + 2}"
+        listen = found["listen"]
+        found["ip"] = ip
+        found["listen"] = {
+            role: f"{ip}:{address.rpartition(':')[2]}"
+            for role, address in listen.items()
+        }
+        self.front = found["listen"]["front"]
+        self.ready = found["listen"]["ready"]
+        self._settings_path = Path(folder) / f"{self.name}.json"
+        self._settings_path.write_text(json.dumps(found))
+        self._log_path = Path(folder) / f"{self.name}.log"
+        self._process = None
+
+    def start(self):
+        """Start the process; a later start appends to the log."""
+        environment = {
+            **os.environ,
+            "ASPENDRIFT_BOOT": str(self._settings_path),
+            "PYTHONPATH": os.pathsep.join(each for each in sys.path if each),
+        }
+        with self._log_path.open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-c", _MAIN], env=environment, stdout=log, stderr=log
+            )
+
+    def kill(self):
+        """End the process without a chance to clean up."""
+        self._process.kill()
+        self._process.wait()
+
+    async def until_ready(self, client: httpx.AsyncClient):
+        """Wait until the process accepts requests."""
+        while True:
+            try:
+                answer = await client.get(f"http://{self.ready}/-/ready")
+                if answer.status_code == 200:
+                    return
+            except httpx.HTTPError:
+                pass
+            assert self._process.poll() is None, self._log_path.read_text()[-2000:]
+            await asyncio.sleep(0.05)
--- a/tests/aspendrift_platform/platform_emulator.py
+++ b/tests/aspendrift_platform/platform_emulator.py
@@ -185,6 +185,8 @@
     crashing_part: str = ""
     n_crashes: int = 0
     n_freed: int = 0
+    # Attempt ids of the requests that arrived, by service, with their times.
+    arrivals_by_service: dict = field(default_factory=dict)
 
     def store_result(self, handle, piece):
         """Store a result until it is freed or expires."""
@@ -318,6 +320,8 @@
     async def _run(self, scope, headers, send):
         self.n_requests += 1
         attempt_id = headers[b"attempt-id"]
+        arrivals = self.records.arrivals_by_service.setdefault(self.service, [])
+        arrivals.append((asyncio.get_running_loop().time(), attempt_id))
         inputs = [each for each in headers.get(b"inputs", "").split(",") if each]
         if any(handle not in self.records.handles for handle in inputs):
             await reply(send, 409, headers=[(b"not-executed", b"1")])
