Divide the limits of all gateways anew when members change

The retry budget and the connections per target were divided when the configuration or the targets changed, by the members known then. A gateway that read its configuration before the list of members kept the budget of a single one: six gateways on the emulator held 30 repeats each for as long as no target changed, where 5 is a sixth. The division follows the members now.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -11,7 +11,7 @@
 from aspendrift_daemon.clock import SystemClock, suspended_s
 from aspendrift_daemon.events import EventHub
 from aspendrift_daemon.interfaces import Clock
-from aspendrift_daemon.membership import MembershipManager
+from aspendrift_daemon.membership import MemberChanged, MembershipManager
 from aspendrift_daemon.metrics import Metrics
 from aspendrift_daemon.peers import PeerLink
 from aspendrift_daemon.shutdown import Shutdown
@@ -275,6 +275,7 @@
         )
         self.servers = self._make_servers(codec)
         self.state.on_change(self._on_state_change)
+        events.connect(MemberChanged, lambda _: self._share_limits())
         self.state.on_era(self._on_store_era)
         self._register_gauges()
 
--- a/packages/aspendrift-policy/src/aspendrift_policy/retry_budget.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/retry_budget.py
@@ -128,6 +128,11 @@
         self._size = _BUCKET_SIZE
         self._budgets_by_key: OrderedDict[_K, RetryBudget] = OrderedDict()
 
+    @property
+    def bucket_size(self) -> float:
+        """Maximum number of tokens of one budget."""
+        return self._size
+
     @classmethod
     def within(
         cls, limit: RetryLimit, n_daemons: int, started_at: float = -math.inf
