Believe a refusal that names no request only on a new connection

Another operator's report: a faulty target wrote an earlier refusal once more on a kept connection, and callers were told that requests had not run that had. Reproduced: a copy behind a complete answer stays in the buffer of the connection and is read as the answer to the next request. With the id of another request it is recognised; without an id the request, which the target runs, was answered with 503.

An answer without the id of its request that says 'not run' is a refusal only as the first answer on its connection; otherwise it counts as an answer to another request. Calls of stages carry no id: their refusals are left unread, which closes the connection, so that the answer to a refused call is never read as that of a later one.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
@@ -578,9 +578,10 @@
         routed = delivery.routed
         head = answer.head
         now = delivery.head_at = self._clock.monotonic()
-        if _is_foreign(head, routed.request.attempt_id):
+        if _is_foreign(head, routed.request.attempt_id) or answer.is_doubtful_refusal:
             self._client.disable_reuse(entry.key.target_id, now)
-            return _FailedAttempt(AttemptVerdict.FOREIGN, str(head.attempt_id), True)
+            detail = str(head.attempt_id or "names no request")
+            return _FailedAttempt(AttemptVerdict.FOREIGN, detail, True)
         if head.load is not None:
             self.chooser(routed.pool).reported(entry, head.load, now)
             if routed.route.kind is RequestKind.STREAMING and self._on_load is not None:
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 import asyncio
+import weakref
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
-from typing import Final, TypeAlias
+from typing import Any, Final, TypeAlias
 
 import httpx
 
@@ -105,6 +106,19 @@
     response: httpx.Response
     method: str = "POST"
     buffers: _Buffers = field(default_factory=_Buffers)
+    # Whether the connection had no answer before.
+    is_first: bool = True
+
+    @property
+    def is_doubtful_refusal(self) -> bool:
+        """Whether this may be a copy of an earlier refusal on the connection.
+
+        A refusal that doesn't name its request belongs to the only request that a new
+        connection has had, but on a kept one it may be a surplus answer.
+        """
+        return (
+            self.head.has_not_run and self.head.attempt_id is None and not self.is_first
+        )
 
     @property
     def is_delimited(self) -> bool:
@@ -180,6 +194,8 @@
         self._on_leaving = on_leaving
         self._by_id: dict[TargetId, tuple[str, _Connections]] = {}
         self._closing: set[asyncio.Task[None]] = set()
+        # Connections that have had an answer.
+        self._used_streams: weakref.WeakSet[Any] = weakref.WeakSet()
         self._buffers = _Buffers(buffers)
         self.connections_per_target = 16
 
@@ -246,8 +262,18 @@
             response,
             call.method,
             self._buffers,
+            self._is_first_answer(response),
         )
 
+    def _is_first_answer(self, response: httpx.Response) -> bool:
+        """Return whether a response is the first one on its connection."""
+        stream = response.extensions.get("network_stream")
+        if stream is None:
+            return True
+        is_first = stream not in self._used_streams
+        self._used_streams.add(stream)
+        return is_first
+
     async def accepts_connections(self, entry: TargetEntry) -> bool:
         """Return whether a target accepts a new connection, which is closed at once.
 
@@ -271,7 +297,9 @@
         if not isinstance(answer, Answer):
             return answer
         try:
-            body = await answer.body()
+            # Unread, a refusal closes its connection: what the target may still write
+            # there is no answer to a later call.
+            body = b"" if answer.head.has_not_run else await answer.body()
         except AnswerTooLarge as error:
             return Broken(str(error))
         except (httpx.HTTPError, OSError) as error:
--- a/packages/aspendrift-gateway/tests/test_target_client.py
+++ b/packages/aspendrift-gateway/tests/test_target_client.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
+from aspendrift_gateway.interfaces import AnswerHead, HttpCall
 from aspendrift_gateway.target_client import TargetClient
 from aspendrift_standins.virtual_time import run_virtual
 
@@ -34,3 +36,41 @@
         assert connections.transport.is_closed
 
     run_virtual(run())
+
+
+class RefusingTarget:
+    """Refuses each call, and counts the connections."""
+
+    def __init__(self):
+        self.n_connections = 0
+
+    async def serve(self, reader, writer):
+        self.n_connections += 1
+        try:
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                await reader.readexactly(4)
+                writer.write(b"HTTP/1.1 503 Full\r\nContent-Length: 4\r\n\r\nfull")
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    def answer_head(self, status, headers):
+        return AnswerHead(None, False, True, False, False)
+
+
+def test_surplus_answer_after_a_refused_call_is_not_read_as_that_of_the_next():
+    async def run():
+        refusing = RefusingTarget()
+        server = await asyncio.start_server(refusing.serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        target = replace(entry("t1"), address=f"127.0.0.1:{port}")
+        client = TargetClient(refusing, lambda key: None)
+        for _ in range(3):
+            call = HttpCall("POST", "/", b"call")
+            answer = await client.send_and_read(target, call, (), 0.0)
+            assert answer.status == 503
+        assert refusing.n_connections == 3
+        await client.close()
+        server.close()
+
+    asyncio.run(run())
--- a/tests/aspendrift_platform/scripted_target.py
+++ b/tests/aspendrift_platform/scripted_target.py
@@ -6,7 +6,7 @@
 import json
 import socket
 import struct
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from platform_emulator import free_address
 
@@ -40,6 +40,8 @@
         ``MAX_REPEATED_BYTES`` were sent; it never ends.
     repeats_head : bool
         Whether this is so for a header line instead.
+    surplus : bytes
+        What follows the answer on the connection, which stays open.
     """
 
     body: bytes
@@ -50,6 +52,11 @@
     repeats_head: bool = False
     status: bytes = b"200 OK"
     is_signed: bool = True
+    surplus: bytes = b""
+
+    def refused(self):
+        """Return the script with the status of a target that is full."""
+        return replace(self, status=b"503 Full")
 
 
 class ScriptedTarget:
@@ -61,6 +68,8 @@
         self.service = service
         self.address = free_address()
         self.scripts = []
+        self.n_requests = 0
+        self.n_connections = 0
         self.last_event_ids = []
         # Of the largest answer.
         self.n_bytes_sent = 0
@@ -86,6 +95,7 @@
         self._server.close()
 
     async def _serve(self, reader, writer):
+        self.n_connections += 1
         try:
             while True:
                 await self._exchange(reader, writer)
@@ -98,6 +108,7 @@
         headers = {name.lower(): value for name, _, value in lines}
         await reader.readexactly(int(headers.get("content-length", "0")))
         self.last_event_ids.append(headers.get("last-event-id"))
+        self.n_requests += 1
         script = self.scripts.pop(0)
         attempt_id = headers.get("attempt-id", "").encode()
         writer.write(b"HTTP/1.1 %s\r\nAttempt-Id: %s\r\n" % (script.status, attempt_id))
@@ -111,7 +122,7 @@
         body = script.body.replace(b"{id}", attempt_id)
         if script.repeats:
             await self._repeat(reader, writer, body)
-        writer.write(body)
+        writer.write(body + script.surplus)
         await writer.drain()
         if script.crashes:
             self._server.close()
@@ -148,6 +159,13 @@
         for target in self.targets:
             target.scripts = scripts
 
+    async def keep_one_target(self):
+        """Remove the second target from the list."""
+        removed = self.targets.pop()
+        removed.store.remove("servers", removed.name)
+        await removed.stop()
+        await self.until_listed()
+
     async def call(self, path):
         (gateway,) = self.cluster.gateways
         return (await self.cluster.call(gateway, path))[1]
