Entries with values out of range name no target

Numbers of slots of 0 or of 400 digits, starts beyond 64 bits (which no peer message can hold), ports 0 and 99999, and ids or versions with line breaks were taken over and would fail at a request. Deep nesting was refused before.

--- /dev/null
+++ b/tests/aspendrift_platform/test_odd_entries.py
@@ -0,0 +1,90 @@
+"""Tests of entries that other writers left in the list of targets."""
+
+from __future__ import annotations
+
+import json
+import sys
+
+import pytest
+
+from aspendrift_model.target_entries import UnreadableEntry
+from aspendrift_platform.configuration import decode_entry
+
+SOUND = {
+    "service": "desk",
+    "address": "127.0.0.1:9",
+    "zone": "z1",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "seq": 1,
+    "born": 0,
+}
+TOO_LARGE = int("9" * 400)
+ODD = {
+    "cold-time-too-large": {"coldLeftMs": TOO_LARGE},
+    "cold-time-too-small": {"coldLeftMs": -TOO_LARGE},
+    "slots-too-large": {"slots": TOO_LARGE},
+    "no-slots": {"slots": 0},
+    "negative-slots": {"slots": -1},
+    "start-too-late": {"born": TOO_LARGE},
+    "start-beyond-64-bits": {"born": 1 << 64},
+    "negative-start": {"born": -1},
+    "port-too-large": {"address": "127.0.0.1:99999"},
+    "port-0": {"address": "127.0.0.1:0"},
+    "ip-out-of-range": {"address": "127.0.0.256:80"},
+    "line-break-in-the-version": {"version": "v\r\nx: 1"},
+}
+
+
+def _encoded(change):
+    limit = sys.get_int_max_str_digits()
+    sys.set_int_max_str_digits(0)
+    try:
+        return json.dumps({**SOUND, **change}).encode()
+    finally:
+        sys.set_int_max_str_digits(limit)
+
+
+VALUES = {
+    **{name: _encoded(change) for name, change in ODD.items()},
+    "nested": b'{"a":' * 100_000 + b"1" + b"}" * 100_000,
+    "nested-in-a-sound-entry": _encoded({})[:-1]
+    + b',"x":'
+    + b"[" * 100_000
+    + b"]" * 100_000
+    + b"}",
+}
+
+
+@pytest.mark.parametrize("name", VALUES)
+def test_odd_entry_names_no_target(name):
+    assert isinstance(decode_entry("i-odd", VALUES[name]), UnreadableEntry)
+
+
+def test_id_that_no_header_can_hold_names_no_target():
+    for key in ("i\r\nx: 1", "", "\u00e9", "i" * 201):
+        assert isinstance(decode_entry(key, _encoded({})), UnreadableEntry)
+
+
+def test_odd_entries_keep_no_gateway_from_following_the_list(run_scenario):
+    async def scenario(cluster):
+        platform = cluster.platform
+        for name, value in VALUES.items():
+            platform.store.put("servers", f"odd-{name}", value)
+        await platform.add_target("desk-late", "desk")
+        for gateway in cluster.gateways:
+            await cluster.until(
+                lambda g=gateway: (
+                    {each.key.target_id for each in g.state.registry.usable("desk")}
+                    == {"desk-0", "desk-1", "desk-late"}
+                )
+            )
+            for _ in range(6):
+                assert (await cluster.call(gateway, "/safe/x"))[1].status_code == 200
+        started = await cluster.add_gateway("started-beside-odd-entries")
+        await cluster.until(started.is_ready)
+        assert (await cluster.call(started, "/safe/x"))[1].status_code == 200
+
+    run_scenario(scenario, 3)
