Headers with numbers out of range are errors

A caller's 'Pieces:' would have made the gateway build as many pieces, which ends the process; 'Deadline-Ms: nan' compares as neither late nor in time. A target's 'Keep-Alive: timeout=\xc2\xb2' raised ValueError while its answer was read, and a load of 400 digits can't be divided. The new cases failed before.

--- a/tests/aspendrift_platform/test_headers.py
+++ b/tests/aspendrift_platform/test_headers.py
@@ -137,6 +137,11 @@
         (b"pieces", b"1,x"),
         (b"token-usage", b"many"),
         (b"prompt-prefix", b"5c1e"),
+        (b"deadline-ms", b"nan"),
+        (b"deadline-ms", b"1e400"),
+        (b"pieces", b"1000000000"),
+        (b"pieces", b"-1"),
+        (b"prompt-prefix", b"5c1e:" + b"9" * 400),
     ],
 )
 def test_unreadable_header_is_a_bad_request(name, value):
@@ -184,11 +189,22 @@
     assert not head.unreadable
 
 
-@pytest.mark.parametrize("text", [b"", b"3,1", b"-1,0,8", b"3,1,8,0", b"3,1,8,nan"])
+@pytest.mark.parametrize(
+    "text",
+    [b"", b"3,1", b"-1,0,8", b"3,1,8,0", b"3,1,8,nan", b"9" * 400 + b",0,8"],
+)
 def test_load_report_with_impossible_values_is_unreadable(text):
     assert answer_head(200, ((b"engine-load", text),)).unreadable
 
 
+@pytest.mark.parametrize(
+    ("value", "timeout_s"),
+    [(b"timeout=5", 5.0), (b"timeout=\xb2", None), (b"timeout=" + b"9" * 400, 86_400)],
+)
+def test_idle_time_of_any_target_can_be_read(value, timeout_s):
+    assert answer_head(200, ((b"keep-alive", value),)).keep_alive_s == timeout_s
+
+
 def test_limit_that_a_target_states_for_all_daemons_is_decoded():
     assert answer_head(200, ((b"Server-Limit", b"2.5"),)).requests_per_s == 2.5
     assert answer_head(200, ()).requests_per_s is None
