--- a/packages/aspendrift-daemon/tests/configuration/test_peers.py
+++ b/packages/aspendrift-daemon/tests/configuration/test_peers.py
@@ -19,11 +19,12 @@
     PeerMessageRejected,
     PeerRejection,
 )
-from aspendrift_model.hosts import Host, Location
+from aspendrift_model.hosts import Host, HostCapacity, Location
 from aspendrift_model.ids import DaemonId, Incarnation, RegionName, ZoneName
 from aspendrift_model.settings_peers import PeerSettings, SeedPeer
 from aspendrift_model.states import MemberState, PeerFeature
-from aspendrift_policy.membership import MemberView
+from aspendrift_model.wire_peer import MemberUpdate
+from aspendrift_policy.membership import MemberView, host_record
 from aspendrift_policy.peer_features import encoded_features
 
 PLACE = Location(ZoneName("a"), RegionName("r"))
@@ -261,3 +262,29 @@
         await stop(new, old, other)
 
     asyncio.run(scenario())
+
+
+def test_capacities_count_only_while_all_builds_know_them() -> None:
+    """Guards against two owners of a pool while hosts are replaced one by one."""
+    own = Host(DaemonId("d0"), Incarnation(1), PLACE, "", "")
+    link = PeerLink(
+        PeerSettings(),
+        own,
+        SystemClock(),
+        EventHub(),
+        random.Random(1),
+        features=[PeerFeature.CAPACITIES],
+    )
+    capacity = HostCapacity(2.0, 1e8)
+    other = Host(DaemonId("d1"), Incarnation(1), PLACE, "", "", capacity=capacity)
+    link.view.add_seed(other, 0.0)
+    assert link.capacities()[other.daemon_id] == capacity
+    earlier_build = encoded_features({PeerFeature.PERMITS})
+    record = host_record(other)
+    link.view.apply(MemberUpdate("d1", 1, 0, MemberState.LIVE, record), 0.0)
+    link._features.record_message(other.daemon_id, 1)
+    link.record_features(other.daemon_id, earlier_build)
+    assert link.lacks(other.daemon_id, PeerFeature.CAPACITIES)
+    assert link.capacities() == {}
+    link.view.escalate_state(other.daemon_id, MemberState.DEAD, 1.0)
+    assert list(link.capacities()) == [DaemonId("d0")]
--- a/packages/aspendrift-model/src/aspendrift_model/hosts.py
+++ b/packages/aspendrift-model/src/aspendrift_model/hosts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from aspendrift_model.ids import DaemonId, Incarnation, RegionName, ZoneName
@@ -50,7 +51,7 @@
     @property
     def is_known(self) -> bool:
         """Whether the settings stated both."""
-        return self.cores > 0 and self.link_bits_per_s > 0
+        return 0 < self.cores < math.inf and 0 < self.link_bits_per_s < math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/aspendrift-policy/tests/test_host_list.py
+++ b/packages/aspendrift-policy/tests/test_host_list.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
-from aspendrift_model.hosts import Host, Location
+from aspendrift_model.hosts import Host, HostCapacity, Location
 from aspendrift_model.ids import DaemonId, Incarnation, RegionName, ZoneName
 from aspendrift_model.states import MemberState
 from aspendrift_model.wire_peer import MemberUpdate
@@ -34,6 +35,15 @@
     return view.members_by_id[DaemonId("d1")].state
 
 
+def test_capacity_of_a_listed_host_is_known_before_it_is_reached(
+    view: MemberView,
+) -> None:
+    entry = msgspec.structs.replace(ENTRY, cores=2.0, link_bits_per_s=1e8)
+    HostListTracker().update([entry], view, 0.0)
+    capacity = view.members_by_id[DaemonId("d1")].host.capacity
+    assert capacity == HostCapacity(2.0, 1e8)
+
+
 def test_listed_host_is_joining(view: MemberView) -> None:
     HostListTracker().update([ENTRY], view, 0.0)
     assert state(view) is MemberState.JOINING
--- a/packages/aspendrift-policy/tests/test_membership.py
+++ b/packages/aspendrift-policy/tests/test_membership.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from aspendrift_model.hosts import Host, Location
+from aspendrift_model.hosts import Host, HostCapacity, Location
 from aspendrift_model.ids import DaemonId, Incarnation, RegionName, ZoneName
 from aspendrift_model.states import MemberState
 from aspendrift_model.wire_peer import MemberUpdate
@@ -37,6 +38,15 @@
     return MemberUpdate(name, incarnation, refutation, state, record)
 
 
+def test_capacity_stays_when_another_build_relays_the_record_without_it() -> None:
+    members = view()
+    capacity = HostCapacity(2.0, 1e8)
+    record = host_record(replace(host("d1"), capacity=capacity))
+    members.apply(MemberUpdate("d1", 1, 0, MemberState.LIVE, record), 0.0)
+    members.apply(update("d1", refutation=1), 1.0)
+    assert members.members_by_id[DaemonId("d1")].host.capacity == capacity
+
+
 UPDATES = st.builds(
     update,
     st.sampled_from(IDS[1:]),
--- a/tests/aspendrift_platform/test_settings.py
+++ b/tests/aspendrift_platform/test_settings.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from aspendrift_model.hosts import HostCapacity
 from aspendrift_platform.settings import SettingsFile, decode_settings
 
 SETTINGS = {
@@ -53,6 +54,23 @@
     assert found.max_files == 4100
 
 
+@pytest.mark.parametrize(
+    ("limits", "capacity"),
+    [
+        (
+            {"cpuShare": 0.5, "cores": 3, "linkMbps": 12.5},
+            HostCapacity(1.5, 12_500_000.0),
+        ),
+        ({"cpuShare": None, "cores": 1, "linkMbps": None}, HostCapacity()),
+        ({}, HostCapacity()),
+    ],
+    ids=["stated", "null", "absent"],
+)
+def test_capacity_of_the_host_is_that_of_its_limits(limits, capacity):
+    content = json.dumps({**SETTINGS, "limits": limits}).encode()
+    assert decode_settings(content, 9000).capacity == capacity
+
+
 def test_bounds_of_evacuations_and_cold_targets_are_decoded():
     bounds = {"evacuateMs": 4000, "coldOverrun": 1.5, "coldSlack": 5}
     found = decode_settings(json.dumps({**SETTINGS, "bounds": bounds}).encode(), 9000)
