--- a/tests/aspendrift_platform/test_odd_entries.py
+++ b/tests/aspendrift_platform/test_odd_entries.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from aspendrift_model.target_entries import UnreadableEntry
+from aspendrift_model.target_entries import TargetEntry, UnreadableEntry
 from aspendrift_platform.configuration import decode_entry
 
 SOUND = {
@@ -68,6 +68,12 @@
         assert isinstance(decode_entry(key, _encoded({})), UnreadableEntry)
 
 
+@pytest.mark.parametrize("version", ["", "v2-\u00e9"])
+def test_any_printable_version_is_allowed(version):
+    found = decode_entry("i-1", _encoded({"version": version}))
+    assert isinstance(found, TargetEntry)
+
+
 def test_odd_entries_keep_no_gateway_from_following_the_list(run_scenario):
     async def scenario(cluster):
         platform = cluster.platform
