--- a/tests/aspendrift_platform/scripted_target.py
+++ b/tests/aspendrift_platform/scripted_target.py
@@ -6,7 +6,7 @@
 import json
 import socket
 import struct
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from platform_emulator import free_address
 
@@ -54,10 +54,6 @@
     is_signed: bool = True
     surplus: bytes = b""
 
-    def refused(self):
-        """Return the script with the status of a target that is full."""
-        return replace(self, status=b"503 Full")
-
 
 class ScriptedTarget:
     """A listening socket with an entry in the store's list of targets."""
