Tests close the connections of their targets

A new test left a StreamWriter open when its loop ended. Its finalizer raised 'Event loop is closed' during a garbage collection, and CPython 3.11 parses source to format that traceback, which breaks a parse that is in progress. The scripted targets left writers open as well.

--- a/packages/aspendrift-gateway/tests/test_target_client.py
+++ b/packages/aspendrift-gateway/tests/test_target_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from dataclasses import replace
 
 from aspendrift_gateway.interfaces import AnswerHead, HttpCall
@@ -43,9 +44,17 @@
 
     def __init__(self):
         self.n_connections = 0
+        self._writers = []
+
+    async def close(self):
+        for writer in self._writers:
+            writer.close()
+            with contextlib.suppress(ConnectionError):
+                await writer.wait_closed()
 
     async def serve(self, reader, writer):
         self.n_connections += 1
+        self._writers.append(writer)
         try:
             while True:
                 await reader.readuntil(b"\r\n\r\n")
@@ -72,5 +81,6 @@
         assert refusing.n_connections == 3
         await client.close()
         server.close()
+        await refusing.close()
 
     asyncio.run(run())
--- a/tests/aspendrift_platform/scripted_target.py
+++ b/tests/aspendrift_platform/scripted_target.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import socket
 import struct
@@ -66,6 +67,7 @@
         self.scripts = []
         self.n_requests = 0
         self.n_connections = 0
+        self._writers = []
         self.last_event_ids = []
         # Of the largest answer.
         self.n_bytes_sent = 0
@@ -89,9 +91,14 @@
 
     async def stop(self):
         self._server.close()
+        for writer in self._writers:
+            writer.close()
+            with contextlib.suppress(ConnectionError):
+                await writer.wait_closed()
 
     async def _serve(self, reader, writer):
         self.n_connections += 1
+        self._writers.append(writer)
         try:
             while True:
                 await self._exchange(reader, writer)
