--- a/packages/aspendrift-gateway/tests/test_unreadable_headers.py
+++ b/packages/aspendrift-gateway/tests/test_unreadable_headers.py
@@ -43,7 +43,8 @@
     )
 
     async def respond(request):
-        return SimpleNamespace(status_code=200, headers=SimpleNamespace(raw=()))
+        headers = SimpleNamespace(raw=())
+        return SimpleNamespace(status_code=200, headers=headers, extensions={})
 
     async def run():
         connections = client._connections(entry("t1"))
