Order hosts by demand in a function of its own

The order by hash alone, which each stream and permit asks for, had gained three optional arguments and a test for capacities per daemon. It is as it was again, and the order for work of some demand sorts its result by the share of the host. An unknown capacity is an infinite share instead of a case in three places, and one constant stands for no capacities. A connection is added to those that had an answer once, not at each answer.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
@@ -270,9 +270,10 @@
         stream = response.extensions.get("network_stream")
         if stream is None:
             return True
-        is_first = stream not in self._used_streams
+        if stream in self._used_streams:
+            return False
         self._used_streams.add(stream)
-        return is_first
+        return True
 
     async def accepts_connections(self, entry: TargetEntry) -> bool:
         """Return whether a target accepts a new connection, which is closed at once.
--- a/packages/aspendrift-policy/src/aspendrift_policy/owner_choice.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/owner_choice.py
@@ -1,9 +1,9 @@
 """Selection of the daemons that do the work of a pool, or other work for all.
 
 Uses rendezvous hashing (highest random weight) over the members that are considered
-serving: each pool has one owner, and when a daemon joins or leaves, others keep their
-pools. Daemons may temporarily disagree on the members; two schedulers of one pool then
-only reduce its efficiency.
+serving: each pool has one owner, and when a daemon joins or leaves, most others keep
+their pools. Daemons may temporarily disagree on the members; two schedulers of one pool
+then only reduce its efficiency.
 
 Work that grows with the fleet goes to hosts that can carry it: those of which it takes
 about the smallest share come first, and the hash decides among them.
@@ -22,15 +22,22 @@
 from aspendrift_model.ids import DaemonId, PoolName
 from aspendrift_model.routes import PoolSpec
 
-__all__ = ["HostDemand", "assign_pools", "owners_in_order", "pool_demand"]
+__all__ = [
+    "NO_CAPACITIES",
+    "HostDemand",
+    "assign_pools",
+    "carriers_in_order",
+    "owners_in_order",
+    "pool_demand",
+]
 
 _Capacities = Mapping[DaemonId, HostCapacity]
+NO_CAPACITIES: Final[_Capacities] = {}
 
 # Shares of a host up to this size count as equal; beyond it, those within a factor of
 # two do.
 _SMALL_SHARE: Final = 0.05
-# After all hosts of known capacity.
-_UNKNOWN_TIER: Final = 1 << 10
+_UNKNOWN: Final = HostCapacity()
 # Costs of scheduling a stage pool: of a call with the messages on its jobs, and of each
 # piece. A piece of a late stage names all results that it needs.
 _CORE_S_PER_CALL: Final = 0.003
@@ -59,15 +66,17 @@
     link_bits_per_s: float = 0.0
 
     def share_of(self, capacity: HostCapacity) -> float:
-        """Return the share of a host's processor or link, whichever is larger."""
+        """Return the share of a host's processor or link, whichever is larger.
+
+        It is infinite if the capacity is unknown.
+        """
+        if not capacity.is_known:
+            return math.inf
         return max(
             self.cores / capacity.cores, self.link_bits_per_s / capacity.link_bits_per_s
         )
 
 
-_NO_DEMAND: Final = HostDemand()
-
-
 def pool_demand(spec: PoolSpec, n_targets: int, n_daemons: int) -> HostDemand:
     """Return what owning a pool takes from a host.
 
@@ -87,35 +96,38 @@
     return HostDemand(cores, bits_per_s)
 
 
-def owners_in_order(
+def owners_in_order(key: str, daemon_ids: Iterable[DaemonId]) -> list[DaemonId]:
+    """Return the daemons in order of preference as owner of a pool or another key."""
+    return sorted(
+        daemon_ids,
+        key=lambda daemon_id: xxhash.xxh3_64_intdigest(f"{key}/{daemon_id}".encode()),
+        reverse=True,
+    )
+
+
+def carriers_in_order(
     key: str,
     daemon_ids: Iterable[DaemonId],
-    demand: HostDemand = _NO_DEMAND,
-    capacity_by_id: _Capacities | None = None,
+    demand: HostDemand,
+    capacity_by_id: _Capacities,
     used_share_by_id: Mapping[DaemonId, float] | None = None,
 ) -> list[DaemonId]:
-    """Return the daemons in order of preference as owner of a pool or another key.
+    """Return the daemons in order of preference as owner of work of some demand.
+
+    Hosts of unknown capacity come last; if all are, only the hash decides.
 
     Parameters
     ----------
-    demand : HostDemand
-        What the work takes from a host.
-    capacity_by_id : mapping or None
-        Capacities of the hosts; without one, only the hash decides.
     used_share_by_id : mapping or None
         Shares of the hosts that other work takes already.
     """
-    capacities, used = capacity_by_id or {}, used_share_by_id or {}
+    used = used_share_by_id or {}
 
-    def preference(daemon_id: DaemonId) -> tuple[int, int]:
-        tier = 0
-        if capacities:
-            capacity = capacities.get(daemon_id, HostCapacity())
-            tier = _tier(demand, capacity, used.get(daemon_id, 0.0))
-        digest = xxhash.xxh3_64_intdigest(f"{key}/{daemon_id}".encode())
-        return tier, -digest
+    def tier(daemon_id: DaemonId) -> float:
+        share = demand.share_of(capacity_by_id.get(daemon_id, _UNKNOWN))
+        return _tier(used.get(daemon_id, 0.0) + share)
 
-    return sorted(daemon_ids, key=preference)
+    return sorted(owners_in_order(key, daemon_ids), key=tier)
 
 
 def assign_pools(
@@ -136,25 +148,20 @@
         key=lambda item: (-item[1].link_bits_per_s, -item[1].cores, item[0]),
     )
     for pool, demand in by_demand:
-        order = owners_in_order(
+        order = carriers_in_order(
             pool, candidates, demand, capacity_by_id, used_share_by_id
         )
         owner = owner_by_pool[pool] = order[0]
-        capacity = capacity_by_id.get(owner)
-        if capacity is not None and capacity.is_known:
-            used = used_share_by_id.get(owner, 0.0)
-            used_share_by_id[owner] = used + demand.share_of(capacity)
+        share = demand.share_of(capacity_by_id.get(owner, _UNKNOWN))
+        used_share_by_id[owner] = used_share_by_id.get(owner, 0.0) + share
     return owner_by_pool
 
 
-def _tier(demand: HostDemand, capacity: HostCapacity, used_share: float) -> int:
-    """Return the rank of a host by the share of it that is used with this work."""
-    if not capacity.is_known:
-        return _UNKNOWN_TIER
-    share = used_share + demand.share_of(capacity)
+def _tier(share: float) -> float:
+    """Return the rank of a host by its used share; infinite if that is unknown."""
     if share <= _SMALL_SHARE:
-        return 0
-    return math.ceil(math.log2(share / _SMALL_SHARE))
+        return 0.0
+    return math.inf if math.isinf(share) else math.ceil(math.log2(share / _SMALL_SHARE))
 
 
 def _power_of_two(number: int) -> int:
--- a/packages/aspendrift-policy/src/aspendrift_policy/state_sources.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/state_sources.py
@@ -19,7 +19,11 @@
 
 from aspendrift_model.hosts import HostCapacity
 from aspendrift_model.ids import DaemonId, PoolName
-from aspendrift_policy.owner_choice import HostDemand, owners_in_order
+from aspendrift_policy.owner_choice import (
+    NO_CAPACITIES,
+    HostDemand,
+    carriers_in_order,
+)
 
 __all__ = [
     "QuerySource",
@@ -43,7 +47,6 @@
 # What answering the queries of a follower takes: the bound on the control traffic of a
 # daemon, and some messages a second.
 _FOLLOWER_DEMAND: Final = HostDemand(cores=0.001, link_bits_per_s=90_000.0)
-_NO_CAPACITIES: Final[Mapping[DaemonId, HostCapacity]] = {}
 # Share of the query interval after which the next reader is asked when one is stale and
 # the store can't be read: with a full interval each, 8 readers take 6 s.
 _NEXT_READER_SHARE: Final = 0.25
@@ -56,7 +59,7 @@
 
 def readers_in_order(
     daemon_ids: Sequence[DaemonId],
-    capacity_by_id: Mapping[DaemonId, HostCapacity] = _NO_CAPACITIES,
+    capacity_by_id: Mapping[DaemonId, HostCapacity] = NO_CAPACITIES,
 ) -> list[DaemonId]:
     """Return the daemons that follow the store, in the same order at all daemons."""
     n_followers = min(len(daemon_ids), _MAX_FOLLOWERS_PER_READER)
@@ -64,14 +67,14 @@
         n_followers * _FOLLOWER_DEMAND.cores,
         n_followers * _FOLLOWER_DEMAND.link_bits_per_s,
     )
-    order = owners_in_order(_READERS, daemon_ids, demand, capacity_by_id)
+    order = carriers_in_order(_READERS, daemon_ids, demand, capacity_by_id)
     return order[: n_readers(len(daemon_ids))]
 
 
 def sources_in_order(
     own_id: DaemonId,
     daemon_ids: Sequence[DaemonId],
-    capacity_by_id: Mapping[DaemonId, HostCapacity] = _NO_CAPACITIES,
+    capacity_by_id: Mapping[DaemonId, HostCapacity] = NO_CAPACITIES,
 ) -> tuple[list[DaemonId], int]:
     """Return the other daemons in order of preference, and the number of readers.
 
@@ -204,7 +207,7 @@
         self,
         own_id: DaemonId,
         daemon_ids: Sequence[DaemonId],
-        capacity_by_id: Mapping[DaemonId, HostCapacity] = _NO_CAPACITIES,
+        capacity_by_id: Mapping[DaemonId, HostCapacity] = NO_CAPACITIES,
     ) -> None:
         """Set the live daemons; the current source is kept if it is still listed.
 
--- a/packages/aspendrift-policy/tests/test_owner_choice.py
+++ b/packages/aspendrift-policy/tests/test_owner_choice.py
@@ -12,6 +12,7 @@
 from aspendrift_policy.owner_choice import (
     HostDemand,
     assign_pools,
+    carriers_in_order,
     owners_in_order,
     pool_demand,
 )
@@ -69,7 +70,7 @@
     for pool in POOLS:
         expected = owners_in_order(pool, DAEMONS)
         for capacity_by_id in (alike, unknown, {}):
-            found = owners_in_order(pool, DAEMONS, demand, capacity_by_id)
+            found = carriers_in_order(pool, DAEMONS, demand, capacity_by_id)
             assert found == expected
 
 
@@ -77,7 +78,7 @@
     capacity_by_id = {**dict.fromkeys(DAEMONS, SMALL), DAEMONS[2]: HostCapacity()}
     demand = pool_demand(STAGE_POOL, 8, len(DAEMONS))
     for pool in POOLS:
-        order = owners_in_order(pool, DAEMONS, demand, capacity_by_id)
+        order = carriers_in_order(pool, DAEMONS, demand, capacity_by_id)
         assert order[-1] == DAEMONS[2]
 
 
--- a/tools/measure_evacuation.py
+++ b/tools/measure_evacuation.py
@@ -28,6 +28,7 @@
 from aspendrift_model.routes import RoutingConfiguration
 from aspendrift_model.states import MemberState, PeerFeature
 from aspendrift_model.target_entries import UnreadableEntry
+from aspendrift_policy.owner_choice import NO_CAPACITIES
 from aspendrift_policy.state_sources import readers_in_order
 from aspendrift_standins.virtual_time import VirtualClock, run_virtual
 
@@ -46,7 +47,6 @@
 POLL_S: Final = 0.02
 WARM_UP_S: Final = 5.0
 MAX_DEGRADED_BEFORE_S: Final = 4.0
-NO_CAPACITIES: Final[Mapping[DaemonId, HostCapacity]] = {}
 
 
 class Codec:
