One function for the entries of targets in tests

The emulator, the scripted targets and the tests of odd entries each spelled the entry out. The limit on digits was lifted for numbers that are below it.

--- a/tests/aspendrift_platform/platform_emulator.py
+++ b/tests/aspendrift_platform/platform_emulator.py
@@ -32,6 +32,22 @@
     return f"127.0.0.1:{port}"
 
 
+def target_entry(service, address, **changes):
+    """Return the entry of a ready target in the platform's format."""
+    return {
+        "service": service,
+        "address": address,
+        "zone": "z1",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "coldLeftMs": 0,
+        "seq": 1,
+        "born": 0,
+        **changes,
+    }
+
+
 async def read_body(receive):
     body = b""
     while True:
@@ -245,17 +261,15 @@
         self.register()
 
     def register(self, state="ready"):
-        value = {
-            "service": self.service,
-            "address": self.address,
-            "zone": self.zone,
-            "version": self.version,
-            "slots": 8,
-            "state": state,
-            "coldLeftMs": int(self.cold_left_s * 1000),
-            "seq": 1,
-            "born": self.born,
-        }
+        value = target_entry(
+            self.service,
+            self.address,
+            zone=self.zone,
+            version=self.version,
+            state=state,
+            coldLeftMs=int(self.cold_left_s * 1000),
+            born=self.born,
+        )
         self.platform.store.put("servers", self.name, json.dumps(value).encode())
 
     async def __call__(self, scope, receive, send):
--- a/tests/aspendrift_platform/scripted_target.py
+++ b/tests/aspendrift_platform/scripted_target.py
@@ -9,7 +9,7 @@
 import struct
 from dataclasses import dataclass
 
-from platform_emulator import free_address
+from platform_emulator import free_address, target_entry
 
 CHUNKED = b"Transfer-Encoding: chunked"
 # Bounds the memory of a caller that keeps all that it gets.
@@ -76,17 +76,7 @@
     async def start(self):
         host, port = self.address.split(":")
         self._server = await asyncio.start_server(self._serve, host, int(port))
-        value = {
-            "service": self.service,
-            "address": self.address,
-            "zone": "z1",
-            "version": "v1",
-            "slots": 8,
-            "state": "ready",
-            "coldLeftMs": 0,
-            "seq": 1,
-            "born": 0,
-        }
+        value = target_entry(self.service, self.address)
         self.store.put("servers", self.name, json.dumps(value).encode())
 
     async def stop(self):
--- a/tests/aspendrift_platform/test_odd_entries.py
+++ b/tests/aspendrift_platform/test_odd_entries.py
@@ -3,24 +3,14 @@
 from __future__ import annotations
 
 import json
-import sys
 
 import pytest
+from platform_emulator import target_entry
 
 from aspendrift_model.target_entries import TargetEntry, UnreadableEntry
 from aspendrift_platform.configuration import decode_entry
 
-SOUND = {
-    "service": "desk",
-    "address": "127.0.0.1:9",
-    "zone": "z1",
-    "version": "v1",
-    "slots": 8,
-    "state": "ready",
-    "coldLeftMs": 0,
-    "seq": 1,
-    "born": 0,
-}
+SOUND = target_entry("desk", "127.0.0.1:9")
 TOO_LARGE = int("9" * 400)
 ODD = {
     "cold-time-too-large": {"coldLeftMs": TOO_LARGE},
@@ -39,12 +29,7 @@
 
 
 def _encoded(change):
-    limit = sys.get_int_max_str_digits()
-    sys.set_int_max_str_digits(0)
-    try:
-        return json.dumps({**SOUND, **change}).encode()
-    finally:
-        sys.set_int_max_str_digits(limit)
+    return json.dumps({**SOUND, **change}).encode()
 
 
 VALUES = {
