--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -569,6 +569,8 @@
 def run(case_file, play):
     """Play a case; exit with 1 if a rule was broken, 0 if not, 2 if it couldn't run."""
     folder = Path(case_file).resolve().parent
+    # A case that is ended early ends its processes too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
 
     async def main():
         world = World(folder)
