--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -250,6 +250,8 @@
 class Engine(Server):
     """What all engines share: an entry in the store, renewed by heartbeats."""
 
+    version = "v1"
+
     def __init__(self, store, record, name, service, address, zone="z1", slots=1):
         super().__init__(address)
         self.store = store
@@ -289,7 +291,7 @@
                 "service": self.service,
                 "address": self.address,
                 "zone": self.zone,
-                "version": "v1",
+                "version": self.version,
                 "slots": self.slots,
                 "state": state,
                 "coldLeftMs": 0,
