--- a/review/2/case.py
+++ b/review/2/case.py
@@ -27,7 +27,7 @@
 STREAMS_PER_S = 16.0
 DEPOSITS_PER_S = 12.0
 # One engine of two is faulty, and spoils 2 in 100 of its answers.
-SPOILED_EVERY, FIRST_SPOILED = 50, 20
+SPOILED_EVERY = 50
 # Of the site file: deposit-post and voyage-brief.
 TIMEOUT_S, DEADLINE_S, WORK_S = 0.8, 1.5, 0.03
 STREAM_TIMEOUT_MS = 15000
@@ -39,6 +39,7 @@
 
     is_faulty = False
     n_answers = 0
+    n_spoiled = 0
 
     async def exchange(self, reader, writer):
         call = await read_message(reader)
@@ -49,6 +50,8 @@
             )
             return True
         self.n_answers += 1
+        # Decided as the request comes, so that no more than one in so many is spoiled.
+        is_spoiled = self.is_faulty and self.n_answers % SPOILED_EVERY == 0
         head = [
             "HTTP/1.1 200 OK",
             f"Attempt-Id: {request_id}",
@@ -58,7 +61,8 @@
         ]
         await asyncio.sleep(0.12)
         writer.write("\r\n".join(head).encode() + b"\r\n\r\n")
-        if self.is_faulty and self.n_answers % SPOILED_EVERY == FIRST_SPOILED:
+        if is_spoiled:
+            self.n_spoiled += 1
             await self.send_without_end(request_id, writer)
             return False
         for number in range(1, 21):
@@ -208,6 +212,9 @@
         await asyncio.sleep(max(0.0, min(next_stream, next_deposit) - time.monotonic()))
     await asyncio.sleep(STREAM_TIMEOUT_MS / 1000 + 1.0)
     over, late = deposits.n_over_timeout, deposits.n_over_half_a_second_more
+    faulty = models[0]
+    spoiled = (faulty.n_spoiled, "of", faulty.n_answers)
+    record.add("answers spoiled by the faulty engine:", *spoiled)
     record.add("deposits sent:", deposits.n_sent)
     record.add("without an answer at their route's timeoutMs:", over)
     record.add("without a final answer 0.5 s later:", late)
--- a/review/lib/stages.py
+++ b/review/lib/stages.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import random
 import secrets
 
 from world import Engine, answer, read_message
@@ -34,11 +33,12 @@
         # Stages whose results a stage needs, and what a client asked for, by request.
         self.after = after or {}
         self.pieces_by_id = {}
-        self.rng = random.Random(self.name)
         self.n_answers = 0
         self.n_extra = 0
-        # Share of the answers that are sent once more, late.
-        self.extra_share = lambda: 0.0
+        # While it is faulty, one in so many answers is sent once more, late.
+        self.is_faulty = lambda: False
+        self.extra_every = 1
+        self.n_while_faulty = 0
 
     async def serve(self, reader, writer):
         writer.copy = b""
@@ -58,8 +58,10 @@
         self.n_answers += 1
         writer.write(found)
         await writer.drain()
-        if self.rng.random() < self.extra_share():
-            writer.copy = found
+        if self.is_faulty():
+            self.n_while_faulty += 1
+            if self.n_while_faulty % self.extra_every == 0:
+                writer.copy = found
         return True
 
     async def result(self, call):
