Log the connection whose bytes hold the event loop

The gauge loop.lag tells that a gateway stood still, but not over what. All HTTP connections of a gateway now pass a metered network stream: loop_held names the connection, the bytes read at once and the time without a turn for anything else.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -117,7 +117,7 @@
         self.metrics = Metrics()
         self.metrics.connect(events)
         self.state = SystemState(codec, events)
-        self.store = StoreClient(settings.store_address, codec.store)
+        self.store = StoreClient(settings.store_address, codec.store, events)
         self.unreadable_headers = UnreadableHeaders(events)
         self.buffers = BufferShares.within(settings.memory_bytes)
         self.client = TargetClient(
@@ -125,6 +125,7 @@
             lambda key: self.peer_state.target_leaving(key),
             on_unreadable=self.unreadable_headers.record,
             buffers=self.buffers.answers,
+            events=events,
         )
         peers = _peer_settings(settings)
         self.link = PeerLink(
@@ -140,7 +141,7 @@
             self._on_links_changed,
         )
         self.client.links = self.links
-        self.peer_client = TargetClient(codec.target, lambda key: None)
+        self.peer_client = TargetClient(codec.target, lambda key: None, events=events)
         self.crashes = ContentCrashes(
             lambda report: self.peer_state.broadcast_completed(report),
             self.clock,
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/store_client.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/store_client.py
@@ -8,6 +8,7 @@
 
 import httpx
 
+from aspendrift_daemon.events import EventHub
 from aspendrift_gateway.interfaces import HttpCall, StoreCodec, StoreRows
 from aspendrift_gateway.transports import plain_transport
 
@@ -67,12 +68,16 @@
         IP address and port of the store.
     codec : StoreCodec
         Encodes calls and decodes answers.
+    events : EventHub or None
+        Receives the events of the connections.
     """
 
-    def __init__(self, address: str, codec: StoreCodec) -> None:
+    def __init__(
+        self, address: str, codec: StoreCodec, events: EventHub | None = None
+    ) -> None:
         self.codec = codec
         self._base = f"http://{address}"
-        self._transport = plain_transport(_MAX_CONNECTIONS, None)
+        self._transport = plain_transport(_MAX_CONNECTIONS, None, events)
         self.n_calls = 0
         self._era = 0
 
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
@@ -14,6 +14,7 @@
 
 import httpx
 
+from aspendrift_daemon.events import EventHub
 from aspendrift_gateway.interfaces import (
     AnswerHead,
     HttpCall,
@@ -176,6 +177,8 @@
     on_unreadable : callable or None
         Called with a target, the headers of its answer that could not be decoded, and
         the time.
+    events : EventHub or None
+        Receives the events of the connections.
     """
 
     def __init__(
@@ -185,7 +188,9 @@
         links: LinkObserver | None = None,
         on_unreadable: Callable[[TargetId, str, float], None] | None = None,
         buffers: BufferBudget | None = None,
+        events: EventHub | None = None,
     ) -> None:
+        self._events = events
         self._on_unreadable = on_unreadable
         self.links = links
         # Told the target, status and head of each answer.
@@ -316,7 +321,9 @@
             return known[1]
         if known is not None:
             self.evict(target_id)
-        transport = plain_transport(self.connections_per_target, _IDLE_TIMEOUT_S)
+        transport = plain_transport(
+            self.connections_per_target, _IDLE_TIMEOUT_S, self._events
+        )
         connections = _Connections(transport)
         self._by_id[target_id] = (entry.address, connections)
         return connections
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/transports.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/transports.py
@@ -8,6 +8,9 @@
 
 import httpx
 
+from aspendrift_daemon.events import EventHub
+from aspendrift_daemon.metered_transport import MeteredTransport
+
 __all__ = ["plain_transport"]
 
 # A connection with unacknowledged bytes is closed after this time, since a network cut
@@ -18,7 +21,7 @@
 
 
 def plain_transport(
-    max_connections: int, idle_timeout_s: float | None
+    max_connections: int, idle_timeout_s: float | None, events: EventHub | None
 ) -> httpx.AsyncHTTPTransport:
     """Return a connection pool without retries, redirects or proxies.
 
@@ -26,17 +29,18 @@
     ----------
     idle_timeout_s : float or None
         Time after which an idle connection is not reused; None for no limit.
+    events : EventHub or None
+        Receives the events of the connections.
     """
     limits = httpx.Limits(
         max_connections=max_connections,
         max_keepalive_connections=max_connections,
         keepalive_expiry=idle_timeout_s,
     )
-    return httpx.AsyncHTTPTransport(
-        verify=_TLS_CONTEXT,
-        trust_env=False,
-        limits=limits,
-        retries=0,
+    return MeteredTransport(
+        _TLS_CONTEXT,
+        limits,
+        events,
         socket_options=[
             (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
             (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS),
