Parse what one connection sends in bounded turns of the event loop

Cause: the HTTP client takes the chunks of what was read from the socket one after the other, and nothing in that loop waits, so 64 KB of chunks of one byte are 10,915 pieces in one turn of the event loop.

Change: all HTTP connections of a gateway pass a network stream that hands over at most 128 lines a turn, which also covers heads, interim heads, whole answers, calls of stage pools, answers of the store and hand-overs. Turns alone would leave the processor to such an answer until its deadline, so a body is ended once it has 4,096 pieces more than one per 4 bytes, and the heads of an answer after 1,024 lines; each says so in a log line. Pieces of 4 bytes and more are never refused; beyond 4,096 and 500 a second they share one rate of 2,000 a second over all connections, a few hundredths of a core at 18 us each. An answer ended like this is no crash of its target. Bytes that were read but not parsed make a connection readable, so that a surplus answer there still ends it.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/metered_transport.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/metered_transport.py
@@ -1,23 +1,39 @@
-"""HTTP connection pool that tells which of its connections holds the event loop."""
+"""HTTP connection pool whose connections can't hold the event loop."""
 
 from __future__ import annotations
 
 import asyncio
 import ssl
 import time
-from collections.abc import Iterable
-from dataclasses import dataclass
+from collections.abc import AsyncIterator, Iterable
+from dataclasses import dataclass, field
 from typing import Any, ClassVar, Final, TypeAlias
 
 import httpcore
 import httpx
 
 from aspendrift_daemon.events import Event, EventHub
+from aspendrift_policy.read_limits import (
+    BodyPieces,
+    HeadLines,
+    PieceQuota,
+    SharedPace,
+    turn_end,
+)
 
-__all__ = ["LoopHeld", "MeteredTransport"]
+__all__ = [
+    "BodyFragmented",
+    "ConnectionMeter",
+    "FragmentedBody",
+    "HeadTooLong",
+    "LoopHeld",
+    "MeteredTransport",
+]
 
 # Requests that wait this long for the event loop are noticed by their callers.
 _MIN_HELD_S: Final = 0.1
+# Pieces of a body after which its bounds are checked.
+_CHECK_PIECES: Final = 64
 
 _SocketOptions: TypeAlias = Iterable[Any] | None
 
@@ -35,31 +51,89 @@
     held_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class BodyFragmented(Event):
+    """An exchange was ended since its body came in too many small pieces."""
+
+    name: ClassVar[str] = "body_fragmented"
+    address: str
+    n_pieces: int
+    n_bytes: int
+
+
+@dataclass(frozen=True, slots=True)
+class HeadTooLong(Event):
+    """An exchange was ended since the heads of its answer have too many lines."""
+
+    name: ClassVar[str] = "head_too_long"
+    address: str
+
+
+class FragmentedBody(httpx.RemoteProtocolError):
+    """A body came in too many small pieces."""
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionMeter:
+    """What all connections of a process share.
+
+    Parameters
+    ----------
+    events : EventHub or None
+        Receives the events of the connections.
+    pace : SharedPace
+        Rate of the connections that deliver too many pieces.
+    """
+
+    events: EventHub | None = None
+    pace: SharedPace = field(default_factory=SharedPace)
+
+    def emit(self, event: Event) -> None:
+        """Emit an event of a connection."""
+        if self.events is not None:
+            self.events.emit(event)
+
+
 class _MeteredStream(httpcore.AsyncNetworkStream):
-    """A connection that measures how long its bytes are processed in one turn."""
+    """A connection that hands over what can be parsed in one turn of the event loop.
+
+    All that it reads passes here: heads, interim heads and bodies.
+    """
 
     def __init__(
-        self,
-        stream: httpcore.AsyncNetworkStream,
-        address: str,
-        events: EventHub | None,
+        self, stream: httpcore.AsyncNetworkStream, address: str, meter: ConnectionMeter
     ) -> None:
         self._stream = stream
         self._address = address
-        self._events = events
-        self._n_bytes = 0
-        # Time of the last read, until the event loop has had a turn.
-        self._read_at: float | None = None
+        self._meter = meter
+        self.head = HeadLines()
+        # Bytes that were read, and the index of the first one to hand over.
+        self._data = b""
+        self._start = 0
+        self._n_handed_over = 0
+        # Time at which bytes were handed over, until the event loop has had a turn.
+        self._handed_over_at: float | None = None
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         self._report_held()
-        data = await self._stream.read(max_bytes, timeout)
-        self._n_bytes = len(data)
-        self._read_at = time.monotonic()
+        if self._start < len(self._data):
+            await asyncio.sleep(0)
+        else:
+            self._data = await self._stream.read(max_bytes, timeout)
+            self._start = 0
+        end = turn_end(self._data, self._start, max_bytes)
+        part = self._data[self._start : end]
+        self._start = end
+        if self.head.is_too_long(part):
+            self._meter.emit(HeadTooLong(self._address))
+            raise httpcore.RemoteProtocolError("head with too many lines")
+        self._n_handed_over = len(part)
+        self._handed_over_at = time.monotonic()
         asyncio.get_running_loop().call_soon(self._turn_ended)
-        return data
+        return part
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        self.head.begin()
         await self._stream.write(buffer, timeout)
 
     async def aclose(self) -> None:
@@ -72,29 +146,69 @@
         timeout: float | None = None,
     ) -> httpcore.AsyncNetworkStream:
         secured = await self._stream.start_tls(ssl_context, server_hostname, timeout)
-        return _MeteredStream(secured, self._address, self._events)
+        return _MeteredStream(secured, self._address, self._meter)
 
     def get_extra_info(self, info: str) -> Any:
+        if info == "is_readable" and self._start < len(self._data):
+            return True
         return self._stream.get_extra_info(info)
 
+    def body(self, stream: httpx.AsyncByteStream) -> httpx.AsyncByteStream:
+        """Return the body of the answer whose head was read, with its bounds."""
+        self.head.end()
+        return _MeteredBody(stream, self._address, self._meter)
+
     def _turn_ended(self) -> None:
-        self._read_at = None
+        self._handed_over_at = None
 
     def _report_held(self) -> None:
         """Emit an event if no turn has ended since the last read, long ago."""
-        if self._read_at is None or self._events is None:
+        if self._handed_over_at is None:
             return
-        held_s = time.monotonic() - self._read_at
+        held_s = time.monotonic() - self._handed_over_at
         if held_s >= _MIN_HELD_S:
-            self._events.emit(LoopHeld(self._address, self._n_bytes, held_s))
+            self._meter.emit(LoopHeld(self._address, self._n_handed_over, held_s))
+
+
+class _MeteredBody(httpx.AsyncByteStream):
+    """A body that is paced, and broken off once it is fragmented beyond use."""
+
+    def __init__(
+        self, stream: httpx.AsyncByteStream, address: str, meter: ConnectionMeter
+    ) -> None:
+        self._stream = stream
+        self._address = address
+        self._meter = meter
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        loop = asyncio.get_running_loop()
+        pieces, quota = BodyPieces(), PieceQuota(loop.time())
+        async for piece in self._stream:
+            pieces.record(len(piece))
+            if pieces.n_pieces % _CHECK_PIECES == 0:
+                self._raise_if_fragmented(pieces)
+                now = loop.time()
+                excess = quota.excess(_CHECK_PIECES, now)
+                if excess:
+                    await asyncio.sleep(self._meter.pace.delay_s(excess, now))
+            yield piece
+
+    async def aclose(self) -> None:
+        await self._stream.aclose()
+
+    def _raise_if_fragmented(self, pieces: BodyPieces) -> None:
+        if not pieces.is_fragmented:
+            return
+        self._meter.emit(BodyFragmented(self._address, pieces.n_pieces, pieces.n_bytes))
+        raise FragmentedBody(f"{pieces.n_bytes} bytes in {pieces.n_pieces} pieces")
 
 
 class _MeteredBackend(httpcore.AsyncNetworkBackend):
     """Opens metered connections."""
 
-    def __init__(self, events: EventHub | None) -> None:
+    def __init__(self, meter: ConnectionMeter) -> None:
         self._backend = httpcore.AnyIOBackend()
-        self._events = events
+        self._meter = meter
 
     async def connect_tcp(
         self,
@@ -107,7 +221,7 @@
         stream = await self._backend.connect_tcp(
             host, port, timeout, local_address, socket_options
         )
-        return _MeteredStream(stream, f"{host}:{port}", self._events)
+        return _MeteredStream(stream, f"{host}:{port}", self._meter)
 
     async def sleep(self, seconds: float) -> None:
         await asyncio.sleep(seconds)
@@ -120,15 +234,13 @@
     ----------
     limits : httpx.Limits
         Numbers of connections, and the time that idle ones are kept.
-    events : EventHub or None
-        Receives the events of the connections.
     """
 
     def __init__(
         self,
         verify: ssl.SSLContext,
         limits: httpx.Limits,
-        events: EventHub | None = None,
+        meter: ConnectionMeter,
         socket_options: _SocketOptions = None,
     ) -> None:
         super().__init__(verify=verify, trust_env=False, limits=limits)
@@ -138,6 +250,15 @@
             max_connections=limits.max_connections,
             max_keepalive_connections=limits.max_keepalive_connections,
             keepalive_expiry=limits.keepalive_expiry,
-            network_backend=_MeteredBackend(events),
+            network_backend=_MeteredBackend(meter),
             socket_options=socket_options,
         )
+
+    async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
+        """Send a request and wait for the head of its answer."""
+        response = await super().handle_async_request(request)
+        connection = response.extensions["network_stream"]
+        assert isinstance(response.stream, httpx.AsyncByteStream)
+        if isinstance(connection, _MeteredStream):
+            response.stream = connection.body(response.stream)
+        return response
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
@@ -674,7 +674,7 @@
         except (httpx.HTTPError, OSError) as error:
             self._report_broken(entry, delivery)
             return self._stream_broke(delivery, type(error).__name__)
-        except EventTooLarge as error:
+        except (EventTooLarge, AnswerTooLarge) as error:
             return self._stream_broke(delivery, str(error))
         problem = await self._stream_end_problem(delivery, entry, answer)
         if problem:
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -12,6 +12,7 @@
 from aspendrift_daemon.events import EventHub
 from aspendrift_daemon.interfaces import Clock
 from aspendrift_daemon.membership import MemberChanged, MembershipManager
+from aspendrift_daemon.metered_transport import ConnectionMeter
 from aspendrift_daemon.metrics import Metrics
 from aspendrift_daemon.peers import PeerLink
 from aspendrift_daemon.shutdown import Shutdown
@@ -117,7 +118,8 @@
         self.metrics = Metrics()
         self.metrics.connect(events)
         self.state = SystemState(codec, events)
-        self.store = StoreClient(settings.store_address, codec.store, events)
+        meter = ConnectionMeter(events)
+        self.store = StoreClient(settings.store_address, codec.store, meter)
         self.unreadable_headers = UnreadableHeaders(events)
         self.buffers = BufferShares.within(settings.memory_bytes)
         self.client = TargetClient(
@@ -125,7 +127,7 @@
             lambda key: self.peer_state.target_leaving(key),
             on_unreadable=self.unreadable_headers.record,
             buffers=self.buffers.answers,
-            events=events,
+            meter=meter,
         )
         peers = _peer_settings(settings)
         self.link = PeerLink(
@@ -141,7 +143,7 @@
             self._on_links_changed,
         )
         self.client.links = self.links
-        self.peer_client = TargetClient(codec.target, lambda key: None, events=events)
+        self.peer_client = TargetClient(codec.target, lambda key: None, meter=meter)
         self.crashes = ContentCrashes(
             lambda report: self.peer_state.broadcast_completed(report),
             self.clock,
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/store_client.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/store_client.py
@@ -8,7 +8,7 @@
 
 import httpx
 
-from aspendrift_daemon.events import EventHub
+from aspendrift_daemon.metered_transport import ConnectionMeter
 from aspendrift_gateway.interfaces import HttpCall, StoreCodec, StoreRows
 from aspendrift_gateway.transports import plain_transport
 
@@ -68,16 +68,18 @@
         IP address and port of the store.
     codec : StoreCodec
         Encodes calls and decodes answers.
-    events : EventHub or None
-        Receives the events of the connections.
+    meter : ConnectionMeter or None
+        What all connections of the process share.
     """
 
     def __init__(
-        self, address: str, codec: StoreCodec, events: EventHub | None = None
+        self, address: str, codec: StoreCodec, meter: ConnectionMeter | None = None
     ) -> None:
         self.codec = codec
         self._base = f"http://{address}"
-        self._transport = plain_transport(_MAX_CONNECTIONS, None, events)
+        self._transport = plain_transport(
+            _MAX_CONNECTIONS, None, meter or ConnectionMeter()
+        )
         self.n_calls = 0
         self._era = 0
 
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
@@ -14,7 +14,7 @@
 
 import httpx
 
-from aspendrift_daemon.events import EventHub
+from aspendrift_daemon.metered_transport import ConnectionMeter, FragmentedBody
 from aspendrift_gateway.interfaces import (
     AnswerHead,
     HttpCall,
@@ -73,7 +73,7 @@
 
 
 class AnswerTooLarge(Exception):
-    """A target sent more than this process keeps of an answer."""
+    """A target sent more than this process reads or keeps of an answer."""
 
 
 class _Buffers:
@@ -129,11 +129,18 @@
         return any(name.lower() in _FRAMING_HEADERS for name, _ in self.headers)
 
     async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body as it arrives; raises ``httpx.HTTPError`` if it breaks off."""
+        """Yield the body as it arrives.
+
+        Raises ``httpx.HTTPError`` if it breaks off, `AnswerTooLarge` if it comes in too
+        many pieces.
+        """
         stream = self.response.stream
         assert isinstance(stream, httpx.AsyncByteStream)
-        async for chunk in stream:
-            yield chunk
+        try:
+            async for chunk in stream:
+                yield chunk
+        except FragmentedBody as error:
+            raise AnswerTooLarge(str(error)) from error
 
     async def body(self) -> bytes:
         """Return the whole body; raises `AnswerTooLarge` or ``httpx.HTTPError``."""
@@ -177,8 +184,8 @@
     on_unreadable : callable or None
         Called with a target, the headers of its answer that could not be decoded, and
         the time.
-    events : EventHub or None
-        Receives the events of the connections.
+    meter : ConnectionMeter or None
+        What all connections of the process share.
     """
 
     def __init__(
@@ -188,9 +195,9 @@
         links: LinkObserver | None = None,
         on_unreadable: Callable[[TargetId, str, float], None] | None = None,
         buffers: BufferBudget | None = None,
-        events: EventHub | None = None,
+        meter: ConnectionMeter | None = None,
     ) -> None:
-        self._events = events
+        self._meter = meter or ConnectionMeter()
         self._on_unreadable = on_unreadable
         self.links = links
         # Told the target, status and head of each answer.
@@ -322,7 +329,7 @@
         if known is not None:
             self.evict(target_id)
         transport = plain_transport(
-            self.connections_per_target, _IDLE_TIMEOUT_S, self._events
+            self.connections_per_target, _IDLE_TIMEOUT_S, self._meter
         )
         connections = _Connections(transport)
         self._by_id[target_id] = (entry.address, connections)
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/transports.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/transports.py
@@ -8,8 +8,7 @@
 
 import httpx
 
-from aspendrift_daemon.events import EventHub
-from aspendrift_daemon.metered_transport import MeteredTransport
+from aspendrift_daemon.metered_transport import ConnectionMeter, MeteredTransport
 
 __all__ = ["plain_transport"]
 
@@ -21,7 +20,7 @@
 
 
 def plain_transport(
-    max_connections: int, idle_timeout_s: float | None, events: EventHub | None
+    max_connections: int, idle_timeout_s: float | None, meter: ConnectionMeter
 ) -> httpx.AsyncHTTPTransport:
     """Return a connection pool without retries, redirects or proxies.
 
@@ -29,8 +28,6 @@
     ----------
     idle_timeout_s : float or None
         Time after which an idle connection is not reused; None for no limit.
-    events : EventHub or None
-        Receives the events of the connections.
     """
     limits = httpx.Limits(
         max_connections=max_connections,
@@ -40,7 +37,7 @@
     return MeteredTransport(
         _TLS_CONTEXT,
         limits,
-        events,
+        meter,
         socket_options=[
             (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
             (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS),
--- a/tests/aspendrift_platform/test_endless_answers.py
+++ b/tests/aspendrift_platform/test_endless_answers.py
@@ -2,10 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
+import collections
+
 import pytest
 from scripted_target import CHUNKED, MAX_REPEATED_BYTES, Script, chunks
 
+from aspendrift_daemon.metered_transport import BodyFragmented
+from aspendrift_gateway.target_client import Answer
+
 FILLER = b"x" * 100_000
+BYTE_CHUNKS = Script(chunks(*[b"."] * 1000, ends=False), CHUNKED, repeats=True)
+# Framing of a chunk is two lines, and 128 lines are parsed in one turn.
+MAX_CHUNKS_PER_TURN = 65
 
 
 def assert_broken_off(world):
@@ -55,3 +64,71 @@
         assert_broken_off(world)
 
     run_scripted("first", scenario)
+
+
+def ended_fragmented(world):
+    """Return the addresses of the exchanges that will end as too fragmented."""
+    found = []
+    (gateway,) = world.cluster.gateways
+    gateway.events.connect(BodyFragmented, lambda event: found.append(event.address))
+    return found
+
+
+@pytest.mark.parametrize(
+    ("service", "path"), [("model", "/model/x"), ("desk", "/once/x")]
+)
+def test_chunks_of_one_byte_without_end_are_broken_off(run_scripted, service, path):
+    """Guards against one answer that takes the processor until its deadline."""
+
+    async def scenario(world):
+        ended = ended_fragmented(world)
+        world.script(BYTE_CHUNKS, BYTE_CHUNKS)
+        answer = await world.call(path)
+        assert answer.status_code == 502
+        assert ended and set(ended) <= {each.address for each in world.targets}
+
+    run_scripted(service, scenario)
+
+
+class ChunksByTurn:
+    """Counts the chunks that are read in each turn of the event loop."""
+
+    def __init__(self, monkeypatch):
+        self.n_by_turn = collections.Counter()
+        self._n_turns = 0
+        read = Answer.chunks
+
+        async def counted(answer):
+            async for chunk in read(answer):
+                self.n_by_turn[self._n_turns] += 1
+                yield chunk
+
+        monkeypatch.setattr(Answer, "chunks", counted)
+
+    async def count_turns(self):
+        while True:
+            self._n_turns += 1
+            await asyncio.sleep(0)
+
+
+@pytest.mark.parametrize("service", ["model", "desk", "first"])
+def test_chunks_of_one_byte_do_not_hold_up_other_requests(
+    run_scripted, monkeypatch, service
+):
+    """Guards against a gateway that stands still while it reads one answer."""
+    found = ChunksByTurn(monkeypatch)
+
+    async def scenario(world):
+        counting = asyncio.create_task(found.count_turns())
+        world.script(*[BYTE_CHUNKS for _ in range(30)])
+        if service == "first":
+            (gateway,) = world.cluster.gateways
+            await world.cluster.stream(gateway, pieces="1,1,1")
+        else:
+            await world.call("/model/x" if service == "model" else "/once/x")
+        counting.cancel()
+        assert found.n_by_turn.total() > 1000
+        # Of two targets that are read at once.
+        assert max(found.n_by_turn.values()) <= 2 * MAX_CHUNKS_PER_TURN
+
+    run_scripted(service, scenario)
