Parse what callers send in bounded turns of the event loop

The servers' protocol now parses at most 128 lines a turn and pauses the connection meanwhile. Nothing is refused for its chunks: beyond 4,096 and 500 a second, connections share a rate of 2,000 chunks a second, with a log line for each.

Tests failed before: 1,000 chunks in one turn where 65 are allowed, and no pace. The tests of short lines and of pipelined requests passed before and guard the change.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/limits.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/limits.py
@@ -9,12 +9,14 @@
 
 import h11
 import msgspec
+import structlog
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
 from aspendrift_model.outcomes import REFUSAL_RULES
 from aspendrift_model.settings_http import HttpSettings
 from aspendrift_model.states import OutcomeStatus, Ran, RefusalReason
 from aspendrift_model.wire_caller import OutcomeBody
+from aspendrift_policy.read_limits import PieceQuota, SharedPace, turn_end
 
 if TYPE_CHECKING:
     from litestar.types import ASGIApp, Message, Receive, Scope, Send
@@ -25,6 +27,8 @@
 _MAX_READ_BYTES: Final = 16 * 1024
 _MAX_BUFFERED_BYTES: Final = 16 * 1024 * 1024
 
+_logger = structlog.get_logger("aspendrift.http")
+
 
 @dataclass(frozen=True, slots=True)
 class ConnectionLimits:
@@ -48,15 +52,42 @@
         return cls(settings.max_connections, settings.header_timeout_s)
 
 
+class _CountedConnection(h11.Connection):
+    """State of a connection that counts the pieces of the bodies it receives."""
+
+    def __init__(self, max_incomplete_event_size: int) -> None:
+        super().__init__(h11.SERVER, max_incomplete_event_size)
+        self.n_new_pieces = 0
+
+    def next_event(self) -> Any:
+        """Return the next event."""
+        event = super().next_event()
+        if isinstance(event, h11.Data):
+            self.n_new_pieces += 1
+        return event
+
+
 class _LimitedProtocol(H11Protocol):
-    """uvicorn's HTTP/1.1 protocol with limits on connections and header time."""
+    """uvicorn's HTTP/1.1 protocol with limits on connections, time and processor time.
+
+    What a client sends is parsed in bounded turns of the event loop, and clients that
+    send more pieces of bodies than sound ones share one rate.
+    """
 
     limits: ClassVar[ConnectionLimits]
+    pace: ClassVar[SharedPace]
+    conn: _CountedConnection
     _header_timer: asyncio.TimerHandle | None = None
+    _parse_timer: asyncio.Handle | None = None
+    _is_paced = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Accept the connection unless too many are open."""
         super().connection_made(transport)
+        max_head_bytes = self.config.h11_max_incomplete_event_size or _MAX_READ_BYTES
+        self.conn = _CountedConnection(max_head_bytes)
+        self._quota = PieceQuota(self.loop.time())
+        self._unparsed = bytearray()
         _disable_nagle(transport)
         _limit_read_size(transport)
         if len(self.connections) > self.limits.max_connections:
@@ -65,17 +96,56 @@
         self._start_timer()
 
     def data_received(self, data: bytes) -> None:
-        """Forward data; a header that has begun must be complete in time."""
+        """Parse data, in this turn of the event loop or in later ones."""
+        self._unparsed += data
+        if self._parse_timer is None:
+            self._parse()
+        else:
+            self.transport.pause_reading()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Stop the timers of the connection."""
+        self._stop_timer()
+        if self._parse_timer is not None:
+            self._parse_timer.cancel()
+        super().connection_lost(exc)
+
+    def _parse(self) -> None:
+        """Parse what one turn may, and schedule the next one if bytes are left."""
+        self._parse_timer = None
+        if self.transport.is_closing():
+            return
+        end = turn_end(self._unparsed, 0, _MAX_READ_BYTES)
+        part = bytes(self._unparsed[:end])
+        del self._unparsed[:end]
+        if part:
+            self._receive(part)
+        delay_s = self._delay_s()
+        if self._unparsed or delay_s:
+            self.transport.pause_reading()
+            self._parse_timer = self.loop.call_later(delay_s, self._parse)
+        elif not self.flow.read_paused:
+            self.transport.resume_reading()
+
+    def _receive(self, data: bytes) -> None:
+        """Parse data; a header that has begun must be complete in time."""
         if self._header_timer is None and self.conn.their_state is h11.IDLE:
             self._start_timer()
         super().data_received(data)
         if self.conn.their_state is not h11.IDLE:
             self._stop_timer()
 
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Stop the timer of the connection."""
-        self._stop_timer()
-        super().connection_lost(exc)
+    def _delay_s(self) -> float:
+        """Return how long to wait before more is parsed, after the new pieces."""
+        now = self.loop.time()
+        excess = self._quota.excess(self.conn.n_new_pieces, now)
+        self.conn.n_new_pieces = 0
+        if not excess:
+            return 0.0
+        if not self._is_paced:
+            self._is_paced = True
+            _logger.warning("request_body_paced", client=self.client)
+        return self.pace.delay_s(excess, now)
 
     def _start_timer(self) -> None:
         delay = self.limits.header_timeout_s
@@ -110,7 +180,8 @@
 
 def limited_protocol(limits: ConnectionLimits) -> type[asyncio.Protocol]:
     """Return a protocol class for uvicorn's ``http`` option."""
-    return type("LimitedProtocol", (_LimitedProtocol,), {"limits": limits})
+    attributes = {"limits": limits, "pace": SharedPace()}
+    return type("LimitedProtocol", (_LimitedProtocol,), attributes)
 
 
 class _BodyTooLarge(Exception):
--- a/packages/aspendrift-daemon/tests/test_limits.py
+++ b/packages/aspendrift-daemon/tests/test_limits.py
@@ -3,21 +3,36 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
+import h11
 import pytest
 import uvicorn
 
 from aspendrift_daemon.limits import BodyLimits, ConnectionLimits, limited_protocol
+from aspendrift_policy.read_limits import SharedPace
 
 MAX_BODY = 1000
 HEAD = b"POST / HTTP/1.1\r\nhost: a\r\n"
 Client = Callable[[int], Awaitable[bytes]]
 
 
+async def echo_all(scope: Any, receive: Any, send: Any) -> None:
+    """Answer with the length of a body that comes in many messages."""
+    n_bytes = 0
+    while True:
+        message = await receive()
+        n_bytes += len(message["body"])
+        if not message["more_body"]:
+            break
+    await send({"type": "http.response.start", "status": 200, "headers": []})
+    await send({"type": "http.response.body", "body": str(n_bytes).encode()})
+
+
 async def echo(scope: Any, receive: Any, send: Any) -> None:
     """Answer with the length of the body."""
     message = await receive()
@@ -161,3 +176,94 @@
         return b"\n".join(answers)
 
     assert b'"reason":"overloaded"' in run(send_unfinished, max_buffered=2000)
+
+
+BYTE_CHUNK = b"1\r\n.\r\n"
+# Framing of a chunk is two lines, and 128 lines are parsed in one turn.
+MAX_CHUNKS_PER_TURN = 65
+
+
+class TurnCounter:
+    """Counts the bytes that a protocol parses in each turn of the event loop."""
+
+    def __init__(self) -> None:
+        self.n_turns = 0
+        self.n_by_turn: collections.Counter[int] = collections.Counter()
+
+    async def count(self) -> None:
+        while True:
+            self.n_turns += 1
+            await asyncio.sleep(0)
+
+    def counted(self, event: Any) -> Any:
+        if isinstance(event, h11.Data):
+            self.n_by_turn[self.n_turns] += 1
+        return event
+
+
+def test_request_body_in_chunks_of_one_byte_does_not_hold_the_event_loop(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a server that stands still while it parses a request."""
+    turns = TurnCounter()
+    next_event = h11.Connection.next_event
+    monkeypatch.setattr(
+        h11.Connection, "next_event", lambda conn: turns.counted(next_event(conn))
+    )
+
+    async def send(port: int) -> bytes:
+        counting = asyncio.create_task(turns.count())
+        request = HEAD + b"connection: close\r\ntransfer-encoding: chunked\r\n\r\n"
+        body = BYTE_CHUNK * 1000 + b"0\r\n\r\n"
+        answer = await exchange(port, request + body)
+        counting.cancel()
+        return answer
+
+    assert b"\r\n1000\r\n" in run(send, timeout_s=30.0)
+    assert max(turns.n_by_turn.values()) <= MAX_CHUNKS_PER_TURN
+
+
+def test_body_of_many_short_lines_is_received_whole() -> None:
+    request = HEAD + b"connection: close\r\ncontent-length: 1000\r\n\r\n"
+    answer = run(lambda port: exchange(port, request, b"\n" * 1000), timeout_s=30.0)
+    assert b"\r\n1000\r\n" in answer
+
+
+def test_requests_sent_at_once_on_one_connection_are_all_answered() -> None:
+    """Guards against bytes that wait for a turn and are never parsed."""
+    request = HEAD + b"content-length: 300\r\n\r\n" + b"\n" * 300
+    last = HEAD + b"connection: close\r\ncontent-length: 0\r\n\r\n"
+    answer = run(lambda port: exchange(port, request * 20 + last), timeout_s=30.0)
+    assert answer.count(b"HTTP/1.1 200") == 21
+
+
+def test_clients_that_send_very_many_chunks_share_one_rate() -> None:
+    """Guards against a client that takes the processor with chunks of one byte."""
+    delays: list[float] = []
+
+    class CountingPace(SharedPace):
+        def delay_s(self, n_pieces: int, now: float) -> float:
+            delays.append(super().delay_s(n_pieces, now))
+            return 0.0
+
+    async def main() -> None:
+        protocol = limited_protocol(ConnectionLimits(8, 30.0))
+        protocol.pace = CountingPace()  # type: ignore[attr-defined]
+        config = uvicorn.Config(echo_all, loop="asyncio", http=protocol)
+        config.load()
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.bind(("127.0.0.1", 0))
+        state = uvicorn.server.ServerState()
+        server = await asyncio.get_running_loop().create_server(
+            lambda: protocol(config=config, server_state=state, app_state={}),  # type: ignore[call-arg]
+            sock=sock,
+        )
+        async with server:
+            request = HEAD + b"transfer-encoding: chunked\r\nconnection: close\r\n\r\n"
+            body = BYTE_CHUNK * 20_000 + b"0\r\n\r\n"
+            answer = await exchange(sock.getsockname()[1], request + body)
+            assert b"\r\n20000\r\n" in answer
+
+    asyncio.run(main())
+    assert delays
+    assert delays[-1] > delays[0]
