Bound what a daemon's own clients read in one turn

The three cases of test_clients_of_a_daemon_break_off_a_body_without_end failed before (the clients had no meter). The messages between daemons don't have the fault: their receive loop gives the event loop a turn after 64 messages.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/app.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/app.py
@@ -23,6 +23,7 @@
 from aspendrift_daemon.load_poller import LoadPoller
 from aspendrift_daemon.logs import connect_event_log
 from aspendrift_daemon.membership import MembershipManager
+from aspendrift_daemon.metered_transport import ConnectionMeter
 from aspendrift_daemon.metrics import Metrics
 from aspendrift_daemon.metrics_routes import metrics_handler
 from aspendrift_daemon.operator_access import OperatorAccess
@@ -102,8 +103,9 @@
         self.metrics.connect(events)
         self._socket = listen(settings.http.host, settings.http.port)
         self.host = self._make_host()
+        meter = ConnectionMeter(events)
         self._table_client = platform_client(
-            settings.platform, settings.platform.table_url
+            settings.platform, settings.platform.table_url, meter
         )
         table = HttpTableService(self._table_client)
         daemon_id = self.host.daemon_id
@@ -112,7 +114,7 @@
         self.configuration = ConfigurationManager(
             table, self.link, self.clock, events, rng, peers, daemon_id
         )
-        self._list_client = list_client(settings.platform)
+        self._list_client = list_client(settings.platform, meter)
         self.membership = MembershipManager(
             self.link,
             membership_list(self._list_client),
@@ -136,14 +138,14 @@
             settings.routing,
             self.clock,
             self.configuration,
-            probe_client,
+            lambda: probe_client(meter),
             self.dispatcher,
             rng,
         )
         self.cache_events = CacheEventReader(
             settings.routing,
             self.configuration,
-            probe_client,
+            lambda: probe_client(meter),
             self.dispatcher.hints,
             self.dispatcher,
             rng,
@@ -156,14 +158,14 @@
             self.configuration,
             self.link,
             table,
-            probe_client,
+            lambda: probe_client(meter),
             self.dispatcher.model_demand,
             events,
             rng,
             self.cost.set_idle_engines,
         )
         self.addresses = AddressSelector(self.link, peers, rng)
-        self.targets = TargetClient(settings.requests, self.clock)
+        self.targets = TargetClient(settings.requests, self.clock, meter=meter)
         self.requests = RequestService(
             settings.requests,
             daemon_id,
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/platform_clients.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/platform_clients.py
@@ -5,15 +5,19 @@
 import ssl
 from collections.abc import Generator
 from pathlib import Path
+from typing import Final
 
 import httpx
 
 from aspendrift_daemon.interfaces import MembershipList
+from aspendrift_daemon.metered_transport import ConnectionMeter, MeteredTransport
 from aspendrift_daemon.platform_http import HttpMembershipList
 from aspendrift_model.settings_platform import PlatformSettings
 
 __all__ = ["list_client", "membership_list", "platform_client"]
 
+_LIMITS: Final = httpx.Limits(max_connections=100, max_keepalive_connections=20)
+
 
 class _FileToken(httpx.Auth):
     """Bearer token that is read from its file for each request.
@@ -33,26 +37,31 @@
         yield request
 
 
-def platform_client(settings: PlatformSettings, base_url: str) -> httpx.AsyncClient:
+def platform_client(
+    settings: PlatformSettings, base_url: str, meter: ConnectionMeter
+) -> httpx.AsyncClient:
     """Return a client for one of the platform's services."""
-    verify: ssl.SSLContext | bool = True
     if settings.ca_file:
         verify = ssl.create_default_context(cafile=settings.ca_file)
+    else:
+        verify = httpx.create_ssl_context(trust_env=False)
     auth = _FileToken(Path(settings.token_file)) if settings.token_file else None
     return httpx.AsyncClient(
         base_url=base_url,
         timeout=settings.timeout_s,
-        verify=verify,
+        transport=MeteredTransport(verify, _LIMITS, meter),
         auth=auth,
         trust_env=False,
     )
 
 
-def list_client(settings: PlatformSettings) -> httpx.AsyncClient | None:
+def list_client(
+    settings: PlatformSettings, meter: ConnectionMeter
+) -> httpx.AsyncClient | None:
     """Return a client for the membership list, or None without one."""
     if not settings.membership_url:
         return None
-    return platform_client(settings, settings.membership_url)
+    return platform_client(settings, settings.membership_url, meter)
 
 
 def membership_list(client: httpx.AsyncClient | None) -> MembershipList | None:
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/target_probes.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/target_probes.py
@@ -6,6 +6,8 @@
 
 import httpx
 
+from aspendrift_daemon.metered_transport import ConnectionMeter, MeteredTransport
+
 __all__ = ["probe_client"]
 
 
@@ -16,10 +18,11 @@
     which costs more than the request itself from a few dozen targets on.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, meter: ConnectionMeter) -> None:
+        self._meter = meter
         self._tls = ssl.create_default_context()
         self._limits = httpx.Limits(max_connections=2, max_keepalive_connections=1)
-        self._transports: dict[tuple[str, str, int | None], httpx.AsyncHTTPTransport]
+        self._transports: dict[tuple[str, str, int | None], MeteredTransport]
         self._transports = {}
 
     async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
@@ -27,7 +30,7 @@
         origin = (url.scheme, url.host, url.port)
         transport = self._transports.get(origin)
         if transport is None:
-            transport = httpx.AsyncHTTPTransport(verify=self._tls, limits=self._limits)
+            transport = MeteredTransport(self._tls, self._limits, self._meter)
             self._transports[origin] = transport
         return await transport.handle_async_request(request)
 
@@ -37,6 +40,6 @@
         self._transports.clear()
 
 
-def probe_client() -> httpx.AsyncClient:
+def probe_client(meter: ConnectionMeter) -> httpx.AsyncClient:
     """Return a client for reading targets; the caller must close it."""
-    return httpx.AsyncClient(transport=_TransportByOrigin(), trust_env=False)
+    return httpx.AsyncClient(transport=_TransportByOrigin(meter), trust_env=False)
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/targets.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/targets.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from aspendrift_daemon.interfaces import Clock
+from aspendrift_daemon.metered_transport import ConnectionMeter, MeteredTransport
 from aspendrift_model.decode_errors import DECODE_ERRORS
 from aspendrift_model.ids import AttemptId, TargetId
 from aspendrift_model.settings_requests import RequestSettings
@@ -111,6 +112,8 @@
         Clock of the process.
     transport : httpx.AsyncBaseTransport or None
         Used instead of the network.
+    meter : ConnectionMeter or None
+        What all connections of the process share.
     """
 
     def __init__(
@@ -118,7 +121,9 @@
         settings: RequestSettings,
         clock: Clock,
         transport: httpx.AsyncBaseTransport | None = None,
+        meter: ConnectionMeter | None = None,
     ) -> None:
+        self._meter = meter or ConnectionMeter()
         self._settings = settings
         self._clock = clock
         self._transport = transport
@@ -221,9 +226,8 @@
         return httpx.AsyncClient(
             base_url=target.url,
             timeout=timeout,
-            limits=limits,
-            verify=self._tls,
-            transport=self._transport,
+            transport=self._transport
+            or MeteredTransport(self._tls, limits, self._meter),
             trust_env=False,
         )
 
--- a/packages/aspendrift-daemon/tests/test_metered_transport.py
+++ b/packages/aspendrift-daemon/tests/test_metered_transport.py
@@ -11,7 +11,9 @@
 import httpx
 import pytest
 
+from aspendrift_daemon.clock import SystemClock
 from aspendrift_daemon.events import Event, EventHub
+from aspendrift_daemon.interfaces import StoreUnavailable
 from aspendrift_daemon.metered_transport import (
     BodyFragmented,
     ConnectionMeter,
@@ -19,6 +21,16 @@
     HeadTooLong,
     MeteredTransport,
 )
+from aspendrift_daemon.platform_clients import platform_client
+from aspendrift_daemon.platform_http import HttpTableService
+from aspendrift_daemon.target_probes import probe_client
+from aspendrift_daemon.targets import Broken, TargetClient
+from aspendrift_model.ids import PoolName, RegionName, TargetId, ZoneName
+from aspendrift_model.settings_platform import PlatformSettings
+from aspendrift_model.settings_requests import RequestSettings
+from aspendrift_model.states import StageKind, TargetKind
+from aspendrift_model.targets import Target
+from aspendrift_model.wire_target import StageCall
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -40,6 +52,7 @@
 
     client: httpx.AsyncClient
     url: str
+    meter: ConnectionMeter
     events: list[Event] = field(default_factory=list)
     n_turns: int = 0
 
@@ -101,11 +114,11 @@
     server = await asyncio.start_server(target.exchange, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
     hub = EventHub()
-    transport = MeteredTransport(
-        ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT), httpx.Limits(), ConnectionMeter(hub)
-    )
+    meter = ConnectionMeter(hub)
+    tls = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    transport = MeteredTransport(tls, httpx.Limits(), meter)
     async with httpx.AsyncClient(transport=transport, timeout=30) as client:
-        world = World(client, f"http://127.0.0.1:{port}/")
+        world = World(client, f"http://127.0.0.1:{port}/", meter)
         hub.connect_all(world.events.append)
         ticking = asyncio.create_task(world.count_turns())
         await scenario(world)
@@ -231,3 +244,49 @@
             assert response.content == body
 
     run(sends(answer + surplus), scenario)
+
+
+async def read_load(world: World) -> None:
+    async with probe_client(world.meter) as client:
+        with pytest.raises(httpx.RemoteProtocolError):
+            await client.get(world.url, timeout=30)
+
+
+async def read_rows(world: World) -> None:
+    settings = PlatformSettings(table_url=world.url, timeout_s=30.0)
+    async with platform_client(settings, world.url, world.meter) as client:
+        found = await HttpTableService(client).read(["a"])
+        assert isinstance(found, StoreUnavailable)
+
+
+async def run_stage(world: World) -> None:
+    client = TargetClient(RequestSettings(), SystemClock(), meter=world.meter)
+    target = Target(
+        TargetId("t"),
+        PoolName("p"),
+        TargetKind.SERVICE,
+        world.url,
+        ZoneName("z"),
+        RegionName("r"),
+    )
+    call = StageCall("r1", "a.1", "s", StageKind.CALL, "in", 1000)
+    found = await client.call(target, call, 30.0)
+    assert isinstance(found, Broken)
+    await client.close()
+
+
+@pytest.mark.parametrize("call", [read_load, read_rows, run_stage])
+def test_clients_of_a_daemon_break_off_a_body_without_end(
+    call: Callable[[World], Awaitable[None]],
+) -> None:
+    """Guards against load reports, the table and stages that take the processor."""
+
+    async def scenario(world: World) -> None:
+        await call(world)
+        assert BodyFragmented in [type(each) for each in world.events]
+
+    async def serve(writer: asyncio.StreamWriter) -> None:
+        writer.write(CHUNKED)
+        await sends(BYTE_CHUNK * 1000, repeats=True)(writer)
+
+    run(serve, scenario)
