Conclude the version of a stream only from a list read since it was asked

Report of another operator: during a release one daemon was out of step, cut off or standing still, while targets of a new software version joined; streams that had begun there and broke were taken up at that daemon and went on at another version.

It happens here. Where no daemon answers that it holds the origin of a stream, the sole version that a pool had is taken for it. A list counted as current for 3 s after its last read, so that a daemon cut off less than 3 s ago, whose four peers don't answer, concluded the old version: both cases of test_daemon_out_of_step_does_not_conclude_the_version_from_an_old_list got v1 from the history, where the stream began at v2. With an origin that a peer names there is no fault.

The conclusion now waits until the list is known to be current as of the request, 1.2 s at most (lists are read twice a second), and is drawn anew; otherwise the origin is unknown and the request is refused as not run. What can't be concluded anyway is refused at once.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/origin_exchange.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/origin_exchange.py
@@ -40,6 +40,9 @@
 
 # A few round trips between the zones of a region.
 _ANSWER_TIMEOUT_S: Final = 0.15
+# Daemons read the list of targets twice a second, or ask one that does.
+_CONFIRMATION_TIMEOUT_S: Final = 1.2
+_CONFIRMATION_POLL_S: Final = 0.02
 # A target whose entry is gone may go on with its streams for this long.
 _HIDDEN_SERVICE_S: Final = 5.0
 _MS_PER_S: Final = 1000.0
@@ -93,17 +96,19 @@
         """Return the origin of the stream that a caller takes up."""
         asked_at = self._clock.monotonic()
         window_s = route.timeout_s + _HIDDEN_SERVICE_S
-        own = self._state.registry.version_history(pool, asked_at, window_s)
         attempt_id = request.resumes
         peers: list[DaemonId] = []
-        if attempt_id is None:
-            origin = OriginInquiry(own, 0).result()
-        elif (held := self._origins.software(attempt_id, asked_at)) is not None:
+        held = (
+            None if attempt_id is None else self._origins.software(attempt_id, asked_at)
+        )
+        if held is not None:
             origin = StreamOrigin(held, OriginSource.OWN)
         else:
-            peers = self._peers(attempt_id, N_QUERIED)
-            origin = await self._ask(attempt_id, pool, window_s, own, peers)
-            if origin.software is not None:
+            if attempt_id is not None:
+                peers = self._peers(attempt_id, N_QUERIED)
+            inquiry = await self._ask(attempt_id, pool, window_s, peers)
+            origin = await self._conclude(inquiry, pool, window_s, asked_at)
+            if attempt_id is not None and origin.software is not None:
                 self.began(attempt_id, origin.software)
         self._events.emit(
             StreamOriginSought(
@@ -120,16 +125,15 @@
 
     async def _ask(
         self,
-        attempt_id: AttemptId,
+        attempt_id: AttemptId | None,
         pool: PoolName,
         window_s: float,
-        own: VersionHistory,
         peers: list[DaemonId],
-    ) -> StreamOrigin:
+    ) -> OriginInquiry:
         """Ask the holders; wait until one knows the origin or all have answered."""
-        inquiry = OriginInquiry(own, len(peers))
-        if inquiry.is_settled:
-            return inquiry.result()
+        inquiry = OriginInquiry(len(peers))
+        if attempt_id is None or inquiry.is_settled:
+            return inquiry
         self._last_number += 1
         number = self._last_number
         settled = asyncio.Event()
@@ -143,7 +147,39 @@
             pass
         finally:
             del self._open_by_number[number]
-        return inquiry.result()
+        return inquiry
+
+    async def _conclude(
+        self,
+        inquiry: OriginInquiry,
+        pool: PoolName,
+        window_s: float,
+        asked_at: float,
+    ) -> StreamOrigin:
+        """Return the origin that a holder knew, or the sole version of the pool.
+
+        For the latter, the list of targets must be current as of the request: targets
+        of another version may have joined while this daemon was cut off or stood still.
+        """
+        found = inquiry.result(self._history(pool, window_s))
+        if found.source is not OriginSource.HISTORY:
+            return found
+        if not await self._is_confirmed(asked_at):
+            return StreamOrigin(None, OriginSource.UNKNOWN)
+        return inquiry.result(self._history(pool, window_s))
+
+    def _history(self, pool: PoolName, window_s: float) -> VersionHistory:
+        now = self._clock.monotonic()
+        return self._state.registry.version_history(pool, now, window_s)
+
+    async def _is_confirmed(self, since: float) -> bool:
+        """Wait until the list of targets is known to be current as of a time."""
+        until = self._clock.monotonic() + _CONFIRMATION_TIMEOUT_S
+        while self._state.targets_confirmed_at < since:
+            if self._clock.monotonic() >= until:
+                return False
+            await asyncio.sleep(_CONFIRMATION_POLL_S)
+        return True
 
     def _peers(self, attempt_id: AttemptId, n_holders: int) -> list[DaemonId]:
         own_id = self._link.host.daemon_id
--- a/packages/aspendrift-gateway/tests/test_origin_exchange.py
+++ b/packages/aspendrift-gateway/tests/test_origin_exchange.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+import pytest
+
 from aspendrift_daemon.events import EventHub
 from aspendrift_gateway.origin_exchange import OriginExchange
 from aspendrift_gateway.system_state import SystemState
@@ -30,7 +32,14 @@
         self.exchange = OriginExchange(self.link, self.state, clock, hub)
 
     def read_targets(self):
-        self.state.registry.replace(self.targets, asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        self.state.registry.replace(self.targets, now)
+        self.state.targets_confirmed_at = now
+
+    async def read_repeatedly(self):
+        while True:
+            await asyncio.sleep(0.5)
+            self.read_targets()
 
     async def find(self, resumes):
         taken_up = request(
@@ -122,3 +131,51 @@
         assert (await restarted[1].find(AttemptId("a"))).software is None
 
     run_daemons(scenario, targets=MIXED[:1], observed_s=20)
+
+
+async def join_release(network, daemons, is_cut_off):
+    """Let targets of a new version join, which the first daemon doesn't notice."""
+    if is_cut_off:
+        network.cut_off = {daemons[0].link.host.daemon_id}
+    for daemon in daemons:
+        daemon.targets = MIXED
+    for daemon in daemons[1:]:
+        daemon.read_targets()
+    daemons[1].exchange.began(AttemptId("a"), "v2")
+    await asyncio.sleep(0.5)
+
+
+@pytest.mark.parametrize("resumes", [AttemptId("a"), None], ids=["named", "unnamed"])
+def test_daemon_out_of_step_does_not_conclude_the_version_from_an_old_list(resumes):
+    """Guards against a stream that goes on at the only version an old list shows."""
+
+    async def scenario(network, daemons):
+        await join_release(network, daemons, is_cut_off=True)
+        origin = await daemons[0].find(resumes)
+        assert (origin.software, origin.source) == (None, OriginSource.UNKNOWN)
+
+    run_daemons(scenario, targets=MIXED[:1], observed_s=20)
+
+
+def test_daemon_that_stood_still_reads_the_list_before_it_concludes_the_version():
+    """Guards against a conclusion from the list as it was before a pause."""
+
+    async def scenario(network, daemons):
+        await join_release(network, daemons, is_cut_off=False)
+        reading = asyncio.create_task(daemons[0].read_repeatedly())
+        origin = await daemons[0].find(AttemptId("lost"))
+        assert origin.software is None
+        reading.cancel()
+
+    run_daemons(scenario, targets=MIXED[:1], observed_s=20)
+
+
+def test_lost_origin_is_concluded_once_the_list_was_read_again():
+    async def scenario(network, daemons):
+        await asyncio.sleep(0.5)
+        reading = asyncio.create_task(daemons[0].read_repeatedly())
+        origin = await daemons[0].find(AttemptId("lost"))
+        assert (origin.software, origin.source) == ("v1", OriginSource.HISTORY)
+        reading.cancel()
+
+    run_daemons(scenario, targets=MIXED[:1], observed_s=20)
--- a/packages/aspendrift-policy/src/aspendrift_policy/stream_origins.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/stream_origins.py
@@ -109,13 +109,10 @@
 
     Parameters
     ----------
-    own : VersionHistory
-        History of the pool as this daemon observed it.
     n_awaited : int
         Number of daemons that were asked and have not answered.
     """
 
-    own: VersionHistory
     n_awaited: int
     _recorded: SoftwareVersion | None = None
     _histories: list[VersionHistory] = field(default_factory=list)
@@ -134,15 +131,21 @@
         """Whether no further answer matters."""
         return self._recorded is not None or self.n_awaited <= 0
 
-    def result(self) -> StreamOrigin:
+    def result(self, own: VersionHistory) -> StreamOrigin:
         """Return what is known now.
 
         Without a record the version is certain only if no daemon knows of another one
         and one of them observed the pool throughout.
+
+        Parameters
+        ----------
+        own : VersionHistory
+            History of the pool as this daemon observed it; up to the present, if the
+            version is concluded from histories.
         """
         if self._recorded is not None:
             return StreamOrigin(self._recorded, OriginSource.HOLDER)
-        histories = [self.own, *self._histories]
+        histories = [own, *self._histories]
         versions = frozenset[SoftwareVersion]().union(
             *(each.versions for each in histories)
         )
--- a/packages/aspendrift-policy/tests/test_stream_origins.py
+++ b/packages/aspendrift-policy/tests/test_stream_origins.py
@@ -67,29 +67,30 @@
 
 
 def test_recorded_version_settles_an_inquiry_whatever_the_histories_are():
-    inquiry = OriginInquiry(history(V1), 3)
+    inquiry = OriginInquiry(3)
     inquiry.answered(None, history(V1))
     assert not inquiry.is_settled
     inquiry.answered(V2, history(V1, V2))
     assert inquiry.is_settled
-    assert inquiry.result() == StreamOrigin(V2, OriginSource.HOLDER)
+    assert inquiry.result(history(V1)) == StreamOrigin(V2, OriginSource.HOLDER)
 
 
 def test_sole_version_of_a_pool_that_was_observed_throughout_is_the_origin():
-    inquiry = OriginInquiry(history(V1, is_complete=False), 1)
-    assert inquiry.result() == UNKNOWN
+    own = history(V1, is_complete=False)
+    inquiry = OriginInquiry(1)
+    assert inquiry.result(own) == UNKNOWN
     inquiry.answered(None, history(V1))
-    assert inquiry.result() == StreamOrigin(V1, OriginSource.HISTORY)
+    assert inquiry.result(own) == StreamOrigin(V1, OriginSource.HISTORY)
 
 
 def test_version_that_one_daemon_saw_leaves_the_origin_unknown():
-    inquiry = OriginInquiry(history(V1, V2, is_complete=False), 1)
+    inquiry = OriginInquiry(1)
     inquiry.answered(None, history(V1))
-    assert inquiry.result() == UNKNOWN
-    inquiry = OriginInquiry(history(V1), 1)
+    assert inquiry.result(history(V1, V2, is_complete=False)) == UNKNOWN
+    inquiry = OriginInquiry(1)
     inquiry.answered(None, history(V1, V2, is_complete=False))
-    assert inquiry.result() == UNKNOWN
+    assert inquiry.result(history(V1)) == UNKNOWN
 
 
 def test_pool_without_targets_leaves_the_origin_unknown():
-    assert OriginInquiry(history(), 0).result() == UNKNOWN
+    assert OriginInquiry(0).result(history()) == UNKNOWN
