Continue a stream only with the rest of a stream

What the next attempt answered was read as if it were the first: a 200 of another media type whose text has an empty line was sent as events, with the error's whole head in the test, and framed as complete; a 200 or 204 without a body ended the stream as complete; a signed 4xx or 5xx began the caller's answer a second time, which only the server library refused.

Once the answer has begun, an attempt counts only if it is a 200 of the same media type whose head doesn't say that there is no body. Anything else is a failed attempt: another target continues the stream, or it is broken off.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
@@ -105,6 +105,7 @@
 _UNKNOWN_REPORT_AGE_S: Final = 3600.0
 _MAX_LOGGED_PARTS: Final = 16
 _UNCONFIRMED_END: Final = "ended with its connection, target gone"
+_OK: Final = 200
 _SERVER_ERROR: Final = 500
 _INPUTS_GONE: Final = 409
 
@@ -193,6 +194,8 @@
         continue it. None before the first event.
     is_answer_complete : bool
         Whether an answer that is no stream was read as a whole.
+    media_type : bytes
+        Media type of the stream that was begun.
     """
 
     routed: RoutedRequest
@@ -209,6 +212,7 @@
     is_counted: bool = False
     software: SoftwareVersion | None = None
     is_answer_complete: bool = False
+    media_type: bytes = b""
 
     @property
     def last_event_id(self) -> str | None:
@@ -599,6 +603,14 @@
             return _FailedAttempt(
                 AttemptVerdict.SPOILED, f"status {answer.status}", True
             )
+        if delivery.answer.has_begun and not _continues(delivery, answer):
+            detail = f"status {answer.status} after the stream began"
+            verdict = (
+                AttemptVerdict.SPOILED
+                if is_success
+                else AttemptVerdict.FAILED_BY_TARGET
+            )
+            return _FailedAttempt(verdict, detail, True)
         if is_success and routed.route.kind is RequestKind.STREAMING:
             return await self._forward_stream(delivery, entry, answer, timeout)
         return await self._forward_answer(delivery, entry, answer, timeout)
@@ -736,6 +748,7 @@
         """Send complete events, preceded by the head if no answer has begun."""
         if not delivery.answer.has_begun:
             headers = end_to_end_headers(answer.headers, None)
+            delivery.media_type = answer.media_type
             await delivery.answer.begin(answer.status, headers)
         if events:
             await delivery.answer.send(events)
@@ -868,6 +881,20 @@
     return head.attempt_id != attempt_id
 
 
+def _continues(delivery: Delivery, answer: Answer) -> bool:
+    """Return whether an answer may be the rest of a stream that has begun.
+
+    Its caller has the head of the stream, and can't be told of an error or of another
+    kind of content. A length of zero says that there is no stream; one that has nothing
+    more to send is a body that ends at once.
+    """
+    return (
+        answer.status == _OK
+        and answer.media_type == delivery.media_type
+        and not answer.is_without_body
+    )
+
+
 def _had_just_begun(delivery: Delivery) -> bool:
     """Return whether the target that broke may have done so over this request.
 
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
@@ -49,7 +49,9 @@
 # After a target sent a surplus answer on a connection, each request to it uses a new
 # connection for this long.
 _NO_REUSE_S: Final = 10.0
-_FRAMING_HEADERS: Final = frozenset({b"content-length", b"transfer-encoding"})
+_CONTENT_TYPE: Final = b"content-type"
+_LENGTH: Final = b"content-length"
+_FRAMING_HEADERS: Final = frozenset({_LENGTH, b"transfer-encoding"})
 # Bytes of one answer that is read as a whole, and by default of all of them that are
 # being read.
 _MAX_BODY_BYTES: Final = 16 * 1024 * 1024
@@ -128,6 +130,25 @@
             return True
         return any(name.lower() in _FRAMING_HEADERS for name, _ in self.headers)
 
+    @property
+    def is_without_body(self) -> bool:
+        """Whether the head says that there is no body."""
+        return (
+            self.status in _STATUSES_WITHOUT_BODY
+            or self._header(_LENGTH).strip() == b"0"
+        )
+
+    @property
+    def media_type(self) -> bytes:
+        """Media type of the body, without its parameters; empty if unknown."""
+        return self._header(_CONTENT_TYPE).partition(b";")[0].strip().lower()
+
+    def _header(self, wanted: bytes) -> bytes:
+        for name, value in self.headers:
+            if name.lower() == wanted:
+                return value
+        return b""
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives.
 
--- a/packages/aspendrift-gateway/tests/conftest.py
+++ b/packages/aspendrift-gateway/tests/conftest.py
@@ -264,6 +264,7 @@
     delay_s: float = 0.0
     gap_s: float = 0.0
     framing: tuple = ((b"transfer-encoding", b"chunked"),)
+    content_type: bytes = b"text/event-stream"
 
 
 @dataclass
@@ -347,7 +348,11 @@
         )
         response = _Response(reply)
         self.responses.append(response)
-        headers = ((b"x-signature", b"s"), *reply.framing)
+        headers = (
+            (b"x-signature", b"s"),
+            (b"content-type", reply.content_type),
+            *reply.framing,
+        )
         return Answer(reply.status, headers, head, response)
 
     def disable_reuse(self, target_id, now):
@@ -365,8 +370,10 @@
     is_ended: bool = False
     is_aborted: bool = False
     send_s: float = 0.0
+    n_heads: int = 0
 
     async def begin(self, status, headers):
+        self.n_heads += 1
         self.has_begun = True
         self.status = status
         self.headers = headers
--- a/packages/aspendrift-gateway/tests/test_attempts.py
+++ b/packages/aspendrift-gateway/tests/test_attempts.py
@@ -440,3 +440,57 @@
     outcome = run_virtual(run())
     assert outcome.reason is RefusalReason.RETRY_BUDGET_SPENT
     assert len(harness.client.sent) == 1
+
+
+STREAM_TYPE = (b"Content-Type", b"Text/Event-Stream; charset=utf-8")
+NO_STREAM = [
+    Reply(status=500, chunks=(b"failed\n\n",)),
+    Reply(status=404, chunks=(b"not found\n\n",)),
+    Reply(status=302, chunks=(b"elsewhere\n\n",)),
+    Reply(chunks=(b"<p>failed</p>\n\n",), content_type=b"text/html"),
+    Reply(chunks=(b"failed\n\n",), content_type=b""),
+    Reply(chunks=(), framing=((b"content-length", b"0"),)),
+    Reply(status=204, chunks=(), framing=()),
+    Reply(status=206, chunks=(events(2),)),
+]
+
+
+@pytest.mark.parametrize("second", NO_STREAM)
+def test_error_after_a_stream_began_is_not_put_into_the_stream(make_harness, second):
+    """Guards against an error's text in a stream, or a stream that it completes."""
+    harness = make_harness(Reply(chunks=(events(1),), breaks_after=1), second)
+    outcome = send(harness, RESUMABLE)
+    assert outcome.is_cut
+    assert harness.answer.n_heads == 1
+    assert harness.answer.body == events(1)
+    assert not harness.answer.is_ended
+
+
+@pytest.mark.parametrize("second", NO_STREAM)
+def test_stream_is_continued_after_a_target_that_answered_with_an_error(
+    make_harness, second
+):
+    harness = make_harness(
+        Reply(chunks=(events(1),), breaks_after=1), second, Reply(chunks=(events(2),))
+    )
+    found_route = route(
+        RequestKind.STREAMING, event_gap_s=0.3, is_resumable=True, max_attempts=3
+    )
+    assert send(harness, found_route) == Served(200)
+    assert harness.answer.body == events(1, 2)
+
+
+def test_stream_that_has_nothing_more_to_send_is_complete(make_harness):
+    harness = make_harness(Reply(chunks=(events(1),), breaks_after=1), Reply(chunks=()))
+    assert send(harness, RESUMABLE) == Served(200)
+    assert harness.answer.body == events(1)
+    assert harness.answer.is_ended
+
+
+@pytest.mark.parametrize(
+    ("headers", "expected"),
+    [((), b""), ((STREAM_TYPE,), b"text/event-stream")],
+)
+def test_media_type_has_no_parameters(headers, expected):
+    head = AnswerHead("a1", True, False, False, False)
+    assert Answer(200, headers, head, None).media_type == expected
--- a/tests/aspendrift_platform/emulated_world.py
+++ b/tests/aspendrift_platform/emulated_world.py
@@ -91,22 +91,38 @@
             while not condition():  # noqa: ASYNC110
                 await asyncio.sleep(0.02)
 
-    async def call(self, gateway, path, method="POST", key="key", **headers):
+    def _request_headers(self, key, headers):
         self._sequence += 1
-        attempt_id = f"{self._sequence:016x}"
-        request_headers = {
+        return {
             "Host": "h.example",
-            "Attempt-Id": attempt_id,
+            "Attempt-Id": f"{self._sequence:016x}",
             "Deadline-Ms": "5000",
             **({"Credential": key} if key else {}),
             **headers,
         }
+
+    async def call(self, gateway, path, method="POST", key="key", **headers):
+        request_headers = self._request_headers(key, headers)
+        attempt_id = request_headers["Attempt-Id"]
         address = gateway.settings.front_address
         answer = await self.client.request(
             method, f"http://{address}{path}", headers=request_headers, content=b"body"
         )
         return attempt_id, answer
 
+    async def call_until_cut(self, gateway, path):
+        """Return what arrives of an answer, and whether it was complete."""
+        url = f"http://{gateway.settings.front_address}{path}"
+        headers = self._request_headers("key", {})
+        got = bytearray()
+        try:
+            async with self.client.stream("POST", url, headers=headers) as answer:
+                async for part in answer.aiter_raw():
+                    got += part
+        except httpx.RemoteProtocolError:
+            return bytes(got), False
+        return bytes(got), True
+
     async def stream(self, gateway, path="/model/x", pieces="3,5,1"):
         stages = {"Pieces": pieces, "Piece-Key": "k"} if pieces else {}
         return await self.call(gateway, path, **{"X-Kind": "stream", **stages})
--- a/tests/aspendrift_platform/scripted_target.py
+++ b/tests/aspendrift_platform/scripted_target.py
@@ -43,6 +43,11 @@
         Whether this is so for a header line instead.
     surplus : bytes
         What follows the answer on the connection, which stays open.
+    content_type : bytes
+        Media type of the body, empty for none.
+    cut_head : bytes
+        What is sent instead of an answer, before the connection is closed; ``{id}``
+        stands for the attempt's id.
     """
 
     body: bytes
@@ -54,6 +59,8 @@
     status: bytes = b"200 OK"
     is_signed: bool = True
     surplus: bytes = b""
+    content_type: bytes = b""
+    cut_head: bytes = b""
 
 
 class ScriptedTarget:
@@ -104,11 +111,18 @@
         self.n_requests += 1
         script = self.scripts.pop(0)
         attempt_id = headers.get("attempt-id", "").encode()
+        if script.cut_head:
+            writer.write(script.cut_head.replace(b"{id}", attempt_id))
+            await writer.drain()
+            writer.close()
+            raise ConnectionError("the script is over")
         writer.write(b"HTTP/1.1 %s\r\nAttempt-Id: %s\r\n" % (script.status, attempt_id))
         if script.is_signed:
             writer.write(b"Response-Signature: %s.s\r\n" % self.name.encode())
         if script.framing:
             writer.write(script.framing + b"\r\n")
+        if script.content_type:
+            writer.write(b"Content-Type: %s\r\n" % script.content_type)
         if script.repeats_head:
             await self._repeat(reader, writer, b"X-Filler: %s\r\n" % (b"x" * 1000))
         writer.write(b"\r\n")
--- a/tests/aspendrift_platform/test_answer_ends.py
+++ b/tests/aspendrift_platform/test_answer_ends.py
@@ -91,3 +91,33 @@
         assert answer.content == events(1, 2)
 
     run_scripted(service, scenario)
+
+
+EVENTS = b"text/event-stream"
+ERROR = b"HTTP/1.1 500 Failed\r\n\r\nfailed\n\n"
+
+
+@pytest.mark.parametrize(
+    "second",
+    [
+        Script(ERROR, b"Content-Length: %d" % len(ERROR), status=b"500 Failed"),
+        Script(ERROR, b"Content-Length: %d" % len(ERROR), status=b"404 Not Found"),
+        Script(b"", b"Not-Executed: 1\r\nContent-Length: 0", status=b"503 Full"),
+        Script(chunks(ERROR), CHUNKED, content_type=b"text/html"),
+        Script(b"", b"Content-Length: 0"),
+        Script(b"", b"Content-Length: 0", content_type=EVENTS),
+        Script(b"", b"Connection: close", status=b"204 No Content"),
+    ],
+    ids=["500", "404", "not-run", "html", "no-type", "no-body", "204"],
+)
+def test_error_after_a_stream_began_is_not_put_into_the_stream(run_scripted, second):
+    """Guards against an error's text in a stream, or a stream that it completes."""
+
+    async def scenario(world):
+        broken = Script(events(1, 2), crashes=True, content_type=EVENTS)
+        world.script(broken, *[second] * 5)
+        (gateway,) = world.cluster.gateways
+        got, is_complete = await world.cluster.call_until_cut(gateway, "/resume/x")
+        assert (got, is_complete) == (events(1, 2), False)
+
+    run_scripted("model", scenario)
