Tests of answers that stop inside their heads

Report of another operator: a target stopped in the middle of its answer's head and closed, and callers got a 200 with an empty or short body. It does not happen here: six places at which a head stops, on requests that run once, may be repeated or stream, on the rest of a stream, on calls of stage pools and on the clients of a daemon's own interface. Hand-overs read answers of other daemons with the same client; no test of their own plays this.

--- a/packages/aspendrift-daemon/tests/test_metered_transport.py
+++ b/packages/aspendrift-daemon/tests/test_metered_transport.py
@@ -290,3 +290,21 @@
         await sends(BYTE_CHUNK * 1000, repeats=True)(writer)
 
     run(serve, scenario)
+
+
+@pytest.mark.parametrize("call", [read_load, read_rows, run_stage])
+@pytest.mark.parametrize(
+    "head",
+    [HEAD, HEAD + b"Content-Length: 1", b"HTTP/1.1 100 Continue\r\n\r\n"],
+    ids=["status", "length", "interim"],
+)
+def test_answer_that_stops_inside_its_head_is_no_answer(
+    call: Callable[[World], Awaitable[None]], head: bytes
+) -> None:
+    """Guards against an empty or short body that counts as whole."""
+
+    async def serve(writer: asyncio.StreamWriter) -> None:
+        writer.write(head)
+        raise ConnectionError("closed inside the head")
+
+    run(serve, call)
--- a/tests/aspendrift_platform/test_answer_ends.py
+++ b/tests/aspendrift_platform/test_answer_ends.py
@@ -121,3 +121,63 @@
         assert (got, is_complete) == (events(1, 2), False)
 
     run_scripted("model", scenario)
+
+
+SIGNED = b"HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Signature: s.s\r\n"
+CUT_HEADS = [
+    b"HTTP/1.1 200 OK\r\n",
+    b"HTTP/1.1 20",
+    SIGNED,
+    SIGNED + b"Content-Le",
+    SIGNED + b"Content-Length: 1",
+    b"HTTP/1.1 100 Continue\r\n\r\n",
+]
+
+
+@pytest.mark.parametrize(
+    ("service", "path", "n_attempts"),
+    [("desk", "/once/", 1), ("desk", "/safe/", 2), ("model", "/model/", 1)],
+    ids=["once", "safe", "stream"],
+)
+def test_answer_that_stops_inside_its_head_is_no_success(
+    run_scripted, service, path, n_attempts
+):
+    """Guards against a 200 with an empty or short body, framed as whole."""
+
+    async def scenario(world):
+        for number, head in enumerate(CUT_HEADS):
+            before = sum(target.n_requests for target in world.targets)
+            world.script(*[Script(b"", cut_head=head) for _ in range(5)])
+            answer = await world.call(f"{path}{number}")
+            assert answer.status_code == 502
+            after = sum(target.n_requests for target in world.targets)
+            assert after - before == n_attempts
+
+    run_scripted(service, scenario)
+
+
+@pytest.mark.parametrize("head", [CUT_HEADS[3], CUT_HEADS[5]], ids=["cut", "interim"])
+def test_stream_whose_rest_stops_inside_its_head_is_not_framed_as_complete(
+    run_scripted, head
+):
+    async def scenario(world):
+        broken = Script(events(1, 2), crashes=True, content_type=EVENTS)
+        world.script(broken, *[Script(b"", cut_head=head) for _ in range(5)])
+        (gateway,) = world.cluster.gateways
+        got, is_complete = await world.cluster.call_until_cut(gateway, "/resume/x")
+        assert (got, is_complete) == (events(1, 2), False)
+
+    run_scripted("model", scenario)
+
+
+@pytest.mark.parametrize("head", [CUT_HEADS[4], CUT_HEADS[5]], ids=["cut", "interim"])
+def test_stage_call_whose_answer_stops_inside_its_head_gives_no_results(
+    run_scripted, head
+):
+    async def scenario(world):
+        world.script(*[Script(b"", cut_head=head) for _ in range(30)])
+        (gateway,) = world.cluster.gateways
+        _, answer = await world.cluster.stream(gateway, pieces="1,1,1")
+        assert answer.status_code in (502, 503)
+
+    run_scripted("first", scenario)
