Retire a connection whose answer is not certainly that of its call

The call that reads the copy fails, since its handles are known, but the copy was read as a whole and its connection went back to the pool with the true answer to that call still to come. Closing later exchanges (disable_reuse) doesn't help: the next call is sent on that connection all the same, and takes the answer of the call before for its own.

Answers to batch calls name no request. So a connection is used again only after an answer that is certainly that of its call, with at least one result that no answer had before; not after a copy, an unreadable answer, a failure, or one without results, whose copy couldn't be told. The reader of a call decides that before the connection is free (is_sound), and a retired connection counts as readable, so that the pool closes it when it would be used.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/metered_transport.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/metered_transport.py
@@ -27,6 +27,7 @@
     "FragmentedBody",
     "HeadTooLong",
     "LoopHeld",
+    "MeteredStream",
     "MeteredTransport",
 ]
 
@@ -94,7 +95,7 @@
             self.events.emit(event)
 
 
-class _MeteredStream(httpcore.AsyncNetworkStream):
+class MeteredStream(httpcore.AsyncNetworkStream):
     """A connection that hands over what can be parsed in one turn of the event loop.
 
     All that it reads passes here: heads, interim heads and bodies.
@@ -113,8 +114,10 @@
         self._n_handed_over = 0
         # Time at which bytes were handed over, until the event loop has had a turn.
         self._handed_over_at: float | None = None
+        self._is_retired = False
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        """Return bytes that can be parsed in one turn of the event loop."""
         self._report_held()
         if self._start < len(self._data):
             await asyncio.sleep(0)
@@ -133,10 +136,12 @@
         return part
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        """Send bytes of a request."""
         self.head.begin()
         await self._stream.write(buffer, timeout)
 
     async def aclose(self) -> None:
+        """Close the connection."""
         await self._stream.aclose()
 
     async def start_tls(
@@ -145,14 +150,22 @@
         server_hostname: str | None = None,
         timeout: float | None = None,
     ) -> httpcore.AsyncNetworkStream:
+        """Return the connection with TLS."""
         secured = await self._stream.start_tls(ssl_context, server_hostname, timeout)
-        return _MeteredStream(secured, self._address, self._meter)
+        return MeteredStream(secured, self._address, self._meter)
 
     def get_extra_info(self, info: str) -> Any:
-        if info == "is_readable" and self._start < len(self._data):
+        """Return a property of the connection."""
+        # A connection that is readable while it is idle is not used again.
+        is_ended = self._is_retired or self._start < len(self._data)
+        if info == "is_readable" and is_ended:
             return True
         return self._stream.get_extra_info(info)
 
+    def retire(self) -> None:
+        """Close the connection once the present exchange has ended."""
+        self._is_retired = True
+
     def body(self, stream: httpx.AsyncByteStream) -> httpx.AsyncByteStream:
         """Return the body of the answer whose head was read, with its bounds."""
         self.head.end()
@@ -221,7 +234,7 @@
         stream = await self._backend.connect_tcp(
             host, port, timeout, local_address, socket_options
         )
-        return _MeteredStream(stream, f"{host}:{port}", self._meter)
+        return MeteredStream(stream, f"{host}:{port}", self._meter)
 
     async def sleep(self, seconds: float) -> None:
         await asyncio.sleep(seconds)
@@ -259,6 +272,6 @@
         response = await super().handle_async_request(request)
         connection = response.extensions["network_stream"]
         assert isinstance(response.stream, httpx.AsyncByteStream)
-        if isinstance(connection, _MeteredStream):
+        if isinstance(connection, MeteredStream):
             response.stream = connection.body(response.stream)
         return response
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
@@ -218,21 +218,22 @@
             )
         )
         headers = self._codec.stage_headers(target_id)
+        reading = _CallReading(self._codec, self._handles, self._clock, len(call.works))
         try:
             async with asyncio.timeout(call.timeout_s):
                 answer = await self._client.send_and_read(
-                    call.target, encoded, headers, sent_at
+                    call.target, encoded, headers, sent_at, reading.is_sound
                 )
         except TimeoutError:
             answer = Broken("timeout")
         if isinstance(answer, NotSent) and self._permits is not None:
             self._permits.release(permit)
         now = self._clock.monotonic()
-        outcomes, is_full, detail = self._read(answer, len(call.works))
+        outcomes, is_full = reading.outcomes, reading.is_full
+        detail = reading.detail if isinstance(answer, CompleteAnswer) else answer.detail
         key = call.target.key
-        if outcomes is not None and self._is_copy(outcomes, now):
+        if reading.is_copy:
             self._client.disable_reuse(target_id, now)
-            outcomes, detail = None, "copy of an earlier answer"
         n_completed = 0
         if outcomes is None:
             updates = self.scheduler.failed(call.call_id, key, is_full, now)
@@ -266,25 +267,6 @@
         self.scheduler.pause_target(key, until)
         self.schedule_step()
 
-    def _read(
-        self, answer: CompleteAnswer | NotSent | Broken, n_pieces: int
-    ) -> tuple[tuple[PieceOutcome, ...] | None, bool, str]:
-        """Return the outcomes, whether the target was full, and a log detail."""
-        if not isinstance(answer, CompleteAnswer):
-            return None, False, answer.detail
-        if answer.status != _OK:
-            is_full = answer.head.has_not_run and answer.status != 421
-            return None, is_full, f"status {answer.status}"
-        outcomes = self._codec.stage_outcomes(answer.body, n_pieces)
-        if outcomes is None:
-            return None, False, "unreadable answer"
-        failures = [each.value for each in outcomes if isinstance(each, PieceFailure)]
-        return outcomes, False, ",".join(failures)
-
-    def _is_copy(self, outcomes: Sequence[PieceOutcome], now: float) -> bool:
-        handles = [each for each in outcomes if not isinstance(each, PieceFailure)]
-        return self._handles.is_copy(handles, now)
-
     def _send_frees(self) -> None:
         handles, self._pending_frees = self._pending_frees, []
         entries_by_address = {entry.address: entry for entry in self._entries()}
@@ -323,3 +305,44 @@
             detail = answer.detail
         target_id = entry.key.target_id
         self._events.emit(StageFreeFailed(target_id, self.pool, len(handles), detail))
+
+
+class _CallReading:
+    """Decodes the answer to a batch call, and tells whether it can be that call's own.
+
+    Answers to batch calls name no request. Only results that no other answer had show
+    that one belongs to its call; a copy of another one, of whatever kind, leaves the
+    true answer to come on the connection.
+    """
+
+    def __init__(
+        self, codec: TargetCodec, handles: HandleHistory, clock: Clock, n_pieces: int
+    ) -> None:
+        self._codec = codec
+        self._handles = handles
+        self._clock = clock
+        self._n_pieces = n_pieces
+        self.outcomes: tuple[PieceOutcome, ...] | None = None
+        self.is_full = False
+        self.is_copy = False
+        self.detail = ""
+
+    def is_sound(self, answer: CompleteAnswer) -> bool:
+        """Decode an answer; return whether it certainly belongs to the call."""
+        if answer.status != _OK:
+            self.is_full = answer.head.has_not_run and answer.status != 421
+            self.detail = f"status {answer.status}"
+            return False
+        outcomes = self._codec.stage_outcomes(answer.body, self._n_pieces)
+        if outcomes is None:
+            self.detail = "unreadable answer"
+            return False
+        handles = [each for each in outcomes if not isinstance(each, PieceFailure)]
+        if self._handles.is_copy(handles, self._clock.monotonic()):
+            self.is_copy = True
+            self.detail = "copy of an earlier answer"
+            return False
+        self.outcomes = outcomes
+        failures = [each.value for each in outcomes if isinstance(each, PieceFailure)]
+        self.detail = ",".join(failures)
+        return bool(handles)
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
@@ -14,7 +14,11 @@
 
 import httpx
 
-from aspendrift_daemon.metered_transport import ConnectionMeter, FragmentedBody
+from aspendrift_daemon.metered_transport import (
+    ConnectionMeter,
+    FragmentedBody,
+    MeteredStream,
+)
 from aspendrift_gateway.interfaces import (
     AnswerHead,
     HttpCall,
@@ -167,6 +171,12 @@
         """Return the whole body; raises `AnswerTooLarge` or ``httpx.HTTPError``."""
         return await self.buffers.read(self.chunks())
 
+    def retire_connection(self) -> None:
+        """Use the connection for no other exchange."""
+        connection = self.response.extensions.get("network_stream")
+        if isinstance(connection, MeteredStream):
+            connection.retire()
+
     async def close(self) -> None:
         """End the exchange; an incomplete answer closes the connection."""
         await self.response.aclose()
@@ -324,9 +334,21 @@
         return True
 
     async def send_and_read(
-        self, entry: TargetEntry, call: HttpCall, headers: Headers, now: float
+        self,
+        entry: TargetEntry,
+        call: HttpCall,
+        headers: Headers,
+        now: float,
+        is_sound: Callable[[CompleteAnswer], bool] = lambda answer: True,
     ) -> CompleteAnswer | NotSent | Broken:
-        """Send a request and wait for its complete answer."""
+        """Send a request and wait for its complete answer.
+
+        Parameters
+        ----------
+        is_sound : callable
+            Returns whether an answer is certainly that of this request; the connection
+            is not used again otherwise, since the true answer may still come on it.
+        """
         answer = await self.send(entry, call, headers, now)
         if not isinstance(answer, Answer):
             return answer
@@ -334,13 +356,16 @@
             # Unread, a refusal closes its connection: what the target may still write
             # there is no answer to a later call.
             body = b"" if answer.head.has_not_run else await answer.body()
+            found = CompleteAnswer(answer.status, answer.headers, answer.head, body)
+            if not is_sound(found):
+                answer.retire_connection()
         except AnswerTooLarge as error:
             return Broken(str(error))
         except (httpx.HTTPError, OSError) as error:
             return Broken(type(error).__name__)
         finally:
             await answer.close()
-        return CompleteAnswer(answer.status, answer.headers, answer.head, body)
+        return found
 
     def _connections(self, entry: TargetEntry) -> _Connections:
         target_id = entry.key.target_id
--- a/packages/aspendrift-gateway/tests/test_stage_dispatcher.py
+++ b/packages/aspendrift-gateway/tests/test_stage_dispatcher.py
@@ -45,12 +45,15 @@
         self.n_calls = 0
         self.repeats_answer = False
         self.reuse_disabled = []
+        self.n_retired = 0
         self._previous_body = b""
 
     def disable_reuse(self, target_id, now):
         self.reuse_disabled.append(target_id)
 
-    async def send_and_read(self, target, call, headers, now):
+    async def send_and_read(
+        self, target, call, headers, now, is_sound=lambda answer: True
+    ):
         content = json.loads(call.body)
         if "free" in content:
             self.freed += content["free"]
@@ -64,7 +67,9 @@
             self.repeats_answer = False
             body = self._previous_body
         self._previous_body = call.body
-        return CompleteAnswer(200, (), head, body)
+        answer = CompleteAnswer(200, (), head, body)
+        self.n_retired += not is_sound(answer)
+        return answer
 
 
 class FakeCodec:
@@ -263,6 +268,7 @@
         await second.done.wait()
         assert set(second.results.values()) == {"t1:1/b.0", "t1:1/b.1"}
         assert fleet.targets.reuse_disabled == ["t1"]
+        assert fleet.targets.n_retired == 1
 
     run_scenario(scenario, n_daemons=1)
 
--- a/packages/aspendrift-gateway/tests/test_target_client.py
+++ b/packages/aspendrift-gateway/tests/test_target_client.py
@@ -84,3 +84,61 @@
         await refusing.close()
 
     asyncio.run(run())
+
+
+class RepeatingTarget:
+    """Answers each call with its number; the second one also with the first answer."""
+
+    def __init__(self):
+        self.n_calls = 0
+        self.writers = []
+
+    async def serve(self, reader, writer):
+        self.writers.append(writer)
+        try:
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                await reader.readexactly(4)
+                self.n_calls += 1
+                numbers = [1, 2] if self.n_calls == 2 else [self.n_calls]
+                for number in numbers:
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n")
+                    writer.write(b"%d" % number)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    def answer_head(self, status, headers):
+        return AnswerHead(None, False, False, False, False)
+
+
+def test_true_answer_after_a_copy_is_not_read_as_that_of_the_next_call():
+    """Guards against results of one request that are given to another."""
+
+    async def run():
+        repeating = RepeatingTarget()
+        server = await asyncio.start_server(repeating.serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        target = replace(entry("t1"), address=f"127.0.0.1:{port}")
+        client = TargetClient(repeating, lambda key: None)
+        seen = set()
+
+        def is_sound(answer):
+            is_new = answer.body not in seen
+            seen.add(answer.body)
+            return is_new
+
+        found = []
+        for _ in range(3):
+            call = HttpCall("POST", "/", b"call")
+            answer = await client.send_and_read(target, call, (), 0.0, is_sound)
+            found.append(answer.body)
+        assert found == [b"1", b"1", b"3"]
+        assert len(repeating.writers) == 2
+        await client.close()
+        server.close()
+        for writer in repeating.writers:
+            writer.close()
+            with contextlib.suppress(ConnectionError):
+                await writer.wait_closed()
+
+    asyncio.run(run())
--- a/tools/measure_chain_load.py
+++ b/tools/measure_chain_load.py
@@ -230,7 +230,12 @@
         self.n_without_memory = 0
 
     async def send_and_read(
-        self, target: TargetEntry, call: HttpCall, headers: object, now: float
+        self,
+        target: TargetEntry,
+        call: HttpCall,
+        headers: object,
+        now: float,
+        is_sound: Callable[[CompleteAnswer], bool] = lambda answer: True,
     ) -> CompleteAnswer:
         content = json.loads(call.body)
         held = self._held.setdefault(target.key.target_id, {})
@@ -242,7 +247,9 @@
                 outcomes = await self._run(target, held, content["pieces"])
                 content = {"pieces": outcomes}
         head = AnswerHead(None, False, False, False, False)
-        return CompleteAnswer(200, (), head, json.dumps(content).encode())
+        answer = CompleteAnswer(200, (), head, json.dumps(content).encode())
+        is_sound(answer)
+        return answer
 
     async def _run(
         self, target: TargetEntry, held: dict[str, float], pieces: list[Any]
@@ -273,10 +280,15 @@
         self._link = link
 
     async def send_and_read(
-        self, target: TargetEntry, call: HttpCall, headers: object, now: float
+        self,
+        target: TargetEntry,
+        call: HttpCall,
+        headers: object,
+        now: float,
+        is_sound: Callable[[CompleteAnswer], bool] = lambda answer: True,
     ) -> CompleteAnswer:
         await asyncio.sleep(self._link.transfer_s(len(call.body)))
-        return await self._targets.send_and_read(target, call, headers, now)
+        return await self._targets.send_and_read(target, call, headers, now, is_sound)
 
 
 class _Codec:
