Fake deliveries have an answer each

Deliveries of one harness shared the fake answer to the caller, which the first of them began. Since an answer that has begun is only continued with the rest of a stream, so that four tests of permits failed: their second requests counted as begun.

--- a/packages/aspendrift-gateway/tests/conftest.py
+++ b/packages/aspendrift-gateway/tests/conftest.py
@@ -433,6 +433,7 @@
     budget_floor_per_s: float = 100.0
     seed: int = 0
     last_sender: object = None
+    n_deliveries: int = 0
 
     def sender(self):
         loop = asyncio.get_running_loop()
@@ -457,6 +458,8 @@
     def delivery(self, found_route=None, inputs=()):
         now = asyncio.get_running_loop().time()
         found_route = found_route or route()
+        answer = FakeAnswer() if self.n_deliveries else self.answer
+        self.n_deliveries += 1
         routed = RoutedRequest(
             request=request(),
             route=found_route,
@@ -468,7 +471,7 @@
             deadline_at=now + found_route.timeout_s,
             first_byte_deadline_at=now + found_route.timeout_s,
         )
-        return Delivery(routed, self.answer, self.progress, inputs)
+        return Delivery(routed, answer, self.progress, inputs)
 
 
 @pytest.fixture
