Continue a stream by the versions as of its interruption

A stream that is bound to a version is now sent on only once the list of targets is known to be current as of the time at which it broke off, or its caller took it up, 1.2 s at most; otherwise it is cut, or refused as not run. Only where the pool had several versions within the time of a stream is that awaited, so that other pools lose nothing; the first target of a new version that returns under the id of an old one within a second is not covered, nor a target that returns between the read of the list and the request.

test_stream_is_not_continued_at_a_target_that_returned_as_another_version failed before, in both cases (two requests sent where one is allowed).

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
@@ -28,6 +28,7 @@
     PromptGuard,
     TargetCodec,
 )
+from aspendrift_gateway.list_confirmation import ListConfirmation
 from aspendrift_gateway.permit_exchange import Permit, PermitExchange, Restrictions
 from aspendrift_gateway.permitted_choice import (
     ChoiceRefused,
@@ -285,6 +286,7 @@
         self._on_broken = on_broken
         self._make_chooser = make_chooser
         self._prompts = prompts
+        self._list = ListConfirmation(state, clock)
         self._choosers_by_pool: dict[PoolName, PoolChooser] = {}
         self._no_early_free_until = float("-inf")
         self._on_pace: PaceListener | None = None
@@ -341,30 +343,18 @@
 
         It may then be sent again with others, which counts as a retry.
         """
-        routed = delivery.routed
         now = self._clock.monotonic()
-        budget = self._budgets.of(routed.pool, now)
-        if not delivery.is_counted:
-            delivery.is_counted = True
-            budget.record_first_attempt(now)
-        elif budget.may_retry(now):
-            budget.consume()
-        else:
-            detail = "inputs gone, retry budget spent"
-            reason = RefusalReason.RETRY_BUDGET_SPENT
-            refusal = Refusal(reason, detail, _SHORT_RETRY_AFTER_S)
-            return delivery.unserved(detail, refusal)
+        outcome = self._draw_on_budget(delivery, now)
+        if outcome is not None:
+            return outcome
+        # Time since which a target may have ended, and returned as another version.
+        ended_since = now
         while True:
+            outcome = await self._outcome_before_attempt(delivery, ended_since)
+            if outcome is not None:
+                return outcome
             now = self._clock.monotonic()
-            if routed.deadline_at - now < _MIN_REMAINING_S:
-                return delivery.past_deadline()
-            parts = self._prompts.refuses(routed.request)
-            if parts is not None:
-                return delivery.unserved(
-                    f"quarantined parts {parts}",
-                    Refusal(RefusalReason.POISON, parts, POISON_RETRY_AFTER_S),
-                )
-            restrictions = self._restrictions(routed.pool, now)
+            restrictions = self._restrictions(delivery.routed.pool, now)
             if restrictions is None:
                 chosen = self._choose_unlimited(delivery, now)
             else:
@@ -376,6 +366,58 @@
                 return result
             if not self._may_retry(delivery, result):
                 return self._final_outcome(delivery, result)
+            if result.may_have_run:
+                ended_since = self._clock.monotonic()
+
+    def _draw_on_budget(
+        self, delivery: Delivery, now: float
+    ) -> Served | Refusal | None:
+        """Count a request, or a retry if it was sent before; return its refusal."""
+        budget = self._budgets.of(delivery.routed.pool, now)
+        if not delivery.is_counted:
+            delivery.is_counted = True
+            budget.record_first_attempt(now)
+            return None
+        if budget.may_retry(now):
+            budget.consume()
+            return None
+        detail = "inputs gone, retry budget spent"
+        reason = RefusalReason.RETRY_BUDGET_SPENT
+        return delivery.unserved(detail, Refusal(reason, detail, _SHORT_RETRY_AFTER_S))
+
+    async def _outcome_before_attempt(
+        self, delivery: Delivery, ended_since: float
+    ) -> Served | Refusal | None:
+        """Return the outcome of a request for which no attempt is allowed, or None."""
+        if not await self._knows_versions(delivery, ended_since):
+            detail = "the list of targets is not current"
+            reason = RefusalReason.NO_TARGET
+            refusal = Refusal(reason, detail, _SHORT_RETRY_AFTER_S)
+            return delivery.unserved(detail, refusal)
+        routed = delivery.routed
+        if routed.deadline_at - self._clock.monotonic() < _MIN_REMAINING_S:
+            return delivery.past_deadline()
+        parts = self._prompts.refuses(routed.request)
+        if parts is None:
+            return None
+        return delivery.unserved(
+            f"quarantined parts {parts}",
+            Refusal(RefusalReason.POISON, parts, POISON_RETRY_AFTER_S),
+        )
+
+    async def _knows_versions(self, delivery: Delivery, since: float) -> bool:
+        """Wait until a stream's target can be chosen by the versions as of a time.
+
+        A target that ended may return under its id as another version. Only where a
+        pool has several versions is the list awaited that was read since then.
+        """
+        if delivery.software is None or not self.has_target(delivery):
+            return True
+        routed = delivery.routed
+        history = self._state.registry.version_history(
+            routed.pool, since, routed.route.timeout_s
+        )
+        return len(history.versions) <= 1 or await self._list.is_confirmed(since)
 
     def likely_zone(self, delivery: Delivery) -> ZoneName | None:
         """Return the zone of the target that a request would be sent to now."""
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/origin_exchange.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/origin_exchange.py
@@ -13,6 +13,7 @@
 from aspendrift_daemon.peer_decoding import PeerDecoder
 from aspendrift_daemon.peers import PeerLink
 from aspendrift_gateway.events import StreamOriginSought
+from aspendrift_gateway.list_confirmation import ListConfirmation
 from aspendrift_gateway.system_state import SystemState
 from aspendrift_model.ids import AttemptId, DaemonId, PoolName, SoftwareVersion
 from aspendrift_model.opaque_requests import OpaqueRequest
@@ -40,9 +41,6 @@
 
 # A few round trips between the zones of a region.
 _ANSWER_TIMEOUT_S: Final = 0.15
-# Daemons read the list of targets twice a second, or ask one that does.
-_CONFIRMATION_TIMEOUT_S: Final = 1.2
-_CONFIRMATION_POLL_S: Final = 0.02
 # A target whose entry is gone may go on with its streams for this long.
 _HIDDEN_SERVICE_S: Final = 5.0
 _MS_PER_S: Final = 1000.0
@@ -64,6 +62,7 @@
         self._state = state
         self._clock = clock
         self._events = events
+        self._list = ListConfirmation(state, clock)
         self._origins = StreamOrigins()
         self._open_by_number: dict[int, _OpenInquiry] = {}
         self._last_number = 0
@@ -164,7 +163,7 @@
         found = inquiry.result(self._history(pool, window_s))
         if found.source is not OriginSource.HISTORY:
             return found
-        if not await self._is_confirmed(asked_at):
+        if not await self._list.is_confirmed(asked_at):
             return StreamOrigin(None, OriginSource.UNKNOWN)
         return inquiry.result(self._history(pool, window_s))
 
@@ -172,15 +171,6 @@
         now = self._clock.monotonic()
         return self._state.registry.version_history(pool, now, window_s)
 
-    async def _is_confirmed(self, since: float) -> bool:
-        """Wait until the list of targets is known to be current as of a time."""
-        until = self._clock.monotonic() + _CONFIRMATION_TIMEOUT_S
-        while self._state.targets_confirmed_at < since:
-            if self._clock.monotonic() >= until:
-                return False
-            await asyncio.sleep(_CONFIRMATION_POLL_S)
-        return True
-
     def _peers(self, attempt_id: AttemptId, n_holders: int) -> list[DaemonId]:
         own_id = self._link.host.daemon_id
         member_ids = (host.daemon_id for host, _ in self._link.members())
--- a/packages/aspendrift-gateway/tests/conftest.py
+++ b/packages/aspendrift-gateway/tests/conftest.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from dataclasses import dataclass, field
 from types import SimpleNamespace
@@ -433,13 +434,15 @@
     budget_floor_per_s: float = 100.0
     seed: int = 0
     last_sender: object = None
+    state: SystemState | None = None
     n_deliveries: int = 0
 
     def sender(self):
         loop = asyncio.get_running_loop()
         clock = VirtualClock(loop)
-        state = SystemState(None, EventHub())
+        self.state = state = SystemState(None, EventHub())
         state.registry.replace(self.targets, clock.monotonic())
+        state.targets_confirmed_at = math.inf
         self.events = EventHub()
         return AttemptSender(
             ZoneName("z1"),
--- a/packages/aspendrift-gateway/tests/test_attempts.py
+++ b/packages/aspendrift-gateway/tests/test_attempts.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
+from dataclasses import replace
+
 import pytest
 
 from aspendrift_gateway.attempts import InputsGone, Served
@@ -298,6 +301,39 @@
     assert not harness.answer.is_ended
 
 
+@pytest.mark.parametrize("is_read", [True, False])
+def test_stream_is_not_continued_at_a_target_that_returned_as_another_version(
+    make_harness, is_read
+):
+    """Guards against a choice by an entry from before a target ended and returned."""
+    targets = (
+        entry("v1-0", software="v1"),
+        entry("v1-1", software="v1"),
+        replace(entry("v2-0", software="v2"), is_draining=True),
+    )
+    first = Reply(chunks=(events(1),), breaks_after=1)
+    harness = make_harness(first, Reply(chunks=(events(2),)), targets=targets)
+
+    async def run():
+        sender = harness.sender()
+        harness.state.targets_confirmed_at = -1.0
+        delivery = harness.delivery(RESUMABLE)
+        sending = asyncio.create_task(sender.send(delivery))
+        await asyncio.sleep(0.5)
+        assert len(harness.client.sent) == 1
+        if is_read:
+            now = asyncio.get_running_loop().time()
+            returned = [entry(f"v1-{n}", born=2, software="v2") for n in range(2)]
+            harness.state.registry.replace([*returned, targets[2]], now)
+            harness.state.targets_confirmed_at = now
+        return await sending
+
+    outcome = run_virtual(run())
+    assert outcome.is_cut
+    assert len(harness.client.sent) == 1
+    assert harness.answer.body == events(1)
+
+
 def test_request_without_an_event_may_run_at_another_software_version(make_harness):
     targets = (entry("v1-0", software="v1"), entry("v2-0", software="v2"))
     first = Reply(chunks=(b"id: 1\nda",), breaks_after=1)
