Count large answers until their callers have read them

An answer that is read as a whole released its memory as soon as it had been read, and then waited for its caller with 128 KB counted, whatever its size. Now a body of more than 128 KB whose length is known reserves that length until the exchange ends, as long as there is room, and may be repeated at another target if it breaks off. Without room it is forwarded as it arrives, at the pace of its caller, and one that breaks off is shorter than its head says. Bodies of unknown length count as unread with all that is held of them, so that the longest waiting are broken off. Hand-overs forward large answers as they arrive.

Tests failed before: a large answer was read as a whole while its caller had read three parts (16 pieces where 5 are allowed), on routes that run once and that may be repeated.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
@@ -97,6 +97,8 @@
 # only after it.
 _MIN_STALL_TIMEOUT_S: Final = 1.6
 _SHORT_RETRY_AFTER_S: Final = 0.25
+# Parts in which an answer is sent.
+_PART_BYTES: Final = 64 * 1024
 # Time in which a target with free slots fetches its inputs: a few round trips, and
 # tens of megabytes over a 10 Gbit/s link.
 _INPUT_FETCH_S: Final = 0.1
@@ -666,11 +668,16 @@
         answer: Answer,
         timeout: asyncio.Timeout,
     ) -> Served | _FailedAttempt:
-        """Read a complete answer, then send it to the caller."""
+        """Read a complete answer, then send it.
+
+        A large one for which there is no memory is forwarded as it arrives.
+        """
         if not answer.head.is_signed:
             return _FailedAttempt(
                 AttemptVerdict.SPOILED, f"status {answer.status}", True
             )
+        if answer.is_large and answer.status < _SERVER_ERROR and not answer.hold():
+            return await self._forward_large(delivery, entry, answer, timeout)
         try:
             body = await answer.body()
         except AnswerTooLarge as error:
@@ -692,7 +699,39 @@
         await delivery.answer.begin(
             answer.status, end_to_end_headers(answer.headers, len(body))
         )
-        await delivery.answer.send(body)
+        # What is held is counted; of other bodies, what their callers haven't read is.
+        n_part = _PART_BYTES if answer.n_held else max(1, len(body))
+        for start in range(0, len(body), n_part):
+            await delivery.answer.send(body[start : start + n_part])
+        await delivery.answer.end()
+        return Served(answer.status)
+
+    async def _forward_large(
+        self,
+        delivery: Delivery,
+        entry: TargetEntry,
+        answer: Answer,
+        timeout: asyncio.Timeout,
+    ) -> Served | _FailedAttempt:
+        """Forward an answer of a known length as its caller reads it.
+
+        Held as a whole, the answers of many slow callers would fill the memory. One
+        that breaks off after its first bytes were sent is shorter than its head says.
+        """
+        headers = end_to_end_headers(answer.headers, answer.announced_bytes)
+        try:
+            async for chunk in answer.chunks():
+                if not delivery.answer.has_begun:
+                    delivery.progress.inputs_fetched()
+                    self._reschedule(timeout, delivery, math.inf)
+                    await delivery.answer.begin(answer.status, headers)
+                await delivery.answer.send(chunk)
+        except (httpx.HTTPError, OSError, AnswerTooLarge) as error:
+            detail = type(error).__name__
+            self._report_broken(entry, delivery)
+            if delivery.answer.has_begun:
+                return Served(answer.status, is_cut=True, detail=detail)
+            return _FailedAttempt(AttemptVerdict.BROKEN, detail, True)
         await delivery.answer.end()
         return Served(answer.status)
 
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/handover.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/handover.py
@@ -224,11 +224,13 @@
             return Refusal(RefusalReason.DEADLINE_EXCEEDED, f"{left_s:.3f} s")
 
     async def _forward(self, delivery: Delivery, answer: Answer) -> Served | Refusal:
-        """Forward an answer as it arrives; other answers than streams when complete."""
+        """Forward a stream or a large answer as it arrives, others when complete."""
         is_stream = delivery.routed.route.kind is RequestKind.STREAMING
+        is_success = answer.status < 300
         try:
-            if is_stream and answer.status < 300:
-                headers = end_to_end_headers(answer.headers, None)
+            if is_success and (is_stream or answer.is_large):
+                n_bytes = None if is_stream else answer.announced_bytes
+                headers = end_to_end_headers(answer.headers, n_bytes)
                 async for chunk in answer.chunks():
                     if not delivery.answer.has_begun:
                         await delivery.answer.begin(answer.status, headers)
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/servers.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/servers.py
@@ -38,8 +38,8 @@
 _CLOSE: Final = (b"connection", b"close")
 _CLOSE_TIMEOUT_S: Final = 1
 _PART_BYTES: Final = 64 * 1024
-# Memory of an answer whose caller does not read: a part that waits, and as much in the
-# buffer of the connection.
+# Least memory of an answer whose caller does not read: a part that waits, and as much
+# in the buffer of the connection.
 _UNREAD_BYTES: Final = 2 * _PART_BYTES
 _SHORT_RETRY_AFTER_S: Final = 0.5
 
@@ -94,11 +94,13 @@
         In parts, each of which waits for the caller to read the ones before.
         """
         for start in range(0, len(content), _PART_BYTES):
-            await self._send_part(content[start : start + _PART_BYTES])
+            n_held = max(_UNREAD_BYTES, len(content) - start + _PART_BYTES)
+            await self._send_part(content[start : start + _PART_BYTES], n_held)
 
-    async def _send_part(self, part: bytes) -> None:
+    async def _send_part(self, part: bytes, n_held: int) -> None:
+        """Send a part of content of which ``n_held`` bytes are in memory."""
         self._sending = asyncio.current_task()
-        number = self._unread.began(_UNREAD_BYTES, self._break_off)
+        number = self._unread.began(n_held, self._break_off)
         try:
             await self._send(
                 {"type": "http.response.body", "body": part, "more_body": True}
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
@@ -59,6 +59,8 @@
 # Bytes of one answer that is read as a whole, and by default of all of them that are
 # being read.
 _MAX_BODY_BYTES: Final = 16 * 1024 * 1024
+# A longer body of a known length is not kept as a whole.
+_LARGE_BYTES: Final = 128 * 1024
 _MAX_BUFFERED_BYTES: Final = 64 * 1024 * 1024
 _NOT_SENT: Final = (httpx.ConnectError, httpx.ConnectTimeout)
 _STATUSES_WITHOUT_BODY: Final = frozenset({204, 304})
@@ -88,6 +90,14 @@
     def __init__(self, budget: BufferBudget | None = None) -> None:
         self._budget = budget or BufferBudget(_MAX_BUFFERED_BYTES)
 
+    def hold(self, n_bytes: int) -> bool:
+        """Reserve the bytes of an answer; return False if there is no room."""
+        return self._budget.reserve(n_bytes)
+
+    def release(self, n_bytes: int) -> None:
+        """Release the bytes of an answer that were reserved."""
+        self._budget.release(n_bytes)
+
     async def read(self, chunks: AsyncIterator[bytes]) -> bytes:
         """Return all bytes; raises `AnswerTooLarge` if they are too many."""
         body = bytearray()
@@ -115,6 +125,8 @@
     buffers: _Buffers = field(default_factory=_Buffers)
     # Whether the connection had no answer before.
     is_first: bool = True
+    # Bytes that are reserved for the body.
+    n_held: int = 0
 
     @property
     def is_doubtful_refusal(self) -> bool:
@@ -153,6 +165,29 @@
                 return value
         return b""
 
+    @property
+    def announced_bytes(self) -> int | None:
+        """Length of the body that the head states; None without one, or a body."""
+        value = self._header(_LENGTH).strip()
+        if self.method == "HEAD" or self.is_without_body or not value.isdigit():
+            return None
+        return int(value)
+
+    @property
+    def is_large(self) -> bool:
+        """Whether the body may be forwarded as it arrives, its length being known."""
+        announced = self.announced_bytes
+        return announced is not None and _LARGE_BYTES < announced <= _MAX_BODY_BYTES
+
+    def hold(self) -> bool:
+        """Reserve memory for a large body until the exchange ends; False without room.
+
+        Otherwise the memory counts only until the body was read.
+        """
+        if not self.n_held and self.buffers.hold(self.announced_bytes or 0):
+            self.n_held = self.announced_bytes or 0
+        return self.n_held > 0
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives.
 
@@ -169,6 +204,8 @@
 
     async def body(self) -> bytes:
         """Return the whole body; raises `AnswerTooLarge` or ``httpx.HTTPError``."""
+        if self.n_held:
+            return b"".join([chunk async for chunk in self.chunks()])
         return await self.buffers.read(self.chunks())
 
     def retire_connection(self) -> None:
@@ -179,6 +216,8 @@
 
     async def close(self) -> None:
         """End the exchange; an incomplete answer closes the connection."""
+        self.buffers.release(self.n_held)
+        self.n_held = 0
         await self.response.aclose()
 
 
--- a/packages/aspendrift-gateway/tests/conftest.py
+++ b/packages/aspendrift-gateway/tests/conftest.py
@@ -16,7 +16,7 @@
 from aspendrift_gateway.interfaces import AnswerHead, StoreRow, StoreRows
 from aspendrift_gateway.store_client import HistoryGone, StoreFailure
 from aspendrift_gateway.system_state import SystemState
-from aspendrift_gateway.target_client import Answer, Broken, NotSent
+from aspendrift_gateway.target_client import Answer, Broken, NotSent, _Buffers
 from aspendrift_model.hosts import Host, Location
 from aspendrift_model.ids import (
     AttemptId,
@@ -37,6 +37,7 @@
 )
 from aspendrift_model.states import MemberState
 from aspendrift_model.target_entries import TargetEntry, TargetKey, UnreadableEntry
+from aspendrift_policy.buffer_budget import BufferBudget
 from aspendrift_policy.pool_choice import PoolChooser
 from aspendrift_policy.retry_budget import RetryBudgets
 from aspendrift_standins.virtual_time import VirtualClock
@@ -293,9 +294,11 @@
 class _Stream(httpx.AsyncByteStream):
     def __init__(self, reply):
         self._reply = reply
+        self.n_read = 0
 
     async def __aiter__(self):
         for index, chunk in enumerate(self._reply.chunks):
+            self.n_read = index + 1
             if self._reply.breaks_after == index:
                 raise httpx.ReadError("reset")
             yield chunk
@@ -322,6 +325,8 @@
         self.reuse_disabled = []
         self.is_listening = True
         self.n_connections_tried = 0
+        # Memory for large answers.
+        self.budget = BufferBudget(64 * 1024 * 1024)
 
     async def accepts_connections(self, target):
         self.n_connections_tried += 1
@@ -354,7 +359,8 @@
             (b"content-type", reply.content_type),
             *reply.framing,
         )
-        return Answer(reply.status, headers, head, response)
+        buffers = _Buffers(self.budget)
+        return Answer(reply.status, headers, head, response, buffers=buffers)
 
     def disable_reuse(self, target_id, now):
         self.reuse_disabled.append(target_id)
--- a/packages/aspendrift-gateway/tests/test_attempts.py
+++ b/packages/aspendrift-gateway/tests/test_attempts.py
@@ -541,3 +541,84 @@
 def test_media_type_has_no_parameters(headers, expected):
     head = AnswerHead("a1", True, False, False, False)
     assert Answer(200, headers, head, None).media_type == expected
+
+
+LARGE = 1024 * 1024
+PIECES = tuple(b"x" * 65536 for _ in range(LARGE // 65536))
+
+
+def large(**changes):
+    framing = ((b"content-length", str(LARGE).encode()),)
+    return Reply(chunks=PIECES, framing=framing, **changes)
+
+
+@pytest.mark.parametrize("found_route", [UNSAFE, route()])
+def test_large_answer_without_room_is_read_no_faster_than_by_its_caller(
+    make_harness, found_route
+):
+    """Guards against answers of slow callers that fill the memory."""
+    harness = make_harness(large())
+    harness.client.budget.max_bytes = LARGE // 2
+    harness.answer.send_s = 0.3
+
+    async def run():
+        sender = harness.sender()
+        sending = asyncio.create_task(sender.send(harness.delivery(found_route)))
+        await asyncio.sleep(1.0)
+        assert harness.client.responses[0].stream.n_read <= 5
+        return await sending
+
+    assert run_virtual(run()) == Served(200)
+    assert harness.answer.body == b"".join(PIECES)
+    assert harness.answer.is_ended
+    assert (b"content-length", b"1048576") in harness.answer.headers
+
+
+def test_large_answer_counts_until_its_caller_has_read_it(make_harness):
+    """Guards against answers that wait for their callers and count for nothing."""
+    harness = make_harness(large())
+    harness.answer.send_s = 0.3
+
+    async def run():
+        sender = harness.sender()
+        sending = asyncio.create_task(sender.send(harness.delivery()))
+        await asyncio.sleep(1.0)
+        assert harness.client.budget.n_bytes == LARGE
+        return await sending
+
+    assert run_virtual(run()) == Served(200)
+    assert harness.answer.body == b"".join(PIECES)
+    assert harness.client.budget.n_bytes == 0
+
+
+def test_large_answer_without_room_that_breaks_off_is_not_framed_as_complete(
+    make_harness,
+):
+    harness = make_harness(large(breaks_after=3), Reply())
+    harness.client.budget.max_bytes = 0
+    outcome = send(harness)
+    assert outcome.is_cut
+    assert not harness.answer.is_ended
+    assert harness.broken
+
+
+@pytest.mark.parametrize("n_room", [0, LARGE])
+@pytest.mark.parametrize(
+    "first", [large(breaks_after=0), large(status=500)], ids=["broken", "failure"]
+)
+def test_large_answer_that_failed_is_repeated(make_harness, first, n_room):
+    harness = make_harness(first, Reply())
+    harness.client.budget.max_bytes = n_room + 1024
+    assert send(harness) == Served(200)
+    assert harness.answer.body == b"whole"
+    assert harness.client.budget.n_bytes == 0
+
+
+def test_length_of_an_answer_without_a_body_is_not_that_of_a_body():
+    head = AnswerHead("a1", True, False, False, False)
+    headers = ((b"content-length", b"1000000"),)
+    assert Answer(200, headers, head, None).is_large
+    assert not Answer(200, headers, head, None, "HEAD").is_large
+    assert not Answer(304, headers, head, None).is_large
+    endless = ((b"content-length", b"99999999999"),)
+    assert not Answer(200, endless, head, None).is_large
