--- a/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
@@ -727,8 +727,10 @@
                     await delivery.answer.begin(answer.status, headers)
                 await delivery.answer.send(chunk)
         except (httpx.HTTPError, OSError, AnswerTooLarge) as error:
-            detail = type(error).__name__
-            self._report_broken(entry, delivery)
+            # A target that sends too many pieces has not crashed.
+            if not isinstance(error, AnswerTooLarge):
+                self._report_broken(entry, delivery)
+            detail = f"{type(error).__name__} {error}".rstrip()
             if delivery.answer.has_begun:
                 return Served(answer.status, is_cut=True, detail=detail)
             return _FailedAttempt(AttemptVerdict.BROKEN, detail, True)
