--- a/tests/tools/test_platform_bench.py
+++ b/tests/tools/test_platform_bench.py
@@ -51,7 +51,7 @@
 
 
 def test_hunts_have_the_days_that_a_landing_needs():
-    for name, days in (("vlakotrh-fleet", "40"), ("vlakotrh-fleet-grown", "8")):
+    for name, days in (("kaapwind-fleet", "40"), ("pakkasafn-grown", "8")):
         command = arguments("hunt", site(name), 4, "why", None, False)
         assert command[command.index("--days") + 1] == days
         assert command[-2:] == ["--why", "why"]
