--- a/packages/aspendrift-daemon/src/aspendrift_daemon/limits.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/limits.py
@@ -16,7 +16,7 @@
 from aspendrift_model.settings_http import HttpSettings
 from aspendrift_model.states import OutcomeStatus, Ran, RefusalReason
 from aspendrift_model.wire_caller import OutcomeBody
-from aspendrift_policy.read_limits import PieceQuota, SharedPace, turn_end
+from aspendrift_policy.read_limits import ChunkQuota, SharedPace, turn_end
 
 if TYPE_CHECKING:
     from litestar.types import ASGIApp, Message, Receive, Scope, Send
@@ -53,17 +53,17 @@
 
 
 class _CountedConnection(h11.Connection):
-    """State of a connection that counts the pieces of the bodies it receives."""
+    """State of a connection that counts the chunks of the bodies it receives."""
 
     def __init__(self, max_incomplete_event_size: int) -> None:
         super().__init__(h11.SERVER, max_incomplete_event_size)
-        self.n_new_pieces = 0
+        self.n_new_chunks = 0
 
     def next_event(self) -> Any:
         """Return the next event."""
         event = super().next_event()
         if isinstance(event, h11.Data):
-            self.n_new_pieces += 1
+            self.n_new_chunks += 1
         return event
 
 
@@ -71,7 +71,7 @@
     """uvicorn's HTTP/1.1 protocol with limits on connections, time and processor time.
 
     What a client sends is parsed in bounded turns of the event loop, and clients that
-    send more pieces of bodies than sound ones share one rate.
+    send more chunks of bodies than sound ones share one rate.
     """
 
     limits: ClassVar[ConnectionLimits]
@@ -86,7 +86,7 @@
         super().connection_made(transport)
         max_head_bytes = self.config.h11_max_incomplete_event_size or _MAX_READ_BYTES
         self.conn = _CountedConnection(max_head_bytes)
-        self._quota = PieceQuota(self.loop.time())
+        self._quota = ChunkQuota(self.loop.time())
         self._unparsed = bytearray()
         _disable_nagle(transport)
         _limit_read_size(transport)
@@ -136,10 +136,10 @@
             self._stop_timer()
 
     def _delay_s(self) -> float:
-        """Return how long to wait before more is parsed, after the new pieces."""
+        """Return how long to wait before more is parsed, after the new chunks."""
         now = self.loop.time()
-        excess = self._quota.excess(self.conn.n_new_pieces, now)
-        self.conn.n_new_pieces = 0
+        excess = self._quota.excess(self.conn.n_new_chunks, now)
+        self.conn.n_new_chunks = 0
         if not excess:
             return 0.0
         if not self._is_paced:
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/metered_transport.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/metered_transport.py
@@ -14,9 +14,9 @@
 
 from aspendrift_daemon.events import Event, EventHub
 from aspendrift_policy.read_limits import (
-    BodyPieces,
+    BodyChunks,
+    ChunkQuota,
     HeadLines,
-    PieceQuota,
     SharedPace,
     turn_end,
 )
@@ -34,7 +34,7 @@
 # Requests that wait this long for the event loop are noticed by their callers.
 _MIN_HELD_S: Final = 0.1
 # Pieces of a body after which its bounds are checked.
-_CHECK_PIECES: Final = 64
+_CHECK_CHUNKS: Final = 64
 
 _SocketOptions: TypeAlias = Iterable[Any] | None
 
@@ -54,11 +54,11 @@
 
 @dataclass(frozen=True, slots=True)
 class BodyFragmented(Event):
-    """An exchange was ended since its body came in too many small pieces."""
+    """An exchange was ended since its body came in too many small chunks."""
 
     name: ClassVar[str] = "body_fragmented"
     address: str
-    n_pieces: int
+    n_chunks: int
     n_bytes: int
 
 
@@ -71,7 +71,7 @@
 
 
 class FragmentedBody(httpx.RemoteProtocolError):
-    """A body came in too many small pieces."""
+    """A body came in too many small chunks."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,7 +83,7 @@
     events : EventHub or None
         Receives the events of the connections.
     pace : SharedPace
-        Rate of the connections that deliver too many pieces.
+        Rate of the connections that deliver too many chunks.
     """
 
     events: EventHub | None = None
@@ -195,25 +195,25 @@
 
     async def __aiter__(self) -> AsyncIterator[bytes]:
         loop = asyncio.get_running_loop()
-        pieces, quota = BodyPieces(), PieceQuota(loop.time())
-        async for piece in self._stream:
-            pieces.record(len(piece))
-            if pieces.n_pieces % _CHECK_PIECES == 0:
-                self._raise_if_fragmented(pieces)
+        chunks, quota = BodyChunks(), ChunkQuota(loop.time())
+        async for chunk in self._stream:
+            chunks.record(len(chunk))
+            if chunks.n_chunks % _CHECK_CHUNKS == 0:
+                self._raise_if_fragmented(chunks)
                 now = loop.time()
-                excess = quota.excess(_CHECK_PIECES, now)
+                excess = quota.excess(_CHECK_CHUNKS, now)
                 if excess:
                     await asyncio.sleep(self._meter.pace.delay_s(excess, now))
-            yield piece
+            yield chunk
 
     async def aclose(self) -> None:
         await self._stream.aclose()
 
-    def _raise_if_fragmented(self, pieces: BodyPieces) -> None:
-        if not pieces.is_fragmented:
+    def _raise_if_fragmented(self, chunks: BodyChunks) -> None:
+        if not chunks.is_fragmented:
             return
-        self._meter.emit(BodyFragmented(self._address, pieces.n_pieces, pieces.n_bytes))
-        raise FragmentedBody(f"{pieces.n_bytes} bytes in {pieces.n_pieces} pieces")
+        self._meter.emit(BodyFragmented(self._address, chunks.n_chunks, chunks.n_bytes))
+        raise FragmentedBody(f"{chunks.n_bytes} bytes in {chunks.n_chunks} chunks")
 
 
 class _MeteredBackend(httpcore.AsyncNetworkBackend):
--- a/packages/aspendrift-daemon/tests/test_limits.py
+++ b/packages/aspendrift-daemon/tests/test_limits.py
@@ -242,8 +242,8 @@
     delays: list[float] = []
 
     class CountingPace(SharedPace):
-        def delay_s(self, n_pieces: int, now: float) -> float:
-            delays.append(super().delay_s(n_pieces, now))
+        def delay_s(self, n_chunks: int, now: float) -> float:
+            delays.append(super().delay_s(n_chunks, now))
             return 0.0
 
     async def main() -> None:
--- a/packages/aspendrift-daemon/tests/test_metered_transport.py
+++ b/packages/aspendrift-daemon/tests/test_metered_transport.py
@@ -39,7 +39,7 @@
 # Chunks that fit into one read of the socket several times over.
 MANY = 20_000
 # Framing of a chunk is two lines, and 128 lines are parsed in one turn.
-MAX_PIECES_PER_TURN = 65
+MAX_CHUNKS_PER_TURN = 65
 
 MAX_REPEATED_BYTES = 2 * 1024 * 1024
 
@@ -127,8 +127,8 @@
     await target.close()
 
 
-async def most_pieces_per_turn(world: World) -> int:
-    """Read a body; return the most pieces that arrived without a turn between."""
+async def most_chunks_per_turn(world: World) -> int:
+    """Read a body; return the most chunks that arrived without a turn between."""
     by_turn: dict[int, int] = {}
     with contextlib.suppress(FragmentedBody):
         async with world.client.stream("GET", world.url) as response:
@@ -141,7 +141,7 @@
     """Guards against a process that stands still while it parses what it has read."""
 
     async def scenario(world: World) -> None:
-        assert await most_pieces_per_turn(world) <= MAX_PIECES_PER_TURN
+        assert await most_chunks_per_turn(world) <= MAX_CHUNKS_PER_TURN
 
     run(sends(CHUNKED + BYTE_CHUNK * MANY + LAST_CHUNK), scenario)
 
@@ -155,10 +155,10 @@
             if is_whole:
                 await world.client.get(world.url)
             else:
-                await most_pieces_per_turn(world)
+                await most_chunks_per_turn(world)
                 raise httpx.RemoteProtocolError("broken off")
         (ended,) = [each for each in world.events if isinstance(each, BodyFragmented)]
-        assert ended.n_bytes < ended.n_pieces * 4
+        assert ended.n_bytes < ended.n_chunks * 4
 
     async def serve(writer: asyncio.StreamWriter) -> None:
         writer.write(CHUNKED)
@@ -201,22 +201,20 @@
 
 
 @pytest.mark.parametrize(
-    "piece",
-    [b"data: x\n\n", b"\n\n\n\n", b"x" * 100_000],
-    ids=["event", "lines", "big"],
+    "data", [b"data: x\n\n", b"\n\n\n\n", b"x" * 100_000], ids=["event", "lines", "big"]
 )
-def test_sound_bodies_in_many_chunks_are_complete(piece: bytes) -> None:
+def test_sound_bodies_in_many_chunks_are_complete(data: bytes) -> None:
     """Guards against bounds that break answers of a few bytes a chunk."""
-    n_pieces = 2_000 if len(piece) < 100 else 100
-    chunk = b"%x\r\n%s\r\n" % (len(piece), piece)
+    n_chunks = 2_000 if len(data) < 100 else 100
+    chunk = b"%x\r\n%s\r\n" % (len(data), data)
 
     async def scenario(world: World) -> None:
         for _ in range(2):
             response = await world.client.get(world.url)
-            assert response.content == piece * n_pieces
+            assert response.content == data * n_chunks
         assert world.events == []
 
-    run(sends(CHUNKED + chunk * n_pieces + LAST_CHUNK), scenario)
+    run(sends(CHUNKED + chunk * n_chunks + LAST_CHUNK), scenario)
 
 
 def test_body_of_short_lines_with_a_length_is_complete() -> None:
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
@@ -727,7 +727,7 @@
                     await delivery.answer.begin(answer.status, headers)
                 await delivery.answer.send(chunk)
         except (httpx.HTTPError, OSError, AnswerTooLarge) as error:
-            # A target that sends too many pieces has not crashed.
+            # A target that sends too many small chunks has not crashed.
             if not isinstance(error, AnswerTooLarge):
                 self._report_broken(entry, delivery)
             detail = f"{type(error).__name__} {error}".rstrip()
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
@@ -192,7 +192,7 @@
         """Yield the body as it arrives.
 
         Raises ``httpx.HTTPError`` if it breaks off, `AnswerTooLarge` if it comes in too
-        many pieces.
+        many small chunks.
         """
         stream = self.response.stream
         assert isinstance(stream, httpx.AsyncByteStream)
--- a/packages/aspendrift-policy/tests/test_read_limits.py
+++ b/packages/aspendrift-policy/tests/test_read_limits.py
@@ -5,9 +5,9 @@
 import pytest
 
 from aspendrift_policy.read_limits import (
-    BodyPieces,
+    BodyChunks,
+    ChunkQuota,
     HeadLines,
-    PieceQuota,
     SharedPace,
     turn_end,
 )
@@ -53,7 +53,7 @@
 
 
 @pytest.mark.parametrize(
-    ("n_pieces", "n_bytes", "expected"),
+    ("n_chunks", "n_bytes", "expected"),
     [
         (4096, 1, False),
         (5400, 1, False),
@@ -64,21 +64,21 @@
     ],
 )
 def test_only_many_pieces_below_the_size_of_an_event_are_fragmented(
-    n_pieces, n_bytes, expected
+    n_chunks, n_bytes, expected
 ):
-    pieces = BodyPieces()
-    for _ in range(n_pieces):
-        pieces.record(n_bytes)
-    assert pieces.is_fragmented == expected
+    chunks = BodyChunks()
+    for _ in range(n_chunks):
+        chunks.record(n_bytes)
+    assert chunks.is_fragmented == expected
 
 
 def test_stream_of_hundreds_of_events_a_second_is_within_its_quota():
-    quota = PieceQuota(0.0)
+    quota = ChunkQuota(0.0)
     assert all(quota.excess(50, now / 10) == 0 for now in range(1, 600))
 
 
 def test_pieces_over_the_quota_are_counted():
-    quota = PieceQuota(0.0)
+    quota = ChunkQuota(0.0)
     assert quota.excess(4096, 0.0) == 0
     assert quota.excess(64, 0.0) == 64
     assert quota.excess(600, 1.0) == 100
