--- a/packages/aspendrift-daemon/src/aspendrift_daemon/metered_transport.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/metered_transport.py
@@ -33,7 +33,7 @@
 
 # Requests that wait this long for the event loop are noticed by their callers.
 _MIN_HELD_S: Final = 0.1
-# Pieces of a body after which its bounds are checked.
+# Chunks of a body after which its bounds are checked.
 _CHECK_CHUNKS: Final = 64
 
 _SocketOptions: TypeAlias = Iterable[Any] | None
--- a/packages/aspendrift-policy/src/aspendrift_policy/read_limits.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/read_limits.py
@@ -21,7 +21,7 @@
 # minimum mean size, below that of any event or token.
 _MAX_SMALL_CHUNKS: Final = 4096
 _MIN_MEAN_CHUNK_BYTES: Final = 4
-# Pieces that a connection may deliver at once, and the rate at which it may go on; a
+# Chunks that a connection may deliver at once, and the rate at which it may go on; a
 # stream has up to a few hundred events per second.
 _QUOTA_CHUNKS: Final = 4096
 _QUOTA_CHUNKS_PER_S: Final = 500.0
@@ -92,7 +92,7 @@
 
 
 class ChunkQuota:
-    """Pieces that a connection may deliver without being paced."""
+    """Chunks that a connection may deliver without being paced."""
 
     def __init__(self, now: float) -> None:
         self._n_left = float(_QUOTA_CHUNKS)
