Log the status and signature of each answer that was read

A success that a caller got could not be told from the logs to be that of one target: attempt_ended had the status only of answers that were forwarded (0 for a foreign one, or one that was sent again), and neither the signature nor whether the connection had had an answer before. The hypotheses on successes where the target failed differ just in these.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
@@ -109,6 +109,7 @@
 # Logged as the age of a load report that was never received.
 _UNKNOWN_REPORT_AGE_S: Final = 3600.0
 _MAX_LOGGED_PARTS: Final = 16
+_MAX_LOGGED_CHARACTERS: Final = 64
 _UNCONFIRMED_END: Final = "ended with its connection, target gone"
 _OK: Final = 200
 _SERVER_ERROR: Final = 500
@@ -201,6 +202,8 @@
         Whether an answer that is no stream was read as a whole.
     media_type : bytes
         Media type of the stream that was begun.
+    received : Answer or None
+        Answer of the present attempt; None before its head.
     """
 
     routed: RoutedRequest
@@ -218,6 +221,7 @@
     software: SoftwareVersion | None = None
     is_answer_complete: bool = False
     media_type: bytes = b""
+    received: Answer | None = None
 
     @property
     def last_event_id(self) -> str | None:
@@ -514,13 +518,13 @@
             )
         )
         chooser.sent(entry)
-        verdict, status, detail = AttemptVerdict.CANCELLED, 0, ""
+        verdict, detail = AttemptVerdict.CANCELLED, ""
         try:
             result = await self._exchange(delivery, entry, began_at)
             if isinstance(result, _FailedAttempt):
                 verdict, detail = result.verdict, result.detail
             elif isinstance(result, Served):
-                status, detail = result.status, result.detail
+                detail = result.detail
                 failed = result.status >= _SERVER_ERROR
                 verdict = (
                     AttemptVerdict.BROKEN
@@ -545,12 +549,15 @@
                 took_s if is_answer and is_buffered else None,
                 now,
             )
+            received = delivery.received
             self._events.emit(
                 AttemptEnded(
                     routed.request.attempt_id,
                     entry.key.target_id,
                     verdict,
-                    status,
+                    0 if received is None else received.status,
+                    "" if received is None else _shortened(received.head.signature),
+                    received is not None and received.is_first,
                     detail,
                     _since(began_at, delivery.head_at),
                     _since(began_at, delivery.first_byte_at),
@@ -578,7 +585,7 @@
         timeout_s = self._timeout_s(delivery, now)
         delivery.relay.restart()
         delivery.n_events_before = delivery.relay.n_events
-        delivery.head_at = delivery.first_byte_at = None
+        delivery.head_at = delivery.first_byte_at = delivery.received = None
         early_free = self._schedule_early_free(delivery, entry, now)
         try:
             async with asyncio.timeout(timeout_s) as timeout:
@@ -628,6 +635,7 @@
         routed = delivery.routed
         head = answer.head
         now = delivery.head_at = self._clock.monotonic()
+        delivery.received = answer
         if _is_foreign(head, routed.request.attempt_id) or answer.is_doubtful_refusal:
             self._client.disable_reuse(entry.key.target_id, now)
             detail = str(head.attempt_id or "names no request")
@@ -955,6 +963,11 @@
     return None if at is None else at - began_at
 
 
+def _shortened(text: str) -> str:
+    """Return the part of a target's text that is logged."""
+    return text[:_MAX_LOGGED_CHARACTERS]
+
+
 def _is_foreign(head: AnswerHead, attempt_id: AttemptId) -> bool:
     """Return whether an answer belongs to another request.
 
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
@@ -510,6 +510,8 @@
 class AttemptEnded(Event):
     """An attempt ended.
 
+    ``status`` and the shortened ``signature`` are those of the answer that was read,
+    also if it was not forwarded; ``is_first`` whether its connection had none before.
     ``head_s`` and ``first_s`` are the times to the head of the answer and to the
     first bytes of its body.
     """
@@ -519,6 +521,8 @@
     target_id: str
     verdict: AttemptVerdict
     status: int
+    signature: str
+    is_first: bool
     detail: str
     head_s: float | None
     first_s: float | None
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/interfaces.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/interfaces.py
@@ -141,6 +141,8 @@
         Time for which the target asks to be sent nothing, in seconds.
     unreadable : str
         Name and value of a header that could not be decoded; empty if there was none.
+    signature : str
+        The target's signature, which is opaque here; empty without one.
     """
 
     attempt_id: AttemptId | None
@@ -154,6 +156,7 @@
     requests_per_s: float | None = None
     unreadable: str = ""
     retry_after_s: float | None = None
+    signature: str = ""
 
 
 class TargetCodec(Protocol):
--- a/packages/aspendrift-gateway/tests/conftest.py
+++ b/packages/aspendrift-gateway/tests/conftest.py
@@ -351,6 +351,7 @@
             has_not_run=reply.has_not_run,
             is_encoded=reply.is_encoded,
             closes=False,
+            signature="s" if reply.is_signed else "",
         )
         response = _Response(reply)
         self.responses.append(response)
--- a/packages/aspendrift-gateway/tests/test_attempts.py
+++ b/packages/aspendrift-gateway/tests/test_attempts.py
@@ -8,6 +8,7 @@
 import pytest
 
 from aspendrift_gateway.attempts import InputsGone, Served
+from aspendrift_gateway.events import AttemptEnded, AttemptVerdict
 from aspendrift_gateway.interfaces import AnswerHead
 from aspendrift_gateway.refusals import Refusal
 from aspendrift_gateway.target_client import Answer, Broken, NotSent
@@ -61,6 +62,23 @@
     assert harness.answer.body == b"whole"
 
 
+def test_log_tells_what_each_target_answered_that_was_tried(make_harness):
+    harness = make_harness(Reply(attempt_id="other", status=404), Reply())
+
+    async def run():
+        sender = harness.sender()
+        ended = []
+        harness.events.connect(AttemptEnded, ended.append)
+        await sender.send(harness.delivery())
+        return ended
+
+    ended = run_virtual(run())
+    assert [(each.verdict, each.status, each.signature) for each in ended] == [
+        (AttemptVerdict.FOREIGN, 404, "s"),
+        (AttemptVerdict.ANSWERED, 200, "s"),
+    ]
+
+
 @pytest.mark.parametrize(
     ("first", "reason"),
     [
