Read on to the answer of a request behind surplus answers

What callers saw: a request that may run once got 502, although its target ran it and its answer followed on the same connection; one that may be repeated ran at a second target, whose success hid what the first one had answered.

Cause: a surplus answer was recognised by its id, but only once the client library had taken it for the answer of the exchange, which can then only be ended. Surplus bytes that had been read together with the end of an answer did not make the connection readable either, so that it was used again with the copy already in the parser.

Change: the connection itself (MeteredStream) leaves out complete answers that certainly belong to another request, by their framing, at most 8 and 1 MiB for each exchange, and keeps what lies behind an answer of known length, so that the connection is not used again. Whatever can't be delimited is left to the library and ends the attempt as before. The read size is that of asyncio, since bytes that the backend holds don't count as readable. Such a connection is not used for a second exchange. HEAD requests get a connection of their own: the end of a copy of their answers can't be told.

Also: an answer to another request is not taken from a daemon to which a request was handed over.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/metered_transport.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/metered_transport.py
@@ -6,6 +6,7 @@
 import ssl
 import time
 from collections.abc import AsyncIterator, Iterable
+from contextvars import ContextVar
 from dataclasses import dataclass, field
 from typing import Any, ClassVar, Final, TypeAlias
 
@@ -13,6 +14,7 @@
 import httpx
 
 from aspendrift_daemon.events import Event, EventHub
+from aspendrift_daemon.surplus_answers import AnswerReader, AwaitedAnswer
 from aspendrift_policy.read_limits import (
     BodyChunks,
     ChunkQuota,
@@ -22,6 +24,7 @@
 )
 
 __all__ = [
+    "AWAITED_ANSWER",
     "BodyFragmented",
     "ConnectionMeter",
     "FragmentedBody",
@@ -29,12 +32,19 @@
     "LoopHeld",
     "MeteredStream",
     "MeteredTransport",
+    "SurplusAnswers",
 ]
 
+# Extension of a request by which surplus answers on its connection are recognised.
+AWAITED_ANSWER: Final = "awaited_answer"
+
 # Requests that wait this long for the event loop are noticed by their callers.
 _MIN_HELD_S: Final = 0.1
 # Chunks of a body after which its bounds are checked.
 _CHECK_CHUNKS: Final = 64
+# asyncio reads as much at once. All of it is taken, since bytes that the backend keeps
+# don't make a connection readable.
+_READ_BYTES: Final = 256 * 1024
 
 _SocketOptions: TypeAlias = Iterable[Any] | None
 
@@ -70,6 +80,15 @@
     address: str
 
 
+@dataclass(frozen=True, slots=True)
+class SurplusAnswers(Event):
+    """Answers to other requests were skipped before that to a request."""
+
+    name: ClassVar[str] = "surplus_answers"
+    address: str
+    n_answers: int
+
+
 class FragmentedBody(httpx.RemoteProtocolError):
     """A body came in too many small chunks."""
 
@@ -95,10 +114,17 @@
             self.events.emit(event)
 
 
+# Set while a request is sent, since the pool hands no extensions to its connections.
+_awaited_answer: ContextVar[AwaitedAnswer | None] = ContextVar(
+    "awaited_answer", default=None
+)
+
+
 class MeteredStream(httpcore.AsyncNetworkStream):
     """A connection that hands over what can be parsed in one turn of the event loop.
 
-    All that it reads passes here: heads, interim heads and bodies.
+    All that it reads passes here: heads, interim heads and bodies. Answers that are
+    certainly not that of the present request are left out.
     """
 
     def __init__(
@@ -115,19 +141,34 @@
         # Time at which bytes were handed over, until the event loop has had a turn.
         self._handed_over_at: float | None = None
         self._is_retired = False
+        self._answer: AnswerReader | None = None
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Return bytes that can be parsed in one turn of the event loop."""
+        while True:
+            part = await self._read_part(max_bytes, timeout)
+            if self._answer is None or not part:
+                return part
+            own, behind = self._answer.feed(part)
+            if behind:
+                # Unread, they keep the connection from being used again.
+                self._data = behind + self._data[self._start :]
+                self._start = 0
+            if own or behind:
+                return own
+
+    async def _read_part(self, max_bytes: int, timeout: float | None) -> bytes:
         self._report_held()
         if self._start < len(self._data):
             await asyncio.sleep(0)
         else:
-            self._data = await self._stream.read(max_bytes, timeout)
+            self._data = await self._stream.read(_READ_BYTES, timeout)
             self._start = 0
         end = turn_end(self._data, self._start, max_bytes)
         part = self._data[self._start : end]
         self._start = end
-        if self.head.is_too_long(part):
+        is_skipping = self._answer is not None and self._answer.is_skipping
+        if not is_skipping and self.head.is_too_long(part):
             self._meter.emit(HeadTooLong(self._address))
             raise httpcore.RemoteProtocolError("head with too many lines")
         self._n_handed_over = len(part)
@@ -137,6 +178,9 @@
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Send bytes of a request."""
+        if not self.head.is_open:
+            awaited = _awaited_answer.get()
+            self._answer = None if awaited is None else AnswerReader(awaited)
         self.head.begin()
         await self._stream.write(buffer, timeout)
 
@@ -162,6 +206,11 @@
             return True
         return self._stream.get_extra_info(info)
 
+    @property
+    def n_surplus(self) -> int:
+        """Number of answers that were skipped before that to the present request."""
+        return 0 if self._answer is None else self._answer.n_surplus
+
     def retire(self) -> None:
         """Close the connection once the present exchange has ended."""
         self._is_retired = True
@@ -169,6 +218,9 @@
     def body(self, stream: httpx.AsyncByteStream) -> httpx.AsyncByteStream:
         """Return the body of the answer whose head was read, with its bounds."""
         self.head.end()
+        if self.n_surplus:
+            self._meter.emit(SurplusAnswers(self._address, self.n_surplus))
+            self.retire()
         return _MeteredBody(stream, self._address, self._meter)
 
     def _turn_ended(self) -> None:
@@ -268,8 +320,15 @@
         )
 
     async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
-        """Send a request and wait for the head of its answer."""
-        response = await super().handle_async_request(request)
+        """Send a request and wait for the head of its answer.
+
+        With the extension `AWAITED_ANSWER`, surplus answers before it are skipped.
+        """
+        token = _awaited_answer.set(request.extensions.get(AWAITED_ANSWER))
+        try:
+            response = await super().handle_async_request(request)
+        finally:
+            _awaited_answer.reset(token)
         connection = response.extensions["network_stream"]
         assert isinstance(response.stream, httpx.AsyncByteStream)
         if isinstance(connection, MeteredStream):
--- /dev/null
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/surplus_answers.py
@@ -0,0 +1,173 @@
+"""Skips answers that a server sends on a connection beside those to its requests.
+
+A server may send an answer a second time, late, where the answer to the next request
+is expected. The client library takes the first answer after a request for its own, so
+the bytes of surplus ones are left out before it reads them.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable
+from typing import Final, Protocol
+
+import h11
+import httpx
+
+__all__ = ["AnswerReader", "AwaitedAnswer", "SurplusUnreadable"]
+
+# A server that sends more answers than that before the awaited one is not followed.
+_MAX_SURPLUS_ANSWERS: Final = 8
+_MAX_SURPLUS_BYTES: Final = 1024 * 1024
+# Bytes of a request's id that may be split between two reads.
+_MAX_ID_BYTES: Final = 256
+# The client library's own limit.
+_MAX_HEAD_BYTES: Final = 100 * 1024
+_HEAD_END: Final = re.compile(rb"\n\r?\n")
+_LENGTH: Final = b"content-length"
+_TRANSFER_ENCODING: Final = b"transfer-encoding"
+_LENGTH_LINE: Final = re.compile(
+    rb"\ncontent-length:[ \t]*(\d+)[ \t]*\r?\n", re.IGNORECASE
+)
+_STATUSES_WITHOUT_BODY: Final = frozenset({204, 304})
+
+
+class SurplusUnreadable(httpx.RemoteProtocolError):
+    """The end of a surplus answer can't be found, so the awaited one can't either."""
+
+
+class AwaitedAnswer(Protocol):
+    """Tells the answer to one request from others on its connection."""
+
+    def is_named_in(self, head: bytes) -> bool:
+        """Return whether an encoded head names the request."""
+
+    def is_surplus(self, status: int, headers: Iterable[tuple[bytes, bytes]]) -> bool:
+        """Return whether an answer certainly belongs to another request."""
+
+
+class AnswerReader:
+    """Passes on the bytes of one answer, without surplus answers before and behind it.
+
+    Parameters
+    ----------
+    awaited : AwaitedAnswer
+        Tells whether an answer is that of the request.
+    """
+
+    def __init__(self, awaited: AwaitedAnswer) -> None:
+        self._awaited = awaited
+        self._parser: h11.Connection | None = None
+        # Bytes of heads that may be the awaited one or precede it.
+        self._held = bytearray()
+        self._n_surplus_bytes = 0
+        # Latest bytes of a surplus body.
+        self._tail = b""
+        # Bytes of the answer that are still to come; None if its head doesn't tell.
+        self._n_left: int | None = None
+        self._has_begun = False
+        self.n_surplus = 0
+        self.is_skipping = False
+
+    def feed(self, data: bytes) -> tuple[bytes, bytes]:
+        """Return the bytes of the answer, and those behind its end.
+
+        Raises `SurplusUnreadable`.
+        """
+        if not self._has_begun:
+            data = self._find(data)
+        if self._n_left is None:
+            return data, b""
+        own, behind = data[: self._n_left], data[self._n_left :]
+        self._n_left -= len(own)
+        return own, behind
+
+    def _find(self, data: bytes) -> bytes:
+        """Return the bytes from the head of the answer on; empty before it."""
+        if self._parser is None:
+            end = _HEAD_END.search(data)
+            if end is not None and self._awaited.is_named_in(data[: end.end()]):
+                self._begin(data[: end.end()])
+                return data
+            self._parser = _parser()
+        if not self.is_skipping:
+            self._held += data
+        self._parser.receive_data(data)
+        return self._parse(self._parser)
+
+    def _parse(self, parser: h11.Connection) -> bytes:
+        """Skip surplus answers; return the bytes of the answer, empty before it."""
+        while True:
+            event = self._next_event(parser)
+            if event is None:
+                return self._take_held(parser)
+            if isinstance(event, h11.Response):
+                if not self._may_skip(event):
+                    return self._take_held(parser)
+                self.is_skipping = True
+                self._held.clear()
+            elif isinstance(event, h11.Data):
+                self._check_surplus(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self.n_surplus += 1
+                self.is_skipping = False
+                self._parser = None
+                behind = parser.trailing_data[0]
+                return self._find(behind) if behind else b""
+            elif not isinstance(event, h11.InformationalResponse):
+                return b""
+
+    def _next_event(self, parser: h11.Connection) -> object:
+        """Return the next event; None if the bytes are no answer."""
+        try:
+            return parser.next_event()
+        except h11.RemoteProtocolError as error:
+            if self.n_surplus or self.is_skipping:
+                raise SurplusUnreadable(str(error)) from error
+            return None
+
+    def _may_skip(self, answer: h11.Response) -> bool:
+        headers = list(answer.headers)
+        is_delimited = answer.status_code in _STATUSES_WITHOUT_BODY or any(
+            name in (_LENGTH, _TRANSFER_ENCODING) for name, _ in headers
+        )
+        return (
+            self.n_surplus < _MAX_SURPLUS_ANSWERS
+            and is_delimited
+            and self._awaited.is_surplus(answer.status_code, headers)
+        )
+
+    def _take_held(self, parser: h11.Connection) -> bytes:
+        held, self._held = bytes(self._held), bytearray()
+        n_body = len(parser.trailing_data[0])
+        self._begin(held[: len(held) - n_body])
+        return held
+
+    def _begin(self, head: bytes) -> None:
+        """Note the end of the answer, if its head tells it."""
+        self._has_begun = True
+        length = _LENGTH_LINE.search(head)
+        status = head[9:12]
+        has_body = not (status.isdigit() and int(status) in _STATUSES_WITHOUT_BODY)
+        if length and has_body and _TRANSFER_ENCODING not in head.lower():
+            self._n_left = len(head) + int(length[1])
+
+    def _check_surplus(self, data: bytes) -> None:
+        """Raise an error if a surplus body is large, or holds the awaited answer.
+
+        The body of an answer that was cut off ends with the answers behind it.
+        """
+        self._n_surplus_bytes += len(data)
+        if self._n_surplus_bytes > _MAX_SURPLUS_BYTES:
+            raise SurplusUnreadable("surplus answers are too large")
+        self._tail = self._tail[-_MAX_ID_BYTES:] + data
+        if self._awaited.is_named_in(self._tail):
+            raise SurplusUnreadable("a surplus answer was cut off")
+
+
+def _parser() -> h11.Connection:
+    """Return the state of a connection on which an answer is expected."""
+    parser = h11.Connection(h11.CLIENT, _MAX_HEAD_BYTES)
+    parser.send(h11.Request(method=b"GET", target=b"/", headers=[(b"host", b"-")]))
+    parser.send(h11.EndOfMessage())
+    return parser
--- /dev/null
+++ b/packages/aspendrift-daemon/tests/test_surplus_answers.py
@@ -0,0 +1,107 @@
+"""Tests of the answers that are skipped before that to a request."""
+
+from __future__ import annotations
+
+import pytest
+
+from aspendrift_daemon.surplus_answers import AnswerReader, SurplusUnreadable
+
+
+class Awaited:
+    """Awaits the answer with the id ``own``; answers without an id are surplus."""
+
+    def is_named_in(self, head):
+        return b"own" in head
+
+    def is_surplus(self, status, headers):
+        return dict(headers).get(b"id") != b"own"
+
+
+def answer(request_id=b"own", body=b"body", status=200, framing=None):
+    if framing is None:
+        framing = b"Content-Length: %d" % len(body)
+    named = b"Id: " + request_id + b"\r\n" if request_id else b""
+    return b"HTTP/1.1 %d X\r\n%s%s\r\n\r\n%s" % (status, named, framing, body)
+
+
+def chunked(request_id, *chunks):
+    body = b"".join(b"%x\r\n%s\r\n" % (len(each), each) for each in (*chunks, b""))
+    return answer(request_id, body, framing=b"Transfer-Encoding: chunked")
+
+
+def read(stream, size):
+    """Feed a stream in parts of a size; return what was read, behind, and surplus."""
+    reader = AnswerReader(Awaited())
+    own, behind = b"", b""
+    for start in range(0, len(stream), size):
+        part = reader.feed(stream[start : start + size])
+        own, behind = own + part[0], behind + part[1]
+    return own, behind, reader.n_surplus
+
+
+SIZES = pytest.mark.parametrize("size", [1, 7, 64, 100_000])
+INTERIM = b"HTTP/1.1 103 Early\r\nLink: x\r\n\r\n"
+
+
+@SIZES
+@pytest.mark.parametrize(
+    ("surplus", "n"),
+    [
+        (answer(b"other"), 1),
+        (answer(None), 1),
+        (answer(b"other", status=500), 1),
+        (answer(b"other", b""), 1),
+        (answer(b"other", b"HTTP/1.1 200 X\r\nId: new\r\n\r\n"), 1),
+        (answer(b"other", status=204, framing=b"X: y", body=b""), 1),
+        (chunked(b"other", b"one", b"\r\n\r\n"), 1),
+        (INTERIM + answer(b"other"), 1),
+        (answer(b"other") * 3, 3),
+    ],
+)
+@pytest.mark.parametrize(
+    "own", [answer(), chunked(b"own", b"one", b"two"), INTERIM + answer()]
+)
+def test_surplus_answers_before_the_awaited_one_are_skipped(own, surplus, n, size):
+    assert read(surplus + own, size) == (own, b"", n)
+
+
+@SIZES
+@pytest.mark.parametrize("body", [b"", b"body", b"x" * 200_000])
+def test_answer_behind_the_awaited_one_is_not_handed_over(body, size):
+    own = answer(body=body)
+    found, behind, _ = read(own + answer(b"other"), size)
+    assert found == own
+    assert behind == answer(b"other")
+
+
+@SIZES
+@pytest.mark.parametrize(
+    "stream",
+    [
+        answer(b"other", framing=b"Connection: close"),
+        answer(b"other") * 8 + answer(b"other", b"last"),
+        b"no answer at all\r\n\r\n",
+        answer(status=304, framing=b"Content-Length: 9", body=b""),
+        answer(framing=b"Connection: close"),
+    ],
+)
+def test_what_cannot_be_skipped_is_left_to_the_client(stream, size):
+    found, behind, _ = read(stream, size)
+    assert stream.endswith(found)
+    assert found.startswith((b"HTTP/1.1", b"no"))
+    assert behind == b""
+
+
+def test_surplus_answers_without_end_are_not_read_on():
+    reader = AnswerReader(Awaited())
+    reader.feed(answer(b"other", b"", framing=b"Content-Length: 999999999"))
+    with pytest.raises(SurplusUnreadable):
+        for _ in range(1000):
+            reader.feed(b"x" * 10_000)
+
+
+@SIZES
+def test_awaited_answer_behind_a_copy_that_was_cut_off_is_not_waited_for(size):
+    copy = answer(b"other", b"x" * 500)
+    with pytest.raises(SurplusUnreadable):
+        read(copy[:-200] + answer(), size)
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
@@ -22,7 +22,6 @@
     TargetBroke,
 )
 from aspendrift_gateway.interfaces import (
-    AnswerHead,
     ForwardMetadata,
     HttpCall,
     PromptGuard,
@@ -44,6 +43,7 @@
     Broken,
     NotSent,
     TargetClient,
+    is_foreign,
 )
 from aspendrift_model.ids import (
     AccountId,
@@ -549,15 +549,12 @@
                 took_s if is_answer and is_buffered else None,
                 now,
             )
-            received = delivery.received
             self._events.emit(
                 AttemptEnded(
                     routed.request.attempt_id,
                     entry.key.target_id,
                     verdict,
-                    0 if received is None else received.status,
-                    "" if received is None else _shortened(received.head.signature),
-                    received is not None and received.is_first,
+                    *_received(delivery.received),
                     detail,
                     _since(began_at, delivery.head_at),
                     _since(began_at, delivery.first_byte_at),
@@ -579,9 +576,8 @@
             last_event_id=delivery.relay.last_event_id,
         )
         headers = self._codec.forwarded(request, metadata)
-        call = HttpCall(
-            request.method, request.target_path.decode("latin-1"), request.body
-        )
+        target_path = request.target_path.decode("latin-1")
+        call = HttpCall(request.method, target_path, request.body, request.attempt_id)
         timeout_s = self._timeout_s(delivery, now)
         delivery.relay.restart()
         delivery.n_events_before = delivery.relay.n_events
@@ -636,7 +632,7 @@
         head = answer.head
         now = delivery.head_at = self._clock.monotonic()
         delivery.received = answer
-        if _is_foreign(head, routed.request.attempt_id) or answer.is_doubtful_refusal:
+        if is_foreign(head, routed.request.attempt_id) or answer.is_doubtful_refusal:
             self._client.disable_reuse(entry.key.target_id, now)
             detail = str(head.attempt_id or "names no request")
             return _FailedAttempt(AttemptVerdict.FOREIGN, detail, True)
@@ -963,20 +959,12 @@
     return None if at is None else at - began_at
 
 
-def _shortened(text: str) -> str:
-    """Return the part of a target's text that is logged."""
-    return text[:_MAX_LOGGED_CHARACTERS]
-
-
-def _is_foreign(head: AnswerHead, attempt_id: AttemptId) -> bool:
-    """Return whether an answer belongs to another request.
-
-    A target repeats the id in every answer that it signs, so a signed one without it is
-    an extra answer left on the connection.
-    """
-    if head.attempt_id is None:
-        return head.is_signed
-    return head.attempt_id != attempt_id
+def _received(answer: Answer | None) -> tuple[int, str, bool, int]:
+    """Return status, signature, position and surplus answers, as they are logged."""
+    if answer is None:
+        return 0, "", False, 0
+    signature = answer.head.signature[:_MAX_LOGGED_CHARACTERS]
+    return answer.status, signature, answer.is_first, answer.n_surplus
 
 
 def _continues(delivery: Delivery, answer: Answer) -> bool:
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
@@ -511,7 +511,8 @@
     """An attempt ended.
 
     ``status`` and the shortened ``signature`` are those of the answer that was read,
-    also if it was not forwarded; ``is_first`` whether its connection had none before.
+    also if it was not forwarded; ``is_first`` whether its connection had none before,
+    ``n_surplus`` how many answers to other requests were skipped before it.
     ``head_s`` and ``first_s`` are the times to the head of the answer and to the
     first bytes of its body.
     """
@@ -523,6 +524,7 @@
     status: int
     signature: str
     is_first: bool
+    n_surplus: int
     detail: str
     head_s: float | None
     first_s: float | None
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/handover.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/handover.py
@@ -31,6 +31,7 @@
     AnswerTooLarge,
     NotSent,
     TargetClient,
+    is_foreign,
 )
 from aspendrift_model.hosts import Host
 from aspendrift_model.ids import DaemonId, PoolName, SoftwareVersion, TargetId
@@ -200,7 +201,7 @@
         marker = (HANDED_OVER_HEADER, _encode_marker(origin))
         headers = (*self._codec.handed_over(request, left_s), marker)
         target_path = request.target_path.decode("latin-1")
-        call = HttpCall(request.method, target_path, request.body)
+        call = HttpCall(request.method, target_path, request.body, request.attempt_id)
         entry = _entry(peer)
         # Counted before it is sent: whatever ends this task then, it may have run.
         delivery.progress.count_attempt()
@@ -213,6 +214,10 @@
                 if not isinstance(answer, Answer):
                     return Refusal(RefusalReason.OUTCOME_UNKNOWN, answer.detail)
                 try:
+                    if is_foreign(answer.head, request.attempt_id):
+                        return Refusal(
+                            RefusalReason.OUTCOME_UNKNOWN, "answer to another request"
+                        )
                     if answer.status == _DECLINED:
                         return _Declined("the configuration there is older")
                     return await self._forward(delivery, answer)
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/interfaces.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/interfaces.py
@@ -39,11 +39,15 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpCall:
-    """An outgoing HTTP call: method, path with query, and body."""
+    """An outgoing HTTP call: method, path with query, and body.
+
+    ``attempt_id`` is the id that the answer repeats; None if answers name no request.
+    """
 
     method: str
     target_path: str
     body: bytes = b""
+    attempt_id: AttemptId | None = None
 
 
 # Callers.
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
@@ -8,13 +8,14 @@
 
 import asyncio
 import weakref
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any, Final, TypeAlias
 
 import httpx
 
 from aspendrift_daemon.metered_transport import (
+    AWAITED_ANSWER,
     ConnectionMeter,
     FragmentedBody,
     MeteredStream,
@@ -26,7 +27,7 @@
     TargetCodec,
 )
 from aspendrift_gateway.transports import plain_transport
-from aspendrift_model.ids import TargetId
+from aspendrift_model.ids import AttemptId, TargetId
 from aspendrift_model.opaque_requests import Headers
 from aspendrift_model.target_entries import TargetEntry, TargetKey
 from aspendrift_policy.buffer_budget import BufferBudget
@@ -39,6 +40,7 @@
     "NotSent",
     "SendResult",
     "TargetClient",
+    "is_foreign",
 ]
 
 # Connecting takes a few milliseconds; a lost SYN is retransmitted after 1 s, which
@@ -64,6 +66,7 @@
 _MAX_BUFFERED_BYTES: Final = 64 * 1024 * 1024
 _NOT_SENT: Final = (httpx.ConnectError, httpx.ConnectTimeout)
 _STATUSES_WITHOUT_BODY: Final = frozenset({204, 304})
+_HEAD: Final = "HEAD"
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +83,17 @@
     detail: str
 
 
+def is_foreign(head: AnswerHead, attempt_id: AttemptId) -> bool:
+    """Return whether an answer belongs to another request.
+
+    A target repeats the id in every answer that it signs, so a signed one without it is
+    an extra answer left on the connection.
+    """
+    if head.attempt_id is None:
+        return head.is_signed
+    return head.attempt_id != attempt_id
+
+
 class AnswerTooLarge(Exception):
     """A target sent more than this process reads or keeps of an answer."""
 
@@ -125,6 +139,8 @@
     buffers: _Buffers = field(default_factory=_Buffers)
     # Whether the connection had no answer before.
     is_first: bool = True
+    # Answers to other requests that were skipped before this one.
+    n_surplus: int = 0
     # Bytes that are reserved for the body.
     n_held: int = 0
 
@@ -142,7 +158,7 @@
     @property
     def is_delimited(self) -> bool:
         """Whether the end of the body can be told from the end of the connection."""
-        if self.method == "HEAD" or self.status in _STATUSES_WITHOUT_BODY:
+        if self.method == _HEAD or self.status in _STATUSES_WITHOUT_BODY:
             return True
         return any(name.lower() in _FRAMING_HEADERS for name, _ in self.headers)
 
@@ -169,7 +185,7 @@
     def announced_bytes(self) -> int | None:
         """Length of the body that the head states; None without one, or a body."""
         value = self._header(_LENGTH).strip()
-        if self.method == "HEAD" or self.is_without_body or not value.isdigit():
+        if self.method == _HEAD or self.is_without_body or not value.isdigit():
             return None
         return int(value)
 
@@ -315,7 +331,7 @@
         if links is not None and links.is_lost:
             return NotSent("links to targets lost")
         connections = self._connections(entry)
-        request = _request(entry, call, headers, connections.no_reuse_until > now)
+        request = self._request(entry, call, headers, connections.no_reuse_until > now)
         if links is not None:
             links.sent()
         try:
@@ -345,8 +361,21 @@
             call.method,
             self._buffers,
             self._is_first_answer(response),
+            _n_surplus(response),
         )
 
+    def _request(
+        self, entry: TargetEntry, call: HttpCall, headers: Headers, closes: bool
+    ) -> httpx.Request:
+        """Return a request; ``closes`` if its connection is not used again."""
+        # The end of a copy of an answer to HEAD can't be told from its head.
+        is_head = call.method == _HEAD
+        request = _request(entry, call, headers, closes or is_head)
+        if call.attempt_id is not None and not is_head:
+            awaited = _AwaitedAnswer(self.codec, call.attempt_id)
+            request.extensions[AWAITED_ANSWER] = awaited
+        return request
+
     def _is_first_answer(self, response: httpx.Response) -> bool:
         """Return whether a response is the first one on its connection."""
         stream = response.extensions.get("network_stream")
@@ -421,6 +450,30 @@
         return connections
 
 
+def _n_surplus(response: httpx.Response) -> int:
+    """Return how many answers were skipped before a response."""
+    connection = response.extensions.get("network_stream")
+    return connection.n_surplus if isinstance(connection, MeteredStream) else 0
+
+
+class _AwaitedAnswer:
+    """Tells the answer to one request from surplus answers on its connection."""
+
+    def __init__(self, codec: TargetCodec, attempt_id: AttemptId) -> None:
+        self._codec = codec
+        self._attempt_id = attempt_id
+        self._encoded_id = attempt_id.encode("latin-1")
+
+    def is_named_in(self, head: bytes) -> bool:
+        """Return whether an encoded head contains the id of the request."""
+        return self._encoded_id in head
+
+    def is_surplus(self, status: int, headers: Iterable[tuple[bytes, bytes]]) -> bool:
+        """Return whether an answer names another request, or must name one."""
+        head = self._codec.answer_head(status, tuple(headers))
+        return is_foreign(head, self._attempt_id)
+
+
 def _request(
     entry: TargetEntry, call: HttpCall, headers: Headers, closes: bool
 ) -> httpx.Request:
--- a/packages/aspendrift-gateway/tests/test_target_client.py
+++ b/packages/aspendrift-gateway/tests/test_target_client.py
@@ -6,8 +6,11 @@
 import contextlib
 from dataclasses import replace
 
+import pytest
+
 from aspendrift_gateway.interfaces import AnswerHead, HttpCall
 from aspendrift_gateway.target_client import TargetClient
+from aspendrift_model.ids import AttemptId
 from aspendrift_standins.virtual_time import run_virtual
 
 from .conftest import entry
@@ -142,3 +145,92 @@
                 await writer.wait_closed()
 
     asyncio.run(run())
+
+
+class StutteringTarget:
+    """Sends a copy of each answer beside the next one, and fails each second request.
+
+    Parameters
+    ----------
+    place : str
+        Where the copy goes: before the next answer, together with it, in parts, or
+        behind the answer that it repeats.
+    """
+
+    def __init__(self, place, is_named=True):
+        self.place = place
+        self.is_named = is_named
+        self.n_run = 0
+        self._connections = []
+
+    async def close(self):
+        await asyncio.gather(*self._connections)
+
+    async def serve(self, reader, writer):
+        self._connections.append(asyncio.current_task())
+        await self._answer_all(reader, writer)
+        writer.close()
+        with contextlib.suppress(ConnectionError):
+            await writer.wait_closed()
+
+    async def _answer_all(self, reader, writer):
+        copy = b""
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                await reader.readexactly(4)
+                attempt_id = head.partition(b"attempt-id: ")[2].partition(b"\r\n")[0]
+                answer = self._answer(attempt_id)
+                for part in self._parts(copy, answer):
+                    writer.write(part)
+                    await asyncio.sleep(0.002)
+                copy = answer
+                if not self.is_named:
+                    copy = copy.replace(b"Attempt-Id", b"Other")
+
+    def _answer(self, attempt_id):
+        self.n_run += 1
+        status = 500 if self.n_run % 2 == 0 else 200
+        body = b"answer to " + attempt_id
+        return (
+            b"HTTP/1.1 %d X\r\nAttempt-Id: %s\r\nSigned: 1\r\nContent-Length: %d"
+            b"\r\n\r\n%s" % (status, attempt_id, len(body), body)
+        )
+
+    def _parts(self, copy, answer):
+        if self.place == "before":
+            return (copy, answer)
+        if self.place == "together":
+            return (copy + answer,)
+        if self.place == "in parts":
+            return (copy[:9], copy[9:50], copy[50:] + answer[:30], answer[30:])
+        return (answer + answer,)
+
+    def answer_head(self, status, headers):
+        values = {name.lower(): value.decode() for name, value in headers}
+        attempt_id = values.get(b"attempt-id")
+        return AnswerHead(attempt_id, b"signed" in values, False, False, False)
+
+
+@pytest.mark.parametrize("place", ["before", "together", "in parts", "behind"])
+@pytest.mark.parametrize("is_named", [True, False])
+def test_request_gets_its_own_answer_from_a_target_that_answers_twice(place, is_named):
+    async def run():
+        stuttering = StutteringTarget(place, is_named)
+        server = await asyncio.start_server(stuttering.serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        target = replace(entry("t1"), address=f"127.0.0.1:{port}")
+        client = TargetClient(stuttering, lambda key: None)
+        for number in range(1, 7):
+            attempt_id = AttemptId(f"r{number}")
+            headers = ((b"attempt-id", attempt_id.encode()),)
+            call = HttpCall("POST", "/", b"call", attempt_id)
+            answer = await client.send_and_read(target, call, headers, 0.0)
+            assert answer.body == f"answer to r{number}".encode()
+            assert answer.status == (200 if number % 2 else 500)
+        assert stuttering.n_run == 6
+        await client.close()
+        server.close()
+        await stuttering.close()
+
+    asyncio.run(run())
--- a/packages/aspendrift-policy/src/aspendrift_policy/read_limits.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/read_limits.py
@@ -54,22 +54,22 @@
 
     def __init__(self) -> None:
         self._n_lines = 0
-        self._is_open = False
+        self.is_open = False
 
     def begin(self) -> None:
         """Count anew, for the next answer of a connection."""
         self._n_lines = 0
-        self._is_open = True
+        self.is_open = True
 
     def end(self) -> None:
         """Stop counting: the head is complete."""
-        self._is_open = False
+        self.is_open = False
 
     def is_too_long(self, data: bytes) -> bool:
         """Count the lines of some bytes; return whether the head has too many."""
-        if self._is_open:
+        if self.is_open:
             self._n_lines += data.count(b"\n")
-        return self._is_open and self._n_lines > _MAX_HEAD_LINES
+        return self.is_open and self._n_lines > _MAX_HEAD_LINES
 
 
 class BodyChunks:
