--- a/packages/aspendrift-gateway/tests/test_handover.py
+++ b/packages/aspendrift-gateway/tests/test_handover.py
@@ -227,6 +227,15 @@
     assert not world.answer.has_begun
 
 
+@pytest.mark.parametrize("attempt_id", ["other", None])
+def test_answer_to_another_request_is_not_forwarded(attempt_id):
+    world = World(Reply(attempt_id=attempt_id))
+    outcome = world.send()
+    assert isinstance(outcome, Refusal)
+    assert outcome.reason is RefusalReason.OUTCOME_UNKNOWN
+    assert not world.answer.has_begun
+
+
 def test_answer_that_takes_longer_than_the_deadline_is_unknown():
     world = World(Reply(delay_s=5.0))
     outcome = world.send()
