A head with a second status line is no answer

What callers got: a success (200) with their target's signature and its whole body, where that target had answered 404 or 504; failures of a target with another status than it gave; 503 ("not run") for requests that ran, and requests that may run once sent to a second target after that.

A target that answers twice may send part of the copy only. Where that ends inside its head, the next answer on the connection continues it in the middle of a line: `HTTP/1.1 200 OK`, headers of the copy, `Engine-Load: 1,0HTTP/1.1 500 Failed`, then the headers of the next answer. h11 takes the second status line for the end of a header's value or of the reason phrase, and of several Attempt-Ids the last one counted. So the status and the first headers are those of the copy, the rest is the request's own. Where both have the same status, nobody notices.

A status line inside a header or the reason phrase occurs in no answer but such a one, and a join in any other place is no valid head. The client of targets now takes it for an invalid answer of a request that may have run, and no crash of the target; requests and calls of stages go the same way. An answer with several different ids is foreign.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import weakref
 from collections.abc import AsyncIterator, Callable, Iterable
 from dataclasses import dataclass, field
@@ -67,6 +68,7 @@
 _NOT_SENT: Final = (httpx.ConnectError, httpx.ConnectTimeout)
 _STATUSES_WITHOUT_BODY: Final = frozenset({204, 304})
 _HEAD: Final = "HEAD"
+_STATUS_LINE: Final = re.compile(rb"HTTP/\d\.\d \d{3}")
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,9 +80,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Broken:
-    """The connection broke or the answer is invalid; the request may have run."""
+    """The connection broke or the answer is invalid; the request may have run.
+
+    ``may_be_crash`` is whether the target may have ended.
+    """
 
     detail: str
+    may_be_crash: bool = True
 
 
 def is_foreign(head: AnswerHead, attempt_id: AttemptId) -> bool:
@@ -345,6 +351,15 @@
             return NotSent(detail) if isinstance(error, _NOT_SENT) else Broken(detail)
         if links is not None:
             links.received()
+        if _has_second_status_line(response):
+            await response.aclose()
+            return Broken("second status line in the head", may_be_crash=False)
+        return self._answer(entry, call, response, now)
+
+    def _answer(
+        self, entry: TargetEntry, call: HttpCall, response: httpx.Response, now: float
+    ) -> Answer:
+        """Decode the head of an answer and report what it tells of its target."""
         answer_headers = tuple(response.headers.raw)
         head = self.codec.answer_head(response.status_code, answer_headers)
         if head.is_leaving:
@@ -474,6 +489,17 @@
         return is_foreign(head, self._attempt_id)
 
 
+def _has_second_status_line(response: httpx.Response) -> bool:
+    """Return whether a head is that of an unfinished answer joined with another.
+
+    The parser takes the second status line for the end of a header or of the reason
+    phrase, so that an answer could get the status of a surplus one before it.
+    """
+    reason: bytes = response.extensions.get("reason_phrase", b"")
+    values = (value for _, value in response.headers.raw)
+    return any(_STATUS_LINE.search(each) for each in (reason, *values))
+
+
 def _request(
     entry: TargetEntry, call: HttpCall, headers: Headers, closes: bool
 ) -> httpx.Request:
--- a/tests/aspendrift_platform/scripted_target.py
+++ b/tests/aspendrift_platform/scripted_target.py
@@ -45,6 +45,8 @@
         What follows the answer on the connection, which stays open.
     content_type : bytes
         Media type of the body, empty for none.
+    before : bytes
+        What is sent before the answer.
     cut_head : bytes
         What is sent instead of an answer, before the connection is closed; ``{id}``
         stands for the attempt's id.
@@ -61,6 +63,7 @@
     surplus: bytes = b""
     content_type: bytes = b""
     cut_head: bytes = b""
+    before: bytes = b""
 
 
 class ScriptedTarget:
@@ -116,6 +119,7 @@
             await writer.drain()
             writer.close()
             raise ConnectionError("the script is over")
+        writer.write(script.before)
         writer.write(b"HTTP/1.1 %s\r\nAttempt-Id: %s\r\n" % (script.status, attempt_id))
         if script.is_signed:
             writer.write(b"Response-Signature: %s.s\r\n" % self.name.encode())
--- a/tests/aspendrift_platform/test_headers.py
+++ b/tests/aspendrift_platform/test_headers.py
@@ -169,6 +169,13 @@
     assert head.keep_alive_s == 5.0
 
 
+def test_answer_that_names_two_requests_is_that_of_neither():
+    ids = ((b"Attempt-Id", b"0f"), (b"attempt-id", b"9c41"))
+    head = answer_head(200, ids)
+    assert head.attempt_id not in (None, AttemptId("0f"), AttemptId("9c41"))
+    assert answer_head(200, (ids[1], ids[1])).attempt_id == AttemptId("9c41")
+
+
 def test_misdirected_request_has_not_run():
     assert answer_head(421, ()).has_not_run
 
