An answer behind a copy that was cut off is no crash of its target

The rest of a copy that was cut off is taken from the answer behind it, so its end can't be found. The attempt ends at once as one with an invalid answer, as a head joined with another does, and not as a broken connection: its content is not suspected of crashing targets.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/surplus_answers.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/surplus_answers.py
@@ -23,6 +23,7 @@
 _MAX_ID_BYTES: Final = 256
 # The client library's own limit.
 _MAX_HEAD_BYTES: Final = 100 * 1024
+_PROTOCOL: Final = b"HTTP/"
 _HEAD_END: Final = re.compile(rb"\n\r?\n")
 _LENGTH: Final = b"content-length"
 _TRANSFER_ENCODING: Final = b"transfer-encoding"
@@ -86,8 +87,9 @@
         """Return the bytes from the head of the answer on; empty before it."""
         if self._parser is None:
             end = _HEAD_END.search(data)
-            if end is not None and self._awaited.is_named_in(data[: end.end()]):
-                self._begin(data[: end.end()])
+            head = b"" if end is None else data[: end.end()]
+            if head.startswith(_PROTOCOL) and self._awaited.is_named_in(head):
+                self._begin(head)
                 return data
             self._parser = _parser()
         if not self.is_skipping:
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
@@ -21,6 +21,7 @@
     FragmentedBody,
     MeteredStream,
 )
+from aspendrift_daemon.surplus_answers import SurplusUnreadable
 from aspendrift_gateway.interfaces import (
     AnswerHead,
     HttpCall,
@@ -348,7 +349,9 @@
             if links is not None:
                 links.failed()
             detail = type(error).__name__
-            return NotSent(detail) if isinstance(error, _NOT_SENT) else Broken(detail)
+            if isinstance(error, _NOT_SENT):
+                return NotSent(detail)
+            return Broken(detail, may_be_crash=not isinstance(error, SurplusUnreadable))
         if links is not None:
             links.received()
         if _has_second_status_line(response):
--- a/packages/aspendrift-gateway/tests/test_target_client.py
+++ b/packages/aspendrift-gateway/tests/test_target_client.py
@@ -9,7 +9,7 @@
 import pytest
 
 from aspendrift_gateway.interfaces import AnswerHead, HttpCall
-from aspendrift_gateway.target_client import TargetClient
+from aspendrift_gateway.target_client import Broken, TargetClient
 from aspendrift_model.ids import AttemptId
 from aspendrift_standins.virtual_time import run_virtual
 
@@ -153,8 +153,8 @@
     Parameters
     ----------
     place : str
-        Where the copy goes: before the next answer, together with it, in parts, or
-        behind the answer that it repeats.
+        Where the copy goes: before the next answer, whole or cut off, together with it,
+        in parts, or behind the answer that it repeats.
     """
 
     def __init__(self, place, is_named=True):
@@ -200,6 +200,8 @@
     def _parts(self, copy, answer):
         if self.place == "before":
             return (copy, answer)
+        if self.place == "cut":
+            return (copy[:-3], answer)
         if self.place == "together":
             return (copy + answer,)
         if self.place == "in parts":
@@ -212,25 +214,36 @@
         return AnswerHead(attempt_id, b"signed" in values, False, False, False)
 
 
+async def exchange_with(stuttering, n_requests):
+    """Return the answers of a target to some requests, each with its id."""
+    server = await asyncio.start_server(stuttering.serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    target = replace(entry("t1"), address=f"127.0.0.1:{port}")
+    client = TargetClient(stuttering, lambda key: None)
+    answers = []
+    for number in range(n_requests):
+        attempt_id = AttemptId(f"r{number}")
+        headers = ((b"attempt-id", attempt_id.encode()),)
+        call = HttpCall("POST", "/", b"call", attempt_id)
+        answers.append(await client.send_and_read(target, call, headers, 0.0))
+    await client.close()
+    server.close()
+    await stuttering.close()
+    return answers
+
+
 @pytest.mark.parametrize("place", ["before", "together", "in parts", "behind"])
 @pytest.mark.parametrize("is_named", [True, False])
 def test_request_gets_its_own_answer_from_a_target_that_answers_twice(place, is_named):
-    async def run():
-        stuttering = StutteringTarget(place, is_named)
-        server = await asyncio.start_server(stuttering.serve, "127.0.0.1", 0)
-        port = server.sockets[0].getsockname()[1]
-        target = replace(entry("t1"), address=f"127.0.0.1:{port}")
-        client = TargetClient(stuttering, lambda key: None)
-        for number in range(1, 7):
-            attempt_id = AttemptId(f"r{number}")
-            headers = ((b"attempt-id", attempt_id.encode()),)
-            call = HttpCall("POST", "/", b"call", attempt_id)
-            answer = await client.send_and_read(target, call, headers, 0.0)
-            assert answer.body == f"answer to r{number}".encode()
-            assert answer.status == (200 if number % 2 else 500)
-        assert stuttering.n_run == 6
-        await client.close()
-        server.close()
-        await stuttering.close()
-
-    asyncio.run(run())
+    stuttering = StutteringTarget(place, is_named)
+    answers = asyncio.run(exchange_with(stuttering, 6))
+    assert [each.status for each in answers] == [200, 500] * 3
+    bodies = [each.body for each in answers]
+    assert bodies == [b"answer to r%d" % number for number in range(6)]
+    assert stuttering.n_run == 6
+
+
+def test_answer_behind_a_copy_that_was_cut_off_is_no_crash_of_its_target():
+    whole, lost = asyncio.run(exchange_with(StutteringTarget("cut"), 2))
+    assert whole.body == b"answer to r0"
+    assert lost == Broken("SurplusUnreadable", may_be_crash=False)
