Use no connection again on which bytes follow a chunked answer

A copy that a target writes behind an answer in chunks may be read together with its end.

The connection looks for bytes behind what looks like the last chunk, and is not used again then. A body that contains the same bytes costs a connection, no more.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/metered_transport.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/metered_transport.py
@@ -201,11 +201,15 @@
     def get_extra_info(self, info: str) -> Any:
         """Return a property of the connection."""
         # A connection that is readable while it is idle is not used again.
-        is_ended = self._is_retired or self._start < len(self._data)
-        if info == "is_readable" and is_ended:
+        if info == "is_readable" and self._may_have_more():
             return True
         return self._stream.get_extra_info(info)
 
+    def _may_have_more(self) -> bool:
+        """Return whether bytes were read that no answer may be taken from."""
+        has_passed_on = self._answer is not None and self._answer.may_have_more
+        return self._is_retired or self._start < len(self._data) or has_passed_on
+
     @property
     def n_surplus(self) -> int:
         """Number of answers that were skipped before that to the present request."""
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/surplus_answers.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/surplus_answers.py
@@ -27,6 +27,7 @@
 _HEAD_END: Final = re.compile(rb"\n\r?\n")
 _LENGTH: Final = b"content-length"
 _TRANSFER_ENCODING: Final = b"transfer-encoding"
+_LAST_CHUNK: Final = b"0\r\n\r\n"
 _LENGTH_LINE: Final = re.compile(
     rb"\ncontent-length:[ \t]*(\d+)[ \t]*\r?\n", re.IGNORECASE
 )
@@ -67,6 +68,10 @@
         # Bytes of the answer that are still to come; None if its head doesn't tell.
         self._n_left: int | None = None
         self._has_begun = False
+        # Latest bytes of an answer whose head doesn't tell its end.
+        self._latest = b""
+        # Whether bytes behind the answer may have been passed on with its end.
+        self.may_have_more = False
         self.n_surplus = 0
         self.is_skipping = False
 
@@ -78,6 +83,7 @@
         if not self._has_begun:
             data = self._find(data)
         if self._n_left is None:
+            self._find_last_chunk(data)
             return data, b""
         own, behind = data[: self._n_left], data[self._n_left :]
         self._n_left -= len(own)
@@ -154,6 +160,14 @@
         if length and has_body and _TRANSFER_ENCODING not in head.lower():
             self._n_left = len(head) + int(length[1])
 
+    def _find_last_chunk(self, data: bytes) -> None:
+        """Note whether anything follows what looks like the last chunk of a body."""
+        latest = self._latest + data
+        end = latest.find(_LAST_CHUNK) + len(_LAST_CHUNK)
+        if len(_LAST_CHUNK) <= end < len(latest):
+            self.may_have_more = True
+        self._latest = latest[-len(_LAST_CHUNK) + 1 :]
+
     def _check_surplus(self, data: bytes) -> None:
         """Raise an error if a surplus body is large, or holds the awaited answer.
 
--- a/packages/aspendrift-daemon/tests/test_surplus_answers.py
+++ b/packages/aspendrift-daemon/tests/test_surplus_answers.py
@@ -74,6 +74,18 @@
     assert behind == answer(b"other")
 
 
+@pytest.mark.parametrize("n_split", range(1, 7))
+@pytest.mark.parametrize(
+    ("behind", "may_have_more"), [(b"", False), (answer(b"other"), True)]
+)
+def test_bytes_behind_the_last_chunk_are_noticed(behind, may_have_more, n_split):
+    reader = AnswerReader(Awaited())
+    stream = chunked(b"own", b"one", b"two")
+    reader.feed(stream[:-n_split])
+    reader.feed(stream[-n_split:] + behind)
+    assert reader.may_have_more is may_have_more
+
+
 @SIZES
 @pytest.mark.parametrize(
     "stream",
--- a/packages/aspendrift-gateway/tests/test_target_client.py
+++ b/packages/aspendrift-gateway/tests/test_target_client.py
@@ -157,8 +157,9 @@
         in parts, or behind the answer that it repeats.
     """
 
-    def __init__(self, place, is_named=True):
+    def __init__(self, place, is_named=True, is_chunked=False):
         self.place = place
+        self.is_chunked = is_chunked
         self.is_named = is_named
         self.n_run = 0
         self._connections = []
@@ -192,9 +193,15 @@
         self.n_run += 1
         status = 500 if self.n_run % 2 == 0 else 200
         body = b"answer to " + attempt_id
-        return (
-            b"HTTP/1.1 %d X\r\nAttempt-Id: %s\r\nSigned: 1\r\nContent-Length: %d"
-            b"\r\n\r\n%s" % (status, attempt_id, len(body), body)
+        framing = b"Content-Length: %d" % len(body)
+        if self.is_chunked:
+            framing = b"Transfer-Encoding: chunked"
+            body = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+        return b"HTTP/1.1 %d X\r\nAttempt-Id: %s\r\nSigned: 1\r\n%s\r\n\r\n%s" % (
+            status,
+            attempt_id,
+            framing,
+            body,
         )
 
     def _parts(self, copy, answer):
@@ -234,8 +241,11 @@
 
 @pytest.mark.parametrize("place", ["before", "together", "in parts", "behind"])
 @pytest.mark.parametrize("is_named", [True, False])
-def test_request_gets_its_own_answer_from_a_target_that_answers_twice(place, is_named):
-    stuttering = StutteringTarget(place, is_named)
+@pytest.mark.parametrize("is_chunked", [True, False])
+def test_request_gets_its_own_answer_from_a_target_that_answers_twice(
+    place, is_named, is_chunked
+):
+    stuttering = StutteringTarget(place, is_named, is_chunked)
     answers = asyncio.run(exchange_with(stuttering, 6))
     assert [each.status for each in answers] == [200, 500] * 3
     bodies = [each.body for each in answers]
