Leaving gateways accept requests by time, and for half of the grace at most

Callers of a stopping gateway: requests that waited in its sockets while the process stood still were accepted and passed on after the time for accepting was over, since only a poll moved the phase; with a grace under 5.6 s requests were accepted until the exit that cut them off, and a settings change could move the end of a stop past the kill.

Now the time of a request's arrival decides, at most half of the grace time is used for accepting, and the times of a stop are fixed when it begins.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -330,7 +330,7 @@
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply changed limits and times; addresses remain those of the start."""
         self.settings = settings
-        self.leaving.times = LeaveTimes.within(settings.grace_s)
+        self.leaving.change_times(LeaveTimes.within(settings.grace_s))
         self._share_limits()
 
     def addresses(self, query: AddressQuery) -> Sequence[str]:
@@ -504,9 +504,9 @@
         self.rows.begin_removal(self.link.host)
 
     def _refuses_new(self, request: OpaqueRequest, now: float) -> Refusal | None:
-        if self.leaving.phase in (LeavePhase.DRAINING, LeavePhase.EXITED):
-            return Refusal(RefusalReason.LEAVING, "", 0.0)
-        return None
+        if self.leaving.accepts(now):
+            return None
+        return Refusal(RefusalReason.LEAVING, "", 0.0)
 
     def _on_state_change(self, changes: list[RegistryChange]) -> None:
         if not changes:
--- a/packages/aspendrift-policy/src/aspendrift_policy/leaving.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/leaving.py
@@ -13,6 +13,9 @@
 # accepts none after that.
 _ADDRESS_CACHE_S: Final = 2.6
 _ANNOUNCEMENT_MARGIN_S: Final = 0.2
+# Share of the grace period in which new requests are accepted at most, so that there
+# is time to answer them.
+_ACCEPT_SHARE: Final = 0.5
 # Share of the grace period reserved for cutting off open requests and exiting. Cutting
 # off earlier than necessary loses requests; the platform allows up to a sixth.
 _EXIT_SHARE: Final = 0.1
@@ -49,9 +52,16 @@
     def within(cls, grace_s: float) -> LeaveTimes:
         """Return the times of a process that is killed ``grace_s`` after the signal."""
         return cls(
-            _ADDRESS_CACHE_S, _ANNOUNCEMENT_MARGIN_S, grace_s * (1 - _EXIT_SHARE)
+            min(_ADDRESS_CACHE_S, grace_s * _ACCEPT_SHARE - _ANNOUNCEMENT_MARGIN_S),
+            _ANNOUNCEMENT_MARGIN_S,
+            grace_s * (1 - _EXIT_SHARE),
         )
 
+    @property
+    def accept_s(self) -> float:
+        """Time from the announcement for which new requests are accepted."""
+        return self.keep_s + self.margin_s
+
 
 class LeaveProcedure:
     """State machine of a shutdown; it only moves forward.
@@ -77,6 +87,25 @@
         """Exit at once, even if requests are open."""
         self.phase = LeavePhase.EXITED
 
+    def change_times(self, times: LeaveTimes) -> None:
+        """Change the times of a shutdown that has not begun.
+
+        The process is killed by the times that held when the shutdown began.
+        """
+        if self.phase is LeavePhase.SERVING:
+            self.times = times
+
+    def elapsed_s(self, now: float) -> float:
+        """Return the time since the announcement; 0 before it."""
+        is_serving = self.phase is LeavePhase.SERVING
+        return 0.0 if is_serving else now - self._announced_at
+
+    def accepts(self, now: float) -> bool:
+        """Return whether a new request is accepted; needs no recent step."""
+        if self.phase in (LeavePhase.DRAINING, LeavePhase.EXITED):
+            return False
+        return self.elapsed_s(now) < self.times.accept_s
+
     def step(self, n_open: int, now: float) -> LeavePhase:
         """Return the phase at ``now`` with ``n_open`` requests open."""
         if self.phase in (LeavePhase.SERVING, LeavePhase.EXITED):
@@ -84,6 +113,6 @@
         elapsed_s = now - self._announced_at
         if elapsed_s >= self.times.bound_s:
             self.phase = LeavePhase.EXITED
-        elif elapsed_s >= self.times.keep_s + self.times.margin_s:
+        elif elapsed_s >= self.times.accept_s:
             self.phase = LeavePhase.DRAINING if n_open else LeavePhase.EXITED
         return self.phase
--- a/packages/aspendrift-policy/tests/test_leaving.py
+++ b/packages/aspendrift-policy/tests/test_leaving.py
@@ -74,3 +74,31 @@
     leave.announce(10.0)
     assert leave.step(1, 12.0) is LeavePhase.ANNOUNCED
     assert leave.step(1, 12.95) is LeavePhase.DRAINING
+
+
+@pytest.mark.parametrize("grace_s", [0.3, 1.0, 3.0, 5.0, 8.0, 30.0])
+def test_no_request_is_accepted_in_the_last_half_of_the_grace_time(
+    grace_s: float,
+) -> None:
+    leave = LeaveProcedure(LeaveTimes.within(grace_s))
+    leave.announce(10.0)
+    assert leave.step(1, 10.0 + grace_s / 2) is LeavePhase.DRAINING
+
+
+def test_request_read_late_by_a_delayed_process_is_not_accepted(
+    leave: LeaveProcedure,
+) -> None:
+    assert leave.step(0, 105.0) is LeavePhase.ANNOUNCED
+    assert leave.accepts(110.9)
+    assert not leave.accepts(111.0)
+
+
+def test_times_changed_during_a_shutdown_do_not_move_its_end(
+    leave: LeaveProcedure,
+) -> None:
+    leave.change_times(LeaveTimes.within(300.0))
+    assert leave.step(1, 130.0) is LeavePhase.EXITED
+    serving = LeaveProcedure(TIMES)
+    serving.change_times(LeaveTimes.within(3.0))
+    serving.announce(100.0)
+    assert serving.step(1, 103.0) is LeavePhase.EXITED
--- a/tests/aspendrift_platform/test_on_emulator.py
+++ b/tests/aspendrift_platform/test_on_emulator.py
@@ -236,6 +236,18 @@
     run_scenario(scenario)
 
 
+def test_request_read_after_a_pause_of_a_leaving_gateway_is_refused(run_scenario):
+    async def scenario(cluster):
+        (gateway,) = cluster.gateways
+        gateway.shutdown.handle_signal()
+        gateway.clock.offset_s += gateway.leaving.times.accept_s
+        attempt_id, answer = await cluster.call(gateway, "/once/a")
+        assert answer.status_code == 503
+        assert not cluster.platform.records.ran[attempt_id]
+
+    run_scenario(scenario)
+
+
 def test_store_outage_does_not_stop_requests(run_scenario):
     async def scenario(cluster):
         (gateway,) = cluster.gateways
