The exit of a leaving gateway fits in its grace time

In three of three planned stops the process was still there when the platform killed it, 8.0 s after the signal; left alone it ended at 8.5 s. Open requests were ended at 7.2 s, but then uvicorn's close polls in steps of 0.1 s, waits a fixed 0.1 s and up to a second for open connections. Callers whose body was still arriving got no answer, a whole answer that its caller was reading was cut off, and the last log lines and closes were lost.

The times after the exit are shares of the grace now: 0.04 for the last answers and the servers, 0.03 for everything else. The server's close is its own and ends by then, with time for the answers of requests that it ends. A body that is arriving counts as an open request while draining, so that its caller gets a refusal after the last byte; at the exit it is refused at once. A request whose answer is complete here goes on until half of the close. gateway_stopped tells how far the open requests had got, gateway_closed how long the end took and what didn't close in time.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/http_server.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/http_server.py
@@ -34,7 +34,7 @@
 
 __all__ = ["CertificateChanged", "HttpServer"]
 
-_CLOSE_TIMEOUT_S: Final = 2
+_CLOSE_TIMEOUT_S: Final = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,12 +90,11 @@
             access_log=False,
             server_header=False,
             h11_max_incomplete_event_size=settings.max_header_bytes,
-            timeout_graceful_shutdown=_CLOSE_TIMEOUT_S,
         )
         config.load()
         if self._tls is not None:
             config.ssl = self._tls.context
-        self._server = EmbeddedServer(config)
+        self._server = EmbeddedServer(config, _CLOSE_TIMEOUT_S)
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -111,7 +110,7 @@
 
     async def stop(self) -> None:
         """Close the socket, and the connections after a short grace period."""
-        self._server.should_exit = True
+        self._server.begin_exit()
         if self._tasks:
             await asyncio.gather(self._tasks[0], return_exceptions=True)
         for task in self._tasks:
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
@@ -20,6 +20,7 @@
     "ContentCleared",
     "Dependency",
     "DependencyChanged",
+    "GatewayClosed",
     "GatewayReady",
     "GatewayStopped",
     "HandoverEnded",
@@ -114,11 +115,37 @@
 
 @dataclass(frozen=True, slots=True)
 class GatewayStopped(Event):
-    """The gateway shuts down; ``n_open`` requests are cut off."""
+    """The gateway ends its open requests, ``leaving_s`` after the signal.
+
+    ``n_receiving`` have an incomplete body, ``n_unsent`` were not run by a target,
+    ``n_sent`` may run, ``n_begun`` have a part of their answer, and ``n_answered`` all
+    of it but for what their callers have not read.
+    """
 
     name: ClassVar[str] = "gateway_stopped"
     daemon_id: str
     n_open: int
+    n_receiving: int
+    n_unsent: int
+    n_sent: int
+    n_begun: int
+    n_answered: int
+    leaving_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayClosed(Event):
+    """The gateway has closed; ``unfinished`` names what didn't close in time.
+
+    ``n_open`` requests were still open when the servers had closed.
+    """
+
+    name: ClassVar[str] = "gateway_closed"
+    daemon_id: str
+    n_open: int
+    unfinished: str
+    took_s: float
+    leaving_s: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -18,7 +18,7 @@
 from aspendrift_daemon.shutdown import Shutdown
 from aspendrift_gateway.attempts import AttemptSender
 from aspendrift_gateway.content_crashes import ContentCrashes
-from aspendrift_gateway.events import GatewayReady, GatewayStopped
+from aspendrift_gateway.events import GatewayClosed, GatewayReady, GatewayStopped
 from aspendrift_gateway.handover import Handover
 from aspendrift_gateway.interfaces import AddressQuery, PlatformCodec
 from aspendrift_gateway.link_exchange import LinkExchange
@@ -77,6 +77,8 @@
 # of each other server; the rest is for targets, the store and peers.
 _CALLER_FILES_SHARE: Final = 0.5
 _CONTROL_FILES_SHARE: Final = 0.05
+# Share of the time to close the servers after which unread answers are cut off.
+_UNREAD_SHARE: Final = 0.5
 # Features of this build. Work of later stages is not announced yet.
 _FEATURES: Final = frozenset(PeerFeature) - {PeerFeature.ANNOUNCEMENTS}
 # Changes after which a target's connections can't be used any more.
@@ -235,7 +237,7 @@
         self.sender.report_loads(self.loads.record)
         self.permits = self._make_permits()
         self.origins = OriginExchange(self.link, self.state, self.clock, events)
-        self.sender.report_origins(self.origins.began)
+        self.leaving = LeaveProcedure(LeaveTimes.within(settings.grace_s))
         self.path = RequestPath(
             self.state,
             StagesRunner(
@@ -267,16 +269,16 @@
             lambda: self.settings.configuration_s,
             self.peer_state.pull,
         )
-        self.leaving = LeaveProcedure(LeaveTimes.within(settings.grace_s))
+        self.front = self._make_front(codec)
+        self.servers = self._make_servers(codec)
         self.shutdown = Shutdown(
             self.leaving,
-            self.path,
+            self.front,
             self._announce_leaving,
             lambda: None,
             self.clock,
             events,
         )
-        self.servers = self._make_servers(codec)
         self._connect_listeners()
         self._register_gauges()
 
@@ -312,21 +314,67 @@
         )
 
     async def stop(self) -> None:
-        """End open requests; stop the servers, then the components in reverse order."""
-        self.events.emit(GatewayStopped(self.settings.daemon_id, self.path.n_open))
-        self.path.end_open()
+        """End open requests; stop the servers, then everything else, in limited time.
+
+        The platform kills a process that takes longer than its grace period.
+        """
+        began_at = self.clock.monotonic()
+        counts = self.path.open_counts()
+        self.events.emit(
+            GatewayStopped(
+                self.settings.daemon_id,
+                self.front.n_open,
+                self.front.n_receiving,
+                counts.n_unsent,
+                counts.n_sent,
+                counts.n_begun,
+                counts.n_answered,
+                self.leaving.elapsed_s(began_at),
+            )
+        )
+        self.front.end_open()
         self.crashes.stop()
+        close_s, cleanup_s = self.leaving.closing_s()
+        loop = asyncio.get_running_loop()
+        ending = loop.call_later(close_s * _UNREAD_SHARE, self.path.end_answers)
         # Concurrently, since each server waits for its open connections.
-        await asyncio.gather(*(server.stop() for server in self.servers))
-        for component in reversed(self._components()):
-            await component.stop()
-        await self.rows.stop()
-        await self.link.stop()
-        await self.client.close()
-        await self.peer_client.close()
-        await self.store.close()
+        await asyncio.gather(*(server.stop(close_s) for server in self.servers))
+        ending.cancel()
+        n_open = self.front.n_open
+        unfinished = await self._clean_up(cleanup_s)
+        now = self.clock.monotonic()
+        self.events.emit(
+            GatewayClosed(
+                self.settings.daemon_id,
+                n_open,
+                unfinished,
+                now - began_at,
+                self.leaving.elapsed_s(now),
+            )
+        )
         self.metrics.close()
 
+    async def _clean_up(self, within_s: float) -> str:
+        """Stop all but the servers; return the name of what didn't end in time."""
+        name = ""
+        try:
+            async with asyncio.timeout(within_s):
+                for component in reversed(self._components()):
+                    name = type(component).__name__
+                    await component.stop()
+                for closing in (
+                    self.rows.stop,
+                    self.link.stop,
+                    self.client.close,
+                    self.peer_client.close,
+                    self.store.close,
+                ):
+                    name = closing.__qualname__
+                    await closing()
+        except TimeoutError:
+            return name
+        return ""
+
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply changed limits and times; addresses remain those of the start."""
         self.settings = settings
@@ -347,6 +395,7 @@
         return [member.host.url for member in chosen]
 
     def _connect_listeners(self) -> None:
+        self.sender.report_origins(self.origins.began)
         self.state.on_change(self._on_state_change)
         self.state.on_era(self._on_store_era)
         self.events.connect(MemberChanged, lambda _: self._share_limits())
@@ -462,15 +511,17 @@
             capacity=settings.capacity,
         )
 
-    def _make_servers(self, codec: PlatformCodec) -> list[AppServer]:
-        settings = self.settings
-        front = RequestApp(
+    def _make_front(self, codec: PlatformCodec) -> RequestApp:
+        return RequestApp(
             self.path,
             codec.caller,
             self._limits,
-            self.shutdown.is_leaving,
+            lambda: self.leaving.phase is not LeavePhase.SERVING,
             self.buffers,
         )
+
+    def _make_servers(self, codec: PlatformCodec) -> list[AppServer]:
+        settings = self.settings
         control = ControlApp(
             codec.caller,
             self.is_ready,
@@ -488,7 +539,7 @@
         return [
             AppServer(
                 address,
-                front if address == settings.front_address else control,
+                self.front if address == settings.front_address else control,
                 ServerLimits(),
                 int(settings.max_files * share),
             )
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
@@ -47,7 +47,7 @@
 from aspendrift_policy.route_table import RouteTable
 from aspendrift_policy.stage_plan import StagePlan
 
-__all__ = ["RequestPath"]
+__all__ = ["OpenCounts", "RequestPath"]
 
 # Time in which a daemon that just started, or whose state is stale, becomes current.
 _SHORT_RETRY_AFTER_S: Final = 0.3
@@ -69,9 +69,31 @@
     arrived_at: float
     task: asyncio.Task[None] | None
     route: Route | None = None
+    delivery: Delivery | None = None
     n_attempts: int = 0
     is_ended_early: bool = False
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an attempt may run, or may have run."""
+        return self.n_attempts > 0
+
+    @property
+    def has_whole_answer(self) -> bool:
+        """Whether only the caller has yet to read the answer."""
+        return self.delivery is not None and self.delivery.is_answer_complete
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the caller was sent a part of the answer."""
+        return self.delivery is not None and self.delivery.answer.has_begun
+
+    def end_early(self) -> None:
+        """End the request at once, with an answer that states its outcome."""
+        if self.task is not None and not self.is_ended_early:
+            self.is_ended_early = True
+            self.task.cancel()
+
 
 class _Progress:
     """Counts attempts, and frees the results of the stages once they are fetched."""
@@ -100,6 +122,16 @@
     pool: PoolName
 
 
+@dataclass(slots=True)
+class OpenCounts:
+    """Numbers of open requests by how far they have got."""
+
+    n_unsent: int = 0
+    n_sent: int = 0
+    n_begun: int = 0
+    n_answered: int = 0
+
+
 class RequestPath:
     """Serves requests from their arrival to their final answer.
 
@@ -162,15 +194,33 @@
         """Return the ids of these requests."""
         return [each.request.attempt_id for each in self._open.values()]
 
-    def begin_leaving(self) -> None:
-        """Do nothing: ``refuses_new`` refuses new requests, open ones continue."""
+    def open_counts(self) -> OpenCounts:
+        """Return how far the open requests have got."""
+        counts = OpenCounts()
+        for opened in self._open.values():
+            if opened.has_whole_answer:
+                counts.n_answered += 1
+            elif opened.has_begun:
+                counts.n_begun += 1
+            elif opened.may_have_run:
+                counts.n_sent += 1
+            else:
+                counts.n_unsent += 1
+        return counts
 
     def end_open(self) -> None:
-        """End open requests at shutdown, with answers that state their outcome."""
+        """End open requests at shutdown, with answers that state their outcome.
+
+        Those that have a whole answer go on until :meth:`end_answers`.
+        """
+        for opened in self._open.values():
+            if not opened.has_whole_answer:
+                opened.end_early()
+
+    def end_answers(self) -> None:
+        """Cut off the answers that their callers have not read."""
         for opened in self._open.values():
-            if opened.task is not None:
-                opened.is_ended_early = True
-                opened.task.cancel()
+            opened.end_early()
 
     async def serve(self, request: OpaqueRequest, answer: CallerAnswer) -> None:
         """Serve a request to its final answer."""
@@ -203,7 +253,7 @@
             opened.task.uncancel()
         if answer.has_begun:
             return Served(200, is_cut=True, detail="leaving")
-        if opened.n_attempts:
+        if opened.may_have_run:
             return Refusal(RefusalReason.OUTCOME_UNKNOWN, "leaving")
         return Refusal(RefusalReason.LEAVING, "", 0.0)
 
@@ -261,6 +311,7 @@
         if parts is not None:
             return Refusal(RefusalReason.POISON, parts, POISON_RETRY_AFTER_S)
         delivery = Delivery(routed, answer, _Progress(opened))
+        opened.delivery = delivery
         outcome = await self._run_or_hand_over(opened, table, delivery)
         if isinstance(outcome, Served) and not (
             outcome.is_cut or outcome.is_handed_over
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/servers.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/servers.py
@@ -36,7 +36,7 @@
 Send = Callable[[dict[str, Any]], Any]
 
 _CLOSE: Final = (b"connection", b"close")
-_CLOSE_TIMEOUT_S: Final = 1
+_CLOSE_TIMEOUT_S: Final = 1.0
 _PART_BYTES: Final = 64 * 1024
 # Least memory of an answer whose caller does not read: a part that waits, and as much
 # in the buffer of the connection.
@@ -168,6 +168,30 @@
         self._limits = limits
         self._is_leaving = is_leaving
         self._buffers = buffers
+        self._receiving: set[asyncio.Task[Any]] = set()
+
+    @property
+    def n_receiving(self) -> int:
+        """Number of requests whose body is incomplete."""
+        return len(self._receiving)
+
+    @property
+    def n_open(self) -> int:
+        """Number of requests without a final answer, also incomplete ones."""
+        return self._path.n_open + self.n_receiving
+
+    def open_ids(self) -> list[str]:
+        """Return the ids of these requests, as far as they are known."""
+        return self._path.open_ids()
+
+    def begin_leaving(self) -> None:
+        """Do nothing: the path refuses new requests by the time of their arrival."""
+
+    def end_open(self) -> None:
+        """End open requests at shutdown, with answers that state their outcome."""
+        for task in self._receiving:
+            task.cancel()
+        self._path.end_open()
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
@@ -224,11 +248,16 @@
         self, receive: Receive, answer: _AsgiAnswer, body: bytearray
     ) -> bool:
         """Read a body; refuse the request if the server shuts down before its end."""
+        task = asyncio.current_task()
+        assert task is not None
+        self._receiving.add(task)
         try:
             await self._read_body(receive, body)
         except asyncio.CancelledError:
-            await self._reject(answer, RefusalReason.LEAVING, "")
+            await self._reject(answer, RefusalReason.LEAVING, "", 0.0)
             return False
+        finally:
+            self._receiving.discard(task)
         return True
 
     async def _read_body(self, receive: Receive, body: bytearray) -> None:
@@ -355,10 +384,9 @@
             proxy_headers=False,
             h11_max_incomplete_event_size=limits.header_bytes,
             timeout_keep_alive=int(limits.idle_timeout_s) + 1,
-            timeout_graceful_shutdown=_CLOSE_TIMEOUT_S,
         )
         self._config.load()
-        self._server = EmbeddedServer(self._config)
+        self._server = EmbeddedServer(self._config, _CLOSE_TIMEOUT_S)
         self._task: asyncio.Task[None] | None = None
 
     def set_idle_timeout(self, idle_timeout_s: float) -> None:
@@ -370,8 +398,8 @@
         self._task = asyncio.create_task(self._server.serve([self._socket]))
         await self._server.is_up.wait()
 
-    async def stop(self) -> None:
-        """Close the socket and the idle connections."""
-        self._server.should_exit = True
+    async def stop(self, close_s: float = _CLOSE_TIMEOUT_S) -> None:
+        """Close the socket and the connections, the busy ones within ``close_s``."""
+        self._server.begin_exit(close_s)
         if self._task is not None:
             await asyncio.gather(self._task, return_exceptions=True)
--- a/packages/aspendrift-policy/src/aspendrift_policy/leaving.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/leaving.py
@@ -19,6 +19,12 @@
 # Share of the grace period reserved for cutting off open requests and exiting. Cutting
 # off earlier than necessary loses requests; the platform allows up to a sixth.
 _EXIT_SHARE: Final = 0.1
+# Shares of the grace period for the last answers and the servers, then for everything
+# else; what is left is for the end of the process and a delayed event loop.
+_CLOSE_SHARE: Final = 0.04
+_CLEANUP_SHARE: Final = 0.03
+# Time for each of both if no process is killed.
+_DEFAULT_CLOSE_S: Final = 2.0
 
 
 class LeavePhase(Enum):
@@ -42,11 +48,15 @@
         Time for the announcement to reach the daemons that serve addresses.
     bound_s : float
         Maximum time from the announcement to the exit.
+    close_s, cleanup_s : float
+        Maximum time after the exit to close the servers, and then everything else.
     """
 
     keep_s: float
     margin_s: float
     bound_s: float
+    close_s: float = _DEFAULT_CLOSE_S
+    cleanup_s: float = _DEFAULT_CLOSE_S
 
     @classmethod
     def within(cls, grace_s: float) -> LeaveTimes:
@@ -55,6 +65,8 @@
             min(_ADDRESS_CACHE_S, grace_s * _ACCEPT_SHARE - _ANNOUNCEMENT_MARGIN_S),
             _ANNOUNCEMENT_MARGIN_S,
             grace_s * (1 - _EXIT_SHARE),
+            grace_s * _CLOSE_SHARE,
+            grace_s * _CLEANUP_SHARE,
         )
 
     @property
@@ -95,6 +107,15 @@
         if self.phase is LeavePhase.SERVING:
             self.times = times
 
+    def closing_s(self) -> tuple[float, float]:
+        """Return the times to close the servers, and then everything else.
+
+        They are bounded by the grace period only after a signal.
+        """
+        if self.phase is LeavePhase.SERVING:
+            return _DEFAULT_CLOSE_S, _DEFAULT_CLOSE_S
+        return self.times.close_s, self.times.cleanup_s
+
     def elapsed_s(self, now: float) -> float:
         """Return the time since the announcement; 0 before it."""
         is_serving = self.phase is LeavePhase.SERVING
--- a/packages/aspendrift-policy/tests/test_leaving.py
+++ b/packages/aspendrift-policy/tests/test_leaving.py
@@ -102,3 +102,12 @@
     serving.change_times(LeaveTimes.within(3.0))
     serving.announce(100.0)
     assert serving.step(1, 103.0) is LeavePhase.EXITED
+
+
+@pytest.mark.parametrize("grace_s", [0.5, 3.0, 8.0, 30.0])
+def test_exit_with_all_that_it_closes_ends_within_the_grace_time(
+    grace_s: float,
+) -> None:
+    leave = LeaveProcedure(LeaveTimes.within(grace_s))
+    leave.announce(10.0)
+    assert leave.times.bound_s + sum(leave.closing_s()) <= 0.98 * grace_s
--- a/tests/aspendrift_platform/test_on_emulator.py
+++ b/tests/aspendrift_platform/test_on_emulator.py
@@ -10,9 +10,12 @@
 import httpx
 import pytest
 from emulated_world import WAIT_TIMEOUT_S, complete_stream, target_name
+from platform_emulator import configuration
+from scripted_target import Script
 
 from aspendrift_gateway.interfaces import AddressQuery
 from aspendrift_model.ids import ZoneName
+from aspendrift_policy.leaving import LeavePhase, LeaveTimes
 
 
 def test_answers_are_the_targets_own(run_scenario):
@@ -236,6 +239,19 @@
     run_scenario(scenario)
 
 
+async def _leave(cluster, times, objective_ms=500):
+    """Let the only gateway leave; return it, and the task that waits for the end."""
+    (gateway,) = cluster.gateways
+    routes = configuration()["routes"]
+    for each in routes:
+        each["targetLatencyMs"] = objective_ms
+    cluster.platform.configure(2, routes=routes)
+    await cluster.until(lambda: gateway.state.configuration_version == 2)
+    gateway.leaving.change_times(times)
+    gateway.shutdown.handle_signal()
+    return gateway, asyncio.create_task(gateway.shutdown.wait())
+
+
 def test_request_read_after_a_pause_of_a_leaving_gateway_is_refused(run_scenario):
     async def scenario(cluster):
         (gateway,) = cluster.gateways
@@ -248,6 +264,53 @@
     run_scenario(scenario)
 
 
+def test_stop_waits_for_a_body_that_arrives_slowly_and_refuses_its_request(
+    run_scenario,
+):
+    async def scenario(cluster):
+        address = cluster.gateways[0].settings.front_address
+        host, _, port = address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(b"POST /once/a HTTP/1.1\r\nHost: h.example\r\n")
+        writer.write(b"Content-Length: 8\r\nAttempt-Id: slow\r\n\r\nhalf")
+        times = LeaveTimes(keep_s=0.2, margin_s=0.1, bound_s=WAIT_TIMEOUT_S)
+        gateway, leaving = await _leave(cluster, times)
+        await cluster.until(lambda: gateway.leaving.phase is not LeavePhase.ANNOUNCED)
+        assert gateway.leaving.phase is LeavePhase.DRAINING
+        writer.write(b"done")
+        answer = await reader.read()
+        assert answer.startswith(b"HTTP/1.1 503")
+        assert b"connection: close" in answer
+        await leaving
+        writer.close()
+
+    run_scenario(scenario)
+
+
+def test_whole_answer_of_a_slow_caller_is_not_cut_by_the_exit(run_scripted):
+    body = b"x" * (8 * 1024 * 1024)
+
+    async def scenario(pool):
+        framing = b"Content-Length: %d" % len(body)
+        pool.script(Script(body, framing))
+        cluster = pool.cluster
+        (gateway,) = cluster.gateways
+        host, _, port = gateway.settings.front_address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(b"POST /once/a HTTP/1.1\r\nHost: h.example\r\n")
+        writer.write(b"Attempt-Id: slow\r\nDeadline-Ms: 5000\r\nCredential: key\r\n")
+        writer.write(b"Content-Length: 0\r\n\r\n")
+        await cluster.until(lambda: gateway.path.open_counts().n_answered == 1)
+        stopping = asyncio.create_task(gateway.stop())
+        cluster.gateways_by_name.clear()
+        answer = await reader.read()
+        await stopping
+        assert answer.endswith(b"\r\n\r\n" + body)
+        writer.close()
+
+    run_scripted("desk", scenario)
+
+
 def test_store_outage_does_not_stop_requests(run_scenario):
     async def scenario(cluster):
         (gateway,) = cluster.gateways
