A leaving gateway begins no request that it can't answer before its exit

Requests that were accepted early in a stop and then waited (for a permit, for stages, for a second target after a refusal) were passed on up to the exit, and cut off there with 502: callers of requests that may not be repeated could not learn whether these had run. Requests whose attempts no target ran got 502 too.

LeaveProcedure tells the latest time at which work may begin. Once requests are not accepted any more, one that no target has begun is refused as not run when its objective doesn't fit before the exit; one that may not be repeated, when its deadline comes after it. Waiting ones are looked through every 50 ms, so all waits are covered in one place; the check before each attempt covers repeats. Streams that have begun and requests that may have run are continued. The exit counts an attempt that wasn't run as such.

Not done: a Deadline-Ms for targets that ends at the exit. Closing the connection ends the work as well, and a target that gives up first would count as broken.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
@@ -165,6 +165,9 @@
     def count_attempt(self) -> int:
         """Count an attempt and return its number."""
 
+    def attempt_not_run(self) -> None:
+        """Record that the last attempt was not run."""
+
     def inputs_fetched(self) -> None:
         """Record that the target has fetched all inputs."""
 
@@ -297,6 +300,23 @@
         self._on_begin: BeginListener | None = None
         self._on_load: LoadListener | None = None
         self._permits: PermitExchange | None = None
+        self._last_start_at: Callable[[float], float] = lambda takes_s: math.inf
+
+    def limit_starts(self, last_start_at: Callable[[float], float]) -> None:
+        """Begin no request after the latest time for an attempt that takes some time.
+
+        Requests that have begun are continued.
+        """
+        self._last_start_at = last_start_at
+
+    def refuse_late(self, delivery: Delivery) -> Refusal | None:
+        """Return a refusal of a request that can't begin and end before the exit."""
+        if delivery.n_run or delivery.answer.has_begun:
+            return None
+        now = self._clock.monotonic()
+        if now <= self._last_start_at(_time_needed_s(delivery.routed, now)):
+            return None
+        return Refusal(RefusalReason.LEAVING, "too late to begin", 0.0)
 
     def require_permits(self, permits: PermitExchange) -> None:
         """Send requests to limited targets only with a permit."""
@@ -401,6 +421,9 @@
         routed = delivery.routed
         if routed.deadline_at - self._clock.monotonic() < _MIN_REMAINING_S:
             return delivery.past_deadline()
+        too_late = self.refuse_late(delivery)
+        if too_late is not None:
+            return too_late
         parts = self._prompts.refuses(routed.request)
         if parts is None:
             return None
@@ -531,6 +554,8 @@
                 )
             else:
                 verdict = AttemptVerdict.NOT_RUN
+            if verdict in _NOT_RUN_VERDICTS:
+                delivery.progress.attempt_not_run()
             if self._permits is not None and verdict is AttemptVerdict.NOT_SENT:
                 self._permits.release(chosen.permit)
             return result
@@ -938,6 +963,7 @@
             self._prompts.target_broke(entry.key, routed.request)
 
 
+_NOT_RUN_VERDICTS: Final = frozenset({AttemptVerdict.NOT_RUN, AttemptVerdict.NOT_SENT})
 _END_BY_VERDICT: Final = {
     AttemptVerdict.ANSWERED: AttemptEnd.ANSWERED,
     AttemptVerdict.FAILED_BY_TARGET: AttemptEnd.ANSWERED,
@@ -951,6 +977,18 @@
 }
 
 
+def _time_needed_s(routed: RoutedRequest, now: float) -> float:
+    """Return the time that an attempt needs before the exit of this process.
+
+    If one that may not be repeated were cut off, its caller could not learn whether it
+    ran; so it must have all the time that its caller waits.
+    """
+    left_s = routed.deadline_at - now
+    if routed.route.kind is RequestKind.NON_IDEMPOTENT:
+        return left_s
+    return min(left_s, routed.route.objective_s)
+
+
 def _since(began_at: float, at: float | None) -> float | None:
     return None if at is None else at - began_at
 
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -275,7 +275,7 @@
             self.leaving,
             self.front,
             self._announce_leaving,
-            lambda: None,
+            self.path.begin_draining,
             self.clock,
             events,
         )
@@ -396,6 +396,7 @@
 
     def _connect_listeners(self) -> None:
         self.sender.report_origins(self.origins.began)
+        self.sender.limit_starts(self.leaving.last_start_at)
         self.state.on_change(self._on_state_change)
         self.state.on_era(self._on_store_era)
         self.events.connect(MemberChanged, lambda _: self._share_limits())
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/handover.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/handover.py
@@ -209,11 +209,13 @@
                 now = self._clock.monotonic()
                 answer = await self._client.send(entry, call, headers, now)
                 if isinstance(answer, NotSent):
+                    delivery.progress.attempt_not_run()
                     return answer
                 if not isinstance(answer, Answer):
                     return Refusal(RefusalReason.OUTCOME_UNKNOWN, answer.detail)
                 try:
                     if answer.status == _DECLINED:
+                        delivery.progress.attempt_not_run()
                         return _Declined("the configuration there is older")
                     return await self._forward(delivery, answer)
                 finally:
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
@@ -57,6 +57,8 @@
 # Time in which a target that crashed is often back.
 _TARGET_RETURN_S: Final = 1.0
 _RANKS_PER_PRIORITY: Final = 16
+# Interval at which a draining gateway looks for requests that wait too long.
+_REFUSE_INTERVAL_S: Final = 0.05
 # Attempts per request, including those whose inputs were gone.
 _MAX_ATTEMPTS: Final = 4
 
@@ -71,12 +73,13 @@
     route: Route | None = None
     delivery: Delivery | None = None
     n_attempts: int = 0
+    n_not_run: int = 0
     is_ended_early: bool = False
 
     @property
     def may_have_run(self) -> bool:
         """Whether an attempt may run, or may have run."""
-        return self.n_attempts > 0
+        return self.n_attempts > self.n_not_run
 
     @property
     def has_whole_answer(self) -> bool:
@@ -109,6 +112,10 @@
         self._opened.n_attempts += 1
         return self._opened.n_attempts
 
+    def attempt_not_run(self) -> None:
+        """Record that the last attempt was not run."""
+        self._opened.n_not_run += 1
+
     def inputs_fetched(self) -> None:
         """Record that the target has fetched all inputs."""
         if self._fetched is not None:
@@ -184,6 +191,7 @@
         self._ages = RequestAges()
         self._open: dict[int, _OpenRequest] = {}
         self._sequence = 0
+        self._draining: asyncio.Task[None] | None = None
 
     @property
     def n_open(self) -> int:
@@ -208,11 +216,18 @@
                 counts.n_unsent += 1
         return counts
 
+    def begin_draining(self) -> None:
+        """Begin to refuse waiting requests that can't be answered before the exit."""
+        if self._draining is None:
+            self._draining = asyncio.create_task(self._refuse_late())
+
     def end_open(self) -> None:
         """End open requests at shutdown, with answers that state their outcome.
 
         Those that have a whole answer go on until :meth:`end_answers`.
         """
+        if self._draining is not None:
+            self._draining.cancel()
         for opened in self._open.values():
             if not opened.has_whole_answer:
                 opened.end_early()
@@ -222,6 +237,16 @@
         for opened in self._open.values():
             opened.end_early()
 
+    async def _refuse_late(self) -> None:
+        while True:
+            for opened in self._open.values():
+                delivery = opened.delivery
+                if delivery is None or opened.may_have_run:
+                    continue
+                if self._sender.refuse_late(delivery) is not None:
+                    opened.end_early()
+            await asyncio.sleep(_REFUSE_INTERVAL_S)
+
     async def serve(self, request: OpaqueRequest, answer: CallerAnswer) -> None:
         """Serve a request to its final answer."""
         self._sequence += 1
@@ -255,7 +280,7 @@
             return Served(200, is_cut=True, detail="leaving")
         if opened.may_have_run:
             return Refusal(RefusalReason.OUTCOME_UNKNOWN, "leaving")
-        return Refusal(RefusalReason.LEAVING, "", 0.0)
+        return Refusal(RefusalReason.LEAVING, "ended while waiting", 0.0)
 
     async def _serve(
         self, opened: _OpenRequest, answer: CallerAnswer
@@ -345,6 +370,9 @@
             outcome = await self._run(opened, table, delivery)
             if isinstance(outcome, Served) or not self._handover.is_due(delivery):
                 return outcome
+        refusal = self._sender.refuse_late(delivery)
+        if refusal is not None:
+            return refusal
         return await self._handover.send(delivery, table.configuration.version)
 
     async def _run(
--- a/packages/aspendrift-gateway/tests/conftest.py
+++ b/packages/aspendrift-gateway/tests/conftest.py
@@ -403,11 +403,15 @@
 
     n_sent: int = 0
     n_fetched: int = 0
+    n_not_run: int = 0
 
     def count_attempt(self):
         self.n_sent += 1
         return self.n_sent
 
+    def attempt_not_run(self):
+        self.n_not_run += 1
+
     def inputs_fetched(self):
         self.n_fetched += 1
 
--- a/packages/aspendrift-gateway/tests/test_attempts.py
+++ b/packages/aspendrift-gateway/tests/test_attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from dataclasses import replace
 
 import pytest
@@ -622,3 +623,54 @@
     assert not Answer(304, headers, head, None).is_large
     endless = ((b"content-length", b"99999999999"),)
     assert not Answer(200, endless, head, None).is_large
+
+
+def send_while_leaving(harness, found_route, last_start_at):
+    async def run():
+        sender = harness.sender()
+        sender.limit_starts(last_start_at)
+        return await sender.send(harness.delivery(found_route))
+
+    return run_virtual(run())
+
+
+@pytest.mark.parametrize("found_route", [UNSAFE, STREAM, route()])
+@pytest.mark.parametrize(
+    "first", [NotSent("refused"), Reply(status=503, has_not_run=True, delay_s=0.1)]
+)
+def test_request_not_run_at_first_is_not_sent_late_before_the_exit(
+    make_harness, found_route, first
+):
+    harness = make_harness(first, Reply())
+    n_sent = [0]
+
+    def last_start_at(takes_s):
+        n_sent[0] += 1
+        return math.inf if n_sent[0] == 1 else -math.inf
+
+    outcome = send_while_leaving(harness, found_route, last_start_at)
+    assert outcome == Refusal(RefusalReason.LEAVING, "too late to begin", 0.0)
+    assert len(harness.client.sent) == 1
+    assert harness.progress.n_not_run == 1
+
+
+def test_request_that_may_not_be_repeated_needs_its_whole_time_before_the_exit(
+    make_harness,
+):
+    needed = []
+
+    def last_start_at(takes_s):
+        needed.append(takes_s)
+        return math.inf
+
+    for found_route in (UNSAFE, STREAM):
+        harness = make_harness(Reply())
+        send_while_leaving(harness, found_route, last_start_at)
+    assert needed == [UNSAFE.timeout_s, STREAM.objective_s]
+
+
+def test_request_that_may_have_run_is_continued_before_the_exit(make_harness):
+    harness = make_harness(Broken("reset"), Reply())
+    limits = [math.inf, -math.inf]
+    outcome = send_while_leaving(harness, route(), lambda takes_s: limits.pop(0))
+    assert outcome == Served(200)
--- a/packages/aspendrift-policy/src/aspendrift_policy/leaving.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/leaving.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 from typing import Final
@@ -127,6 +128,18 @@
             return False
         return self.elapsed_s(now) < self.times.accept_s
 
+    def last_start_at(self, takes_s: float) -> float:
+        """Return the latest time at which work that takes some time may begin.
+
+        Work that begins while new requests are accepted always may.
+        """
+        if self.phase is LeavePhase.SERVING:
+            return math.inf
+        if self.phase is LeavePhase.EXITED:
+            return -math.inf
+        after_s = max(self.times.accept_s, self.times.bound_s - takes_s)
+        return self._announced_at + after_s
+
     def step(self, n_open: int, now: float) -> LeavePhase:
         """Return the phase at ``now`` with ``n_open`` requests open."""
         if self.phase in (LeavePhase.SERVING, LeavePhase.EXITED):
--- a/packages/aspendrift-policy/tests/test_leaving.py
+++ b/packages/aspendrift-policy/tests/test_leaving.py
@@ -93,6 +93,14 @@
     assert not leave.accepts(111.0)
 
 
+def test_work_begins_only_if_it_can_end_before_the_exit(leave: LeaveProcedure) -> None:
+    assert leave.last_start_at(4.0) == pytest.approx(126.0)
+    assert leave.last_start_at(25.0) == pytest.approx(111.0)
+    leave.exit_now()
+    assert leave.last_start_at(0.0) < 100.0
+    assert LeaveProcedure(TIMES).last_start_at(1e9) > 1e9
+
+
 def test_times_changed_during_a_shutdown_do_not_move_its_end(
     leave: LeaveProcedure,
 ) -> None:
--- a/tests/aspendrift_platform/test_on_emulator.py
+++ b/tests/aspendrift_platform/test_on_emulator.py
@@ -252,6 +252,24 @@
     return gateway, asyncio.create_task(gateway.shutdown.wait())
 
 
+def test_request_that_waits_too_long_in_a_stop_is_refused_before_the_exit(
+    run_scenario,
+):
+    async def scenario(cluster):
+        cluster.platform.targets_by_name["second-0"].work_s = WAIT_TIMEOUT_S
+        staged = asyncio.create_task(cluster.stream(cluster.gateways[0]))
+        times = LeaveTimes(keep_s=0.4, margin_s=0.1, bound_s=4.0)
+        gateway, leaving = await _leave(cluster, times, objective_ms=5000)
+        attempt_id, answer = await staged
+        assert gateway.leaving.phase is LeavePhase.DRAINING
+        assert answer.status_code == 503
+        assert float(answer.headers["retry-after"]) == 0.0
+        assert not cluster.platform.records.ran[attempt_id]
+        await leaving
+
+    run_scenario(scenario)
+
+
 def test_request_read_after_a_pause_of_a_leaving_gateway_is_refused(run_scenario):
     async def scenario(cluster):
         (gateway,) = cluster.gateways
