--- a/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
@@ -47,7 +47,7 @@
 from aspendrift_policy.route_table import RouteTable
 from aspendrift_policy.stage_plan import StagePlan
 
-__all__ = ["RequestPath"]
+__all__ = ["OpenCounts", "RequestPath"]
 
 # Time in which a daemon that just started, or whose state is stale, becomes current.
 _SHORT_RETRY_AFTER_S: Final = 0.3
@@ -57,6 +57,8 @@
 # Time in which a target that crashed is often back.
 _TARGET_RETURN_S: Final = 1.0
 _RANKS_PER_PRIORITY: Final = 16
+# Interval at which a draining gateway looks for requests that wait too long.
+_REFUSE_INTERVAL_S: Final = 0.05
 # Attempts per request, including those whose inputs were gone.
 _MAX_ATTEMPTS: Final = 4
 
@@ -69,9 +71,32 @@
     arrived_at: float
     task: asyncio.Task[None] | None
     route: Route | None = None
+    delivery: Delivery | None = None
     n_attempts: int = 0
+    n_not_run: int = 0
     is_ended_early: bool = False
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an attempt may run, or may have run."""
+        return self.n_attempts > self.n_not_run
+
+    @property
+    def has_whole_answer(self) -> bool:
+        """Whether only the caller has yet to read the answer."""
+        return self.delivery is not None and self.delivery.is_answer_complete
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the caller was sent a part of the answer."""
+        return self.delivery is not None and self.delivery.answer.has_begun
+
+    def end_early(self) -> None:
+        """End the request at once, with an answer that states its outcome."""
+        if self.task is not None and not self.is_ended_early:
+            self.is_ended_early = True
+            self.task.cancel()
+
 
 class _Progress:
     """Counts attempts, and frees the results of the stages once they are fetched."""
@@ -87,6 +112,10 @@
         self._opened.n_attempts += 1
         return self._opened.n_attempts
 
+    def attempt_not_run(self) -> None:
+        """Record that the last attempt was not run."""
+        self._opened.n_not_run += 1
+
     def inputs_fetched(self) -> None:
         """Record that the target has fetched all inputs."""
         if self._fetched is not None:
@@ -100,6 +129,16 @@
     pool: PoolName
 
 
+@dataclass(slots=True)
+class OpenCounts:
+    """Numbers of open requests by how far they have got."""
+
+    n_unsent: int = 0
+    n_sent: int = 0
+    n_begun: int = 0
+    n_answered: int = 0
+
+
 class RequestPath:
     """Serves requests from their arrival to their final answer.
 
@@ -152,6 +191,7 @@
         self._ages = RequestAges()
         self._open: dict[int, _OpenRequest] = {}
         self._sequence = 0
+        self._draining: asyncio.Task[None] | None = None
 
     @property
     def n_open(self) -> int:
@@ -162,15 +202,50 @@
         """Return the ids of these requests."""
         return [each.request.attempt_id for each in self._open.values()]
 
-    def begin_leaving(self) -> None:
-        """Do nothing: ``refuses_new`` refuses new requests, open ones continue."""
+    def open_counts(self) -> OpenCounts:
+        """Return how far the open requests have got."""
+        counts = OpenCounts()
+        for opened in self._open.values():
+            if opened.has_whole_answer:
+                counts.n_answered += 1
+            elif opened.has_begun:
+                counts.n_begun += 1
+            elif opened.may_have_run:
+                counts.n_sent += 1
+            else:
+                counts.n_unsent += 1
+        return counts
+
+    def begin_draining(self) -> None:
+        """Begin to refuse waiting requests that can't be answered before the exit."""
+        if self._draining is None:
+            self._draining = asyncio.create_task(self._refuse_late())
 
     def end_open(self) -> None:
-        """End open requests at shutdown, with answers that state their outcome."""
+        """End open requests at shutdown, with answers that state their outcome.
+
+        Those that have a whole answer go on until :meth:`end_answers`.
+        """
+        if self._draining is not None:
+            self._draining.cancel()
+        for opened in self._open.values():
+            if not opened.has_whole_answer:
+                opened.end_early()
+
+    def end_answers(self) -> None:
+        """Cut off the answers that their callers have not read."""
         for opened in self._open.values():
-            if opened.task is not None:
-                opened.is_ended_early = True
-                opened.task.cancel()
+            opened.end_early()
+
+    async def _refuse_late(self) -> None:
+        while True:
+            for opened in self._open.values():
+                delivery = opened.delivery
+                if delivery is None or opened.may_have_run:
+                    continue
+                if self._sender.refuse_late(delivery) is not None:
+                    opened.end_early()
+            await asyncio.sleep(_REFUSE_INTERVAL_S)
 
     async def serve(self, request: OpaqueRequest, answer: CallerAnswer) -> None:
         """Serve a request to its final answer."""
@@ -203,9 +278,9 @@
             opened.task.uncancel()
         if answer.has_begun:
             return Served(200, is_cut=True, detail="leaving")
-        if opened.n_attempts:
+        if opened.may_have_run:
             return Refusal(RefusalReason.OUTCOME_UNKNOWN, "leaving")
-        return Refusal(RefusalReason.LEAVING, "", 0.0)
+        return Refusal(RefusalReason.LEAVING, "ended while waiting", 0.0)
 
     async def _serve(
         self, opened: _OpenRequest, answer: CallerAnswer
@@ -261,6 +336,7 @@
         if parts is not None:
             return Refusal(RefusalReason.POISON, parts, POISON_RETRY_AFTER_S)
         delivery = Delivery(routed, answer, _Progress(opened))
+        opened.delivery = delivery
         outcome = await self._run_or_hand_over(opened, table, delivery)
         if isinstance(outcome, Served) and not (
             outcome.is_cut or outcome.is_handed_over
@@ -294,6 +370,9 @@
             outcome = await self._run(opened, table, delivery)
             if isinstance(outcome, Served) or not self._handover.is_due(delivery):
                 return outcome
+        refusal = self._sender.refuse_late(delivery)
+        if refusal is not None:
+            return refusal
         return await self._handover.send(delivery, table.configuration.version)
 
     async def _run(
