--- a/packages/aspendrift-daemon/src/aspendrift_daemon/metered_transport.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/metered_transport.py
@@ -14,7 +14,12 @@
 import httpx
 
 from aspendrift_daemon.events import Event, EventHub
-from aspendrift_daemon.surplus_answers import AnswerReader, AwaitedAnswer
+from aspendrift_daemon.surplus_answers import (
+    AnswerReader,
+    AwaitedAnswer,
+    SurplusUnreadable,
+    has_second_status_line,
+)
 from aspendrift_policy.read_limits import (
     BodyChunks,
     ChunkQuota,
@@ -142,12 +147,16 @@
         self._handed_over_at: float | None = None
         self._is_retired = False
         self._answer: AnswerReader | None = None
+        self._is_new = True
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Return bytes that can be parsed in one turn of the event loop."""
         while True:
             part = await self._read_part(max_bytes, timeout)
-            if self._answer is None or not part:
+            if self._answer is None:
+                return part
+            if not part:
+                self._answer.end()
                 return part
             own, behind = self._answer.feed(part)
             if behind:
@@ -167,6 +176,8 @@
         end = turn_end(self._data, self._start, max_bytes)
         part = self._data[self._start : end]
         self._start = end
+        if end == len(self._data):
+            self._data, self._start = b"", 0
         is_skipping = self._answer is not None and self._answer.is_skipping
         if not is_skipping and self.head.is_too_long(part):
             self._meter.emit(HeadTooLong(self._address))
@@ -180,7 +191,10 @@
         """Send bytes of a request."""
         if not self.head.is_open:
             awaited = _awaited_answer.get()
-            self._answer = None if awaited is None else AnswerReader(awaited)
+            self._answer = None
+            if awaited is not None:
+                self._answer = AnswerReader(awaited, self._is_new)
+            self._is_new = False
         self.head.begin()
         await self._stream.write(buffer, timeout)
 
@@ -327,14 +341,25 @@
         """Send a request and wait for the head of its answer.
 
         With the extension `AWAITED_ANSWER`, surplus answers before it are skipped.
+        Raises `SurplusUnreadable` if one was cut off.
         """
         token = _awaited_answer.set(request.extensions.get(AWAITED_ANSWER))
         try:
             response = await super().handle_async_request(request)
         finally:
             _awaited_answer.reset(token)
+        if _is_joined(response):
+            await response.aclose()
+            raise SurplusUnreadable("second status line in the head")
         connection = response.extensions["network_stream"]
         assert isinstance(response.stream, httpx.AsyncByteStream)
         if isinstance(connection, MeteredStream):
             response.stream = connection.body(response.stream)
         return response
+
+
+def _is_joined(response: httpx.Response) -> bool:
+    """Return whether a head is that of two answers."""
+    reason: bytes = response.extensions.get("reason_phrase", b"")
+    values = (value for _, value in response.headers.raw)
+    return any(has_second_status_line(b" " + each) for each in (reason, *values))
--- a/packages/aspendrift-daemon/tests/test_surplus_answers.py
+++ b/packages/aspendrift-daemon/tests/test_surplus_answers.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from aspendrift_daemon.surplus_answers import AnswerReader, SurplusUnreadable
+from aspendrift_daemon.surplus_answers import (
+    AnswerReader,
+    SurplusUnreadable,
+    has_second_status_line,
+)
 
 
 class Awaited:
@@ -66,9 +70,17 @@
 
 
 @SIZES
-@pytest.mark.parametrize("body", [b"", b"body", b"x" * 200_000])
-def test_answer_behind_the_awaited_one_is_not_handed_over(body, size):
-    own = answer(body=body)
+@pytest.mark.parametrize(
+    "own",
+    [
+        answer(body=b""),
+        answer(),
+        answer(body=b"x" * 200_000),
+        answer(status=204, framing=b"X: y", body=b""),
+    ],
+    ids=range(4),
+)
+def test_answer_behind_the_awaited_one_is_not_handed_over(own, size):
     found, behind, _ = read(own + answer(b"other"), size)
     assert found == own
     assert behind == answer(b"other")
@@ -79,8 +91,11 @@
     ("behind", "may_have_more"), [(b"", False), (answer(b"other"), True)]
 )
 def test_bytes_behind_the_last_chunk_are_noticed(behind, may_have_more, n_split):
+    """A head that ends like a last chunk is none."""
     reader = AnswerReader(Awaited())
-    stream = chunked(b"own", b"one", b"two")
+    stream = chunked(b"own", b"one", b"two").replace(
+        b"chunked\r\n", b"chunked\r\nN: 10\r\n"
+    )
     reader.feed(stream[:-n_split])
     reader.feed(stream[-n_split:] + behind)
     assert reader.may_have_more is may_have_more
@@ -95,6 +110,7 @@
         b"no answer at all\r\n\r\n",
         answer(status=304, framing=b"Content-Length: 9", body=b""),
         answer(framing=b"Connection: close"),
+        answer(framing=b"Content-Length: " + b"1" * 5000),
     ],
 )
 def test_what_cannot_be_skipped_is_left_to_the_client(stream, size):
@@ -117,3 +133,39 @@
     copy = answer(b"other", b"x" * 500)
     with pytest.raises(SurplusUnreadable):
         read(copy[:-200] + answer(), size)
+
+
+@SIZES
+@pytest.mark.parametrize(
+    "head", [b"HTTP/1.1 200 X\r\nId: other\r\nX: y", b"HTTP/1.1 103 Early\r\nLink: x"]
+)
+def test_answer_joined_with_the_head_of_a_copy_is_not_waited_for(head, size):
+    joined = head + answer(status=500)
+    try:
+        found, _, _ = read(joined, size)
+    except SurplusUnreadable:
+        return
+    # Read in one part, it is left to the caller of the reader.
+    assert found == joined
+    assert has_second_status_line(found)
+
+
+def test_surplus_answer_in_many_small_chunks_is_not_read_on():
+    reader = AnswerReader(Awaited())
+    reader.feed(answer(b"other", b"", framing=b"Transfer-Encoding: chunked"))
+    with pytest.raises(SurplusUnreadable):
+        for _ in range(10_000):
+            reader.feed(b"1\r\nx\r\n")
+
+
+@pytest.mark.parametrize("stream", [answer(b"other"), answer(b"other")[:-1]])
+def test_connection_that_ends_behind_a_surplus_answer_is_no_broken_answer(stream):
+    reader = AnswerReader(Awaited())
+    reader.feed(stream)
+    with pytest.raises(SurplusUnreadable):
+        reader.end()
+
+
+def test_first_answer_of_a_connection_is_never_skipped():
+    reader = AnswerReader(Awaited(), is_first=True)
+    assert reader.feed(answer(None)) == (answer(None), b"")
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import re
 import weakref
 from collections.abc import AsyncIterator, Callable, Iterable
 from dataclasses import dataclass, field
@@ -69,7 +68,6 @@
 _NOT_SENT: Final = (httpx.ConnectError, httpx.ConnectTimeout)
 _STATUSES_WITHOUT_BODY: Final = frozenset({204, 304})
 _HEAD: Final = "HEAD"
-_STATUS_LINE: Final = re.compile(rb"HTTP/\d\.\d \d{3}")
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,9 +156,8 @@
         A refusal that doesn't name its request belongs to the only request that a new
         connection has had, but on a kept one it may be a surplus answer.
         """
-        return (
-            self.head.has_not_run and self.head.attempt_id is None and not self.is_first
-        )
+        is_certain = self.is_first and not self.n_surplus
+        return self.head.has_not_run and self.head.attempt_id is None and not is_certain
 
     @property
     def is_delimited(self) -> bool:
@@ -354,9 +351,6 @@
             return Broken(detail, may_be_crash=not isinstance(error, SurplusUnreadable))
         if links is not None:
             links.received()
-        if _has_second_status_line(response):
-            await response.aclose()
-            return Broken("second status line in the head", may_be_crash=False)
         return self._answer(entry, call, response, now)
 
     def _answer(
@@ -492,17 +486,6 @@
         return is_foreign(head, self._attempt_id)
 
 
-def _has_second_status_line(response: httpx.Response) -> bool:
-    """Return whether a head is that of an unfinished answer joined with another.
-
-    The parser takes the second status line for the end of a header or of the reason
-    phrase, so that an answer could get the status of a surplus one before it.
-    """
-    reason: bytes = response.extensions.get("reason_phrase", b"")
-    values = (value for _, value in response.headers.raw)
-    return any(_STATUS_LINE.search(each) for each in (reason, *values))
-
-
 def _request(
     entry: TargetEntry, call: HttpCall, headers: Headers, closes: bool
 ) -> httpx.Request:
--- a/packages/aspendrift-gateway/tests/test_target_client.py
+++ b/packages/aspendrift-gateway/tests/test_target_client.py
@@ -209,6 +209,8 @@
             return (copy, answer)
         if self.place == "cut":
             return (copy[:-3], answer)
+        if self.place == "cut in the head":
+            return (copy[:40], answer)
         if self.place == "together":
             return (copy + answer,)
         if self.place == "in parts":
@@ -253,7 +255,8 @@
     assert stuttering.n_run == 6
 
 
-def test_answer_behind_a_copy_that_was_cut_off_is_no_crash_of_its_target():
-    whole, lost = asyncio.run(exchange_with(StutteringTarget("cut"), 2))
+@pytest.mark.parametrize("place", ["cut", "cut in the head"])
+def test_answer_behind_a_copy_that_was_cut_off_is_no_crash_of_its_target(place):
+    whole, lost = asyncio.run(exchange_with(StutteringTarget(place), 2))
     assert whole.body == b"answer to r0"
     assert lost == Broken("SurplusUnreadable", may_be_crash=False)
