The gateway's process ends when it has closed

The clean-up of the interpreter takes 0.29 s on an idle machine, the time between the end of main and that of the process, and more on a busy one; the 0.24 s left of a grace of 8 s don't cover it.

test_process_ends_without_the_clean_up_of_the_interpreter guards it.

--- a/tests/aspendrift_platform/gateway_process.py
+++ b/tests/aspendrift_platform/gateway_process.py
@@ -12,7 +12,7 @@
 import httpx
 from platform_emulator import free_address, settings
 
-_MAIN = "from aspendrift_platform.main import main; raise SystemExit(main())"
+_MAIN = "from aspendrift_platform.main import run; run()"
 
 
 class GatewayProcess:
@@ -62,6 +62,22 @@
         self._process.kill()
         self._process.wait()
 
+    def terminate(self):
+        """Ask the process to leave."""
+        self._process.terminate()
+
+    async def until_ended(self):
+        """Wait for the end of the process; return its exit code."""
+        while self._process.poll() is None:  # noqa: ASYNC110
+            await asyncio.sleep(0.02)
+        return self._process.returncode
+
+    def logged(self, event):
+        """Return the logged events of a name."""
+        lines = self._log_path.read_text().splitlines()
+        parsed = [json.loads(line) for line in lines if line.startswith("{")]
+        return [each for each in parsed if each.get("event") == event]
+
     async def until_ready(self, client: httpx.AsyncClient):
         """Wait until the process accepts requests."""
         while True:
--- a/tests/aspendrift_platform/test_start.py
+++ b/tests/aspendrift_platform/test_start.py
@@ -81,3 +81,21 @@
     # A full collection visits tracked objects only; frozen ones are not tracked.
     assert start["is_collecting"]
     assert start["n_frozen"] > 20 * start["n_tracked"]
+
+
+def test_process_ends_without_the_clean_up_of_the_interpreter(tmp_path):
+    code = (
+        "import atexit; atexit.register(print, 'cleaned up', flush=True);"
+        "from aspendrift_platform.main import run; run()"
+    )
+    path = os.pathsep.join(each for each in sys.path if each)
+    missing = str(tmp_path / "missing.json")
+    done = subprocess.run(
+        [sys.executable, "-c", code],
+        check=False,
+        capture_output=True,
+        env={**os.environ, "PYTHONPATH": path, "ASPENDRIFT_BOOT": missing},
+    )
+    assert done.returncode == 2
+    assert b"missing.json" in done.stderr
+    assert done.stdout == b""
