--- a/tests/aspendrift_platform/test_on_emulator.py
+++ b/tests/aspendrift_platform/test_on_emulator.py
@@ -239,30 +239,39 @@
     run_scenario(scenario)
 
 
-async def _leave(cluster, times, objective_ms=500):
+def _leave(cluster, times):
     """Let the only gateway leave; return it, and the task that waits for the end."""
     (gateway,) = cluster.gateways
+    gateway.leaving.change_times(times)
+    gateway.shutdown.handle_signal()
+    return gateway, asyncio.create_task(gateway.shutdown.wait())
+
+
+async def _begin_staged(cluster, work_s):
+    """Begin a request whose objective is 5 s and whose second stage takes a time."""
+    (gateway,) = cluster.gateways
+    cluster.platform.targets_by_name["second-0"].work_s = work_s
     routes = configuration()["routes"]
     for each in routes:
-        each["targetLatencyMs"] = objective_ms
+        each["targetLatencyMs"] = 5000
     cluster.platform.configure(2, routes=routes)
     await cluster.until(lambda: gateway.state.configuration_version == 2)
-    gateway.leaving.change_times(times)
-    gateway.shutdown.handle_signal()
-    return gateway, asyncio.create_task(gateway.shutdown.wait())
+    staged = asyncio.create_task(cluster.stream(gateway, pieces="1,1,1"))
+    await cluster.until(lambda: gateway.path.n_open == 1)
+    return staged
 
 
 def test_request_that_waits_too_long_in_a_stop_is_refused_before_the_exit(
     run_scenario,
 ):
     async def scenario(cluster):
-        cluster.platform.targets_by_name["second-0"].work_s = WAIT_TIMEOUT_S
-        staged = asyncio.create_task(cluster.stream(cluster.gateways[0]))
+        staged = await _begin_staged(cluster, WAIT_TIMEOUT_S)
         times = LeaveTimes(keep_s=0.4, margin_s=0.1, bound_s=4.0)
-        gateway, leaving = await _leave(cluster, times, objective_ms=5000)
+        gateway, leaving = _leave(cluster, times)
         attempt_id, answer = await staged
         assert gateway.leaving.phase is LeavePhase.DRAINING
         assert answer.status_code == 503
+        assert answer.json()["reason"] == "leaving"
         assert float(answer.headers["retry-after"]) == 0.0
         assert not cluster.platform.records.ran[attempt_id]
         await leaving
@@ -270,6 +279,19 @@
     run_scenario(scenario)
 
 
+def test_request_whose_stages_end_late_in_a_stop_is_not_passed_on(run_scenario):
+    async def scenario(cluster):
+        staged = await _begin_staged(cluster, 0.4)
+        times = LeaveTimes(keep_s=0.05, margin_s=0.05, bound_s=4.0)
+        _, leaving = _leave(cluster, times)
+        _, answer = await staged
+        assert answer.status_code == 503
+        assert "attempt_sent" not in [each.name for each in cluster.events]
+        await leaving
+
+    run_scenario(scenario)
+
+
 def test_request_read_after_a_pause_of_a_leaving_gateway_is_refused(run_scenario):
     async def scenario(cluster):
         (gateway,) = cluster.gateways
@@ -292,7 +314,7 @@
         writer.write(b"POST /once/a HTTP/1.1\r\nHost: h.example\r\n")
         writer.write(b"Content-Length: 8\r\nAttempt-Id: slow\r\n\r\nhalf")
         times = LeaveTimes(keep_s=0.2, margin_s=0.1, bound_s=WAIT_TIMEOUT_S)
-        gateway, leaving = await _leave(cluster, times)
+        gateway, leaving = _leave(cluster, times)
         await cluster.until(lambda: gateway.leaving.phase is not LeavePhase.ANNOUNCED)
         assert gateway.leaving.phase is LeavePhase.DRAINING
         writer.write(b"done")
