--- a/packages/aspendrift-daemon/src/aspendrift_daemon/http_server.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/http_server.py
@@ -34,7 +34,7 @@
 
 __all__ = ["CertificateChanged", "HttpServer"]
 
-_CLOSE_TIMEOUT_S: Final = 2.0
+_CLOSE_TIMEOUT_S: Final = 3.0
 
 
 @dataclass(frozen=True, slots=True)
