Start a stage job only if those that have started can be completed

A job starts if the pool has free memory for all of its results. The memory of a target that refuses connections counted too, and two jobs could count the same memory. So jobs started of which none could be completed: they held all memory of the targets that answer, until their results expired.

A job with several pieces now starts only if the memory of the targets that answered their last call, less what incomplete jobs hold, is enough for the largest rest of one of them, and for the job itself. Results of complete jobs are freed soon and don't count. What starts is a subset of what did before.

Jobs that had started before the crash can still block each other, if the rest of the memory is too small for any of them.

--- a/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
@@ -8,8 +8,8 @@
 
 A target gets its next call when one of its slots is free. The call consists of the most
 urgent pieces of any job, up to the batch size and the free memory of the target. A job
-starts only while the pool has memory for all of its results, and jobs that have started
-go before those that have not.
+starts only while the pool has memory for all of its results and can complete the jobs
+that have started, and those go before the others.
 
 Jobs that can't meet their objective any more go after all others, whether they have
 started or not. With a backlog and arrivals near the capacity, work for them would
@@ -290,6 +290,10 @@
         self._usable: frozenset[TargetKey] = frozenset()
         # Results of a size that fit into the memory of the pool, during one plan.
         self._n_fit_by_size: dict[float, int] = {}
+        # Bytes of the results and calls of incomplete jobs, and the most that one of
+        # them still needs, during one plan.
+        self._incomplete_bytes = 0.0
+        self._max_needed_bytes = 0.0
         self._next_call_id = 0
         # Whether jobs that can be on time were left over when all free slots had calls.
         # Those that arrive while all slots work are no sign of that: with room in the
@@ -340,8 +344,8 @@
 
     def plan(self, now: float) -> list[PlannedCall]:
         """Return the calls to send now and record them as sent."""
-        self._n_fit_by_size.clear()
         self._expire_results(now)
+        self._measure_memory()
         free_at = {
             (key, number): at
             for key, target in self._targets_by_key.items()
@@ -520,7 +524,7 @@
 
     def state(self, now: float) -> PoolState:
         """Return what holds up the jobs; for logs and metrics."""
-        self._n_fit_by_size.clear()
+        self._measure_memory()
         done_at = now + self.times.full_call_s
         queued = [job for job in self._jobs_by_id.values() if job.queued]
         targets = [self._targets_by_key[key] for key in self._usable]
@@ -754,6 +758,10 @@
                 for work in works:
                     del job.queued[work.piece_id]
                 job.has_started = True
+                self._incomplete_bytes += size * len(works)
+                self._max_needed_bytes = max(
+                    self._max_needed_bytes, size * job.n_queued
+                )
                 if job.unserved_since is not None:
                     job.unserved_since = now
             if not is_sent or not job.queued:
@@ -841,6 +849,18 @@
             target.untracked_bytes = max(0.0, self.limits.result_memory_bytes - held)
             target.untracked_until = now + _MEMORY_EXHAUSTED_S
 
+    def _measure_memory(self) -> None:
+        """Prepare :meth:`_fits_pool`."""
+        self._n_fit_by_size.clear()
+        started = [job for job in self._jobs_by_id.values() if job.has_started]
+        self._incomplete_bytes = sum(
+            job.spec.result_bytes * (len(job.spec.works) - job.n_queued)
+            for job in started
+        )
+        self._max_needed_bytes = max(
+            (job.spec.result_bytes * job.n_queued for job in started), default=0.0
+        )
+
     def _fits_pool(self, job: _Job, now: float) -> bool:
         """Return whether the pool has memory for all results of a job."""
         size = job.spec.result_bytes
@@ -853,7 +873,28 @@
                 for key, target in self._targets_by_key.items()
                 if key in self._usable
             )
-        return n_fit >= len(job.queued)
+        return n_fit >= job.n_queued and self._can_complete_with(job)
+
+    def _can_complete_with(self, job: _Job) -> bool:
+        """Return whether the jobs that have started can be completed beside another.
+
+        Load it answers: a target that crashes while the others are full. Incomplete
+        jobs would hold all memory of the others until their results expire. Results of
+        complete jobs are freed soon, and a single piece holds nothing while it waits.
+        """
+        size = job.spec.result_bytes
+        if job.n_queued == 1:
+            return True
+        n_each = int(self.limits.result_memory_bytes / size)
+        left_bytes = n_each * size * self._n_answering() - self._incomplete_bytes
+        return left_bytes >= max(self._max_needed_bytes, size * job.n_queued)
+
+    def _n_answering(self) -> int:
+        """Return how many usable targets answered their last call; all if none did."""
+        n_failing = sum(
+            self._targets_by_key[key].n_failures > 0 for key in self._usable
+        )
+        return len(self._usable) - n_failing or len(self._usable)
 
     def _record_call(
         self,
