A target without memory for a large result still works on small ones

Where what is accounted for is less than what the target holds, its large piece is tried again and again every 0.2 s, alone, as it takes what seems free, and nothing else runs there.

A rejected piece now tells that less than its size is left; smaller pieces use that.

test_target_without_memory_for_a_large_result_still_works_on_small_ones failed before, for both schedulers.

--- a/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
@@ -67,9 +67,9 @@
 _MAX_BACKOFF_S: Final = 2.0
 # Backoff after a target rejected a call because it was full.
 _FULL_TARGET_BACKOFF_S: Final = 0.05
-# Time for which a target that had no memory for a piece counts as full, except for
-# memory freed since: most of a usual call. Such a piece is rejected at once, so a retry
-# is cheap.
+# Time for which a target that had no memory for a piece counts as full for pieces of
+# its size, except for memory freed since: most of a usual call. Such a piece is
+# rejected at once, so a retry is cheap.
 _MEMORY_EXHAUSTED_S: Final = 0.2
 # A job that would transfer at least this much between zones waits for a target in its
 # own zone, because the transfer costs more than a short wait.
@@ -414,8 +414,13 @@
                 results_by_job.setdefault(job_id, []).append((work.piece_id, outcome))
             else:
                 unneeded.append(outcome)
-        if PieceFailure.NO_MEMORY in outcomes:
-            self._record_memory_exhausted(key, now)
+        rejected_bytes = [
+            n_bytes
+            for n_bytes, outcome in zip(call.bytes_each, outcomes, strict=True)
+            if outcome is PieceFailure.NO_MEMORY
+        ]
+        if rejected_bytes:
+            self._record_memory_exhausted(key, min(rejected_bytes), now)
         for job_id, results in results_by_job.items():
             is_done = job_id not in self._jobs_by_id
             updates.append(JobUpdate(job_id, tuple(results), is_done))
@@ -836,17 +841,20 @@
         held = self._held_bytes_by_key.get(target.entry.key, 0.0)
         return self.limits.result_memory_bytes - held - untracked
 
-    def _record_memory_exhausted(self, key: TargetKey, now: float) -> None:
-        """Count all memory of a target that is not accounted for here as used.
+    def _record_memory_exhausted(
+        self, key: TargetKey, n_bytes: float, now: float
+    ) -> None:
+        """Count as used what is not accounted for here, save less than ``n_bytes``.
 
+        A target that has no memory for a large result may have some for small ones.
         Results left by a previous owner of the pool occupy memory until they expire,
         and sizes are approximate. Load reports can't be used instead: they give free
         memory in whole megabytes, and some targets have less than one.
         """
         target = self._targets_by_key.get(key)
         if target is not None:
-            held = self._held_bytes_by_key.get(key, 0.0)
-            target.untracked_bytes = max(0.0, self.limits.result_memory_bytes - held)
+            used = self._held_bytes_by_key.get(key, 0.0) + max(0.0, n_bytes - 1.0)
+            target.untracked_bytes = max(0.0, self.limits.result_memory_bytes - used)
             target.untracked_until = now + _MEMORY_EXHAUSTED_S
 
     def _measure_memory(self) -> None:
--- a/packages/aspendrift-policy/tests/test_stage_scheduler_memory.py
+++ b/packages/aspendrift-policy/tests/test_stage_scheduler_memory.py
@@ -8,7 +8,7 @@
 import pytest
 
 from aspendrift_model.ids import AttemptId, PoolName, TargetId, ZoneName
-from aspendrift_model.pieces import Handle, PieceId, PieceWork
+from aspendrift_model.pieces import Handle, PieceFailure, PieceId, PieceWork
 from aspendrift_model.routes import PieceLimits
 from aspendrift_model.target_entries import TargetEntry, TargetKey
 from aspendrift_policy.ranked import RankedScheduler
@@ -37,12 +37,12 @@
     ]
 
 
-def job(name, n_pieces):
+def job(name, n_pieces, result_bytes=RESULT_BYTES):
     works = tuple(
         PieceWork(PieceId(AttemptId(name), 0, piece), "k", ())
         for piece in range(n_pieces)
     )
-    return StageJob(JobId(name), works, RESULT_BYTES, 0, 100.0, 110.0)
+    return StageJob(JobId(name), works, result_bytes, 0, 100.0, 110.0)
 
 
 def make_scheduler(policy, n_targets):
@@ -78,6 +78,18 @@
     assert started(scheduler.plan(0.004)) == {"first", "small"}
 
 
+@POLICIES
+def test_target_without_memory_for_a_large_result_still_works_on_small_ones(policy):
+    """Guards against idle targets while a large piece is tried again and again."""
+    scheduler = make_scheduler(policy, 1)
+    scheduler.submit(job("large", 1))
+    (call,) = scheduler.plan(0.0)
+    key = call.target.key
+    scheduler.ended(call.call_id, key, [PieceFailure.NO_MEMORY], 0.004)
+    scheduler.submit(job("small", 1, result_bytes=8e3))
+    assert started(scheduler.plan(0.004)) == {"small"}
+
+
 class _Pool:
     """Three targets, and the accounts of a test of what they hold."""
 
