Leave a daemon's own pauses out of the silence of owners

A daemon that stood still for 0.25 s took the owners of its stage jobs for lost, before it had read their replies: the jobs ran at a second owner as well, and the first one was suspected for 3 s. Where all daemons stand still, the reply comes later than their timers.

Each timer of the dispatcher now moves the times of what was sent and received by its delay. test_pause_of_all_daemons_runs_no_job_at_two_owners failed before (two calls instead of one); an owner that is lost during a pause is still noticed (two tests that passed before).

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
@@ -316,9 +316,22 @@
             due_at = self._clock.monotonic() + _STEP_INTERVAL_S
             await asyncio.sleep(_STEP_INTERVAL_S)
             now = self._clock.monotonic()
-            self._lag.record(now - due_at, now)
+            lag_s = max(0.0, now - due_at)
+            self._lag.record(lag_s, now)
+            self._exclude_lag(lag_s, now)
             self.step(now)
 
+    def _exclude_lag(self, lag_s: float, now: float) -> None:
+        """Leave the time that this daemon stood still out of the silence of owners.
+
+        It read none of their messages then. All daemons may have stood still, so that
+        an owner's reply may also come later.
+        """
+        for submitted in self._submitted_by_id.values():
+            submitted.sent_at = min(now, submitted.sent_at + lag_s)
+        for owner, received_at in self._received_at_by_owner.items():
+            self._received_at_by_owner[owner] = min(now, received_at + lag_s)
+
     def step(self, now: float) -> None:
         """Resubmit jobs of lost owners; send heartbeats and pool loads."""
         own_id = self._link.host.daemon_id
--- a/packages/aspendrift-gateway/tests/test_stage_dispatcher.py
+++ b/packages/aspendrift-gateway/tests/test_stage_dispatcher.py
@@ -200,6 +200,40 @@
     run_scenario(scenario)
 
 
+def test_pause_of_all_daemons_runs_no_job_at_two_owners(run_scenario):
+    async def scenario(fleet):
+        owner, others = fleet.owner_and_others()
+        dispatcher = fleet.dispatchers_by_id[others[0]]
+        listener = Listener()
+        await asyncio.sleep(0.01)
+        dispatcher.submit(POOL, job("a"), listener)
+        asyncio.get_running_loop().pause(0.4)
+        await listener.done.wait()
+        dispatcher.done(JobId("a"))
+        await asyncio.sleep(1.0)
+        assert fleet.targets.n_calls == 1
+        assert dispatcher.owner(POOL, asyncio.get_running_loop().time()) == owner
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("is_accepted", [False, True])
+def test_owner_lost_during_a_pause_here_is_noticed(run_scenario, is_accepted):
+    async def scenario(fleet):
+        owner, others = fleet.owner_and_others()
+        listener = Listener()
+        await asyncio.sleep(0.01)
+        fleet.dispatchers_by_id[others[0]].submit(POOL, job("a"), listener)
+        await asyncio.sleep(0.01 if is_accepted else 0.0)
+        fleet.network.cut_off.add(owner)
+        asyncio.get_running_loop().pause(0.4)
+        await listener.done.wait()
+        assert asyncio.get_running_loop().time() < 2.0
+        assert listener.failures == []
+
+    run_scenario(scenario)
+
+
 def test_job_is_rerun_when_its_owner_stops_responding(run_scenario):
     async def scenario(fleet):
         owner, others = fleet.owner_and_others()
--- a/packages/aspendrift-standins/src/aspendrift_standins/virtual_time.py
+++ b/packages/aspendrift-standins/src/aspendrift_standins/virtual_time.py
@@ -47,6 +47,10 @@
         """Return the virtual time, in seconds."""
         return self._time_selector.now
 
+    def pause(self, duration_s: float) -> None:
+        """Let time pass without a turn for any task, as when a process stands still."""
+        self._time_selector.now += duration_s
+
 
 class VirtualClock:
     """Clocks of a process that runs on a virtual-time loop."""
