Learn no times of calls from answers that waited during a pause

The time of a call was taken to where its answer was read, so a pause of the owner raised the learned times of its targets, by which requests are refused.

test_pause_of_an_owner_is_not_learned_as_slowness_of_its_targets failed before (0.2925 s instead of 0.27 s for a full call, after one call).

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
@@ -270,7 +270,13 @@
         else:
             n_completed = sum(not isinstance(each, PieceFailure) for each in outcomes)
             self.meter.record_completions(n_completed, now)
-            updates, unneeded = self.scheduler.ended(call.call_id, key, outcomes, now)
+            updates, unneeded = self.scheduler.ended(
+                call.call_id,
+                key,
+                outcomes,
+                now,
+                was_read_late=self._catches_up_until(now) > sent_at,
+            )
             if unneeded:
                 self.free(unneeded)
         verdict = "full" if is_full else "failed" if outcomes is None else "made"
--- a/packages/aspendrift-gateway/tests/test_stage_dispatcher.py
+++ b/packages/aspendrift-gateway/tests/test_stage_dispatcher.py
@@ -267,6 +267,23 @@
     run_scenario(scenario, n_daemons=1)
 
 
+def test_pause_of_an_owner_is_not_learned_as_slowness_of_its_targets(run_scenario):
+    """Guards against refusals of requests that could be on time, after a pause."""
+
+    async def scenario(fleet):
+        dispatcher = fleet.dispatchers_by_id[DaemonId("d0")]
+        listener = Listener()
+        dispatcher.submit(POOL, job("a"), listener)
+        await asyncio.sleep(0.1)
+        times = dispatcher._runners_by_pool[POOL].scheduler.times
+        before_s = times.full_call_s
+        asyncio.get_running_loop().pause(0.6)
+        await listener.done.wait()
+        assert times.full_call_s == before_s
+
+    run_scenario(scenario, n_daemons=1)
+
+
 def test_call_without_an_answer_is_repeated_after_a_pause(run_scenario):
     async def scenario(fleet):
         fleet.targets.read_s = 0.2
--- a/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
@@ -388,13 +388,25 @@
         return calls
 
     def ended(
-        self, call_id: int, key: TargetKey, outcomes: Sequence[PieceOutcome], now: float
+        self,
+        call_id: int,
+        key: TargetKey,
+        outcomes: Sequence[PieceOutcome],
+        now: float,
+        *,
+        was_read_late: bool = False,
     ) -> tuple[list[JobUpdate], list[Handle]]:
-        """Apply a target's answer; return updates of jobs and unneeded results."""
+        """Apply a target's answer; return updates of jobs and unneeded results.
+
+        Nothing is learned of the times of calls from an answer that ``was_read_late``,
+        since this process stood still.
+        """
         call = self._close_call(call_id, key, now)
         if call is None:
             return [], []
-        self._update_slowness(key, call, now)
+        self._target_answered(key)
+        if not was_read_late:
+            self._update_slowness(key, call, now)
         updates: list[JobUpdate] = []
         unneeded: list[Handle] = []
         results_by_job: dict[JobId, list[tuple[PieceId, Handle]]] = {}
@@ -882,11 +894,15 @@
             del self._targets_by_key[key]
         return call
 
+    def _target_answered(self, key: TargetKey) -> None:
+        target = self._targets_by_key.get(key)
+        if target is not None:
+            target.n_failures = 0
+
     def _update_slowness(self, key: TargetKey, call: _Call, now: float) -> None:
         target = self._targets_by_key.get(key)
         if target is None:
             return
-        target.n_failures = 0
         n_pieces, took_s = len(call.plan.works), now - call.sent_at
         ratio = took_s / self.limits.call_duration_s(n_pieces)
         self.times.record(n_pieces, took_s)
