Measure a pool's throughput anew after a pause of its owner

Nothing completes while the owner of a pool stands still, so its measured throughput fell and requests that had time were refused ("predicted 4 s" on a pool that needs 0.05 s).

test_pause_of_an_owner_is_not_measured_as_throughput_of_its_pool failed before (11.7 pieces a second instead of unknown).

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
@@ -319,7 +319,9 @@
             await asyncio.sleep(_STEP_INTERVAL_S)
             now = self._clock.monotonic()
             lag_s = max(0.0, now - due_at)
-            self._pauses.catches_up_until(now)
+            if self._pauses.catches_up_until(now) > now:
+                for runner in self._runners_by_pool.values():
+                    runner.meter.restart()
             self._lag.record(lag_s, now)
             self._exclude_lag(lag_s, now)
             self.step(now)
--- a/packages/aspendrift-gateway/tests/test_stage_dispatcher.py
+++ b/packages/aspendrift-gateway/tests/test_stage_dispatcher.py
@@ -284,6 +284,26 @@
     run_scenario(scenario, n_daemons=1)
 
 
+def test_pause_of_an_owner_is_not_measured_as_throughput_of_its_pool(run_scenario):
+    """Guards against refusals of requests that could be on time, after a pause."""
+
+    async def scenario(fleet):
+        dispatcher = fleet.dispatchers_by_id[DaemonId("d0")]
+        for number in range(20):
+            dispatcher.submit(POOL, job(f"j{number}", 4), Listener())
+        await asyncio.sleep(1.0)
+        runner = dispatcher._runners_by_pool[POOL]
+        before = runner.measures(asyncio.get_running_loop().time())
+        asyncio.get_running_loop().pause(0.6)
+        await asyncio.sleep(0.01)
+        after = runner.measures(asyncio.get_running_loop().time())
+        assert before.completed_per_s > 0
+        # Unknown until the throughput has been measured again.
+        assert after.completed_per_s == 0
+
+    run_scenario(scenario, n_daemons=1)
+
+
 def test_call_without_an_answer_is_repeated_after_a_pause(run_scenario):
     async def scenario(fleet):
         fleet.targets.read_s = 0.2
--- a/packages/aspendrift-policy/src/aspendrift_policy/chain_admission.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/chain_admission.py
@@ -161,6 +161,10 @@
         """Record pieces that were completed."""
         self._completed.add(n_pieces, now)
 
+    def restart(self) -> None:
+        """Measure the throughput anew: this process stood still, not the pool."""
+        self._waiting_since = None
+
     def measures(self, waiting_by_rank: Mapping[int, int], now: float) -> PoolMeasures:
         """Return the current measures; called a few times per second."""
         if not any(waiting_by_rank.values()):
