Withdraw a stage job from the owner that it was taken from

A job that its owner hadn't accepted went to the next one, but stayed at the first. One that read its messages late started it when the second had nearly completed it, and its calls named inputs that were freed soon after.

The daemon withdraws the job (CancelJob.keeps_calls, an optional field; an owner of an earlier build cancels it). Results of calls that are open there are still used, whichever comes first. test_owner_that_reads_late_does_not_run_a_job_that_another_runs failed before (two calls); test_results_of_an_owner_that_was_replaced_are_used guards the other side.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
@@ -129,6 +129,11 @@
         self.scheduler.cancel(job_id)
         self.schedule_step()
 
+    def withdraw(self, job_id: JobId) -> None:
+        """Send no more calls for a stage job that another owner runs."""
+        self.scheduler.withdraw(job_id)
+        self.schedule_step()
+
     def free(self, handles: Iterable[Handle]) -> None:
         """Free results; frees requested within a short time are batched."""
         if not self._pending_frees:
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
@@ -249,6 +249,8 @@
         earlier = self._submitted_by_id.get(job.job_id)
         if earlier is not None:
             submitted.earlier_owners = (*earlier.earlier_owners, earlier.owner)
+            if earlier.owner != owner:
+                self._cancel_at(earlier.owner, pool, job.job_id, keeps_calls=True)
         self._submitted_by_id[job.job_id] = submitted
         if owner == self._link.host.daemon_id:
             self._submit_here(pool, job)
@@ -274,12 +276,26 @@
             self.cancel(job_id)
         self._submitted_by_id.pop(job_id, None)
 
-    def _cancel_at(self, owner: DaemonId, pool: PoolName, job_id: JobId) -> None:
+    def _cancel_at(
+        self,
+        owner: DaemonId,
+        pool: PoolName,
+        job_id: JobId,
+        *,
+        keeps_calls: bool = False,
+    ) -> None:
         if owner != self._link.host.daemon_id:
-            self._send(owner, CancelJob(job_id, pool))
-            return
+            self._send(owner, CancelJob(job_id, pool, keeps_calls))
+        else:
+            self._cancel_here(pool, job_id, keeps_calls)
+
+    def _cancel_here(self, pool: PoolName, job_id: JobId, keeps_calls: bool) -> None:
         runner = self._runners_by_pool.get(pool)
-        if runner is not None:
+        if runner is None:
+            return
+        if keeps_calls:
+            runner.withdraw(job_id)
+        else:
             runner.cancel(job_id)
 
     def free(self, pool: PoolName, handles: Iterable[Handle]) -> None:
@@ -585,11 +601,11 @@
             self._deliver(submitted.pool, JobUpdate(job_id, failure=failure))
 
     def _on_cancel(self, message: CancelJob) -> None:
-        job_id = JobId(message.job_id)
-        self._origins_by_job.pop(job_id, None)
-        runner = self._runners_by_pool.get(PoolName(message.pool))
-        if runner is not None:
-            runner.cancel(job_id)
+        pool, job_id = PoolName(message.pool), JobId(message.job_id)
+        self._cancel_here(pool, job_id, message.keeps_calls)
+        runner = self._runners_by_pool.get(pool)
+        if runner is None or not runner.scheduler.has_job(job_id):
+            self._origins_by_job.pop(job_id, None)
 
 
 def _failure(value: str) -> PieceFailure:
--- a/packages/aspendrift-gateway/tests/conftest.py
+++ b/packages/aspendrift-gateway/tests/conftest.py
@@ -144,6 +144,9 @@
     def __init__(self):
         self.links_by_id = {}
         self.cut_off = set()
+        # Times from which daemons read their messages, and those that wait.
+        self.reads_from = {}
+        self.unread_by_id = {}
         self.sent = []
         self.states_by_id = {}
         self.missing_features_by_id = {}
@@ -180,9 +183,22 @@
             return
         link = self._network.links_by_id[daemon_id]
         loop = asyncio.get_running_loop()
+        reads_from = self._network.reads_from.get(daemon_id, 0.0)
+        if loop.time() + 0.002 < reads_from:
+            unread = self._network.unread_by_id.setdefault(daemon_id, [])
+            if not unread:
+                loop.call_at(reads_from, link.read)
+            unread.append((self.host.daemon_id, payload))
+            return
         for handler in link._handlers:
             loop.call_later(0.002, handler, self.host.daemon_id, payload)
 
+    def read(self):
+        """Read all messages that wait, in one turn of the event loop."""
+        for origin, payload in self._network.unread_by_id.pop(self.host.daemon_id):
+            for handler in self._handlers:
+                handler(origin, payload)
+
     def live_ids(self):
         return [
             host.daemon_id
--- a/packages/aspendrift-gateway/tests/test_stage_dispatcher.py
+++ b/packages/aspendrift-gateway/tests/test_stage_dispatcher.py
@@ -334,6 +334,52 @@
     run_scenario(scenario)
 
 
+def test_owner_that_reads_late_does_not_run_a_job_that_another_runs(run_scenario):
+    async def scenario(fleet):
+        owner, others = fleet.owner_and_others()
+        dispatcher = fleet.dispatchers_by_id[others[0]]
+        listener = Listener()
+        fleet.network.reads_from[owner] = 0.4
+        dispatcher.submit(POOL, job("a"), listener)
+        await listener.done.wait()
+        dispatcher.done(JobId("a"))
+        await asyncio.sleep(1.0)
+        assert fleet.targets.n_calls == 1
+        assert all(
+            not each._origins_by_job for each in fleet.dispatchers_by_id.values()
+        )
+
+    run_scenario(scenario)
+
+
+def test_results_of_an_owner_that_was_replaced_are_used(run_scenario):
+    """Work that an owner had begun isn't lost if the next owner takes long."""
+
+    async def scenario(fleet):
+        owner, others = fleet.owner_and_others()
+        fleet.network.states_by_id[owner] = MemberState.SUSPECT
+        second = fleet.dispatchers_by_id[others[0]].owner(POOL, 0.0)
+        fleet.network.states_by_id[owner] = MemberState.LIVE
+        fleet.network.reads_from[second] = 1.0
+        (name,) = set(others) - {second}
+        dispatcher = fleet.dispatchers_by_id[name]
+        listener = Listener()
+        assert dispatcher.submit(POOL, job("a"), listener) == owner
+        await asyncio.sleep(0.15)
+        dispatcher._suspected_until[owner] = 3.0
+        assert dispatcher.submit(POOL, job("a"), listener) == second
+        await listener.done.wait()
+        assert asyncio.get_running_loop().time() < 0.3
+        dispatcher.done(JobId("a"))
+        await asyncio.sleep(2.0)
+        assert fleet.targets.n_calls == 1
+        assert all(
+            not each._origins_by_job for each in fleet.dispatchers_by_id.values()
+        )
+
+    run_scenario(scenario)
+
+
 def test_suspect_owner_is_used_again_after_a_while(run_scenario):
     async def scenario(fleet):
         owner, others = fleet.owner_and_others()
--- a/packages/aspendrift-model/src/aspendrift_model/wire_work.py
+++ b/packages/aspendrift-model/src/aspendrift_model/wire_work.py
@@ -97,10 +97,15 @@
 
 
 class CancelJob(msgspec.Struct, frozen=True, array_like=True, tag="c"):
-    """Cancels a stage job whose results are no longer needed."""
+    """Cancels a stage job whose results are no longer needed.
+
+    With ``keeps_calls`` another owner runs the job now: no more calls are sent for it,
+    and the results of those that are open are still used.
+    """
 
     job_id: str
     pool: str
+    keeps_calls: bool = False
 
 
 class FreeResults(msgspec.Struct, frozen=True, array_like=True, tag="f"):
--- a/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
@@ -156,8 +156,8 @@
 class JobUpdate:
     """Results of pieces of a stage job, or its failure.
 
-    Results may arrive in several updates; ``is_done`` marks the last one. A failure
-    ends the job.
+    Results may arrive in several updates; ``is_done`` marks the last one, after which
+    pieces may be missing if the job was withdrawn. A failure ends the job.
     """
 
     job_id: JobId
@@ -199,6 +199,8 @@
     has_started: bool = False
     # Time since which the job is overdue and got no capacity.
     unserved_since: float | None = None
+    # Whether another owner runs the job, so that no more calls are sent for it.
+    is_withdrawn: bool = False
 
     @property
     def n_queued(self) -> int:
@@ -304,6 +306,10 @@
         """Number of jobs that have not ended."""
         return len(self._jobs_by_id)
 
+    def has_job(self, job_id: JobId) -> bool:
+        """Return whether a job has not ended."""
+        return job_id in self._jobs_by_id
+
     def set_limits(self, limits: PieceLimits) -> None:
         """Replace the limits; learned times stay unless the limits differ."""
         if limits != self.limits:
@@ -333,6 +339,18 @@
         """Remove a job; :meth:`ended` returns its later results as unneeded."""
         self._jobs_by_id.pop(job_id, None)
 
+    def withdraw(self, job_id: JobId) -> None:
+        """Send no more calls for a job that another owner runs.
+
+        Calls that are open may still complete pieces of it.
+        """
+        job = self._jobs_by_id.get(job_id)
+        if job is None:
+            return
+        job.is_withdrawn = True
+        job.queued.clear()
+        self._drop_withdrawn([job_id])
+
     def record_freed(self, handles: Iterable[Handle]) -> None:
         """Record that results were freed."""
         for handle in handles:
@@ -424,6 +442,8 @@
                 unneeded.append(outcome)
         if PieceFailure.NO_MEMORY in outcomes:
             self._record_memory_exhausted(key, now)
+        for job_id in self._drop_withdrawn(call.job_ids):
+            results_by_job.setdefault(job_id, [])
         for job_id, results in results_by_job.items():
             is_done = job_id not in self._jobs_by_id
             updates.append(JobUpdate(job_id, tuple(results), is_done))
@@ -451,6 +471,10 @@
                 self._requeue(job_id, work)
             else:
                 updates += self._piece_failed(job_id, work, PieceFailure.ERROR)
+        updates += [
+            JobUpdate(job_id, is_done=True)
+            for job_id in self._drop_withdrawn(call.job_ids)
+        ]
         return updates
 
     def pause_target(self, key: TargetKey, until: float) -> None:
@@ -912,7 +936,7 @@
         self, job_id: JobId, work: PieceWork, failure: PieceFailure
     ) -> list[JobUpdate]:
         job = self._jobs_by_id.get(job_id)
-        if job is None or work.piece_id not in job.incomplete:
+        if job is None or job.is_withdrawn or work.piece_id not in job.incomplete:
             return []
         if failure is PieceFailure.NO_MEMORY:
             self._requeue(job_id, work)
@@ -928,9 +952,24 @@
     def _requeue(self, job_id: JobId, work: PieceWork) -> None:
         """Queue a piece again, for any target."""
         job = self._jobs_by_id.get(job_id)
-        if job is not None and work.piece_id in job.incomplete:
+        if job is None or job.is_withdrawn:
+            return
+        if work.piece_id in job.incomplete:
             job.queued[work.piece_id] = work
 
+    def _drop_withdrawn(self, job_ids: Iterable[JobId]) -> list[JobId]:
+        """Remove withdrawn jobs without an open call; return those removed."""
+        dropped = [
+            job_id
+            for job_id in dict.fromkeys(job_ids)
+            if (job := self._jobs_by_id.get(job_id)) is not None
+            and job.is_withdrawn
+            and not self._is_in_call(job)
+        ]
+        for job_id in dropped:
+            del self._jobs_by_id[job_id]
+        return dropped
+
     def _accept_result(self, job_id: JobId, piece_id: PieceId) -> bool:
         """Record a result; return False if no job needs it."""
         job = self._jobs_by_id.get(job_id)
--- a/packages/aspendrift-policy/tests/test_stage_scheduler.py
+++ b/packages/aspendrift-policy/tests/test_stage_scheduler.py
@@ -379,3 +379,36 @@
     (call,) = scheduler.plan(LIMITS.call_duration_s(1) - 0.05)
     assert call.target.key.target_id == "t2"
     assert complete(scheduler, open_call, 0.3)
+
+
+def test_withdrawn_job_gets_no_more_calls_but_the_results_of_its_open_ones():
+    scheduler = make_scheduler()
+    scheduler.submit(job("a", 6))
+    (call,) = scheduler.plan(0.0)
+    scheduler.withdraw(JobId("a"))
+    updates, unneeded = complete(scheduler, call, 0.3)
+    assert [(len(each.results), each.is_done) for each in updates] == [(4, True)]
+    assert unneeded == []
+    assert scheduler.plan(0.3) == []
+    assert not scheduler.has_job(JobId("a"))
+
+
+@pytest.mark.parametrize("is_full", [False, True])
+def test_withdrawn_job_ends_with_its_last_call(is_full):
+    scheduler = make_scheduler()
+    scheduler.submit(job("a", 2))
+    (call,) = scheduler.plan(0.0)
+    scheduler.withdraw(JobId("a"))
+    (update,) = scheduler.failed(call.call_id, call.target.key, is_full, 0.3)
+    assert (update.results, update.is_done, update.failure) == ((), True, None)
+    assert not scheduler.has_job(JobId("a"))
+
+
+def test_withdrawn_job_may_be_submitted_again():
+    scheduler = make_scheduler()
+    scheduler.submit(job("a", 2))
+    scheduler.withdraw(JobId("a"))
+    assert not scheduler.has_job(JobId("a"))
+    scheduler.submit(job("a", 2))
+    (call,) = scheduler.plan(0.0)
+    assert pieces(call) == [("a", 0), ("a", 1)]
