Leave pieces that nobody needs any more out of calls not yet sent

A planned call waits for its permit. Jobs that were cancelled or completed meanwhile stayed in it, so that it named inputs that were freed, and took the target's time.

The call is checked when it is sent; without any needed piece its permit is returned. Before, test_pieces_cancelled_while_their_call_waits_for_a_permit_are_not_sent failed (both cases).

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
@@ -228,30 +228,20 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _call(self, call: PlannedCall) -> None:
+    async def _call(self, planned: PlannedCall) -> None:
         sent_at = self._clock.monotonic()
-        request_ids = tuple(
-            dict.fromkeys(work.piece_id.attempt_id for work in call.works)
-        )
-        target_id = call.target.key.target_id
-        permit = await self._permit(call.target, sent_at)
+        target_id = planned.target.key.target_id
+        permit = await self._permit(planned.target, sent_at)
         if not isinstance(permit, Permit):
-            self._postpone(call, permit)
+            self._postpone(planned, permit)
+            return
+        call = self._without_unneeded(planned)
+        if call is None:
+            if self._permits is not None:
+                self._permits.release(permit)
             return
         encoded = self._codec.stage_run(call.works)
-        self._n_sent_bytes += len(encoded.body)
-        self._events.emit(
-            StageCallSent(
-                call.call_id,
-                target_id,
-                self.pool,
-                len(call.works),
-                request_ids,
-                self.scheduler.n_jobs,
-                call.expected_s,
-                len(encoded.body),
-            )
-        )
+        self._record_sent(call, len(encoded.body))
         headers = self._codec.stage_headers(target_id)
         reading = _CallReading(self._codec, self._handles, self._clock, len(call.works))
         try:
@@ -300,6 +290,35 @@
             self._on_update(update)
         self.schedule_step()
 
+    def _record_sent(self, call: PlannedCall, n_bytes: int) -> None:
+        request_ids = tuple(
+            dict.fromkeys(work.piece_id.attempt_id for work in call.works)
+        )
+        self._n_sent_bytes += n_bytes
+        self._events.emit(
+            StageCallSent(
+                call.call_id,
+                call.target.key.target_id,
+                self.pool,
+                len(call.works),
+                request_ids,
+                self.scheduler.n_jobs,
+                call.expected_s,
+                n_bytes,
+            )
+        )
+
+    def _without_unneeded(self, planned: PlannedCall) -> PlannedCall | None:
+        """Return a call without pieces whose jobs have ended; None if none is left."""
+        call, updates = self.scheduler.remove_unneeded(
+            planned.call_id, planned.target.key, self._clock.monotonic()
+        )
+        for update in updates:
+            self._on_update(update)
+        if call is None:
+            self.schedule_step()
+        return call
+
     def _postpone(self, call: PlannedCall, until: float) -> None:
         """Queue the pieces of a call again that got no permit."""
         key, now = call.target.key, self._clock.monotonic()
--- a/packages/aspendrift-gateway/tests/test_stage_dispatcher.py
+++ b/packages/aspendrift-gateway/tests/test_stage_dispatcher.py
@@ -12,6 +12,7 @@
 from aspendrift_daemon.events import EventHub
 from aspendrift_gateway.events import StagePoolState
 from aspendrift_gateway.interfaces import AnswerHead, HttpCall
+from aspendrift_gateway.permit_exchange import Permit
 from aspendrift_gateway.stage_dispatcher import StageDispatcher, _submit_message
 from aspendrift_gateway.system_state import SystemState
 from aspendrift_gateway.target_client import CompleteAnswer
@@ -439,6 +440,47 @@
     run_scenario(scenario, n_daemons=1)
 
 
+class SlowPermits:
+    """Gives a permit for each call after a while."""
+
+    def __init__(self):
+        self.n_released = 0
+
+    def restrictions(self, pool, entries, now):
+        return None
+
+    def is_restricted(self, target, now):
+        return True
+
+    async def acquire(self, target, now):
+        await asyncio.sleep(0.1)
+        return Permit()
+
+    def release(self, permit):
+        self.n_released += 1
+
+
+@pytest.mark.parametrize("cancelled", [("a",), ("a", "b")])
+def test_pieces_cancelled_while_their_call_waits_for_a_permit_are_not_sent(
+    run_scenario, cancelled
+):
+    async def scenario(fleet):
+        dispatcher = fleet.dispatchers_by_id[DaemonId("d0")]
+        permits = SlowPermits()
+        dispatcher.require_permits(permits)
+        for name in ("a", "b"):
+            dispatcher.submit(POOL, job(name), Listener())
+        await asyncio.sleep(0.05)
+        for name in cancelled:
+            dispatcher.cancel(JobId(name))
+        await asyncio.sleep(1.0)
+        expected = {"a", "b"} - set(cancelled)
+        assert {name for name, _ in fleet.targets.completed} == expected
+        assert permits.n_released == (not expected)
+
+    run_scenario(scenario, n_daemons=1)
+
+
 def test_results_of_a_cancelled_job_are_freed(run_scenario):
     async def scenario(fleet):
         owner, others = fleet.owner_and_others()
--- a/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
@@ -21,7 +21,7 @@
 
 import math
 from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Final, NewType, TypeAlias
 
 from aspendrift_model.ids import ZoneName
@@ -405,6 +405,40 @@
             self._contended_until = now + self.times.full_call_s
         return calls
 
+    def remove_unneeded(
+        self, call_id: int, key: TargetKey, now: float
+    ) -> tuple[PlannedCall | None, list[JobUpdate]]:
+        """Return a planned call without the pieces that nobody needs any more.
+
+        To be asked before a call is sent: the inputs of such pieces may be freed. None,
+        and the call is ended, if no piece is left. Also returns updates of jobs.
+        """
+        target = self._targets_by_key.get(key)
+        call = None if target is None else target.calls_by_id.get(call_id)
+        if call is None:
+            return None, []
+        plan, job_ids = call.plan, call.job_ids
+        needed = [
+            number
+            for number, work in enumerate(plan.works)
+            if self._is_needed(job_ids[number], work.piece_id)
+        ]
+        if len(needed) < len(plan.works):
+            n_bytes = sum(call.bytes_each)
+            call.plan = replace(plan, works=tuple(plan.works[n] for n in needed))
+            call.bytes_each = tuple(call.bytes_each[n] for n in needed)
+            call.job_ids = tuple(job_ids[n] for n in needed)
+            self._add_held_bytes(key, sum(call.bytes_each) - n_bytes)
+        if not needed:
+            self._close_call(call_id, key, now)
+        dropped = self._drop_withdrawn(job_ids)
+        updates = [JobUpdate(job_id, is_done=True) for job_id in dropped]
+        return (call.plan if needed else None), updates
+
+    def _is_needed(self, job_id: JobId, piece_id: PieceId) -> bool:
+        job = self._jobs_by_id.get(job_id)
+        return job is not None and not job.is_withdrawn and piece_id in job.incomplete
+
     def ended(
         self,
         call_id: int,
--- a/packages/aspendrift-policy/tests/test_stage_scheduler.py
+++ b/packages/aspendrift-policy/tests/test_stage_scheduler.py
@@ -412,3 +412,35 @@
     scheduler.submit(job("a", 2))
     (call,) = scheduler.plan(0.0)
     assert pieces(call) == [("a", 0), ("a", 1)]
+
+
+def test_pieces_of_cancelled_jobs_are_left_out_of_calls_not_yet_sent():
+    scheduler = make_scheduler()
+    scheduler.submit(job("a", 2, result_bytes=6e6))
+    scheduler.submit(job("b", 1, result_bytes=6e6))
+    (call,) = scheduler.plan(0.0)
+    scheduler.cancel(JobId("a"))
+    call, updates = scheduler.remove_unneeded(call.call_id, call.target.key, 0.1)
+    assert pieces(call) == [("b", 0)]
+    assert updates == []
+    updates, unneeded = complete(scheduler, call, 0.3)
+    assert [each.is_done for each in updates] == [True]
+    assert unneeded == []
+    scheduler.submit(job("c", 2, result_bytes=6e6))
+    (call,) = scheduler.plan(0.3)
+    assert pieces(call) == [("c", 0), ("c", 1)]
+
+
+def test_call_whose_jobs_have_ended_is_not_sent():
+    scheduler = make_scheduler()
+    scheduler.submit(job("a", 1))
+    scheduler.submit(job("b", 1))
+    (call,) = scheduler.plan(0.0)
+    scheduler.cancel(JobId("a"))
+    scheduler.withdraw(JobId("b"))
+    kept, updates = scheduler.remove_unneeded(call.call_id, call.target.key, 0.1)
+    assert kept is None
+    assert [(each.job_id, each.is_done) for each in updates] == [("b", True)]
+    scheduler.submit(job("c", 1))
+    (call,) = scheduler.plan(0.1)
+    assert pieces(call) == [("c", 0)]
--- a/packages/aspendrift-policy/tests/test_stage_scheduler_machine.py
+++ b/packages/aspendrift-policy/tests/test_stage_scheduler_machine.py
@@ -122,6 +122,22 @@
         if not is_in_call:
             del self.incomplete_by_job[name]
 
+    @precondition(lambda self: self.calls)
+    @rule(index=st.integers(0, 50))
+    def unneeded_pieces_are_removed_before_a_call(self, index):
+        number = index % len(self.calls)
+        planned = self.calls.pop(number)
+        call, updates = self.scheduler.remove_unneeded(
+            planned.call_id, planned.target.key, self.now
+        )
+        self.apply_updates(updates)
+        if call is not None:
+            self.calls.insert(number, call)
+            for work in call.works:
+                name = work.piece_id.attempt_id
+                assert name not in self.withdrawn
+                assert work.piece_id.piece in self.incomplete_by_job[name]
+
     @rule(step_s=st.sampled_from([0.01, 0.2, 1.0, 5.0]))
     def time_passes(self, step_s):
         self.now += step_s
