End the jobs that name results before these are freed

When a stage found its inputs gone they were freed and computed again, but jobs of other stages with the same inputs went on, found them gone as well, and freed the new ones. And a completed stage's inputs were freed before its job was cancelled at owners that it was taken from.

test_lost_inputs_are_recomputed_for_every_stage_that_needs_them and test_inputs_are_freed_once_no_owner_sends_calls_with_them failed before.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/stage_run.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/stage_run.py
@@ -6,7 +6,7 @@
 import math
 import random
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Final
 
@@ -15,7 +15,7 @@
 from aspendrift_gateway.events import StageJobEnded, StageJobSent
 from aspendrift_gateway.stage_dispatcher import StageDispatcher
 from aspendrift_model.ids import AccountId, PoolName, ZoneName
-from aspendrift_model.pieces import PieceFailure
+from aspendrift_model.pieces import Handle, PieceFailure
 from aspendrift_model.routes import PoolSpec, Route
 from aspendrift_policy.chain_admission import (
     Admit,
@@ -321,25 +321,37 @@
     def _apply(self, update: JobUpdate) -> StagesFailed | None:
         job = self._job(update.job_id)
         if job is None:
+            self._free_results(update)
             return None
         if update.failure is not None:
             return self._failed(job, update.failure)
         if update.results:
             now = self._runner.clock.monotonic()
             self._first_result_at.setdefault(job.stage, now)
+        unneeded: list[int] = []
         for piece_id, handle in update.results:
             if self._plan.has_result(piece_id):
                 # Two owners completed the piece; the first result is used.
                 self._runner.dispatcher.free(job.pool, [handle])
                 continue
-            for consumed in self._plan.record_result(piece_id, handle):
-                pool = self._demand.route.stages[consumed].pool
-                self._runner.dispatcher.free(pool, self._plan.handles(consumed))
+            unneeded += self._plan.record_result(piece_id, handle)
         if self._plan.is_completed(job.stage):
             self._ended(job, "")
             self._runner.dispatcher.done(job.job_id)
+        # Only now no owner starts a call that names them.
+        for stage in unneeded:
+            self._free_stage(stage, self._plan.handles(stage))
         return None
 
+    def _free_results(self, update: JobUpdate) -> None:
+        """Free results of a job that was cancelled since they came."""
+        for piece_id, handle in update.results:
+            self._free_stage(piece_id.stage, [handle])
+
+    def _free_stage(self, stage: int, handles: Iterable[Handle]) -> None:
+        pool = self._demand.route.stages[stage].pool
+        self._runner.dispatcher.free(pool, handles)
+
     def _failed(self, job: _Job, failure: PieceFailure) -> StagesFailed | None:
         self._ended(job, failure.value)
         may_recompute = (
@@ -348,14 +360,27 @@
         if not may_recompute:
             return StagesFailed(job.stage, failure)
         self._n_recomputes += 1
-        for before in self._plan.inputs_of(job.stage):
-            pool = self._demand.route.stages[before].pool
-            self._runner.dispatcher.free(pool, self._plan.handles(before))
+        discarded = {
+            before: self._plan.handles(before)
+            for before in self._plan.inputs_of(job.stage)
+        }
+        for before in discarded:
             self._plan.discard_results(before)
             self._first_result_at.pop(before, None)
+        self._cancel_without_inputs()
+        for before, handles in discarded.items():
+            self._free_stage(before, handles)
         self._has_started = False
         return None
 
+    def _cancel_without_inputs(self) -> None:
+        """Cancel the jobs whose inputs are to be computed again."""
+        for job in list(self._jobs_by_stage.values()):
+            inputs = self._plan.inputs_of(job.stage)
+            if not all(self._plan.is_completed(each) for each in inputs):
+                self._ended(job, PieceFailure.INPUT_GONE.value)
+                self._runner.dispatcher.cancel(job.job_id)
+
     def _ended(self, job: _Job, failure: str) -> None:
         del self._jobs_by_stage[job.stage]
         took_s = self._runner.clock.monotonic() - job.began_at
--- a/packages/aspendrift-gateway/tests/test_stage_run.py
+++ b/packages/aspendrift-gateway/tests/test_stage_run.py
@@ -25,11 +25,20 @@
 
 from .conftest import route
 
-FIRST, SECOND = PoolName("first"), PoolName("second")
+FIRST, SECOND, THIRD = PoolName("first"), PoolName("second"), PoolName("third")
 ROUTE = route(
     RequestKind.STREAMING,
     stages=(StageSpec(0, FIRST, (), 8e3), StageSpec(1, SECOND, (0,), 6e4)),
 )
+# Two stages use the results of the first one.
+FORKED = route(
+    RequestKind.STREAMING,
+    stages=(
+        StageSpec(0, FIRST, (), 8e3),
+        StageSpec(1, SECOND, (0,), 6e4),
+        StageSpec(2, THIRD, (0,), 6e4),
+    ),
+)
 
 
 class FakeDispatcher:
@@ -41,6 +50,7 @@
         self.cancelled = []
         self.failures = []
         self.completes_twice = False
+        self.delay_by_pool = {}
         self._sequence = 0
 
     def new_job_id(self):
@@ -55,7 +65,8 @@
             update = JobUpdate(job.job_id, failure=failure)
             loop.call_later(0.1, listener, update)
             return DaemonId("d1")
-        loop.call_later(0.1, listener, self._completed(job, "a"))
+        delay_s = self.delay_by_pool.get(pool, 0.1)
+        loop.call_later(delay_s, listener, self._completed(job, "a"))
         if self.completes_twice:
             duplicate = self._completed(job, "b")
             loop.call_later(
@@ -86,6 +97,38 @@
         return 1
 
 
+class CheckingDispatcher(FakeDispatcher):
+    """Records results that are freed while a job may still send calls with them."""
+
+    def __init__(self):
+        super().__init__()
+        self.freed_in_use = []
+        self._open_by_id = {}
+
+    def submit(self, pool, job, listener):
+        def listen(update):
+            if update.failure is not None:
+                self._open_by_id.pop(update.job_id, None)
+            listener(update)
+
+        self._open_by_id[job.job_id] = job
+        return super().submit(pool, job, listen)
+
+    def free(self, pool, handles):
+        handles = list(handles)
+        for job in self._open_by_id.values():
+            inputs = job.works[0].inputs
+            self.freed_in_use += [each for each in handles if each in inputs]
+        super().free(pool, handles)
+
+    def cancel(self, job_id):
+        self._open_by_id.pop(job_id, None)
+        super().cancel(job_id)
+
+    def done(self, job_id):
+        self._open_by_id.pop(job_id, None)
+
+
 class Backlog(ChainAdmission):
     """Pools with a backlog until a given time."""
 
@@ -100,7 +143,12 @@
 @pytest.fixture
 def run_stages():
     def run(
-        dispatcher, n_pieces=(1, 2), deadline_s=10.0, objective_s=5.0, backlog=None
+        dispatcher,
+        n_pieces=(1, 2),
+        deadline_s=10.0,
+        objective_s=5.0,
+        backlog=None,
+        found_route=ROUTE,
     ):
         async def main():
             clock = VirtualClock(asyncio.get_running_loop())
@@ -112,8 +160,8 @@
                 EventHub(),
                 random.Random(0),
             )
-            plan = StagePlan(AttemptId("a1"), ROUTE.stages, n_pieces, "key")
-            demand = StageDemand(ROUTE, {}, 0, objective_s, deadline_s)
+            plan = StagePlan(AttemptId("a1"), found_route.stages, n_pieces, "key")
+            demand = StageDemand(found_route, {}, 0, objective_s, deadline_s)
             outcome = await runner.run(plan, demand)
             run.ended_at = clock.monotonic()
             return plan, outcome
@@ -149,6 +197,26 @@
     assert [pool for pool, _ in dispatcher.submitted] == [FIRST, SECOND, FIRST, SECOND]
 
 
+def test_inputs_are_freed_once_no_owner_sends_calls_with_them(run_stages):
+    dispatcher = CheckingDispatcher()
+    _, outcome = run_stages(dispatcher)
+    assert outcome == StagesCompleted()
+    assert dispatcher.freed == ["a/j1.0"]
+    assert dispatcher.freed_in_use == []
+
+
+def test_lost_inputs_are_recomputed_for_every_stage_that_needs_them(run_stages):
+    """Another stage went on with inputs that were freed, and failed as well."""
+    dispatcher = CheckingDispatcher()
+    dispatcher.failures = [None, PieceFailure.INPUT_GONE]
+    dispatcher.delay_by_pool[THIRD] = 0.3
+    plan, outcome = run_stages(dispatcher, (1, 1, 1), found_route=FORKED)
+    assert outcome == StagesCompleted()
+    assert dispatcher.freed_in_use == []
+    assert plan.final_inputs() == ["a/j5.0", "a/j6.0"]
+    assert dispatcher.freed == ["a/j1.0", "a/j3.0", "a/j4.0"]
+
+
 def test_failure_ends_the_stages_and_nothing_stays_queued(run_stages):
     dispatcher = FakeDispatcher()
     dispatcher.failures = [PieceFailure.ERROR]
