Give each result of the emulated platform a name of its own

The emulator named results by how many were held, so a name could come again within one request; freeing the one freed the other, and a gateway takes a name that comes again for a copied answer. The users' platform never uses a name again. No failure was seen to come from it; the checks are as they were.

--- a/tests/aspendrift_platform/platform_emulator.py
+++ b/tests/aspendrift_platform/platform_emulator.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import base64
+import itertools
 import json
 from collections import Counter
 from dataclasses import dataclass, field
@@ -193,6 +194,7 @@
 
     ran: Counter = field(default_factory=Counter)
     handles: dict = field(default_factory=dict)
+    numbers: itertools.count = field(default_factory=itertools.count)
     violations: list = field(default_factory=list)
     n_streams_to_break: int = 0
     # Runs of each stream: where they begin, the version that runs them, and the
@@ -318,9 +320,8 @@
         for item in items:
             piece = (item["id"], item["stage"], item["piece"])
             self._check_inputs(item["id"], item.get("inputs", ()))
-            handle = (
-                f"{self.address}/{len(self.records.handles)}.{len(outcomes)}.{piece[0]}"
-            )
+            # Unique: a name that is used again would be freed with the earlier result.
+            handle = f"{self.address}/{next(self.records.numbers)}.{piece[0]}"
             self.records.store_result(handle, piece)
             outcomes.append({"handle": handle})
         await reply(send, 200, {"items": outcomes})
