A broken connection of a caller is no crash of the target

Streams and large answers are sent to the caller while the target's answer is read, and an OSError of either connection counted as a crash of the target, so that its content was suspected as poison.

Errors of the caller's connection are raised as CallerDisconnected where they occur. test_broken_connection_of_a_caller_is_no_crash_of_the_target failed before for streams and large answers (the target was reported broken). The present HTTP server ignores what is sent to a closed connection, so it wasn't seen outside the test.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/caller_answer.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/caller_answer.py
@@ -6,7 +6,12 @@
 
 from aspendrift_model.opaque_requests import Headers
 
-__all__ = ["CallerAnswer", "CallerStalled", "end_to_end_headers"]
+__all__ = [
+    "CallerAnswer",
+    "CallerDisconnected",
+    "CallerStalled",
+    "end_to_end_headers",
+]
 
 _HOP_BY_HOP_HEADERS: Final = frozenset(
     {b"connection", b"keep-alive", b"transfer-encoding", b"proxy-connection"}
@@ -17,8 +22,18 @@
     """A caller does not read its answer, and the memory for it is needed."""
 
 
+class CallerDisconnected(Exception):
+    """The connection to a caller broke while its answer was sent.
+
+    No ``OSError``, since those of the connection to a target are blamed on it.
+    """
+
+
 class CallerAnswer(Protocol):
-    """The answer to one request, sent in parts."""
+    """The answer to one request, sent in parts.
+
+    All parts may raise `CallerDisconnected`.
+    """
 
     has_begun: bool
 
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
@@ -18,7 +18,11 @@
     RoutedRequest,
     Served,
 )
-from aspendrift_gateway.caller_answer import CallerAnswer, CallerStalled
+from aspendrift_gateway.caller_answer import (
+    CallerAnswer,
+    CallerDisconnected,
+    CallerStalled,
+)
 from aspendrift_gateway.events import RequestEnded, RequestRouted
 from aspendrift_gateway.handover import Handover
 from aspendrift_gateway.interfaces import CallerCodec, PromptGuard
@@ -185,6 +189,8 @@
                 await self._refuse(request, outcome, answer)
             elif outcome.is_cut:
                 answer.abort()
+        except CallerDisconnected:
+            answer.abort()
         finally:
             del self._open[number]
             self._log_end(opened, outcome)
@@ -197,6 +203,9 @@
             return await self._serve(opened, answer)
         except CallerStalled:
             return Served(200, is_cut=True, detail="caller does not read")
+        except CallerDisconnected as error:
+            detail = f"caller disconnected, {error}"
+            return Served(200, is_cut=True, detail=detail)
         except asyncio.CancelledError:
             if not opened.is_ended_early or opened.task is None:
                 raise
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/servers.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/servers.py
@@ -18,7 +18,7 @@
 
 from aspendrift_daemon.embedded_server import EmbeddedServer, listen
 from aspendrift_daemon.limits import ConnectionLimits, limited_protocol
-from aspendrift_gateway.caller_answer import CallerStalled
+from aspendrift_gateway.caller_answer import CallerDisconnected, CallerStalled
 from aspendrift_gateway.handover import split_marker
 from aspendrift_gateway.interfaces import AddressQuery, BadRequest, CallerCodec
 from aspendrift_gateway.refusals import Refusal, refusal_body, refusal_status
@@ -84,7 +84,7 @@
         sent = list(headers)
         if self._is_leaving():
             sent.append(_CLOSE)
-        await self._send(
+        await self._transmit(
             {"type": "http.response.start", "status": status, "headers": sent}
         )
 
@@ -102,7 +102,7 @@
         self._sending = asyncio.current_task()
         number = self._unread.began(n_held, self._break_off)
         try:
-            await self._send(
+            await self._transmit(
                 {"type": "http.response.body", "body": part, "more_body": True}
             )
         except asyncio.CancelledError:
@@ -120,7 +120,13 @@
 
     async def end(self) -> None:
         """Send the end of the body."""
-        await self._send({"type": "http.response.body", "body": b""})
+        await self._transmit({"type": "http.response.body", "body": b""})
+
+    async def _transmit(self, message: dict[str, Any]) -> None:
+        try:
+            await self._send(message)
+        except OSError as error:
+            raise CallerDisconnected(type(error).__name__) from error
 
     def abort(self) -> None:
         """End the application without completing the answer."""
@@ -176,7 +182,7 @@
         try:
             if await self._has_body(receive, answer, body):
                 await self._serve(scope, receive, answer, bytes(body))
-        except _CallerGone:
+        except (_CallerGone, CallerDisconnected):
             return
         except _TooLarge:
             await self._reject(answer, RefusalReason.TOO_LARGE, "")
--- a/packages/aspendrift-gateway/tests/test_attempts.py
+++ b/packages/aspendrift-gateway/tests/test_attempts.py
@@ -8,13 +8,16 @@
 import pytest
 
 from aspendrift_gateway.attempts import InputsGone, Served
+from aspendrift_gateway.caller_answer import CallerDisconnected
 from aspendrift_gateway.interfaces import AnswerHead
 from aspendrift_gateway.refusals import Refusal
+from aspendrift_gateway.servers import _AsgiAnswer
 from aspendrift_gateway.target_client import Answer, Broken, NotSent
 from aspendrift_model.load_reports import LoadReport
 from aspendrift_model.pieces import Handle
 from aspendrift_model.routes import RequestKind
 from aspendrift_model.states import RefusalReason
+from aspendrift_policy.buffer_budget import BufferBudget, UnreadAnswers
 from aspendrift_standins.virtual_time import run_virtual
 
 from .conftest import POOL, FakePromptGuard, Reply, entry, route
@@ -591,6 +594,27 @@
     assert harness.client.budget.n_bytes == 0
 
 
+@pytest.mark.parametrize(
+    ("reply", "found_route"),
+    [(Reply(chunks=(b"data: 1\n\n",)), STREAM), (large(), route()), (Reply(), route())],
+    ids=["stream", "large", "whole"],
+)
+def test_broken_connection_of_a_caller_is_no_crash_of_the_target(
+    make_harness, reply, found_route
+):
+    async def break_off(message):
+        raise ConnectionResetError
+
+    harness = make_harness(reply)
+    harness.client.budget.max_bytes = 1024
+    unread = UnreadAnswers(BufferBudget(LARGE))
+    harness.answer = _AsgiAnswer(break_off, lambda: False, unread)
+    with pytest.raises(CallerDisconnected):
+        send(harness, found_route)
+    assert harness.broken == []
+    assert harness.prompts.broke == []
+
+
 def test_large_answer_without_room_that_breaks_off_is_not_framed_as_complete(
     make_harness,
 ):
