An answer whose heads are too long is spoiled, not a crash

Heads of more than 1,024 lines or 100 KB ended as a broken connection, and so as a crash: two such answers to one content made it poison.

Before, test_only_a_broken_connection_is_taken_for_a_crash failed for lines and for bytes, and passed for a connection that breaks inside its head.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/metered_transport.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/metered_transport.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import AsyncIterator, Iterable
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from typing import Any, ClassVar, Final, TypeAlias
 
 import httpcore
@@ -26,6 +27,7 @@
     "ConnectionMeter",
     "FragmentedBody",
     "HeadTooLong",
+    "LongHead",
     "LoopHeld",
     "MeteredStream",
     "MeteredTransport",
@@ -74,6 +76,14 @@
     """A body came in too many small chunks."""
 
 
+class LongHead(httpx.RemoteProtocolError):
+    """The heads of an answer have too many lines or bytes."""
+
+
+class _TooManyLines(httpcore.RemoteProtocolError):
+    """The heads of an answer have too many lines."""
+
+
 @dataclass(frozen=True, slots=True)
 class ConnectionMeter:
     """What all connections of a process share.
@@ -129,7 +139,7 @@
         self._start = end
         if self.head.is_too_long(part):
             self._meter.emit(HeadTooLong(self._address))
-            raise httpcore.RemoteProtocolError("head with too many lines")
+            raise _TooManyLines("head with too many lines")
         self._n_handed_over = len(part)
         self._handed_over_at = time.monotonic()
         asyncio.get_running_loop().call_soon(self._turn_ended)
@@ -269,9 +279,25 @@
 
     async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
         """Send a request and wait for the head of its answer."""
-        response = await super().handle_async_request(request)
+        try:
+            response = await super().handle_async_request(request)
+        except httpx.RemoteProtocolError as error:
+            if _is_long_head(error):
+                raise LongHead(str(error)) from error
+            raise
         connection = response.extensions["network_stream"]
         assert isinstance(response.stream, httpx.AsyncByteStream)
         if isinstance(connection, MeteredStream):
             response.stream = connection.body(response.stream)
         return response
+
+
+def _is_long_head(error: httpx.RemoteProtocolError) -> bool:
+    """Return whether an answer was broken off over its head, by its lines or bytes."""
+    cause = error.__cause__
+    if cause is None or isinstance(cause, _TooManyLines):
+        return cause is not None
+    # The parser states the status with which a server would refuse such a request. The
+    # pool raises its error again without a cause.
+    status = getattr(cause.__context__, "error_status_hint", None)
+    return status == HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
--- a/packages/aspendrift-daemon/tests/test_metered_transport.py
+++ b/packages/aspendrift-daemon/tests/test_metered_transport.py
@@ -19,6 +19,7 @@
     ConnectionMeter,
     FragmentedBody,
     HeadTooLong,
+    LongHead,
     MeteredTransport,
 )
 from aspendrift_daemon.platform_clients import platform_client
@@ -171,7 +172,7 @@
     """Guards against heads that are read without a turn, and without a bound."""
 
     async def scenario(world: World) -> None:
-        with pytest.raises(httpx.RemoteProtocolError):
+        with pytest.raises(LongHead):
             await world.client.get(world.url)
         assert [type(each) for each in world.events] == [HeadTooLong]
 
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
@@ -586,6 +586,10 @@
                 if isinstance(answer, NotSent):
                     return _FailedAttempt(AttemptVerdict.NOT_SENT, answer.detail, False)
                 if isinstance(answer, Broken):
+                    if not answer.may_have_crashed:
+                        return _FailedAttempt(
+                            AttemptVerdict.SPOILED, answer.detail, True
+                        )
                     self._report_broken(entry, delivery)
                     return _FailedAttempt(AttemptVerdict.BROKEN, answer.detail, True)
                 try:
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
@@ -17,6 +17,7 @@
 from aspendrift_daemon.metered_transport import (
     ConnectionMeter,
     FragmentedBody,
+    LongHead,
     MeteredStream,
 )
 from aspendrift_gateway.interfaces import (
@@ -75,9 +76,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Broken:
-    """The connection broke or the answer is invalid; the request may have run."""
+    """The connection broke or the answer is invalid; the request may have run.
+
+    ``may_have_crashed`` is False for a target that sent an answer that can't be read.
+    """
 
     detail: str
+    may_have_crashed: bool = True
 
 
 class AnswerTooLarge(Exception):
@@ -323,10 +328,7 @@
         except httpx.PoolTimeout as error:
             return NotSent(type(error).__name__)
         except (httpx.HTTPError, OSError) as error:
-            if links is not None:
-                links.failed()
-            detail = type(error).__name__
-            return NotSent(detail) if isinstance(error, _NOT_SENT) else Broken(detail)
+            return self._failure(error)
         if links is not None:
             links.received()
         answer_headers = tuple(response.headers.raw)
@@ -347,6 +349,17 @@
             self._is_first_answer(response),
         )
 
+    def _failure(self, error: Exception) -> NotSent | Broken:
+        """Return what an exchange without the head of an answer tells."""
+        if isinstance(error, LongHead):
+            if self.links is not None:
+                self.links.received()
+            return Broken(str(error), may_have_crashed=False)
+        if self.links is not None:
+            self.links.failed()
+        detail = type(error).__name__
+        return NotSent(detail) if isinstance(error, _NOT_SENT) else Broken(detail)
+
     def _is_first_answer(self, response: httpx.Response) -> bool:
         """Return whether a response is the first one on its connection."""
         stream = response.extensions.get("network_stream")
--- a/packages/aspendrift-gateway/tests/test_attempts.py
+++ b/packages/aspendrift-gateway/tests/test_attempts.py
@@ -64,6 +64,13 @@
     assert harness.answer.body == b"whole"
 
 
+def test_answer_that_cannot_be_read_is_no_crash_of_its_target(make_harness):
+    harness = make_harness(Broken("head", may_have_crashed=False), Reply())
+    assert send(harness) == Served(200)
+    assert harness.broken == []
+    assert harness.prompts.broke == []
+
+
 @pytest.mark.parametrize(
     ("first", "reason"),
     [
--- a/tests/aspendrift_platform/test_endless_answers.py
+++ b/tests/aspendrift_platform/test_endless_answers.py
@@ -9,6 +9,7 @@
 from scripted_target import CHUNKED, MAX_REPEATED_BYTES, Script, chunks
 
 from aspendrift_daemon.metered_transport import BodyFragmented
+from aspendrift_gateway.events import TargetBroke
 from aspendrift_gateway.target_client import Answer
 
 FILLER = b"x" * 100_000
@@ -43,6 +44,30 @@
     run_scripted("desk", scenario)
 
 
+@pytest.mark.parametrize(
+    "script",
+    [
+        Script(b"", repeats_head=True),
+        Script(b"", b"\r\n".join([b"X-Filler: x"] * 2000)),
+        Script(b"", cut_head=b"HTTP/1.1 200 OK\r\n"),
+    ],
+    ids=["bytes", "lines", "crash"],
+)
+def test_only_a_broken_connection_is_taken_for_a_crash(run_scripted, script):
+    """Guards against contents that are refused as poison since heads were too long."""
+
+    async def scenario(world):
+        broke = []
+        (gateway,) = world.cluster.gateways
+        gateway.events.connect(TargetBroke, broke.append)
+        world.script(script)
+        answer = await world.call("/once/x")
+        assert answer.status_code == 502
+        assert len(broke) == bool(script.cut_head)
+
+    run_scripted("desk", scenario)
+
+
 @pytest.mark.parametrize("framing", [b"", CHUNKED], ids=["unframed", "chunked"])
 def test_event_without_end_is_not_kept(run_scripted, framing):
     async def scenario(world):
