Keep a request's inputs for the attempt after a failure

The inputs of a request were freed when an answer was read, before it was decided to send the request again for a 5xx. The next target answered 409 and all stages ran again.

They are held for one more attempt of the requests that fail so, which takes less of the targets' memory than all results of its stages once more, and none of their work. test_inputs_are_kept_for_the_attempt_after_a_failure failed before (freed after attempts 1 and 2). Inputs that a target with free slots should have fetched are still freed after 0.1 s; whether that should wait for requests that may be repeated was not measured.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
@@ -692,11 +692,12 @@
         if not await self._is_end_certain(entry, answer):
             self._report_broken(entry, delivery)
             return _FailedAttempt(AttemptVerdict.BROKEN, _UNCONFIRMED_END, True)
-        delivery.progress.inputs_fetched()
         if answer.status >= _SERVER_ERROR and self._may_repeat(delivery):
+            # The next attempt needs the inputs again.
             return _FailedAttempt(
                 AttemptVerdict.FAILED_BY_TARGET, f"status {answer.status}", True
             )
+        delivery.progress.inputs_fetched()
         # The target is done; a caller that reads slowly is no reason to try another.
         delivery.is_answer_complete = True
         self._reschedule(timeout, delivery, math.inf)
--- a/packages/aspendrift-gateway/tests/test_attempts.py
+++ b/packages/aspendrift-gateway/tests/test_attempts.py
@@ -71,6 +71,23 @@
     assert harness.prompts.broke == []
 
 
+def test_inputs_are_kept_for_the_attempt_after_a_failure(make_harness):
+    """Guards against stages that run again since their results were freed too early."""
+    harness = make_harness(Reply(status=500), Reply())
+    freed_after = []
+    sent = harness.client.sent
+    harness.progress.inputs_fetched = lambda: freed_after.append(len(sent))
+    assert send(harness, inputs=(Handle("h1"),)) == Served(200)
+    assert [each.inputs for each in sent] == [("h1",), ("h1",)]
+    assert freed_after == [2]
+
+
+def test_inputs_are_freed_with_the_last_failure(make_harness):
+    harness = make_harness(Reply(status=500))
+    assert send(harness, UNSAFE, inputs=(Handle("h1"),)) == Served(500)
+    assert harness.progress.n_fetched == 1
+
+
 @pytest.mark.parametrize(
     ("first", "reason"),
     [
