--- a/packages/aspendrift-daemon/src/aspendrift_daemon/metered_transport.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/metered_transport.py
@@ -8,6 +8,7 @@
 from collections.abc import AsyncIterator, Iterable
 from contextvars import ContextVar
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from typing import Any, ClassVar, Final, TypeAlias
 
 import httpcore
@@ -34,6 +35,7 @@
     "ConnectionMeter",
     "FragmentedBody",
     "HeadTooLong",
+    "LongHead",
     "LoopHeld",
     "MeteredStream",
     "MeteredTransport",
@@ -98,6 +100,14 @@
     """A body came in too many small chunks."""
 
 
+class LongHead(httpx.RemoteProtocolError):
+    """The heads of an answer have too many lines or bytes."""
+
+
+class _TooManyLines(httpcore.RemoteProtocolError):
+    """The heads of an answer have too many lines."""
+
+
 @dataclass(frozen=True, slots=True)
 class ConnectionMeter:
     """What all connections of a process share.
@@ -181,7 +191,7 @@
         is_skipping = self._answer is not None and self._answer.is_skipping
         if not is_skipping and self.head.is_too_long(part):
             self._meter.emit(HeadTooLong(self._address))
-            raise httpcore.RemoteProtocolError("head with too many lines")
+            raise _TooManyLines("head with too many lines")
         self._n_handed_over = len(part)
         self._handed_over_at = time.monotonic()
         asyncio.get_running_loop().call_soon(self._turn_ended)
@@ -346,6 +356,10 @@
         token = _awaited_answer.set(request.extensions.get(AWAITED_ANSWER))
         try:
             response = await super().handle_async_request(request)
+        except httpx.RemoteProtocolError as error:
+            if _is_long_head(error):
+                raise LongHead(str(error)) from error
+            raise
         finally:
             _awaited_answer.reset(token)
         if _is_joined(response):
@@ -363,3 +377,14 @@
     reason: bytes = response.extensions.get("reason_phrase", b"")
     values = (value for _, value in response.headers.raw)
     return any(has_second_status_line(b" " + each) for each in (reason, *values))
+
+
+def _is_long_head(error: httpx.RemoteProtocolError) -> bool:
+    """Return whether an answer was broken off over its head, by its lines or bytes."""
+    cause = error.__cause__
+    if cause is None or isinstance(cause, _TooManyLines):
+        return cause is not None
+    # The parser states the status with which a server would refuse such a request. The
+    # pool raises its error again without a cause.
+    status = getattr(cause.__context__, "error_status_hint", None)
+    return status == HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable, Coroutine, Iterable, Sequence
 from dataclasses import replace
 from typing import Final
@@ -48,6 +49,10 @@
 _OK: Final = 200
 
 
+def _no_pause(now: float) -> float:
+    return -math.inf
+
+
 class PoolRunner:
     """Sends the batch calls of one daemon to the targets of one stage pool.
 
@@ -61,6 +66,8 @@
         Receives job updates.
     permits : PermitExchange or None
         Gives the permits for calls to limited targets.
+    catches_up_until : callable
+        Returns until when what arrived during a pause of this process is being read.
     """
 
     def __init__(
@@ -75,6 +82,7 @@
         events: EventHub,
         on_update: Callable[[JobUpdate], None],
         permits: PermitExchange | None = None,
+        catches_up_until: Callable[[float], float] = _no_pause,
     ) -> None:
         self.pool = pool
         self.scheduler = scheduler
@@ -88,6 +96,9 @@
         self._events = events
         self._on_update = on_update
         self._permits = permits
+        self._catches_up_until = catches_up_until
+        # Time to which the steps after a pause were put off.
+        self._resumes_at: float | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._is_step_scheduled = False
         self._pending_frees: list[Handle] = []
@@ -118,6 +129,11 @@
         self.scheduler.cancel(job_id)
         self.schedule_step()
 
+    def withdraw(self, job_id: JobId) -> None:
+        """Send no more calls for a stage job that another owner runs."""
+        self.scheduler.withdraw(job_id)
+        self.schedule_step()
+
     def free(self, handles: Iterable[Handle]) -> None:
         """Free results; frees requested within a short time are batched."""
         if not self._pending_frees:
@@ -153,6 +169,8 @@
     def _step(self) -> None:
         self._is_step_scheduled = False
         now = self._clock.monotonic()
+        if self._is_catching_up(now):
+            return
         self.scheduler.set_targets(self._entries())
         self._pause_restricted(now)
         for update in self.scheduler.check_deadlines(now):
@@ -163,13 +181,30 @@
                 self._on_update(update)
         for call in self.scheduler.plan(now):
             self._run(self._call(call))
+        due = self.scheduler.next_due(now)
+        self._set_timer(None if due is None else max(0.005, due - now))
+
+    def _is_catching_up(self, now: float) -> bool:
+        """Return whether a step is put off, once after a pause of this process."""
+        if self._resumes_at is None:
+            until = self._catches_up_until(now)
+            if until <= now:
+                return False
+            self._resumes_at = until
+            self._set_timer(until - now)
+        if now < self._resumes_at:
+            return True
+        self._resumes_at = None
+        return False
+
+    def _set_timer(self, delay_s: float | None) -> None:
+        """Schedule a step after some time instead of the one set before."""
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        due = self.scheduler.next_due(now)
-        if due is not None:
+        if delay_s is not None:
             loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(max(0.005, due - now), self.schedule_step)
+            self._timer = loop.call_later(delay_s, self.schedule_step)
 
     def _pause_restricted(self, now: float) -> None:
         """Plan no calls to targets that would get no permit, or that back off."""
@@ -193,30 +228,20 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _call(self, call: PlannedCall) -> None:
+    async def _call(self, planned: PlannedCall) -> None:
         sent_at = self._clock.monotonic()
-        request_ids = tuple(
-            dict.fromkeys(work.piece_id.attempt_id for work in call.works)
-        )
-        target_id = call.target.key.target_id
-        permit = await self._permit(call.target, sent_at)
+        target_id = planned.target.key.target_id
+        permit = await self._permit(planned.target, sent_at)
         if not isinstance(permit, Permit):
-            self._postpone(call, permit)
+            self._postpone(planned, permit)
+            return
+        call = self._without_unneeded(planned)
+        if call is None:
+            if self._permits is not None:
+                self._permits.release(permit)
             return
         encoded = self._codec.stage_run(call.works)
-        self._n_sent_bytes += len(encoded.body)
-        self._events.emit(
-            StageCallSent(
-                call.call_id,
-                target_id,
-                self.pool,
-                len(call.works),
-                request_ids,
-                self.scheduler.n_jobs,
-                call.expected_s,
-                len(encoded.body),
-            )
-        )
+        self._record_sent(call, len(encoded.body))
         headers = self._codec.stage_headers(target_id)
         reading = _CallReading(self._codec, self._handles, self._clock, len(call.works))
         try:
@@ -240,7 +265,13 @@
         else:
             n_completed = sum(not isinstance(each, PieceFailure) for each in outcomes)
             self.meter.record_completions(n_completed, now)
-            updates, unneeded = self.scheduler.ended(call.call_id, key, outcomes, now)
+            updates, unneeded = self.scheduler.ended(
+                call.call_id,
+                key,
+                outcomes,
+                now,
+                was_read_late=self._catches_up_until(now) > sent_at,
+            )
             if unneeded:
                 self.free(unneeded)
         verdict = "full" if is_full else "failed" if outcomes is None else "made"
@@ -259,6 +290,35 @@
             self._on_update(update)
         self.schedule_step()
 
+    def _record_sent(self, call: PlannedCall, n_bytes: int) -> None:
+        request_ids = tuple(
+            dict.fromkeys(work.piece_id.attempt_id for work in call.works)
+        )
+        self._n_sent_bytes += n_bytes
+        self._events.emit(
+            StageCallSent(
+                call.call_id,
+                call.target.key.target_id,
+                self.pool,
+                len(call.works),
+                request_ids,
+                self.scheduler.n_jobs,
+                call.expected_s,
+                n_bytes,
+            )
+        )
+
+    def _without_unneeded(self, planned: PlannedCall) -> PlannedCall | None:
+        """Return a call without pieces whose jobs have ended; None if none is left."""
+        call, updates = self.scheduler.remove_unneeded(
+            planned.call_id, planned.target.key, self._clock.monotonic()
+        )
+        for update in updates:
+            self._on_update(update)
+        if call is None:
+            self.schedule_step()
+        return call
+
     def _postpone(self, call: PlannedCall, until: float) -> None:
         """Queue the pieces of a call again that got no permit."""
         key, now = call.target.key, self._clock.monotonic()
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
@@ -48,7 +48,7 @@
     RankLoad,
 )
 from aspendrift_policy.chain_shares import StartShares
-from aspendrift_policy.loop_lag import LagWindow
+from aspendrift_policy.loop_lag import LagWindow, PauseWatch
 from aspendrift_policy.owner_choice import (
     HostDemand,
     assign_pools,
@@ -150,6 +150,7 @@
         self._rationing_logged_at: dict[PoolName, float] = {}
         self._state_logged_at = clock.monotonic()
         self._lag = LagWindow()
+        self._pauses = PauseWatch()
         self._sequence = 0
         self._task: asyncio.Task[None] | None = None
         self._permits: PermitExchange | None = None
@@ -248,6 +249,8 @@
         earlier = self._submitted_by_id.get(job.job_id)
         if earlier is not None:
             submitted.earlier_owners = (*earlier.earlier_owners, earlier.owner)
+            if earlier.owner != owner:
+                self._cancel_at(earlier.owner, pool, job.job_id, keeps_calls=True)
         self._submitted_by_id[job.job_id] = submitted
         if owner == self._link.host.daemon_id:
             self._submit_here(pool, job)
@@ -273,12 +276,26 @@
             self.cancel(job_id)
         self._submitted_by_id.pop(job_id, None)
 
-    def _cancel_at(self, owner: DaemonId, pool: PoolName, job_id: JobId) -> None:
+    def _cancel_at(
+        self,
+        owner: DaemonId,
+        pool: PoolName,
+        job_id: JobId,
+        *,
+        keeps_calls: bool = False,
+    ) -> None:
         if owner != self._link.host.daemon_id:
-            self._send(owner, CancelJob(job_id, pool))
-            return
+            self._send(owner, CancelJob(job_id, pool, keeps_calls))
+        else:
+            self._cancel_here(pool, job_id, keeps_calls)
+
+    def _cancel_here(self, pool: PoolName, job_id: JobId, keeps_calls: bool) -> None:
         runner = self._runners_by_pool.get(pool)
-        if runner is not None:
+        if runner is None:
+            return
+        if keeps_calls:
+            runner.withdraw(job_id)
+        else:
             runner.cancel(job_id)
 
     def free(self, pool: PoolName, handles: Iterable[Handle]) -> None:
@@ -314,11 +331,28 @@
     async def _step_forever(self) -> None:
         while True:
             due_at = self._clock.monotonic() + _STEP_INTERVAL_S
+            self._pauses.expect(due_at)
             await asyncio.sleep(_STEP_INTERVAL_S)
             now = self._clock.monotonic()
-            self._lag.record(now - due_at, now)
+            lag_s = max(0.0, now - due_at)
+            if self._pauses.catches_up_until(now) > now:
+                for runner in self._runners_by_pool.values():
+                    runner.meter.restart()
+            self._lag.record(lag_s, now)
+            self._exclude_lag(lag_s, now)
             self.step(now)
 
+    def _exclude_lag(self, lag_s: float, now: float) -> None:
+        """Leave the time that this daemon stood still out of the silence of owners.
+
+        It read none of their messages then. All daemons may have stood still, so that
+        an owner's reply may also come later.
+        """
+        for submitted in self._submitted_by_id.values():
+            submitted.sent_at = min(now, submitted.sent_at + lag_s)
+        for owner, received_at in self._received_at_by_owner.items():
+            self._received_at_by_owner[owner] = min(now, received_at + lag_s)
+
     def step(self, now: float) -> None:
         """Resubmit jobs of lost owners; send heartbeats and pool loads."""
         own_id = self._link.host.daemon_id
@@ -460,6 +494,7 @@
                 self._events,
                 lambda update: self._on_update(pool, update),
                 self._permits,
+                self._pauses.catches_up_until,
             )
             self._runners_by_pool[pool] = runner
         runner.scheduler.set_limits(spec.pieces)
@@ -566,11 +601,11 @@
             self._deliver(submitted.pool, JobUpdate(job_id, failure=failure))
 
     def _on_cancel(self, message: CancelJob) -> None:
-        job_id = JobId(message.job_id)
-        self._origins_by_job.pop(job_id, None)
-        runner = self._runners_by_pool.get(PoolName(message.pool))
-        if runner is not None:
-            runner.cancel(job_id)
+        pool, job_id = PoolName(message.pool), JobId(message.job_id)
+        self._cancel_here(pool, job_id, message.keeps_calls)
+        runner = self._runners_by_pool.get(pool)
+        if runner is None or not runner.scheduler.has_job(job_id):
+            self._origins_by_job.pop(job_id, None)
 
 
 def _failure(value: str) -> PieceFailure:
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
@@ -18,6 +18,7 @@
     AWAITED_ANSWER,
     ConnectionMeter,
     FragmentedBody,
+    LongHead,
     MeteredStream,
 )
 from aspendrift_daemon.surplus_answers import SurplusUnreadable
@@ -81,11 +82,11 @@
 class Broken:
     """The connection broke or the answer is invalid; the request may have run.
 
-    ``may_be_crash`` is whether the target may have ended.
+    ``may_have_crashed`` is False for a target that sent an answer that can't be read.
     """
 
     detail: str
-    may_be_crash: bool = True
+    may_have_crashed: bool = True
 
 
 def is_foreign(head: AnswerHead, attempt_id: AttemptId) -> bool:
@@ -343,12 +344,7 @@
         except httpx.PoolTimeout as error:
             return NotSent(type(error).__name__)
         except (httpx.HTTPError, OSError) as error:
-            if links is not None:
-                links.failed()
-            detail = type(error).__name__
-            if isinstance(error, _NOT_SENT):
-                return NotSent(detail)
-            return Broken(detail, may_be_crash=not isinstance(error, SurplusUnreadable))
+            return self._failure(error)
         if links is not None:
             links.received()
         return self._answer(entry, call, response, now)
@@ -388,6 +384,17 @@
             request.extensions[AWAITED_ANSWER] = awaited
         return request
 
+    def _failure(self, error: Exception) -> NotSent | Broken:
+        """Return what an exchange without the head of an answer tells."""
+        if isinstance(error, LongHead | SurplusUnreadable):
+            if self.links is not None:
+                self.links.received()
+            return Broken(str(error), may_have_crashed=False)
+        if self.links is not None:
+            self.links.failed()
+        detail = type(error).__name__
+        return NotSent(detail) if isinstance(error, _NOT_SENT) else Broken(detail)
+
     def _is_first_answer(self, response: httpx.Response) -> bool:
         """Return whether a response is the first one on its connection."""
         stream = response.extensions.get("network_stream")
--- a/packages/aspendrift-gateway/tests/test_stage_dispatcher.py
+++ b/packages/aspendrift-gateway/tests/test_stage_dispatcher.py
@@ -12,7 +12,8 @@
 from aspendrift_daemon.events import EventHub
 from aspendrift_gateway.events import StagePoolState
 from aspendrift_gateway.interfaces import AnswerHead, HttpCall
-from aspendrift_gateway.stage_dispatcher import StageDispatcher
+from aspendrift_gateway.permit_exchange import Permit
+from aspendrift_gateway.stage_dispatcher import StageDispatcher, _submit_message
 from aspendrift_gateway.system_state import SystemState
 from aspendrift_gateway.target_client import CompleteAnswer
 from aspendrift_model.ids import (
@@ -23,7 +24,7 @@
 from aspendrift_model.pieces import Handle, PieceFailure, PieceId, PieceWork
 from aspendrift_model.routes import PieceLimits, PoolSpec, RoutingConfiguration
 from aspendrift_model.states import MemberState
-from aspendrift_model.wire_work import JobEnded, PoolLoad, WorkMessage
+from aspendrift_model.wire_work import CancelJob, JobEnded, PoolLoad, WorkMessage
 from aspendrift_policy.chain_admission import ChainAdmission
 from aspendrift_policy.route_table import RouteTable
 from aspendrift_policy.stage_scheduler import JobId, StageJob, StageScheduler
@@ -44,6 +45,8 @@
         self.freed = []
         self.n_calls = 0
         self.repeats_answer = False
+        # Time to read an answer that has arrived.
+        self.read_s = 0.0
         self.reuse_disabled = []
         self.n_retired = 0
         self._previous_body = b""
@@ -61,6 +64,7 @@
             self.n_calls += 1
             await asyncio.sleep(CALL_S)
             self.completed += content["pieces"]
+            await asyncio.sleep(self.read_s)
         head = AnswerHead(None, False, False, False, False)
         body = call.body
         if self.repeats_answer and "free" not in content:
@@ -200,6 +204,40 @@
     run_scenario(scenario)
 
 
+def test_pause_of_all_daemons_runs_no_job_at_two_owners(run_scenario):
+    async def scenario(fleet):
+        owner, others = fleet.owner_and_others()
+        dispatcher = fleet.dispatchers_by_id[others[0]]
+        listener = Listener()
+        await asyncio.sleep(0.01)
+        dispatcher.submit(POOL, job("a"), listener)
+        asyncio.get_running_loop().pause(0.4)
+        await listener.done.wait()
+        dispatcher.done(JobId("a"))
+        await asyncio.sleep(1.0)
+        assert fleet.targets.n_calls == 1
+        assert dispatcher.owner(POOL, asyncio.get_running_loop().time()) == owner
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("is_accepted", [False, True])
+def test_owner_lost_during_a_pause_here_is_noticed(run_scenario, is_accepted):
+    async def scenario(fleet):
+        owner, others = fleet.owner_and_others()
+        listener = Listener()
+        await asyncio.sleep(0.01)
+        fleet.dispatchers_by_id[others[0]].submit(POOL, job("a"), listener)
+        await asyncio.sleep(0.01 if is_accepted else 0.0)
+        fleet.network.cut_off.add(owner)
+        asyncio.get_running_loop().pause(0.4)
+        await listener.done.wait()
+        assert asyncio.get_running_loop().time() < 2.0
+        assert listener.failures == []
+
+    run_scenario(scenario)
+
+
 def test_job_is_rerun_when_its_owner_stops_responding(run_scenario):
     async def scenario(fleet):
         owner, others = fleet.owner_and_others()
@@ -214,6 +252,135 @@
     run_scenario(scenario)
 
 
+def test_answer_that_waited_during_a_pause_is_read_before_its_call_is_repeated(
+    run_scenario,
+):
+    async def scenario(fleet):
+        fleet.targets.read_s = 0.001
+        listener = Listener()
+        fleet.dispatchers_by_id[DaemonId("d0")].submit(POOL, job("a"), listener)
+        await asyncio.sleep(0.1)
+        asyncio.get_running_loop().pause(1.0)
+        await listener.done.wait()
+        await asyncio.sleep(1.0)
+        assert fleet.targets.n_calls == 1
+
+    run_scenario(scenario, n_daemons=1)
+
+
+def test_pause_of_an_owner_is_not_learned_as_slowness_of_its_targets(run_scenario):
+    """Guards against refusals of requests that could be on time, after a pause."""
+
+    async def scenario(fleet):
+        dispatcher = fleet.dispatchers_by_id[DaemonId("d0")]
+        listener = Listener()
+        dispatcher.submit(POOL, job("a"), listener)
+        await asyncio.sleep(0.1)
+        times = dispatcher._runners_by_pool[POOL].scheduler.times
+        before_s = times.full_call_s
+        asyncio.get_running_loop().pause(0.6)
+        await listener.done.wait()
+        assert times.full_call_s == before_s
+
+    run_scenario(scenario, n_daemons=1)
+
+
+def test_pause_of_an_owner_is_not_measured_as_throughput_of_its_pool(run_scenario):
+    """Guards against refusals of requests that could be on time, after a pause."""
+
+    async def scenario(fleet):
+        dispatcher = fleet.dispatchers_by_id[DaemonId("d0")]
+        for number in range(20):
+            dispatcher.submit(POOL, job(f"j{number}", 4), Listener())
+        await asyncio.sleep(1.0)
+        runner = dispatcher._runners_by_pool[POOL]
+        before = runner.measures(asyncio.get_running_loop().time())
+        asyncio.get_running_loop().pause(0.6)
+        await asyncio.sleep(0.01)
+        after = runner.measures(asyncio.get_running_loop().time())
+        assert before.completed_per_s > 0
+        # Unknown until the throughput has been measured again.
+        assert after.completed_per_s == 0
+
+    run_scenario(scenario, n_daemons=1)
+
+
+def test_call_without_an_answer_is_repeated_after_a_pause(run_scenario):
+    async def scenario(fleet):
+        fleet.targets.read_s = 0.2
+        listener = Listener()
+        fleet.dispatchers_by_id[DaemonId("d0")].submit(POOL, job("a"), listener)
+        await asyncio.sleep(0.1)
+        asyncio.get_running_loop().pause(1.0)
+        await listener.done.wait()
+        assert fleet.targets.n_calls == 2
+
+    run_scenario(scenario, n_daemons=1)
+
+
+def test_job_that_was_cancelled_during_a_pause_of_its_owner_is_not_run(run_scenario):
+    async def scenario(fleet):
+        owner, others = fleet.owner_and_others()
+        dispatcher = fleet.dispatchers_by_id[owner]
+        await asyncio.sleep(0.01)
+        asyncio.get_running_loop().pause(0.4)
+        submitted = _submit_message(POOL, job("a"), 0.4)
+        dispatcher._on_message(others[0], msgspec.msgpack.encode(submitted))
+        await asyncio.sleep(0.01)
+        cancelled = CancelJob("a", POOL)
+        dispatcher._on_message(others[0], msgspec.msgpack.encode(cancelled))
+        await asyncio.sleep(1.0)
+        assert fleet.targets.n_calls == 0
+
+    run_scenario(scenario)
+
+
+def test_owner_that_reads_late_does_not_run_a_job_that_another_runs(run_scenario):
+    async def scenario(fleet):
+        owner, others = fleet.owner_and_others()
+        dispatcher = fleet.dispatchers_by_id[others[0]]
+        listener = Listener()
+        fleet.network.reads_from[owner] = 0.4
+        dispatcher.submit(POOL, job("a"), listener)
+        await listener.done.wait()
+        dispatcher.done(JobId("a"))
+        await asyncio.sleep(1.0)
+        assert fleet.targets.n_calls == 1
+        assert all(
+            not each._origins_by_job for each in fleet.dispatchers_by_id.values()
+        )
+
+    run_scenario(scenario)
+
+
+def test_results_of_an_owner_that_was_replaced_are_used(run_scenario):
+    """Work that an owner had begun isn't lost if the next owner takes long."""
+
+    async def scenario(fleet):
+        owner, others = fleet.owner_and_others()
+        fleet.network.states_by_id[owner] = MemberState.SUSPECT
+        second = fleet.dispatchers_by_id[others[0]].owner(POOL, 0.0)
+        fleet.network.states_by_id[owner] = MemberState.LIVE
+        fleet.network.reads_from[second] = 1.0
+        (name,) = set(others) - {second}
+        dispatcher = fleet.dispatchers_by_id[name]
+        listener = Listener()
+        assert dispatcher.submit(POOL, job("a"), listener) == owner
+        await asyncio.sleep(0.15)
+        dispatcher._suspected_until[owner] = 3.0
+        assert dispatcher.submit(POOL, job("a"), listener) == second
+        await listener.done.wait()
+        assert asyncio.get_running_loop().time() < 0.3
+        dispatcher.done(JobId("a"))
+        await asyncio.sleep(2.0)
+        assert fleet.targets.n_calls == 1
+        assert all(
+            not each._origins_by_job for each in fleet.dispatchers_by_id.values()
+        )
+
+    run_scenario(scenario)
+
+
 def test_suspect_owner_is_used_again_after_a_while(run_scenario):
     async def scenario(fleet):
         owner, others = fleet.owner_and_others()
@@ -273,6 +440,47 @@
     run_scenario(scenario, n_daemons=1)
 
 
+class SlowPermits:
+    """Gives a permit for each call after a while."""
+
+    def __init__(self):
+        self.n_released = 0
+
+    def restrictions(self, pool, entries, now):
+        return None
+
+    def is_restricted(self, target, now):
+        return True
+
+    async def acquire(self, target, now):
+        await asyncio.sleep(0.1)
+        return Permit()
+
+    def release(self, permit):
+        self.n_released += 1
+
+
+@pytest.mark.parametrize("cancelled", [("a",), ("a", "b")])
+def test_pieces_cancelled_while_their_call_waits_for_a_permit_are_not_sent(
+    run_scenario, cancelled
+):
+    async def scenario(fleet):
+        dispatcher = fleet.dispatchers_by_id[DaemonId("d0")]
+        permits = SlowPermits()
+        dispatcher.require_permits(permits)
+        for name in ("a", "b"):
+            dispatcher.submit(POOL, job(name), Listener())
+        await asyncio.sleep(0.05)
+        for name in cancelled:
+            dispatcher.cancel(JobId(name))
+        await asyncio.sleep(1.0)
+        expected = {"a", "b"} - set(cancelled)
+        assert {name for name, _ in fleet.targets.completed} == expected
+        assert permits.n_released == (not expected)
+
+    run_scenario(scenario, n_daemons=1)
+
+
 def test_results_of_a_cancelled_job_are_freed(run_scenario):
     async def scenario(fleet):
         owner, others = fleet.owner_and_others()
--- a/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
@@ -21,7 +21,7 @@
 
 import math
 from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Final, NewType, TypeAlias
 
 from aspendrift_model.ids import ZoneName
@@ -156,8 +156,8 @@
 class JobUpdate:
     """Results of pieces of a stage job, or its failure.
 
-    Results may arrive in several updates; ``is_done`` marks the last one. A failure
-    ends the job.
+    Results may arrive in several updates; ``is_done`` marks the last one, after which
+    pieces may be missing if the job was withdrawn. A failure ends the job.
     """
 
     job_id: JobId
@@ -199,6 +199,8 @@
     has_started: bool = False
     # Time since which the job is overdue and got no capacity.
     unserved_since: float | None = None
+    # Whether another owner runs the job, so that no more calls are sent for it.
+    is_withdrawn: bool = False
 
     @property
     def n_queued(self) -> int:
@@ -308,6 +310,10 @@
         """Number of jobs that have not ended."""
         return len(self._jobs_by_id)
 
+    def has_job(self, job_id: JobId) -> bool:
+        """Return whether a job has not ended."""
+        return job_id in self._jobs_by_id
+
     def set_limits(self, limits: PieceLimits) -> None:
         """Replace the limits; learned times stay unless the limits differ."""
         if limits != self.limits:
@@ -337,6 +343,18 @@
         """Remove a job; :meth:`ended` returns its later results as unneeded."""
         self._jobs_by_id.pop(job_id, None)
 
+    def withdraw(self, job_id: JobId) -> None:
+        """Send no more calls for a job that another owner runs.
+
+        Calls that are open may still complete pieces of it.
+        """
+        job = self._jobs_by_id.get(job_id)
+        if job is None:
+            return
+        job.is_withdrawn = True
+        job.queued.clear()
+        self._drop_withdrawn([job_id])
+
     def record_freed(self, handles: Iterable[Handle]) -> None:
         """Record that results were freed."""
         for handle in handles:
@@ -391,14 +409,60 @@
             self._contended_until = now + self.times.full_call_s
         return calls
 
+    def remove_unneeded(
+        self, call_id: int, key: TargetKey, now: float
+    ) -> tuple[PlannedCall | None, list[JobUpdate]]:
+        """Return a planned call without the pieces that nobody needs any more.
+
+        To be asked before a call is sent: the inputs of such pieces may be freed. None,
+        and the call is ended, if no piece is left. Also returns updates of jobs.
+        """
+        target = self._targets_by_key.get(key)
+        call = None if target is None else target.calls_by_id.get(call_id)
+        if call is None:
+            return None, []
+        plan, job_ids = call.plan, call.job_ids
+        needed = [
+            number
+            for number, work in enumerate(plan.works)
+            if self._is_needed(job_ids[number], work.piece_id)
+        ]
+        if len(needed) < len(plan.works):
+            n_bytes = sum(call.bytes_each)
+            call.plan = replace(plan, works=tuple(plan.works[n] for n in needed))
+            call.bytes_each = tuple(call.bytes_each[n] for n in needed)
+            call.job_ids = tuple(job_ids[n] for n in needed)
+            self._add_held_bytes(key, sum(call.bytes_each) - n_bytes)
+        if not needed:
+            self._close_call(call_id, key, now)
+        dropped = self._drop_withdrawn(job_ids)
+        updates = [JobUpdate(job_id, is_done=True) for job_id in dropped]
+        return (call.plan if needed else None), updates
+
+    def _is_needed(self, job_id: JobId, piece_id: PieceId) -> bool:
+        job = self._jobs_by_id.get(job_id)
+        return job is not None and not job.is_withdrawn and piece_id in job.incomplete
+
     def ended(
-        self, call_id: int, key: TargetKey, outcomes: Sequence[PieceOutcome], now: float
+        self,
+        call_id: int,
+        key: TargetKey,
+        outcomes: Sequence[PieceOutcome],
+        now: float,
+        *,
+        was_read_late: bool = False,
     ) -> tuple[list[JobUpdate], list[Handle]]:
-        """Apply a target's answer; return updates of jobs and unneeded results."""
+        """Apply a target's answer; return updates of jobs and unneeded results.
+
+        Nothing is learned of the times of calls from an answer that ``was_read_late``,
+        since this process stood still.
+        """
         call = self._close_call(call_id, key, now)
         if call is None:
             return [], []
-        self._update_slowness(key, call, now)
+        self._target_answered(key)
+        if not was_read_late:
+            self._update_slowness(key, call, now)
         updates: list[JobUpdate] = []
         unneeded: list[Handle] = []
         results_by_job: dict[JobId, list[tuple[PieceId, Handle]]] = {}
@@ -421,6 +485,8 @@
         ]
         if rejected_bytes:
             self._record_memory_exhausted(key, min(rejected_bytes), now)
+        for job_id in self._drop_withdrawn(call.job_ids):
+            results_by_job.setdefault(job_id, [])
         for job_id, results in results_by_job.items():
             is_done = job_id not in self._jobs_by_id
             updates.append(JobUpdate(job_id, tuple(results), is_done))
@@ -448,6 +514,10 @@
                 self._requeue(job_id, work)
             else:
                 updates += self._piece_failed(job_id, work, PieceFailure.ERROR)
+        updates += [
+            JobUpdate(job_id, is_done=True)
+            for job_id in self._drop_withdrawn(call.job_ids)
+        ]
         return updates
 
     def pause_target(self, key: TargetKey, until: float) -> None:
@@ -931,11 +1001,15 @@
             del self._targets_by_key[key]
         return call
 
+    def _target_answered(self, key: TargetKey) -> None:
+        target = self._targets_by_key.get(key)
+        if target is not None:
+            target.n_failures = 0
+
     def _update_slowness(self, key: TargetKey, call: _Call, now: float) -> None:
         target = self._targets_by_key.get(key)
         if target is None:
             return
-        target.n_failures = 0
         n_pieces, took_s = len(call.plan.works), now - call.sent_at
         ratio = took_s / self.limits.call_duration_s(n_pieces)
         self.times.record(n_pieces, took_s)
@@ -945,7 +1019,7 @@
         self, job_id: JobId, work: PieceWork, failure: PieceFailure
     ) -> list[JobUpdate]:
         job = self._jobs_by_id.get(job_id)
-        if job is None or work.piece_id not in job.incomplete:
+        if job is None or job.is_withdrawn or work.piece_id not in job.incomplete:
             return []
         if failure is PieceFailure.NO_MEMORY:
             self._requeue(job_id, work)
@@ -961,9 +1035,24 @@
     def _requeue(self, job_id: JobId, work: PieceWork) -> None:
         """Queue a piece again, for any target."""
         job = self._jobs_by_id.get(job_id)
-        if job is not None and work.piece_id in job.incomplete:
+        if job is None or job.is_withdrawn:
+            return
+        if work.piece_id in job.incomplete:
             job.queued[work.piece_id] = work
 
+    def _drop_withdrawn(self, job_ids: Iterable[JobId]) -> list[JobId]:
+        """Remove withdrawn jobs without an open call; return those removed."""
+        dropped = [
+            job_id
+            for job_id in dict.fromkeys(job_ids)
+            if (job := self._jobs_by_id.get(job_id)) is not None
+            and job.is_withdrawn
+            and not self._is_in_call(job)
+        ]
+        for job_id in dropped:
+            del self._jobs_by_id[job_id]
+        return dropped
+
     def _accept_result(self, job_id: JobId, piece_id: PieceId) -> bool:
         """Record a result; return False if no job needs it."""
         job = self._jobs_by_id.get(job_id)
