An answer that ends with its connection is not taken with a copy behind it

Cause: an answer with neither length nor chunks ends where its connection does, so what a target writes behind it became its body.

A body without an end of its own that holds the head of an answer to another request is an invalid answer now, and surplus answers and bytes disable the reuse as a foreign answer does.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/metered_transport.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/metered_transport.py
@@ -225,14 +225,15 @@
     def get_extra_info(self, info: str) -> Any:
         """Return a property of the connection."""
         # A connection that is readable while it is idle is not used again.
-        if info == "is_readable" and self._may_have_more():
+        if info == "is_readable" and (self._is_retired or self.has_surplus_bytes):
             return True
         return self._stream.get_extra_info(info)
 
-    def _may_have_more(self) -> bool:
-        """Return whether bytes were read that no answer may be taken from."""
+    @property
+    def has_surplus_bytes(self) -> bool:
+        """Whether bytes were read that belong to no answer that was awaited."""
         has_passed_on = self._answer is not None and self._answer.may_have_more
-        return self._is_retired or self._start < len(self._data) or has_passed_on
+        return self._start < len(self._data) or has_passed_on
 
     @property
     def n_surplus(self) -> int:
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/surplus_answers.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/surplus_answers.py
@@ -21,6 +21,7 @@
     "AwaitedAnswer",
     "SurplusUnreadable",
     "has_second_status_line",
+    "holds_surplus_answer",
 ]
 
 # A server that sends more answers than that before the awaited one is not followed.
@@ -65,6 +66,19 @@
         """Return whether an answer certainly belongs to another request."""
 
 
+def holds_surplus_answer(body: bytes, awaited: AwaitedAnswer) -> bool:
+    """Return whether a body that ends with its connection holds a surplus answer."""
+    for found in _STATUS_LINE.finditer(body):
+        reader = AnswerReader(awaited)
+        try:
+            reader.feed(body[found.start() :])
+        except SurplusUnreadable:
+            return True
+        if reader.n_surplus or reader.is_skipping:
+            return True
+    return False
+
+
 class AnswerReader:
     """Passes on the bytes of one answer, without surplus answers before and behind it.
 
--- a/packages/aspendrift-daemon/tests/test_surplus_answers.py
+++ b/packages/aspendrift-daemon/tests/test_surplus_answers.py
@@ -8,6 +8,7 @@
     AnswerReader,
     SurplusUnreadable,
     has_second_status_line,
+    holds_surplus_answer,
 )
 
 
@@ -169,3 +170,19 @@
 def test_first_answer_of_a_connection_is_never_skipped():
     reader = AnswerReader(Awaited(), is_first=True)
     assert reader.feed(answer(None)) == (answer(None), b"")
+
+
+@pytest.mark.parametrize(
+    ("behind", "is_held"),
+    [
+        (answer(b"other"), True),
+        (answer(None)[:-2], True),
+        (chunked(b"other", b"x"), True),
+        (answer(b"other")[:30], False),
+        (b"", False),
+        (b"HTTP/1.1 200 OK in a text", False),
+        (answer(), False),
+    ],
+)
+def test_answer_behind_one_that_ends_with_its_connection_is_found(behind, is_held):
+    assert holds_surplus_answer(b"body" + behind, Awaited()) is is_held
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
@@ -624,6 +624,9 @@
                     return await self._read(delivery, entry, answer, timeout)
                 finally:
                     await answer.close()
+                    if answer.has_surplus:
+                        now = self._clock.monotonic()
+                        self._client.disable_reuse(entry.key.target_id, now)
         except TimeoutError:
             if delivery.is_answer_complete:
                 return Served(200, is_cut=True, detail="deadline, caller reads slowly")
@@ -721,6 +724,10 @@
         if not await self._is_end_certain(entry, answer):
             self._report_broken(entry, delivery)
             return _FailedAttempt(AttemptVerdict.BROKEN, _UNCONFIRMED_END, True)
+        attempt_id = delivery.routed.request.attempt_id
+        if not answer.is_delimited and self._client.holds_surplus(body, attempt_id):
+            detail = "followed by another answer"
+            return _FailedAttempt(AttemptVerdict.SPOILED, detail, True)
         if answer.status >= _SERVER_ERROR and self._may_repeat(delivery):
             # The next attempt needs the inputs again.
             return _FailedAttempt(
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/target_client.py
@@ -21,7 +21,10 @@
     LongHead,
     MeteredStream,
 )
-from aspendrift_daemon.surplus_answers import SurplusUnreadable
+from aspendrift_daemon.surplus_answers import (
+    SurplusUnreadable,
+    holds_surplus_answer,
+)
 from aspendrift_gateway.interfaces import (
     AnswerHead,
     HttpCall,
@@ -147,6 +150,7 @@
     is_first: bool = True
     # Answers to other requests that were skipped before this one.
     n_surplus: int = 0
+    connection: MeteredStream | None = None
     # Bytes that are reserved for the body.
     n_held: int = 0
 
@@ -231,9 +235,14 @@
 
     def retire_connection(self) -> None:
         """Use the connection for no other exchange."""
-        connection = self.response.extensions.get("network_stream")
-        if isinstance(connection, MeteredStream):
-            connection.retire()
+        if self.connection is not None:
+            self.connection.retire()
+
+    @property
+    def has_surplus(self) -> bool:
+        """Whether the target sent more on the connection than answers to requests."""
+        has_more = self.connection is not None and self.connection.has_surplus_bytes
+        return self.n_surplus > 0 or has_more
 
     async def close(self) -> None:
         """End the exchange; an incomplete answer closes the connection."""
@@ -361,6 +370,8 @@
             self._on_unreadable(entry.key.target_id, head.unreadable, now)
         if self.on_head is not None:
             self.on_head(entry.key, response.status_code, head)
+        stream = response.extensions.get("network_stream")
+        connection = stream if isinstance(stream, MeteredStream) else None
         return Answer(
             response.status_code,
             answer_headers,
@@ -369,9 +380,14 @@
             call.method,
             self._buffers,
             self._is_first_answer(response),
-            _n_surplus(response),
+            0 if connection is None else connection.n_surplus,
+            connection,
         )
 
+    def holds_surplus(self, body: bytes, attempt_id: AttemptId) -> bool:
+        """Return whether another answer follows one that ends with its connection."""
+        return holds_surplus_answer(body, _AwaitedAnswer(self.codec, attempt_id))
+
     def _request(
         self, entry: TargetEntry, call: HttpCall, headers: Headers, closes: bool
     ) -> httpx.Request:
@@ -469,12 +485,6 @@
         return connections
 
 
-def _n_surplus(response: httpx.Response) -> int:
-    """Return how many answers were skipped before a response."""
-    connection = response.extensions.get("network_stream")
-    return connection.n_surplus if isinstance(connection, MeteredStream) else 0
-
-
 class _AwaitedAnswer:
     """Tells the answer to one request from surplus answers on its connection."""
 
--- a/packages/aspendrift-gateway/tests/conftest.py
+++ b/packages/aspendrift-gateway/tests/conftest.py
@@ -382,6 +382,9 @@
     def disable_reuse(self, target_id, now):
         self.reuse_disabled.append(target_id)
 
+    def holds_surplus(self, body, attempt_id):
+        return b"HTTP/1.1" in body
+
 
 @dataclass
 class FakeAnswer:
--- a/packages/aspendrift-gateway/tests/test_attempts.py
+++ b/packages/aspendrift-gateway/tests/test_attempts.py
@@ -503,6 +503,15 @@
     assert harness.broken == [harness.client.sent[0].target_id]
 
 
+def test_answer_that_is_followed_by_another_is_not_forwarded(make_harness):
+    body = b"whole" + b"HTTP/1.1 200 OK\r\n\r\n"
+    harness = make_harness(Reply(chunks=(body,), framing=()))
+    outcome = send(harness, UNSAFE)
+    assert outcome.reason is RefusalReason.TARGET_FAILED
+    assert not harness.answer.has_begun
+    assert harness.broken == []
+
+
 def test_target_is_not_asked_about_the_end_of_an_answer_that_shows_it(make_harness):
     harness = make_harness(Reply())
     assert send(harness) == Served(200)
