Each gateway process of a test has a loopback address that no other run takes

The metrics port is the same in all processes, and their addresses were the same in all runs. The address is derived from the peer port now, which is reserved for one owner on a host.

--- a/tests/aspendrift_platform/gateway_process.py
+++ b/tests/aspendrift_platform/gateway_process.py
@@ -23,7 +23,7 @@
     folder : Path
         Folder for its settings and its log.
     number : int
-        Last part of its address; the metrics port is the same in all processes.
+        Last part of its name.
     """
 
     def __init__(self, folder, number, store_address, **bounds):
@@ -31,7 +31,9 @@
         port = int(free_address().rpartition(":")[2])
         found = settings(self.name, store_address, [port, port])
         found["bounds"].update(bounds)
-        ip = f"127.0.0.{number + 2}"
+        # The metrics port is the same in all processes, also in those of other runs, so
+        # each process has an address of its own.
+        ip = f"127.{1 + port // 256}.{port % 256}.2"
         listen = found["listen"]
         found["ip"] = ip
         found["listen"] = {
--- a/tests/aspendrift_platform/planned_stops.py
+++ b/tests/aspendrift_platform/planned_stops.py
@@ -68,13 +68,11 @@
 
     Parameters
     ----------
-    first_number : int
-        Number of the first gateway, which sets its loopback address.
     kills : bool
         Whether a process that outlives the grace time is killed, as the platform does.
     """
 
-    def __init__(self, folder, seed, grace_s, n_stops, first_number=0, kills=False):
+    def __init__(self, folder, seed, grace_s, n_stops, kills=False):
         self.rng = random.Random(seed)
         self.grace_s = grace_s
         self.n_stops = n_stops
@@ -82,9 +80,7 @@
         self.platform = Platform()
         bounds = {"graceS": grace_s}
         self.gateways = [
-            GatewayProcess(
-                folder, first_number + n, self.platform.store.address, **bounds
-            )
+            GatewayProcess(folder, n, self.platform.store.address, **bounds)
             for n in range(3)
         ]
         self.sent = []
--- a/tests/aspendrift_platform/test_planned_stops.py
+++ b/tests/aspendrift_platform/test_planned_stops.py
@@ -9,12 +9,10 @@
 
 GRACE_S = 5.0
 N_STOPS = 2
-# Loopback addresses that no other test of processes uses.
-FIRST_NUMBER = 20
 
 
 @pytest.mark.parametrize("seed", [1, 2])
 def test_planned_stop_cuts_off_no_request_that_it_passed_on_late(tmp_path, seed):
-    stops = PlannedStops(tmp_path, seed, GRACE_S, N_STOPS, FIRST_NUMBER)
+    stops = PlannedStops(tmp_path, seed, GRACE_S, N_STOPS)
     asyncio.run(stops.play())
     assert stops.violations() == []
--- a/tools/soak_planned_stops.py
+++ b/tools/soak_planned_stops.py
@@ -22,21 +22,18 @@
 
 from planned_stops import PlannedStops  # noqa: E402
 
-_FIRST_NUMBER: Final = 100
-
 
 @click.command()
 @click.option("--seeds", default="1-50", help="First and last seed.")
 @click.option("--grace", "grace_s", default=8.0, help="Grace time in seconds.")
 @click.option("--stops", "n_stops", default=3, help="Stops of each seed.")
-@click.option("--number", default=_FIRST_NUMBER, help="Number of the first gateway.")
-def main(seeds: str, grace_s: float, n_stops: int, number: int) -> None:
+def main(seeds: str, grace_s: float, n_stops: int) -> None:
     """Play the seeds one after the other; exit with 1 if a check failed."""
     first, _, last = seeds.partition("-")
     n_failed = 0
     for seed in range(int(first), int(last or first) + 1):
         with tempfile.TemporaryDirectory(prefix="planned-stops-") as folder:
-            stops = PlannedStops(folder, seed, grace_s, n_stops, number, kills=True)
+            stops = PlannedStops(folder, seed, grace_s, n_stops, kills=True)
             asyncio.run(stops.play())
         violations = stops.violations()
         n_failed += bool(violations)
