Bound the search for an answer behind one that ends with its connection

At most 16 heads are parsed, each in as many bytes as a head may have; the body behind it doesn't decide. A copy behind more status lines than that isn't found.

The new test counts the heads that are parsed (10,000 before, all of them).

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/surplus_answers.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/surplus_answers.py
@@ -9,6 +9,7 @@
 
 import re
 from collections.abc import Iterable
+from itertools import islice
 from typing import Final, Protocol
 
 import h11
@@ -27,6 +28,9 @@
 # A server that sends more answers than that before the awaited one is not followed.
 _MAX_SURPLUS_ANSWERS: Final = 8
 _MAX_SURPLUS_BYTES: Final = 1024 * 1024
+# Heads that are parsed in a body without an end of its own, in one turn of the event
+# loop.
+_MAX_HEADS_IN_BODY: Final = 16
 # Bytes of a request's id that may be split between two reads.
 _MAX_ID_BYTES: Final = 256
 # The client library's own limit.
@@ -68,10 +72,11 @@
 
 def holds_surplus_answer(body: bytes, awaited: AwaitedAnswer) -> bool:
     """Return whether a body that ends with its connection holds a surplus answer."""
-    for found in _STATUS_LINE.finditer(body):
+    for found in islice(_STATUS_LINE.finditer(body), _MAX_HEADS_IN_BODY):
         reader = AnswerReader(awaited)
+        start = found.start()
         try:
-            reader.feed(body[found.start() :])
+            reader.feed(body[start : start + _MAX_HEAD_BYTES])
         except SurplusUnreadable:
             return True
         if reader.n_surplus or reader.is_skipping:
--- a/packages/aspendrift-daemon/tests/test_surplus_answers.py
+++ b/packages/aspendrift-daemon/tests/test_surplus_answers.py
@@ -186,3 +186,16 @@
 )
 def test_answer_behind_one_that_ends_with_its_connection_is_found(behind, is_held):
     assert holds_surplus_answer(b"body" + behind, Awaited()) is is_held
+
+
+def test_body_full_of_status_lines_does_not_hold_the_event_loop():
+    class Counted(Awaited):
+        n_heads = 0
+
+        def is_surplus(self, status, headers):
+            self.n_heads += 1
+            return False
+
+    counted = Counted()
+    assert not holds_surplus_answer(answer(b"other") * 10_000, counted)
+    assert 0 < counted.n_heads <= 16
