--- a/packages/aspendrift-daemon/src/aspendrift_daemon/surplus_answers.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/surplus_answers.py
@@ -160,7 +160,7 @@
                 return self._take_held(parser)
             if isinstance(event, h11.InformationalResponse):
                 self._check_head(parser)
-                self._n_interim = len(self._held) - len(parser.trailing_data[0])
+                self._n_interim = self._n_parsed(parser)
             elif isinstance(event, h11.Response):
                 self._check_head(parser)
                 if not self._may_skip(event):
@@ -181,8 +181,7 @@
 
     def _check_head(self, parser: h11.Connection) -> None:
         """Raise an error if a head that was parsed is joined with the awaited one."""
-        n_head = len(self._held) - len(parser.trailing_data[0])
-        head = bytes(self._held[self._n_interim : n_head])
+        head = bytes(self._held[self._n_interim : self._n_parsed(parser)])
         if has_second_status_line(head) and self._awaited.is_named_in(head):
             raise SurplusUnreadable("second status line in the head")
 
@@ -208,11 +207,15 @@
         )
 
     def _take_held(self, parser: h11.Connection) -> bytes:
+        n_head = self._n_parsed(parser)
         held, self._held = bytes(self._held), bytearray()
-        n_head = len(held) - len(parser.trailing_data[0])
         self._begin(held[:n_head], held[n_head:])
         return held
 
+    def _n_parsed(self, parser: h11.Connection) -> int:
+        """Return how many of the held bytes are parsed."""
+        return len(self._held) - len(parser.trailing_data[0])
+
     def _begin(self, head: bytes, body: bytes) -> None:
         """Note the end of the answer, if its head tells it, and how to find it."""
         self._has_begun = True
