--- a/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
@@ -32,6 +32,7 @@
     "PromptQuarantined",
     "QuarantineLifted",
     "QuarantineSource",
+    "RequestDenied",
     "RequestEnded",
     "RequestHandedOver",
     "RequestRouted",
@@ -367,6 +368,8 @@
 class RequestRouted(Event):
     """A request was matched to a route and a pool.
 
+    ``configuration_age_s`` is the time since the configuration was last known to be the
+    newest, None if that is unknown; ``configuration_source`` where it came from.
     ``resumes`` is the attempt with which a stream began that the caller takes up after
     the event ``last_event_id``; both are empty for a new request.
     """
@@ -379,11 +382,28 @@
     priority: int
     account_priority: int | None
     configuration_version: int
+    configuration_age_s: float | None
+    configuration_source: str
     left_s: float
     resumes: str
     last_event_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class RequestDenied(Event):
+    """A request was refused since the configuration has no such route or key.
+
+    The other fields are as in ``request_routed``.
+    """
+
+    name: ClassVar[str] = "request_denied"
+    request_id: str
+    reason: RefusalReason
+    configuration_version: int
+    configuration_age_s: float | None
+    configuration_source: str
+
+
 @dataclass(frozen=True, slots=True)
 class StreamOriginSought(Event):
     """The software version that began a stream was sought, as its caller takes it up.
@@ -430,7 +450,7 @@
 class StageCallSent(Event):
     """A batch call was sent to a target; ``n_jobs`` jobs have incomplete pieces.
 
-    ``n_bytes`` is the size of its body.
+    ``n_repeated`` of the pieces were sent before. ``n_bytes`` is the size of its body.
     """
 
     name: ClassVar[str] = "stage_call_sent"
@@ -438,6 +458,7 @@
     target_id: str
     pool: str
     n_pieces: int
+    n_repeated: int
     request_ids: tuple[str, ...]
     n_jobs: int
     expected_s: float
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
@@ -294,6 +294,7 @@
         request_ids = tuple(
             dict.fromkeys(work.piece_id.attempt_id for work in call.works)
         )
+        n_repeated = self.scheduler.record_sent(call.call_id, call.target.key)
         self._n_sent_bytes += n_bytes
         self._events.emit(
             StageCallSent(
@@ -301,6 +302,7 @@
                 call.target.key.target_id,
                 self.pool,
                 len(call.works),
+                n_repeated,
                 request_ids,
                 self.scheduler.n_jobs,
                 call.expected_s,
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
@@ -23,7 +23,7 @@
     CallerDisconnected,
     CallerStalled,
 )
-from aspendrift_gateway.events import RequestEnded, RequestRouted
+from aspendrift_gateway.events import RequestDenied, RequestEnded, RequestRouted
 from aspendrift_gateway.handover import Handover
 from aspendrift_gateway.interfaces import CallerCodec, PromptGuard
 from aspendrift_gateway.origin_exchange import OriginExchange
@@ -333,6 +333,8 @@
                 route.priority,
                 None if matched.account is None else matched.account.priority,
                 table.configuration.version,
+                self._state.configuration_age_s(now),
+                self._state.configuration_source,
                 timeout_s,
                 request.resumes or "",
                 request.last_event_id or "",
@@ -515,20 +517,32 @@
     ) -> _RouteMatch | Refusal:
         route = table.match(request.host, request.path)
         if route is None:
-            return self._deny(RefusalReason.NOT_FOUND, now)
+            return self._deny(RefusalReason.NOT_FOUND, request, now)
         account = None
         if table.has_accounts and not route.is_public:
             account = table.account(request.key)
             if account is None:
-                return self._deny(RefusalReason.UNAUTHENTICATED, now)
+                return self._deny(RefusalReason.UNAUTHENTICATED, request, now)
         pool = table.pool(route, request.attempt_id)
         return _RouteMatch(route, account, pool)
 
-    def _deny(self, reason: RefusalReason, now: float) -> Refusal:
+    def _deny(
+        self, reason: RefusalReason, request: OpaqueRequest, now: float
+    ) -> Refusal:
         """Deny an unknown route or key, unless a newer configuration may contain it."""
-        age_s = now - self._state.configuration_confirmed_at
-        if age_s > self._max_denial_age_s():
+        state = self._state
+        age_s = state.configuration_age_s(now)
+        if age_s is None or age_s > self._max_denial_age_s():
             return Refusal(RefusalReason.ISOLATED, reason.value, _SHORT_RETRY_AFTER_S)
+        self._events.emit(
+            RequestDenied(
+                request.attempt_id,
+                reason,
+                state.configuration_version,
+                age_s,
+                state.configuration_source,
+            )
+        )
         return Refusal(reason)
 
     def _stage_refusal(
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/system_state.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/system_state.py
@@ -55,6 +55,8 @@
         self._listeners: list[Callable[[list[RegistryChange]], None]] = []
         self.table: RouteTable | None = None
         self.configuration_value = b""
+        # Where the configuration in force came from.
+        self.configuration_source = ""
         self.configuration_confirmed_at = _NEVER
         self.registry = TargetRegistry()
         self._targets = ChangeLog()
@@ -70,6 +72,11 @@
         """Version in force; -1 before the first one."""
         return -1 if self.table is None else self.table.configuration.version
 
+    def configuration_age_s(self, now: float) -> float | None:
+        """Return the time since the configuration was known to be the newest."""
+        confirmed_at = self.configuration_confirmed_at
+        return None if confirmed_at == _NEVER else now - confirmed_at
+
     @property
     def is_complete(self) -> bool:
         """Whether routes, targets and evacuated zones are known."""
@@ -130,6 +137,7 @@
             return
         self.table = RouteTable(found)
         self.configuration_value = value
+        self.configuration_source = source
         self._events.emit(ConfigurationApplied(found.version, previous, source))
         self._notify([])
 
--- a/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
@@ -195,6 +195,8 @@
     spec: StageJob
     queued: dict[PieceId, PieceWork]
     incomplete: set[PieceId]
+    # Pieces that were sent to a target.
+    sent: set[PieceId] = field(default_factory=set)
     n_failures: int = 0
     has_started: bool = False
     # Time since which the job is overdue and got no capacity.
@@ -439,6 +441,20 @@
         updates = [JobUpdate(job_id, is_done=True) for job_id in dropped]
         return (call.plan if needed else None), updates
 
+    def record_sent(self, call_id: int, key: TargetKey) -> int:
+        """Record that a call is being sent; return how many pieces were sent before."""
+        target = self._targets_by_key.get(key)
+        call = None if target is None else target.calls_by_id.get(call_id)
+        if call is None:
+            return 0
+        n_repeated = 0
+        for work, job_id in zip(call.plan.works, call.job_ids, strict=True):
+            job = self._jobs_by_id.get(job_id)
+            if job is not None:
+                n_repeated += work.piece_id in job.sent
+                job.sent.add(work.piece_id)
+        return n_repeated
+
     def _is_needed(self, job_id: JobId, piece_id: PieceId) -> bool:
         job = self._jobs_by_id.get(job_id)
         return job is not None and not job.is_withdrawn and piece_id in job.incomplete
