Failing tests of old configurations, lost places of the pool and repeated pieces

The emulator's store gets slow calls, lost answers and a feed that passes changes; its targets reject or fail shares of stage calls.

--- a/packages/aspendrift-daemon/tests/test_metered_transport.py
+++ b/packages/aspendrift-daemon/tests/test_metered_transport.py
@@ -245,6 +245,38 @@
     run(sends(answer + surplus), scenario)
 
 
+@pytest.mark.parametrize("closes", [True, False], ids=["new", "kept"])
+def test_cancelled_call_takes_no_place_of_the_connection_pool(closes: bool) -> None:
+    """Guards against a client whose calls all time out after some cancellations."""
+    header = b"Connection: close\r\n" if closes else b""
+    answer = HEAD + header + b"Content-Length: 2\r\n\r\nok"
+
+    async def scenario(world: World) -> None:
+        tls = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+        limits = httpx.Limits(max_connections=1)
+        transport = MeteredTransport(tls, limits, world.meter)
+        request = httpx.Request("GET", world.url)
+        for n_turns in range(12):
+            first = await transport.handle_async_request(request)
+            waiting = asyncio.create_task(transport.handle_async_request(request))
+            await asyncio.sleep(0)
+            await first.aread()
+            await first.aclose()
+            for _ in range(n_turns):
+                await asyncio.sleep(0)
+            waiting.cancel()
+            (found,) = await asyncio.gather(waiting, return_exceptions=True)
+            if isinstance(found, httpx.Response):
+                await found.aclose()
+            async with asyncio.timeout(5):
+                last = await transport.handle_async_request(request)
+                await last.aread()
+                await last.aclose()
+        await transport.aclose()
+
+    run(sends(answer), scenario)
+
+
 async def read_load(world: World) -> None:
     async with probe_client(world.meter) as client:
         with pytest.raises(httpx.RemoteProtocolError):
--- a/packages/aspendrift-gateway/tests/conftest.py
+++ b/packages/aspendrift-gateway/tests/conftest.py
@@ -75,6 +75,8 @@
         self.is_down = False
         self.loses_history = False
         self.hides_changes = False
+        # Keys whose changes the feed leaves out.
+        self.hidden_keys = set()
         # Time from an answer of the feed to its arrival.
         self.late_s = 0.0
         self.answered_at = []
@@ -112,6 +114,9 @@
             self.loses_history = False
             return HistoryGone()
         found = await self._rows("feed", table, lambda row: row.version > after)
+        if self.hidden_keys and isinstance(found, StoreRows):
+            shown = [row for row in found.rows if row.key not in self.hidden_keys]
+            found = StoreRows(tuple(shown), found.version, era=found.era)
         if self.hides_changes and isinstance(found, StoreRows):
             found = StoreRows((), self.content.version, era=self.content.era)
         if wait_s and isinstance(found, StoreRows) and not found.rows:
--- a/packages/aspendrift-gateway/tests/test_store_reader.py
+++ b/packages/aspendrift-gateway/tests/test_store_reader.py
@@ -128,6 +128,28 @@
     run_scenario(scenario)
 
 
+def test_removal_that_the_feed_hides_among_other_changes_is_found():
+    async def scenario(store, state, events):
+        store.hidden_keys.add("t1")
+        store.put("targets", "t1", None)
+        for _ in range(20):
+            store.put("targets", "t2", b"ready")
+            await asyncio.sleep(0.25)
+        assert usable(state) == ["t2"]
+
+    run_scenario(scenario)
+
+
+def test_configuration_that_the_feed_hides_is_in_force_in_time():
+    async def scenario(store, state, events):
+        store.hides_changes = True
+        store.put("configuration", "routes", b"8")
+        await asyncio.sleep(CONFIGURATION_S)
+        assert state.configuration_version == 8
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("changes", [False, True])
 def test_late_answer_of_the_feed_does_not_count_as_current(changes):
     async def scenario(store, state, events):
--- a/tests/aspendrift_platform/gateway_process.py
+++ b/tests/aspendrift_platform/gateway_process.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import signal
 import subprocess
 import sys
 from pathlib import Path
@@ -68,6 +69,19 @@
         """Ask the process to leave."""
         self._process.terminate()
 
+    def reload(self):
+        """Tell the process that its settings file may have changed."""
+        self._process.send_signal(signal.SIGHUP)
+
+    def pause(self):
+        """Freeze the process."""
+        self._process.send_signal(signal.SIGSTOP)
+
+    def resume(self):
+        """Let a frozen process go on."""
+        if self._process is not None:
+            self._process.send_signal(signal.SIGCONT)
+
     async def until_ended(self):
         """Wait for the end of the process; return its exit code."""
         while self._process.poll() is None:  # noqa: ASYNC110
--- a/tests/aspendrift_platform/platform_emulator.py
+++ b/tests/aspendrift_platform/platform_emulator.py
@@ -10,6 +10,7 @@
 import base64
 import itertools
 import json
+import random
 from collections import Counter
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs
@@ -20,6 +21,10 @@
 
 # Time for which targets retain results that are not freed; also configured as handleS.
 RESULT_TTL_S = 4.0
+# Longer than any caller waits.
+LOST_ANSWER_S = 30.0
+# Bounds the memory of a caller that keeps all that it gets.
+MAX_ENDLESS_BYTES = 64 * 1024 * 1024
 
 
 # Reserved until the tests end: a port of the system's choice may be taken by an
@@ -79,6 +84,16 @@
         self.drops_history = False
         self.is_closed = False
         self.n_calls = Counter()
+        # Time that each call takes beside its wait for a change.
+        self.delay_s = 0.0
+        # Shares of the calls of the configuration's feed that pass changes without
+        # their rows, and of all calls that are never answered.
+        self.hidden_share = 0.0
+        self.lost_share = 0.0
+        # Whether answers to reads never end, and the most bytes that one of them had.
+        self.is_endless = False
+        self.n_endless_bytes = 0
+        self.rng = random.Random(0)
         self._changed = asyncio.Event()
 
     def put(self, table, key, value):
@@ -113,8 +128,13 @@
         send = self._with_era(send)
         query = parse_qs(scope["query_string"].decode(), keep_blank_values=True)
         query = {name: values[0] for name, values in query.items()}
+        if self.rng.random() < self.lost_share:
+            await asyncio.sleep(LOST_ANSWER_S)
+        await asyncio.sleep(self.delay_s)
         if self.is_down:
             await reply(send, 503)
+        elif self.is_endless and scope["path"] != "/-/rows-tx":
+            await self._send_without_end(receive, send)
         elif scope["path"] == "/-/rows-get":
             await reply(send, 200, self._get(query))
         elif scope["path"] == "/-/rows-feed":
@@ -125,6 +145,20 @@
         else:
             await reply(send, 404)
 
+    async def _send_without_end(self, receive, send):
+        """Send a body until the caller closes the connection."""
+        await send({"type": "http.response.start", "status": 200, "headers": []})
+        closed = asyncio.ensure_future(receive())
+        n_sent = 0
+        while not closed.done() and n_sent < MAX_ENDLESS_BYTES:
+            part = b" " * 100_000
+            await send({"type": "http.response.body", "body": part, "more_body": True})
+            n_sent += len(part)
+            self.n_endless_bytes = max(self.n_endless_bytes, n_sent)
+            await asyncio.sleep(0)
+        closed.cancel()
+        raise ConnectionError("the caller closed the connection")
+
     def _with_era(self, send):
         """Return ``send`` with the header that tells the store's era."""
 
@@ -152,6 +186,10 @@
             await reply(send, 410)
             return
         wait_s = int(query["waitMs"]) / 1000
+        if query["table"] == "op" and self.rng.random() < self.hidden_share:
+            await asyncio.sleep(wait_s)
+            await reply(send, 200, {"rows": [], "ver": self.version})
+            return
         loop = asyncio.get_running_loop()
         deadline = loop.time() + wait_s
         while not (rows := self._changed_rows(query)) and loop.time() < deadline:
@@ -205,6 +243,8 @@
     n_freed: int = 0
     # Attempt ids of the requests that arrived, by service, with their times.
     arrivals_by_service: dict = field(default_factory=dict)
+    # The same for pieces of stages, which arrive as (request, stage, piece).
+    pieces_by_service: dict = field(default_factory=dict)
 
     def store_result(self, handle, piece):
         """Store a result until it is freed or expires."""
@@ -246,6 +286,10 @@
         # What answers state: requests per second, and on 503 the time to stay away.
         self.limit_per_s = None
         self.retry_after_s = None
+        # Shares of the stage calls that are rejected, or fail.
+        self.rejected_share = 0.0
+        self.failed_share = 0.0
+        self.rng = random.Random(name)
         # Times at which requests and stage calls arrived.
         self.arrived_at = []
 
@@ -315,6 +359,15 @@
         return send_with_header
 
     async def _run_stage(self, items, send):
+        arrivals = self.records.pieces_by_service.setdefault(self.service, [])
+        now = asyncio.get_running_loop().time()
+        arrivals += [(now, (i["id"], i["stage"], i["piece"])) for i in items]
+        if self.rng.random() < self.rejected_share:
+            await reply(send, 503, headers=[(b"not-executed", b"1")])
+            return
+        if self.rng.random() < self.failed_share:
+            await reply(send, 500)
+            return
         await asyncio.sleep(self.work_s)
         outcomes = []
         for item in items:
