Hear a store that takes longer than a lost answer is waited for

Cause: each call was ended after 0.8 s, and the next one began from nothing. Class: a time-out that takes slowness for loss. A daemon that reads the store for itself asks another source after 0.8 s as before, while the read goes on.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/peer_state.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/peer_state.py
@@ -64,6 +64,8 @@
 _SEND_MARGIN_S: Final = 0.5
 # Interval between direct reads while the store rejects them.
 _STORE_RETRY_S: Final = 3.0
+# Time after which another source is asked beside a read of the store that goes on.
+_READ_PATIENCE_S: Final = 0.8
 # Margin for a call to the store.
 _READ_MARGIN_S: Final = 0.2
 # Changes are sent without a query for this number of query intervals after the last
@@ -149,6 +151,7 @@
         self._follower = StateFollower()
         self._known_members: tuple[object, int] | None = None
         self._is_reader = True
+        self._is_reading = False
         self._known_suspended_s = suspended_s()
         self._pulled_at = _NEVER
         self._compressed = (-1, b"")
@@ -345,14 +348,25 @@
             if step.failure is not None:
                 self._report("peer", f"{step.source_id} {step.failure.value}")
             if not self._reader.is_following:
-                self._run(self._read_store())
+                if not self._is_reading:
+                    self._is_reading = True
+                    self._run(self._read_store())
             else:
                 # The reader tries all the time, and this state is old nevertheless.
                 self._follower.read_failed(now)
 
     async def _read_store(self) -> None:
-        if not await self._reader.read_once():
-            self._follower.read_failed(self._clock.monotonic())
+        loop = asyncio.get_running_loop()
+        late = loop.call_later(
+            _READ_PATIENCE_S,
+            lambda: self._follower.read_failed(self._clock.monotonic()),
+        )
+        try:
+            if not await self._reader.read_once():
+                self._follower.read_failed(self._clock.monotonic())
+        finally:
+            late.cancel()
+            self._is_reading = False
 
     def _check_suspension(self) -> None:
         """Treat the state as unconfirmed after a suspension of the host."""
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/transports.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/transports.py
@@ -20,7 +20,11 @@
 
 
 def plain_transport(
-    max_connections: int, idle_timeout_s: float | None, meter: ConnectionMeter
+    max_connections: int,
+    idle_timeout_s: float | None,
+    meter: ConnectionMeter,
+    *,
+    is_reused: bool = True,
 ) -> httpx.AsyncHTTPTransport:
     """Return a connection pool without retries, redirects or proxies.
 
@@ -28,10 +32,12 @@
     ----------
     idle_timeout_s : float or None
         Time after which an idle connection is not reused; None for no limit.
+    is_reused : bool
+        Whether connections are kept for other exchanges.
     """
     limits = httpx.Limits(
         max_connections=max_connections,
-        max_keepalive_connections=max_connections,
+        max_keepalive_connections=max_connections if is_reused else 0,
         keepalive_expiry=idle_timeout_s,
     )
     return MeteredTransport(
--- a/tests/aspendrift_platform/stage_repeats.py
+++ b/tests/aspendrift_platform/stage_repeats.py
@@ -1,4 +1,4 @@
-"""Requests with stages at gateway processes, whose stage targets reject or fail calls."""
+"""Requests with stages, at gateway processes whose stage targets fail calls."""
 
 from __future__ import annotations
 
