Check the feed of the configuration with a full read

Cause: the targets' feed was checked with a full read, the configuration's was not, since the platform answers 410 where its history is gone. Class: state kept current by differences that nobody compares with the whole. A reader now reads the whole table twice within the time in which a change must be in force, beside its feed, and a daemon that reads for itself reads the whole. Rows older than what the feed told confirm nothing. While the store fails, the feed alone is tried.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
@@ -20,6 +20,7 @@
     "ContentCleared",
     "Dependency",
     "DependencyChanged",
+    "FeedMissedChange",
     "GatewayClosed",
     "GatewayReady",
     "GatewayStopped",
@@ -364,6 +365,15 @@
     n_answers: int
 
 
+@dataclass(frozen=True, slots=True)
+class FeedMissedChange(Event):
+    """A read of the configuration found a change that its feed had passed."""
+
+    name: ClassVar[str] = "feed_missed_change"
+    known_version: int
+    version: int
+
+
 @dataclass(frozen=True, slots=True)
 class RequestRouted(Event):
     """A request was matched to a route and a pool.
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/store_reader.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/store_reader.py
@@ -9,7 +9,11 @@
 
 from aspendrift_daemon.events import EventHub
 from aspendrift_daemon.interfaces import Clock
-from aspendrift_gateway.events import Dependency, DependencyChanged
+from aspendrift_gateway.events import (
+    Dependency,
+    DependencyChanged,
+    FeedMissedChange,
+)
 from aspendrift_gateway.interfaces import StoreRows
 from aspendrift_gateway.settings import GatewaySettings
 from aspendrift_gateway.store_client import HistoryGone, StoreClient, StoreFailure
@@ -24,6 +28,11 @@
 # connection is detected after this time plus the timeout of the call.
 _LONG_POLL_SHARE: Final = 0.5
 _MAX_LONG_POLL_S: Final = 1.5
+# Interval at which the configuration is read beside its feed, which may pass a change
+# without its row: a share of the time within which a configuration must be in force.
+_CHECK_INTERVAL_SHARE: Final = 0.5
+# Share of the store's reads for these checks.
+_CHECK_READS_SHARE: Final = 0.1
 # Entries change constantly, so their feed is polled at an interval: a share of the time
 # within which a draining target must be known, at most this. The other shares are for
 # the daemons that follow a reader, and for replacing one.
@@ -67,6 +76,12 @@
     return min(_MAX_LONG_POLL_S, settings.configuration_s * _LONG_POLL_SHARE)
 
 
+def check_interval_s(settings: GatewaySettings, n_readers: int) -> float:
+    """Return the interval between reads of the whole configuration."""
+    share_per_s = settings.store_reads_per_s * _CHECK_READS_SHARE / n_readers
+    return max(settings.configuration_s * _CHECK_INTERVAL_SHARE, 1 / share_per_s)
+
+
 def targets_interval_s(settings: GatewaySettings) -> float:
     """Return the interval between reads of the targets."""
     return min(_MAX_TARGETS_INTERVAL_S, settings.drain_s * _TARGETS_INTERVAL_SHARE)
@@ -100,11 +115,13 @@
         self._settings = settings
         self._n_readers = n_readers
         self._clock = clock
+        self._events = events
         self._rng = rng
         self._configuration = DependencyWatch(Dependency.STORE_CONFIGURATION, events)
         self._targets = DependencyWatch(Dependency.STORE_TARGETS, events)
         self._feed_position = NO_POSITION
         self._is_configuration_confirmed = False
+        self._read_fully_at = float("-inf")
         self._changed_at = float("-inf")
         self._following = asyncio.Event()
         self._following.set()
@@ -125,13 +142,14 @@
 
     async def read_once(self) -> bool:
         """Read what changed in both tables; return whether the store answered."""
-        if not await self._update_configuration(0.0):
+        if not await self._check_configuration():
             return False
         return await self._update_targets(is_checked=False)
 
     async def start(self) -> None:
         """Start reading both tables."""
         self._run(self._follow(self._read_configuration))
+        self._run(self._follow(self._check_if_due))
         self._run(self._follow(self._read_targets))
 
     async def stop(self) -> None:
@@ -161,6 +179,50 @@
             return _RETRY_DELAY_S
         return _RETRY_DELAY_S if self._state.table is None else 0.0
 
+    async def _check_if_due(self) -> float:
+        """Read the configuration beside its feed if due; return the time to the next.
+
+        While the store fails, the feed alone is tried.
+        """
+        interval_s = check_interval_s(self._settings(), self._n_readers())
+        due_s = self._read_fully_at + interval_s - self._clock.monotonic()
+        if due_s > 0.0:
+            return due_s
+        if not self._configuration.is_lost:
+            await self._check_configuration()
+        return interval_s
+
+    async def _check_configuration(self) -> bool:
+        """Read the whole configuration; return whether the store answered."""
+        state = self._state
+        known_version = state.configuration_version
+        known_position = self._feed_position
+        requested_at = self._clock.monotonic()
+        result = await self._store.read_table(self._store.codec.configuration_table)
+        self._read_fully_at = self._clock.monotonic()
+        if not isinstance(result, StoreRows):
+            self._configuration.failed(getattr(result, "detail", "history gone"))
+            return False
+        self._configuration.succeeded()
+        self._apply_rows(result, is_full_read=True)
+        if result.position >= known_position:
+            # Otherwise the rows are older than what the feed told before.
+            self._confirm(result, requested_at)
+        is_newer = state.configuration_version > known_version >= 0
+        if is_newer and self._has_passed(result, known_position):
+            self._events.emit(
+                FeedMissedChange(known_version, state.configuration_version)
+            )
+        return True
+
+    def _has_passed(self, result: StoreRows, position: StorePosition) -> bool:
+        """Return whether a position is not before the configuration's row."""
+        return any(
+            StorePosition(result.era, row.version) <= position
+            for row in result.rows
+            if row.key == self._store.codec.configuration_key
+        )
+
     async def _read_targets(self) -> float:
         """Read the targets; return the delay before the next read."""
         started_at = self._clock.monotonic()
@@ -170,8 +232,7 @@
 
     async def _update_configuration(self, wait_s: float) -> bool:
         """Read the configuration; return whether the store answered."""
-        codec = self._store.codec
-        table = codec.configuration_table
+        table = self._store.codec.configuration_table
         result: StoreRows | HistoryGone | StoreFailure = HistoryGone()
         requested_at = self._clock.monotonic()
         is_full_read = False
@@ -182,21 +243,26 @@
             # One read of the table, so that evacuations and configuration are as of
             # one position.
             result = await self._store.read_table(table)
+            self._read_fully_at = self._clock.monotonic()
             is_full_read = True
         if not isinstance(result, StoreRows):
             detail = getattr(result, "detail", "history gone")
             self._configuration.failed(detail)
             return False
         self._configuration.succeeded()
-        for row in result.rows:
-            if row.key == codec.configuration_key and row.value is not None:
-                self._state.apply_configuration(row.value, "store")
-        self._apply_evacuations(result, is_full_read)
+        self._apply_rows(result, is_full_read)
         read_at = requested_at
         if not (is_full_read or result.rows):
             # The store answered after the whole wait at the earliest.
             read_at = min(requested_at + wait_s, self._clock.monotonic())
         self._is_configuration_confirmed = is_full_read or not result.rows
+        self._confirm(result, read_at)
+        is_complete = self._state.table is not None
+        self._feed_position = result.position if is_complete else NO_POSITION
+        return True
+
+    def _confirm(self, result: StoreRows, read_at: float) -> None:
+        """Record that the configuration and the evacuations were current at a time."""
         state = self._state
         state.configuration_confirmed_at = max(
             state.configuration_confirmed_at, read_at
@@ -205,11 +271,12 @@
             state.evacuations_confirmed_at = max(
                 state.evacuations_confirmed_at, read_at
             )
-        is_complete = self._state.table is not None
-        self._feed_position = result.position if is_complete else NO_POSITION
-        return True
 
-    def _apply_evacuations(self, result: StoreRows, is_full_read: bool) -> None:
+    def _apply_rows(self, result: StoreRows, is_full_read: bool) -> None:
+        """Apply rows of the configuration's table."""
+        for row in result.rows:
+            if row.key == self._store.codec.configuration_key and row.value is not None:
+                self._state.apply_configuration(row.value, "store")
         now = self._clock.monotonic()
         found = self._is_evacuated_by_zone(result.rows)
         if is_full_read:
