Check the feed of the targets also while it has changes

Found by looking for the class, not seen. test_removal_that_the_feed_hides_among_other_changes_is_found failed before.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/store_reader.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/store_reader.py
@@ -44,7 +44,7 @@
 # Delay after a failed call: short enough to detect the end of an outage soon, without
 # overloading a store in trouble.
 _RETRY_DELAY_S: Final = 0.4
-# Time without changes after which the feed is checked with a full read; longer for a
+# Time after which the feed of the targets is checked with a full read; longer for a
 # long list, so that these checks read a bounded number of entries a second.
 _FULL_READ_AFTER_S: Final = 2.5
 _CHECKED_ENTRIES_PER_S: Final = 50.0
@@ -122,7 +122,7 @@
         self._feed_position = NO_POSITION
         self._is_configuration_confirmed = False
         self._read_fully_at = float("-inf")
-        self._changed_at = float("-inf")
+        self._targets_checked_at = float("-inf")
         self._following = asyncio.Event()
         self._following.set()
         self._tasks: list[asyncio.Task[None]] = []
@@ -135,7 +135,7 @@
     def follow(self, is_wanted: bool) -> None:
         """Start or stop following both tables."""
         if is_wanted and not self.is_following:
-            self._changed_at = self._clock.monotonic()
+            self._targets_checked_at = self._clock.monotonic()
             self._following.set()
         elif not is_wanted:
             self._following.clear()
@@ -305,7 +305,7 @@
     async def _update_targets(self, is_checked: bool) -> bool:
         """Read the targets; return whether the store answered.
 
-        If the list is followed, ``is_checked`` verifies a feed without changes by
+        If the list is followed, ``is_checked`` verifies its feed at intervals by
         reading the complete list.
         """
         state = self._state
@@ -314,7 +314,9 @@
         check_after_s = max(
             _FULL_READ_AFTER_S, state.n_targets / _CHECKED_ENTRIES_PER_S
         )
-        is_suspect = is_checked and requested_at - self._changed_at > check_after_s
+        is_suspect = (
+            is_checked and requested_at - self._targets_checked_at > check_after_s
+        )
         result: StoreRows | HistoryGone | StoreFailure = HistoryGone()
         if state.targets_position != NO_POSITION and not is_suspect:
             result = await self._feed(table, state.targets_position, 0.0)
@@ -336,8 +338,8 @@
             )
         else:
             state.update_targets(result.rows, result.position, now)
-        if result.rows or is_full_read:
-            self._changed_at = now
+        if is_full_read:
+            self._targets_checked_at = now
         state.targets_confirmed_at = max(state.targets_confirmed_at, requested_at)
         return True
 
