Send the configuration to the daemon whose request was served by it

Class: the effect of shared state that is ahead of the state itself.

The marker of a handed-over request names the version already. A daemon with a newer one sends it, at most ten times a second to each. test_gateway_learns_the_configuration_by_which_its_ request_was_served, where neither the store nor a query tells of the change, failed before.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -268,6 +268,7 @@
             self._refuses_new,
             lambda: self.settings.configuration_s,
             self.peer_state.pull,
+            self.peer_state.push,
         )
         self.front = self._make_front(codec)
         self.servers = self._make_servers(codec)
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/peer_state.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/peer_state.py
@@ -73,6 +73,8 @@
 _SUBSCRIPTION_INTERVALS: Final = 3.0
 # Minimum interval between queries for a newer configuration seen in a digest.
 _MIN_PULL_INTERVAL_S: Final = 0.4
+# Minimum interval between configurations sent to a daemon that holds an older one.
+_MIN_PUSH_INTERVAL_S: Final = 0.1
 # A longer suspension of the host makes the age of its state unknown.
 _MAX_SUSPENSION_S: Final = 0.2
 _UNKNOWN_AGE_MS: Final = 1 << 30
@@ -154,6 +156,7 @@
         self._is_reading = False
         self._known_suspended_s = suspended_s()
         self._pulled_at = _NEVER
+        self._pushed_at_by_id: dict[DaemonId, float] = {}
         self._compressed = (-1, b"")
         self._subscribers_by_id: dict[DaemonId, _Subscriber] = {}
         self._encoder = msgspec.msgpack.Encoder()
@@ -210,6 +213,15 @@
             self._pulled_at = now
             self._send_query(daemon_id, 0)
 
+    def push(self, daemon_id: DaemonId) -> None:
+        """Send the configuration to a daemon that holds an older one."""
+        now = self._clock.monotonic()
+        pushed_at = self._pushed_at_by_id.get(daemon_id, _NEVER)
+        if now - pushed_at >= _MIN_PUSH_INTERVAL_S:
+            self._pushed_at_by_id[daemon_id] = now
+            recipient = _Subscriber(now, -1, self._state.targets_position)
+            self._send_update(daemon_id, recipient, 0, now)
+
     # State that membership probes carry.
 
     def digest(self, now: float, is_answer: bool) -> RevisionDigest:
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
@@ -159,6 +159,8 @@
         denied: the time in which a new configuration must be in force.
     on_behind : callable
         Called with a daemon that holds a newer configuration than this one.
+    on_ahead : callable
+        Called with a daemon that holds an older configuration than this one.
     """
 
     def __init__(
@@ -177,6 +179,7 @@
         refuses_new: Callable[[OpaqueRequest, float], Refusal | None],
         max_denial_age_s: Callable[[], float],
         on_behind: Callable[[DaemonId], None],
+        on_ahead: Callable[[DaemonId], None],
     ) -> None:
         self._state = state
         self._stages = stages
@@ -192,6 +195,7 @@
         self._refuses_new = refuses_new
         self._max_denial_age_s = max_denial_age_s
         self._on_behind = on_behind
+        self._on_ahead = on_ahead
         self._ages = RequestAges()
         self._open: dict[int, _OpenRequest] = {}
         self._sequence = 0
@@ -365,7 +369,11 @@
         To its caller the configuration would otherwise go back.
         """
         origin, version = request.handed_over, table.configuration.version
-        if origin is None or origin.configuration_version <= version:
+        if origin is None or origin.configuration_version == version:
+            return None
+        if origin.configuration_version < version:
+            # Its caller sees the newer one now, and may ask there again at once.
+            self._on_ahead(origin.daemon_id)
             return None
         self._on_behind(origin.daemon_id)
         return Refusal(
--- a/tests/aspendrift_platform/test_lost_links.py
+++ b/tests/aspendrift_platform/test_lost_links.py
@@ -179,3 +179,29 @@
             assert cluster.platform.records.ran[attempt_id] == 0
 
     run_scenario(scenario, n_gateways=3)
+
+
+def test_gateway_learns_the_configuration_by_which_its_request_was_served(
+    run_scenario,
+):
+    async def scenario(cluster):
+        stranded, *others = cluster.gateways
+        Links(stranded).cut()
+        await until_served(cluster, stranded, "/safe/a")
+        # Neither the store nor a query tells the gateway of the change.
+        apply = stranded.state.apply_configuration
+        stranded.state.apply_configuration = lambda value, source: (
+            None if source == "store" else apply(value, source)
+        )
+        stranded.peer_state._send_query = lambda daemon_id, number: None
+        for gateway in others:
+            gateway.peer_state._subscribers_by_id.clear()
+        cluster.platform.configure(2)
+        await cluster.until(
+            lambda: all(each.state.configuration_version == 2 for each in others)
+        )
+        assert stranded.state.configuration_version == 1
+        await cluster.call(stranded, "/safe/b")
+        await cluster.until(lambda: stranded.state.configuration_version == 2)
+
+    run_scenario(scenario, n_gateways=3)
