A request that has its whole answer is not cancelled

Cause: the server's wait for a disconnect returns as soon as an answer is complete, and the request was cancelled while it closed the answer of its target. So its outcome depended on the number of turns that this takes; a cancelled close also lost a place of the target's connection pool. A request whose answer is complete is now awaited.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/servers.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/servers.py
@@ -76,6 +76,7 @@
         self._sending: asyncio.Task[Any] | None = None
         self._is_stalled = False
         self.has_begun = False
+        self.is_complete = False
         self.is_aborted = False
 
     async def begin(self, status: int, headers: Headers) -> None:
@@ -121,6 +122,7 @@
     async def end(self) -> None:
         """Send the end of the body."""
         await self._transmit({"type": "http.response.body", "body": b""})
+        self.is_complete = True
 
     async def _transmit(self, message: dict[str, Any]) -> None:
         try:
@@ -239,7 +241,9 @@
             await asyncio.wait({serving, watching}, return_when=asyncio.FIRST_COMPLETED)
         finally:
             watching.cancel()
-            serving.cancel()
+            # After the end of its answer, the request only has to release what it used.
+            if not answer.is_complete:
+                serving.cancel()
             await asyncio.wait({serving})
         self._raise_if_cut(serving, answer)
 
