Send pieces of stages again only within the common limit on repeats

Cause: a rejected or lost piece was queued again, after 0.05 s where its target was full, and drew on no budget; a call holds pieces of several requests. Class: a limit on the sum with a way around it.

The owner of a pool sends all its calls, so it counts the requests and the repeats of the last window and uses four fifths of the limit. A new owner starts with a part that grows. New pieces go before repeated ones; a job that the limit can't let complete before its deadline is refused as not run. Stages that are run again since results are gone are repeats from the start; jobs of a lost owner are counted and not held back, since most of their pieces were not sent. A target that failed a call, or rejected two, gets one piece until it answers, and the wait after rejections doubles up to 2 s. The submitter tells the origin of a job; an earlier build tells none, which counts as the first.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -199,6 +199,7 @@
             events,
             policies.scheduler,
             self.links.without_links,
+            lambda: _retry_limit(self.settings),
         )
         self.budgets: RetryBudgets[PoolName] = RetryBudgets.within(
             _retry_limit(settings), 1, self.clock.monotonic()
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
@@ -24,11 +24,12 @@
     TargetClient,
 )
 from aspendrift_model.ids import PoolName, TargetId
-from aspendrift_model.pieces import Handle, PieceFailure, PieceOutcome
+from aspendrift_model.pieces import Handle, JobOrigin, PieceFailure, PieceOutcome
 from aspendrift_model.target_entries import TargetEntry
 from aspendrift_policy.chain_admission import PoolMeasures, PoolMeter
 from aspendrift_policy.chain_shares import DemandMeter
 from aspendrift_policy.handle_history import HandleHistory
+from aspendrift_policy.repeat_window import RepeatWindow
 from aspendrift_policy.stage_scheduler import (
     JobId,
     JobUpdate,
@@ -66,6 +67,8 @@
         Receives job updates.
     permits : PermitExchange or None
         Gives the permits for calls to limited targets.
+    repeats : RepeatWindow or None
+        Limits the pieces that are sent again.
     catches_up_until : callable
         Returns until when what arrived during a pause of this process is being read.
     """
@@ -82,6 +85,7 @@
         events: EventHub,
         on_update: Callable[[JobUpdate], None],
         permits: PermitExchange | None = None,
+        repeats: RepeatWindow | None = None,
         catches_up_until: Callable[[float], float] = _no_pause,
     ) -> None:
         self.pool = pool
@@ -96,6 +100,10 @@
         self._events = events
         self._on_update = on_update
         self._permits = permits
+        self._repeats = repeats
+        self._is_owner = True
+        if repeats is not None:
+            scheduler.limit_repeats(repeats)
         self._catches_up_until = catches_up_until
         # Time to which the steps after a pause were put off.
         self._resumes_at: float | None = None
@@ -115,12 +123,23 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def set_owner(self, is_owner: bool) -> None:
+        """Set whether this daemon schedules the pool.
+
+        What other owners have sent again in the meantime is unknown.
+        """
+        if is_owner and not self._is_owner and self._repeats is not None:
+            self._repeats.begin(self._clock.monotonic())
+        self._is_owner = is_owner
+
     def submit(self, job: StageJob) -> None:
         """Submit a stage job to the scheduler."""
         now = self._clock.monotonic()
         n_pieces = len(job.works)
         self.meter.record_arrivals(job.rank, n_pieces, now)
         self.demand.record(job.rank, job.account, n_pieces + job.n_refused, now)
+        if self._repeats is not None and job.origin is JobOrigin.FIRST:
+            self._repeats.record_request(now)
         self.scheduler.submit(job)
         self.schedule_step()
 
@@ -261,7 +280,10 @@
             self._client.disable_reuse(target_id, now)
         n_completed = 0
         if outcomes is None:
-            updates = self.scheduler.failed(call.call_id, key, is_full, now)
+            was_sent = not isinstance(answer, NotSent)
+            updates = self.scheduler.failed(
+                call.call_id, key, is_full, now, was_sent=was_sent
+            )
         else:
             n_completed = sum(not isinstance(each, PieceFailure) for each in outcomes)
             self.meter.record_completions(n_completed, now)
@@ -324,7 +346,7 @@
     def _postpone(self, call: PlannedCall, until: float) -> None:
         """Queue the pieces of a call again that got no permit."""
         key, now = call.target.key, self._clock.monotonic()
-        for update in self.scheduler.failed(call.call_id, key, True, now):
+        for update in self.scheduler.postponed(call.call_id, key, now):
             self._on_update(update)
         self.scheduler.pause_target(key, until)
         self.schedule_step()
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
@@ -11,7 +11,7 @@
 import asyncio
 import math
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 import msgspec
@@ -28,7 +28,13 @@
 from aspendrift_gateway.target_client import TargetClient
 from aspendrift_model.hosts import Host, HostCapacity
 from aspendrift_model.ids import AttemptId, DaemonId, PoolName, ZoneName
-from aspendrift_model.pieces import Handle, PieceFailure, PieceId, PieceWork
+from aspendrift_model.pieces import (
+    Handle,
+    JobOrigin,
+    PieceFailure,
+    PieceId,
+    PieceWork,
+)
 from aspendrift_model.routes import PieceLimits
 from aspendrift_model.states import MemberState
 from aspendrift_model.wire_work import (
@@ -55,6 +61,8 @@
     owners_in_order,
     pool_demand,
 )
+from aspendrift_policy.repeat_window import RepeatWindow
+from aspendrift_policy.retry_budget import RetryLimit
 from aspendrift_policy.stage_scheduler import JobId, JobUpdate, StageJob, StageScheduler
 
 __all__ = ["WORK_TOPIC", "JobListener", "StageDispatcher"]
@@ -109,6 +117,8 @@
     ----------
     without_links : callable
         Returns the daemons that reach no target and therefore own no pool.
+    repeat_limit : callable or None
+        Returns the limit on the pieces of one pool that all owners send again.
     """
 
     def __init__(
@@ -122,9 +132,11 @@
         events: EventHub,
         make_scheduler: Callable[[PieceLimits], StageScheduler],
         without_links: Callable[[float], frozenset[DaemonId]] = _no_daemons,
+        repeat_limit: Callable[[], RetryLimit] | None = None,
     ) -> None:
         self._link = link
         self._make_scheduler = make_scheduler
+        self._repeat_limit = repeat_limit
         self._without_links = without_links
         self._admission = admission
         self._state = state
@@ -248,6 +260,7 @@
         submitted = _SubmittedJob(pool, job, listener, owner, now)
         earlier = self._submitted_by_id.get(job.job_id)
         if earlier is not None:
+            submitted.job = job = _resubmitted(job)
             submitted.earlier_owners = (*earlier.earlier_owners, earlier.owner)
             if earlier.owner != owner:
                 self._cancel_at(earlier.owner, pool, job.job_id, keeps_calls=True)
@@ -363,6 +376,8 @@
             elif submitted.owner not in without_links:
                 continue
             self.submit(submitted.pool, submitted.job, submitted.listener)
+        for pool, runner in self._runners_by_pool.items():
+            runner.set_owner(self.owner(pool, now) == own_id)
         if now - self._heartbeat_sent_at >= _HEARTBEAT_INTERVAL_S:
             self._heartbeat_sent_at = now
             for origin in {origin for origin, _ in self._origins_by_job.values()}:
@@ -494,12 +509,18 @@
                 self._events,
                 lambda update: self._on_update(pool, update),
                 self._permits,
+                self._repeat_window(),
                 self._pauses.catches_up_until,
             )
             self._runners_by_pool[pool] = runner
         runner.scheduler.set_limits(spec.pieces)
         return runner
 
+    def _repeat_window(self) -> RepeatWindow | None:
+        if self._repeat_limit is None:
+            return None
+        return RepeatWindow(self._repeat_limit, self._clock.monotonic())
+
     def _on_update(self, pool: PoolName, update: JobUpdate) -> None:
         """Forward an update of a job scheduled here to the daemon that submitted it."""
         origin = self._origins_by_job.get(update.job_id)
@@ -616,6 +637,21 @@
         return PieceFailure.ERROR
 
 
+def _origin(value: str) -> JobOrigin:
+    """Return an origin; a daemon of a later version may send one not known here."""
+    try:
+        return JobOrigin(value)
+    except ValueError:
+        return JobOrigin.FIRST
+
+
+def _resubmitted(job: StageJob) -> StageJob:
+    """Return a job for another owner, after one that may have sent its pieces."""
+    if job.origin is JobOrigin.REPEATED:
+        return job
+    return replace(job, origin=JobOrigin.RESUBMITTED)
+
+
 def _submit_message(pool: PoolName, job: StageJob, now: float) -> SubmitJob:
     first = job.works[0].piece_id
     return SubmitJob(
@@ -635,6 +671,7 @@
         int(min(job.inputs_until - now, _NO_EXPIRY_S) * _MS_PER_S),
         job.n_refused,
         job.account,
+        job.origin.value,
     )
 
 
@@ -657,4 +694,5 @@
         now + message.inputs_left_ms / _MS_PER_S,
         message.n_refused,
         message.account,
+        _origin(message.origin),
     )
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/stage_run.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/stage_run.py
@@ -258,6 +258,7 @@
             self._inputs_until(stage),
             self._runner.take_refused(spec.pool, demand, now),
             demand.account,
+            self._plan.begin(stage),
         )
         self._jobs_by_stage[stage] = _Job(job_id, stage, spec.pool, now)
         owner = self._runner.dispatcher.submit(spec.pool, job, self._updates.put_nowait)
--- a/packages/aspendrift-model/src/aspendrift_model/pieces.py
+++ b/packages/aspendrift-model/src/aspendrift_model/pieces.py
@@ -8,7 +8,14 @@
 
 from aspendrift_model.ids import AttemptId
 
-__all__ = ["Handle", "PieceFailure", "PieceId", "PieceOutcome", "PieceWork"]
+__all__ = [
+    "Handle",
+    "JobOrigin",
+    "PieceFailure",
+    "PieceId",
+    "PieceOutcome",
+    "PieceWork",
+]
 
 Handle = NewType("Handle", str)
 
@@ -47,6 +54,21 @@
     INPUT_GONE = "input_gone"
     NO_MEMORY = "no_room"
     ERROR = "error"
+    # The retry budget of its pool allows no further call in time.
+    BUDGET_SPENT = "budget_spent"
+
+
+class JobOrigin(Enum):
+    """Why a stage job was submitted, which decides what it means for retry budgets."""
+
+    # The first job of its request in its pool.
+    FIRST = "first"
+    # Another stage of the request in the same pool.
+    FURTHER = "further"
+    # The results of an earlier job of the stage are gone.
+    REPEATED = "repeated"
+    # The owner of the pool was lost, and may have sent some of the pieces.
+    RESUBMITTED = "resubmitted"
 
 
 PieceOutcome = Handle | PieceFailure
--- a/packages/aspendrift-model/src/aspendrift_model/wire_work.py
+++ b/packages/aspendrift-model/src/aspendrift_model/wire_work.py
@@ -73,6 +73,7 @@
     inputs_left_ms: int
     n_refused: float = 0.0
     account: int = 0
+    origin: str = "first"
 
 
 class JobAccepted(msgspec.Struct, frozen=True, array_like=True, tag="a"):
--- a/packages/aspendrift-policy/src/aspendrift_policy/stage_plan.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/stage_plan.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 from aspendrift_model.ids import AttemptId
-from aspendrift_model.pieces import Handle, PieceId, PieceWork
+from aspendrift_model.pieces import Handle, JobOrigin, PieceId, PieceWork
 from aspendrift_model.routes import StageSpec
 
 __all__ = ["StagePlan", "StageTimes"]
@@ -74,6 +74,7 @@
             index: {} for index in self.specs_by_index
         }
         self._freed: set[int] = set()
+        self._begun: set[int] = set()
 
     @property
     def is_done(self) -> bool:
@@ -111,6 +112,15 @@
             if piece not in completed
         ]
 
+    def begin(self, stage: int) -> JobOrigin:
+        """Record that a job of a stage is submitted; return its origin."""
+        pool = self.specs_by_index[stage].pool
+        if stage in self._begun:
+            return JobOrigin.REPEATED
+        is_further = any(self.specs_by_index[n].pool == pool for n in self._begun)
+        self._begun.add(stage)
+        return JobOrigin.FURTHER if is_further else JobOrigin.FIRST
+
     def record_result(self, piece_id: PieceId, handle: Handle) -> list[int]:
         """Record a result; return the stages whose results are no longer needed."""
         self._results[piece_id.stage][piece_id.piece] = handle
--- a/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
@@ -15,6 +15,11 @@
 started or not. With a backlog and arrivals near the capacity, work for them would
 otherwise make every later job overdue as well. An overdue job that gets no capacity
 for a while is given up, so that its inputs are freed.
+
+A piece that was sent before is sent again only within the limit on repeats of the pool.
+Until that allows it, others go first; a job that it won't allow to complete in time is
+given up. A target that failed or rejected its last call is probed with one
+piece.
 """
 
 from __future__ import annotations
@@ -27,6 +32,7 @@
 from aspendrift_model.ids import ZoneName
 from aspendrift_model.pieces import (
     Handle,
+    JobOrigin,
     PieceFailure,
     PieceId,
     PieceOutcome,
@@ -34,6 +40,7 @@
 )
 from aspendrift_model.routes import PieceLimits
 from aspendrift_model.target_entries import TargetEntry, TargetKey
+from aspendrift_policy.repeat_window import RepeatWindow
 from aspendrift_policy.stage_times import CallTimes
 
 __all__ = [
@@ -65,8 +72,12 @@
 # Backoff after a failed call of a target, doubled at each further failure.
 _BACKOFF_S: Final = 0.25
 _MAX_BACKOFF_S: Final = 2.0
-# Backoff after a target rejected a call because it was full.
+# Backoff after a target rejected a call because it was full, doubled as above.
 _FULL_TARGET_BACKOFF_S: Final = 0.05
+# Pieces of a call to a target that failed or rejected the one before.
+_PROBE_PIECES: Final = 1
+# Interval at which pieces that wait for the limit on repeats are looked at.
+_REPEATS_POLL_S: Final = 0.05
 # Time for which a target that had no memory for a piece counts as full for pieces of
 # its size, except for memory freed since: most of a usual call. Such a piece is
 # rejected at once, so a retry is cheap.
@@ -122,6 +133,8 @@
         the measured demand.
     account : int
         Hash of the client account; 0 without one.
+    origin : JobOrigin
+        Why the job was submitted.
     """
 
     job_id: JobId
@@ -135,6 +148,7 @@
     inputs_until: float = math.inf
     n_refused: float = 0.0
     account: int = 0
+    origin: JobOrigin = JobOrigin.FIRST
 
 
 @dataclass(frozen=True, slots=True)
@@ -195,7 +209,7 @@
     spec: StageJob
     queued: dict[PieceId, PieceWork]
     incomplete: set[PieceId]
-    # Pieces that were sent to a target.
+    # Pieces that were sent to a target, so that another call repeats them.
     sent: set[PieceId] = field(default_factory=set)
     n_failures: int = 0
     has_started: bool = False
@@ -208,6 +222,11 @@
     def n_queued(self) -> int:
         return len(self.queued)
 
+    @property
+    def n_repeats(self) -> int:
+        """Number of queued pieces that were sent before."""
+        return len(self.queued.keys() & self.sent) if self.sent else 0
+
     @property
     def has_inputs(self) -> bool:
         return bool(self.spec.works and self.spec.works[0].inputs)
@@ -219,6 +238,10 @@
     bytes_each: tuple[float, ...]
     job_ids: tuple[JobId, ...]
     sent_at: float
+    # Pieces that no call had before, once it is being sent.
+    first: list[tuple[JobId, PieceId]] = field(default_factory=list)
+    # Pieces that were counted as repeats.
+    n_repeats: int = 0
     is_overdue: bool = False
 
 
@@ -228,10 +251,17 @@
     slowness: float = 1.0
     backoff_until: float = 0.0
     n_failures: int = 0
+    # Calls that it rejected since its last answer.
+    n_rejections: int = 0
     calls_by_id: dict[int, _Call] = field(default_factory=dict)
     untracked_bytes: float = 0.0
     untracked_until: float = 0.0
 
+    @property
+    def is_doubtful(self) -> bool:
+        """Whether the last call was not processed."""
+        return self.n_failures > 0 or self.n_rejections > 1
+
 
 @dataclass(slots=True)
 class _Result:
@@ -299,6 +329,9 @@
         self._incomplete_bytes = 0.0
         self._max_needed_bytes = 0.0
         self._next_call_id = 0
+        self._repeats: RepeatWindow | None = None
+        # Repeats that are allowed, during one plan.
+        self._n_repeats_left = math.inf
         # Whether jobs that can be on time were left over when all free slots had calls.
         # Those that arrive while all slots work are no sign of that: with room in the
         # calls, the next one takes them.
@@ -336,10 +369,15 @@
                 del self._targets_by_key[key]
         self._usable = frozenset(by_key)
 
+    def limit_repeats(self, repeats: RepeatWindow) -> None:
+        """Send pieces again only as far as a limit allows."""
+        self._repeats = repeats
+
     def submit(self, job: StageJob) -> None:
         """Accept a job and queue its pieces."""
         queued = {work.piece_id: work for work in job.works}
-        self._jobs_by_id[job.job_id] = _Job(job, queued, set(queued))
+        sent = set(queued) if job.origin is JobOrigin.REPEATED else set()
+        self._jobs_by_id[job.job_id] = _Job(job, queued, set(queued), sent)
 
     def cancel(self, job_id: JobId) -> None:
         """Remove a job; :meth:`ended` returns its later results as unneeded."""
@@ -376,6 +414,9 @@
         if n_free == 0:
             return []
         waiting = self._ordered_jobs(free_at, now)
+        if self._repeats is not None:
+            self._n_repeats_left = self._repeats.n_allowed(now)
+            waiting = [job for job in waiting if self._has_sendable(job)]
         if self.is_rationed and now < self._contended_until:
             waiting = [job for job in waiting if job.unserved_since is None]
         limit = self._call_size(waiting, free_at, now)
@@ -447,13 +488,37 @@
         call = None if target is None else target.calls_by_id.get(call_id)
         if call is None:
             return 0
-        n_repeated = 0
         for work, job_id in zip(call.plan.works, call.job_ids, strict=True):
             job = self._jobs_by_id.get(job_id)
-            if job is not None:
-                n_repeated += work.piece_id in job.sent
+            if job is not None and work.piece_id not in job.sent:
                 job.sent.add(work.piece_id)
-        return n_repeated
+                call.first.append((job_id, work.piece_id))
+        return len(call.plan.works) - len(call.first)
+
+    def postponed(self, call_id: int, key: TargetKey, now: float) -> list[JobUpdate]:
+        """Queue the pieces of a call again that was not sent yet."""
+        call = self._close_call(call_id, key, now)
+        if call is None:
+            return []
+        self._undo_sending(call)
+        for work, job_id in zip(call.plan.works, call.job_ids, strict=True):
+            self._requeue(job_id, work)
+        return self._withdrawn_updates(call)
+
+    def _undo_sending(self, call: _Call) -> None:
+        """Record that nothing of a call reached its target."""
+        if self._repeats is not None:
+            self._repeats.take_back(call.n_repeats)
+        for job_id, piece_id in call.first:
+            job = self._jobs_by_id.get(job_id)
+            if job is not None:
+                job.sent.discard(piece_id)
+
+    def _withdrawn_updates(self, call: _Call) -> list[JobUpdate]:
+        return [
+            JobUpdate(job_id, is_done=True)
+            for job_id in self._drop_withdrawn(call.job_ids)
+        ]
 
     def _is_needed(self, job_id: JobId, piece_id: PieceId) -> bool:
         job = self._jobs_by_id.get(job_id)
@@ -509,32 +574,36 @@
         return updates, unneeded
 
     def failed(
-        self, call_id: int, key: TargetKey, is_full: bool, now: float
+        self,
+        call_id: int,
+        key: TargetKey,
+        is_full: bool,
+        now: float,
+        *,
+        was_sent: bool = True,
     ) -> list[JobUpdate]:
         """Record that a call gave no results; its pieces are queued again."""
         call = self._close_call(call_id, key, now)
         if call is None:
             return []
+        if not was_sent:
+            self._undo_sending(call)
         target = self._targets_by_key.get(key)
         if target is not None:
-            target.n_failures += 0 if is_full else 1
-            backoff_s = min(
-                _MAX_BACKOFF_S, _BACKOFF_S * 2 ** max(0, target.n_failures - 1)
-            )
-            target.backoff_until = now + (
-                _FULL_TARGET_BACKOFF_S if is_full else backoff_s
-            )
+            if is_full:
+                target.n_rejections += 1
+                backoff_s = _backoff_s(_FULL_TARGET_BACKOFF_S, target.n_rejections)
+            else:
+                target.n_failures += 1
+                backoff_s = _backoff_s(_BACKOFF_S, target.n_failures)
+            target.backoff_until = now + backoff_s
         updates: list[JobUpdate] = []
         for work, job_id in zip(call.plan.works, call.job_ids, strict=True):
             if is_full:
                 self._requeue(job_id, work)
             else:
                 updates += self._piece_failed(job_id, work, PieceFailure.ERROR)
-        updates += [
-            JobUpdate(job_id, is_done=True)
-            for job_id in self._drop_withdrawn(call.job_ids)
-        ]
-        return updates
+        return updates + self._withdrawn_updates(call)
 
     def pause_target(self, key: TargetKey, until: float) -> None:
         """Plan no call to a target before a time."""
@@ -552,11 +621,38 @@
         ]
         for each in updates:
             del self._jobs_by_id[each.job_id]
+        updates += self._give_up_unaffordable(now)
         for target in self._targets_by_key.values():
             for call in target.calls_by_id.values():
                 self._check_overdue(target, call, now)
         return updates
 
+    def _give_up_unaffordable(self, now: float) -> list[JobUpdate]:
+        """End the jobs whose repeats won't be allowed before their deadlines.
+
+        Load it answers: targets that reject or lose most calls for seconds. Jobs that
+        wait in vain would hold the memory of those that don't.
+        """
+        if self._repeats is None:
+            return []
+        held = [
+            job
+            for job in self._jobs_by_id.values()
+            if job.n_repeats and not self._is_in_call(job)
+        ]
+        n_ahead = 0
+        given_up = []
+        for job in _by_objective(held):
+            n_needed = n_ahead + job.n_repeats
+            if n_needed > self._repeats.n_allowed_until(job.spec.deadline_at, now):
+                given_up.append(job.spec.job_id)
+            else:
+                n_ahead = n_needed
+        for job_id in given_up:
+            del self._jobs_by_id[job_id]
+        failure = PieceFailure.BUDGET_SPENT
+        return [JobUpdate(job_id, failure=failure) for job_id in given_up]
+
     def fail_queued(self) -> list[JobUpdate]:
         """End the jobs with queued pieces, since no target is left for those."""
         due = [job_id for job_id, job in self._jobs_by_id.items() if job.queued]
@@ -594,6 +690,8 @@
                 if target.untracked_until > now
             ]
             times += [result.until for result in self._results_by_handle.values()]
+            if any(job.n_repeats for job in self._jobs_by_id.values()):
+                times.append(now + _REPEATS_POLL_S)
         return min(times, default=None)
 
     def backlog(self) -> Mapping[int, int]:
@@ -830,14 +928,17 @@
         and are only left out of the rest of this plan.
         """
         free_bytes = self._free_bytes(target, now)
+        if target.is_doubtful:
+            limit = _PROBE_PIECES
         selected: list[tuple[_Job, PieceWork]] = []
         for job in list(jobs):
             if len(selected) >= limit:
                 break
             if not self._may_run(job, target, free_at, now):
                 continue
-            works = list(job.queued.values())
-            works = works[: self._n_addable(job, selected, limit, now)]
+            works = self._sendable(job)[: self._n_addable(job, selected, limit, now)]
+            if target.is_doubtful:
+                works = works[: limit - len(selected)]
             size = job.spec.result_bytes
             if is_sent and size > 0:
                 works = works[: max(0, int(free_bytes / size))]
@@ -846,19 +947,51 @@
                 continue
             selected += [(job, work) for work in works]
             if is_sent:
-                for work in works:
-                    del job.queued[work.piece_id]
-                job.has_started = True
-                self._incomplete_bytes += size * len(works)
-                self._max_needed_bytes = max(
-                    self._max_needed_bytes, size * job.n_queued
-                )
-                if job.unserved_since is not None:
-                    job.unserved_since = now
+                self._take(job, works, now)
             if not is_sent or not job.queued:
                 jobs.remove(job)
         return selected
 
+    def _take(self, job: _Job, works: Sequence[PieceWork], now: float) -> None:
+        """Take pieces from the queue of a job for a call that is sent now."""
+        self._count_repeats(job, works, now)
+        for work in works:
+            del job.queued[work.piece_id]
+        job.has_started = True
+        size = job.spec.result_bytes
+        self._incomplete_bytes += size * len(works)
+        self._max_needed_bytes = max(self._max_needed_bytes, size * job.n_queued)
+        if job.unserved_since is not None:
+            job.unserved_since = now
+
+    def _has_sendable(self, job: _Job) -> bool:
+        """Return whether a job has queued pieces that may be sent now."""
+        return self._n_repeats_left >= 1 or job.n_repeats < job.n_queued
+
+    def _sendable(self, job: _Job) -> list[PieceWork]:
+        """Return the queued pieces of a job that may be sent now, new ones first."""
+        if not job.n_repeats:
+            return list(job.queued.values())
+        new = [each for each in job.queued.values() if each.piece_id not in job.sent]
+        repeated = [each for each in job.queued.values() if each.piece_id in job.sent]
+        n_allowed = min(len(repeated), self._n_repeats_left)
+        return new + repeated[: int(n_allowed)]
+
+    def _count_repeats(self, job: _Job, works: Sequence[PieceWork], now: float) -> None:
+        """Count the pieces that a call repeats.
+
+        Those that an earlier owner may have sent are counted and not held back, since
+        most of them were not sent.
+        """
+        n_repeats = self._n_repeated(job, works)
+        if self._repeats is not None and n_repeats:
+            self._repeats.record_repeats(n_repeats, now)
+            self._n_repeats_left = max(0, self._n_repeats_left - n_repeats)
+
+    def _n_repeated(self, job: _Job, works: Iterable[PieceWork]) -> int:
+        is_charged = job.spec.origin is JobOrigin.RESUBMITTED
+        return sum(is_charged or each.piece_id in job.sent for each in works)
+
     def _n_addable(
         self,
         job: _Job,
@@ -1002,7 +1135,9 @@
         plan = PlannedCall(self._next_call_id, target.entry, works, expected_s)
         sizes = tuple(job.spec.result_bytes for job, _ in selected)
         job_ids = tuple(job.spec.job_id for job, _ in selected)
-        target.calls_by_id[plan.call_id] = _Call(plan, sizes, job_ids, now)
+        n_repeats = sum(self._n_repeated(job, [work]) for job, work in selected)
+        call = _Call(plan, sizes, job_ids, now, n_repeats=n_repeats)
+        target.calls_by_id[plan.call_id] = call
         self._add_held_bytes(target.entry.key, sum(sizes))
         return plan
 
@@ -1020,7 +1155,7 @@
     def _target_answered(self, key: TargetKey) -> None:
         target = self._targets_by_key.get(key)
         if target is not None:
-            target.n_failures = 0
+            target.n_failures = target.n_rejections = 0
 
     def _update_slowness(self, key: TargetKey, call: _Call, now: float) -> None:
         target = self._targets_by_key.get(key)
@@ -1119,6 +1254,11 @@
         return self.limits.call_duration_s(n_pieces) * target.slowness
 
 
+def _backoff_s(first_s: float, n_failures: int) -> float:
+    """Return the backoff after a number of failures in a row, at least one."""
+    return min(_MAX_BACKOFF_S, first_s * 2.0 ** min(n_failures - 1, 16))
+
+
 def _urgency(job: _Job, done_at: float) -> tuple[bool, bool, int, float]:
     """Return the sort key of a job: able to meet its objective, then started, by rank.
 
