--- a/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/events.py
@@ -524,7 +524,8 @@
 
     Logged by the pool's owner, at most once per second and pool, while there are jobs.
     ``n_overdue`` jobs can't meet their objectives, ``n_without_memory`` don't fit into
-    the free memory of the targets, of which ``memory_share`` is in use.
+    the free memory of the targets, of which ``memory_share`` is in use. ``n_repeats``
+    queued pieces were sent before and may wait for the limit on repeats.
     ``full_call_s`` is the learned time of a full call, ``configured_s`` the configured
     one. ``sent_bytes_per_s`` are the bodies of the calls since the last line, and
     ``loop_lag_s`` the longest delay of the owner's event loop.
@@ -538,6 +539,7 @@
     memory_share: float
     n_working: int
     n_targets: int
+    n_repeats: int
     full_call_s: float
     configured_s: float
     sent_bytes_per_s: float
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
@@ -561,10 +561,6 @@
         if failed.failure is PieceFailure.OVERDUE and not delivery.n_run:
             retry_s = self._admission.retry_after_s(chain, self._clock.monotonic())
             return Refusal(RefusalReason.OVERLOADED, detail, retry_s)
-        if failed.failure is PieceFailure.BUDGET_SPENT:
-            reason = RefusalReason.RETRY_BUDGET_SPENT
-            refusal = Refusal(reason, detail, _TARGET_RETURN_S)
-            return delivery.unserved(detail, refusal)
         evacuation = self._evacuation_detail(chain)
         if evacuation is not None:
             detail = f"{detail}, {evacuation}"
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
@@ -465,6 +465,7 @@
                     state.memory_share,
                     state.n_working,
                     state.n_targets,
+                    state.n_repeats,
                     scheduler.times.full_call_s,
                     scheduler.limits.full_call_s,
                     n_bytes / since_s,
--- a/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
@@ -194,6 +194,8 @@
         Share of the memory for results that is in use, of all usable targets.
     n_working, n_targets : int
         Usable targets with a call, and all of them.
+    n_repeats : int
+        Queued pieces that were sent before.
     """
 
     n_jobs: int
@@ -202,6 +204,7 @@
     memory_share: float
     n_working: int
     n_targets: int
+    n_repeats: int
 
 
 @dataclass(slots=True)
@@ -650,8 +653,7 @@
                 n_ahead = n_needed
         for job_id in given_up:
             del self._jobs_by_id[job_id]
-        failure = PieceFailure.BUDGET_SPENT
-        return [JobUpdate(job_id, failure=failure) for job_id in given_up]
+        return [JobUpdate(job_id, failure=PieceFailure.OVERDUE) for job_id in given_up]
 
     def fail_queued(self) -> list[JobUpdate]:
         """End the jobs with queued pieces, since no target is left for those."""
@@ -728,6 +730,7 @@
             1.0 - free_bytes / memory_bytes if memory_bytes else 0.0,
             sum(bool(each.calls_by_id) for each in targets),
             len(targets),
+            sum(job.n_repeats for job in queued),
         )
 
     def capacity_per_s(self) -> float:
