A request that reached a target is handed over within the retry budget

The other daemon counted it as a first attempt, so that it reached a second target as a repeat that no budget allowed, and added to the budget there. Class: a limit on the sum that is kept part by part, with a way around it.

Each attempt that reached a target now needs a token before the request goes on, wherever.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/attempts.py
@@ -198,6 +198,8 @@
         Events that earlier attempts sent.
     is_counted : bool
         Whether the first attempt was added to the retry budget.
+    needs_token : bool
+        Whether a target got the request since the last token of the budget was drawn.
     software : SoftwareVersion or None
         Software version of the target that began the stream; other versions can't
         continue it. None before the first event.
@@ -221,6 +223,7 @@
     first_byte_at: float | None = None
     n_events_before: int = 0
     is_counted: bool = False
+    needs_token: bool = False
     software: SoftwareVersion | None = None
     is_answer_complete: bool = False
     media_type: bytes = b""
@@ -404,7 +407,9 @@
         budget = self._budgets.of(delivery.routed.pool, now)
         if not delivery.is_counted:
             delivery.is_counted = True
-            budget.record_first_attempt(now)
+            # The daemon that handed a request over has counted it.
+            if delivery.routed.request.handed_over is None:
+                budget.record_first_attempt(now)
             return None
         if budget.may_retry(now):
             budget.consume()
@@ -461,6 +466,18 @@
         excluded = _excluded(delivery, usable)
         return any(each.key.target_id not in excluded for each in usable)
 
+    def draw_token(self, delivery: Delivery) -> bool:
+        """Return whether a request may go on elsewhere; it draws on the budget."""
+        if not delivery.needs_token:
+            return True
+        now = self._clock.monotonic()
+        budget = self._budgets.of(delivery.routed.pool, now)
+        if not budget.may_retry(now):
+            return False
+        budget.consume()
+        delivery.needs_token = False
+        return True
+
     def forget_failures(self) -> None:
         """Use all targets again, since failures were not theirs."""
         for chooser in self._choosers_by_pool.values():
@@ -909,25 +926,18 @@
     def _may_retry(self, delivery: Delivery, result: _FailedAttempt) -> bool:
         """Count a failed attempt and decide whether to make another."""
         routed = delivery.routed
-        now = self._clock.monotonic()
-        budget = self._budgets.of(routed.pool, now)
         if not result.may_have_run:
             delivery.n_not_run += 1
+            is_sent = result.verdict is not AttemptVerdict.NOT_SENT
+            delivery.needs_token = delivery.needs_token or is_sent
             if delivery.n_not_run > _MAX_NOT_RUN_ATTEMPTS:
                 return False
-            if result.verdict is AttemptVerdict.NOT_SENT:
-                return True
-            if not budget.may_retry(now):
-                return False
-            budget.consume()
-            return True
+            return not is_sent or self.draw_token(delivery)
         delivery.n_run += 1
-        if not routed.route.may_repeat:
+        delivery.needs_token = True
+        if not routed.route.may_repeat or delivery.n_run >= routed.route.max_attempts:
             return False
-        if delivery.n_run >= routed.route.max_attempts or not budget.may_retry(now):
-            return False
-        budget.consume()
-        return True
+        return self.draw_token(delivery)
 
     def _final_outcome(
         self, delivery: Delivery, result: _FailedAttempt
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/request_path.py
@@ -389,6 +389,8 @@
             outcome = await self._run(opened, table, delivery)
             if isinstance(outcome, Served) or not self._handover.is_due(delivery):
                 return outcome
+            if not self._sender.draw_token(delivery):
+                return outcome
         refusal = self._sender.refuse_late(delivery)
         if refusal is not None:
             return refusal
--- a/tests/aspendrift_platform/test_lost_links.py
+++ b/tests/aspendrift_platform/test_lost_links.py
@@ -181,6 +181,48 @@
     run_scenario(scenario, n_gateways=3)
 
 
+def breaks_off(run):
+    """Return a target's reaction to a request after which its connection breaks."""
+
+    async def run_and_break(scope, headers, send):
+        await run(scope, headers, silent)
+        await asyncio.sleep(0.3)
+        raise ConnectionError("broken by the test")
+
+    async def silent(message):
+        pass
+
+    return run_and_break
+
+
+def test_request_that_reached_a_target_is_handed_over_only_within_the_retry_budget(
+    run_scenario, monkeypatch
+):
+    async def scenario(cluster):
+        stranded = cluster.gateways[0]
+        budget = stranded.budgets.of("desk", stranded.clock.monotonic())
+        while budget.may_retry(stranded.clock.monotonic()):
+            budget.consume()
+        budget.floor_per_s = 0.0
+        for target in cluster.platform.targets_by_name.values():
+            target._run = breaks_off(target._run)
+        calling = asyncio.create_task(cluster.call(stranded, "/safe/a"))
+        await cluster.until(
+            lambda: "desk" in cluster.platform.records.arrivals_by_service
+        )
+        links, found = stranded.links, type(stranded.links)
+        is_lost = found.is_lost.fget
+        monkeypatch.setattr(
+            found, "is_lost", property(lambda each: each is links or is_lost(each))
+        )
+        attempt_id, answer = await calling
+        arrivals = cluster.platform.records.arrivals_by_service["desk"]
+        assert [each for _, each in arrivals] == [attempt_id]
+        assert answer.status_code == 502
+
+    run_scenario(scenario, n_gateways=3)
+
+
 def test_gateway_learns_the_configuration_by_which_its_request_was_served(
     run_scenario,
 ):
