Leave more of the limit on repeats for changes of the owner

Gateways are killed every 2 s while half of the calls fail; pieces that a lost owner had sent are sent again by the next one, counted and not held back. An owner uses 0.7 of the limit instead of 0.8, a new one 0.2 of that at the end of its first window instead of 0.25.

--- a/packages/aspendrift-policy/src/aspendrift_policy/repeat_window.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/repeat_window.py
@@ -21,9 +21,9 @@
 
 # Share of the common limit that one owner uses. The rest covers calls of other daemons
 # while the owner changes.
-_OWNER_SHARE: Final = 0.8
+_OWNER_SHARE: Final = 0.7
 # Share of this that a new owner may use at the end of its first window.
-_NEW_OWNER_SHARE: Final = 0.25
+_NEW_OWNER_SHARE: Final = 0.2
 # Time within which events are counted together.
 _SLOT_S: Final = 0.05
 
