Bound what the store, other daemons and the daemon's own peers may send

Report of other operators: bytes without end, in a head or a body, until the caller closes; the process that had called runs out of memory. Targets of a gateway were bounded; the store was not, nor answers of other daemons (64 MiB whatever the memory), nor any body, line or compressed body that the daemon's own interface reads.

Class: a resource of all requests that one peer may use up. Bodies that are read as a whole are now bounded where they are read, in the connection pool, each and all together; the gateway's budgets are shares of its memory. Lines of streams have a bound of their own. Compressed bodies are neither asked for nor taken. body_too_large tells the peer. An answer that is too large is no sign of a crash, so the target is not probed for it.

Evidence: 12 cases of test_clients_of_a_daemon_keep_no_body_without_end, test_clients_of_a_daemon_decode_no_compressed_body and test_answers_of_the_store_without_end_are_not_kept failed before.

--- a/packages/aspendrift-daemon/src/aspendrift_daemon/metered_transport.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/metered_transport.py
@@ -21,6 +21,7 @@
     SurplusUnreadable,
     has_second_status_line,
 )
+from aspendrift_policy.buffer_budget import BufferBudget
 from aspendrift_policy.read_limits import (
     BodyChunks,
     ChunkQuota,
@@ -31,7 +32,10 @@
 
 __all__ = [
     "AWAITED_ANSWER",
+    "STREAMED_BODY",
+    "BodyBounds",
     "BodyFragmented",
+    "BodyTooLarge",
     "ConnectionMeter",
     "FragmentedBody",
     "HeadTooLong",
@@ -39,11 +43,14 @@
     "LoopHeld",
     "MeteredStream",
     "MeteredTransport",
+    "OversizedBody",
     "SurplusAnswers",
 ]
 
 # Extension of a request by which surplus answers on its connection are recognised.
 AWAITED_ANSWER: Final = "awaited_answer"
+# Extension of a request whose body its sender bounds, as it does not keep it.
+STREAMED_BODY: Final = "streamed_body"
 
 # Requests that wait this long for the event loop are noticed by their callers.
 _MIN_HELD_S: Final = 0.1
@@ -79,6 +86,19 @@
     n_bytes: int
 
 
+@dataclass(frozen=True, slots=True)
+class BodyTooLarge(Event):
+    """An exchange was ended since its body is too large, or encoded.
+
+    ``n_bytes`` were read.
+    """
+
+    name: ClassVar[str] = "body_too_large"
+    address: str
+    n_bytes: int
+    detail: str
+
+
 @dataclass(frozen=True, slots=True)
 class HeadTooLong(Event):
     """An exchange was ended since the heads of its answer have too many lines."""
@@ -100,6 +120,10 @@
     """A body came in too many small chunks."""
 
 
+class OversizedBody(httpx.RemoteProtocolError):
+    """A body is larger than what is kept of it, or encoded."""
+
+
 class LongHead(httpx.RemoteProtocolError):
     """The heads of an answer have too many lines or bytes."""
 
@@ -129,6 +153,22 @@
             self.events.emit(event)
 
 
+@dataclass(frozen=True, slots=True)
+class BodyBounds:
+    """Bounds on the bodies that are read as a whole.
+
+    Parameters
+    ----------
+    max_bytes : int
+        Bytes of one body.
+    budget : BufferBudget
+        Bytes of all bodies that are being read.
+    """
+
+    max_bytes: int
+    budget: BufferBudget
+
+
 # Set while a request is sent, since the pool hands no extensions to its connections.
 _awaited_answer: ContextVar[AwaitedAnswer | None] = ContextVar(
     "awaited_answer", default=None
@@ -244,13 +284,15 @@
         """Close the connection once the present exchange has ended."""
         self._is_retired = True
 
-    def body(self, stream: httpx.AsyncByteStream) -> httpx.AsyncByteStream:
+    def body(
+        self, stream: httpx.AsyncByteStream, bounds: BodyBounds | None
+    ) -> httpx.AsyncByteStream:
         """Return the body of the answer whose head was read, with its bounds."""
         self.head.end()
         if self.n_surplus:
             self._meter.emit(SurplusAnswers(self._address, self.n_surplus))
             self.retire()
-        return _MeteredBody(stream, self._address, self._meter)
+        return _MeteredBody(stream, self._address, self._meter, bounds)
 
     def _turn_ended(self) -> None:
         self._handed_over_at = None
@@ -268,17 +310,24 @@
     """A body that is paced, and broken off once it is fragmented beyond use."""
 
     def __init__(
-        self, stream: httpx.AsyncByteStream, address: str, meter: ConnectionMeter
+        self,
+        stream: httpx.AsyncByteStream,
+        address: str,
+        meter: ConnectionMeter,
+        bounds: BodyBounds | None,
     ) -> None:
         self._stream = stream
         self._address = address
         self._meter = meter
+        self._bounds = bounds
+        self._n_held = 0
 
     async def __aiter__(self) -> AsyncIterator[bytes]:
         loop = asyncio.get_running_loop()
         chunks, quota = BodyChunks(), ChunkQuota(loop.time())
         async for chunk in self._stream:
             chunks.record(len(chunk))
+            self._hold(len(chunk))
             if chunks.n_chunks % _CHECK_CHUNKS == 0:
                 self._raise_if_fragmented(chunks)
                 now = loop.time()
@@ -288,8 +337,27 @@
             yield chunk
 
     async def aclose(self) -> None:
+        if self._bounds is not None:
+            self._bounds.budget.release(self._n_held)
+            self._n_held = 0
         await _close(self._stream.aclose())
 
+    def _hold(self, n_bytes: int) -> None:
+        """Reserve memory for a part of a body that is kept until it is whole."""
+        bounds = self._bounds
+        if bounds is None:
+            return
+        n_held = self._n_held + n_bytes
+        if n_held > bounds.max_bytes:
+            detail = f"over {bounds.max_bytes} bytes"
+        elif not bounds.budget.reserve(n_bytes):
+            detail = "buffers are full"
+        else:
+            self._n_held = n_held
+            return
+        self._meter.emit(BodyTooLarge(self._address, n_held, detail))
+        raise OversizedBody(detail)
+
     def _raise_if_fragmented(self, chunks: BodyChunks) -> None:
         if not chunks.is_fragmented:
             return
@@ -350,6 +418,9 @@
     ----------
     limits : httpx.Limits
         Numbers of connections, and the time that idle ones are kept.
+    bounds : BodyBounds or None
+        Bounds on the bodies of all answers but those with `STREAMED_BODY`. None if the
+        users of the transport bound what they read.
     """
 
     def __init__(
@@ -358,7 +429,10 @@
         limits: httpx.Limits,
         meter: ConnectionMeter,
         socket_options: _SocketOptions = None,
+        bounds: BodyBounds | None = None,
     ) -> None:
+        self._meter = meter
+        self._bounds = bounds
         super().__init__(verify=verify, trust_env=False, limits=limits)
         # httpx has no option for the network backend of its pool.
         self._pool = _ConnectionPool(
@@ -376,6 +450,9 @@
         With the extension `AWAITED_ANSWER`, surplus answers before it are skipped.
         Raises `SurplusUnreadable` if one was cut off.
         """
+        bounds = None if request.extensions.get(STREAMED_BODY) else self._bounds
+        if bounds is not None:
+            request.headers["accept-encoding"] = "identity"
         token = _awaited_answer.set(request.extensions.get(AWAITED_ANSWER))
         try:
             response = await super().handle_async_request(request)
@@ -388,10 +465,16 @@
         if _is_joined(response):
             await _close(response.aclose())
             raise SurplusUnreadable("second status line in the head")
+        if bounds is not None and "content-encoding" in response.headers:
+            # A small encoded body may hold any number of bytes.
+            await _close(response.aclose())
+            address = request.url.netloc.decode("ascii", "replace")
+            self._meter.emit(BodyTooLarge(address, 0, "encoded"))
+            raise OversizedBody("encoded")
         connection = response.extensions["network_stream"]
         assert isinstance(response.stream, httpx.AsyncByteStream)
         if isinstance(connection, MeteredStream):
-            response.stream = connection.body(response.stream)
+            response.stream = connection.body(response.stream, bounds)
         return response
 
 
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/platform_clients.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/platform_clients.py
@@ -10,12 +10,21 @@
 import httpx
 
 from aspendrift_daemon.interfaces import MembershipList
-from aspendrift_daemon.metered_transport import ConnectionMeter, MeteredTransport
+from aspendrift_daemon.metered_transport import (
+    BodyBounds,
+    ConnectionMeter,
+    MeteredTransport,
+)
 from aspendrift_daemon.platform_http import HttpMembershipList
 from aspendrift_model.settings_platform import PlatformSettings
+from aspendrift_policy.buffer_budget import BufferBudget
 
 __all__ = ["list_client", "membership_list", "platform_client"]
 
+# Bytes of one answer, and of all that a client reads at the same time: pages of the
+# table have a few hundred rows.
+_MAX_ANSWER_BYTES: Final = 8 * 1024 * 1024
+_MAX_READ_BYTES: Final = 32 * 1024 * 1024
 _LIMITS: Final = httpx.Limits(max_connections=100, max_keepalive_connections=20)
 
 
@@ -46,10 +55,11 @@
     else:
         verify = httpx.create_ssl_context(trust_env=False)
     auth = _FileToken(Path(settings.token_file)) if settings.token_file else None
+    bounds = BodyBounds(_MAX_ANSWER_BYTES, BufferBudget(_MAX_READ_BYTES))
     return httpx.AsyncClient(
         base_url=base_url,
         timeout=settings.timeout_s,
-        transport=MeteredTransport(verify, _LIMITS, meter),
+        transport=MeteredTransport(verify, _LIMITS, meter, bounds=bounds),
         auth=auth,
         trust_env=False,
     )
--- a/packages/aspendrift-daemon/src/aspendrift_daemon/targets.py
+++ b/packages/aspendrift-daemon/src/aspendrift_daemon/targets.py
@@ -14,7 +14,13 @@
 import msgspec
 
 from aspendrift_daemon.interfaces import Clock
-from aspendrift_daemon.metered_transport import ConnectionMeter, MeteredTransport
+from aspendrift_daemon.metered_transport import (
+    STREAMED_BODY,
+    BodyBounds,
+    ConnectionMeter,
+    MeteredTransport,
+    OversizedBody,
+)
 from aspendrift_model.decode_errors import DECODE_ERRORS
 from aspendrift_model.ids import AttemptId, TargetId
 from aspendrift_model.settings_requests import RequestSettings
@@ -27,6 +33,7 @@
     StageCall,
     StageRejection,
 )
+from aspendrift_policy.buffer_budget import BufferBudget
 
 __all__ = [
     "AttemptFailure",
@@ -47,6 +54,11 @@
 _PROBE_INTERVAL_S: Final = 0.02
 _MAX_PROBES: Final = 5
 _BODY_END_TIMEOUT_S: Final = 0.02
+# Bytes of one answer that is read as a whole, of all that are being read, and of one
+# line of a stream.
+_MAX_ANSWER_BYTES: Final = 16 * 1024 * 1024
+_MAX_READ_BYTES: Final = 64 * 1024 * 1024
+_MAX_LINE_BYTES: Final = 1024 * 1024
 _REJECTION_STATUSES: Final = frozenset({*range(400, 500), 503})
 _CONNECT_ERRORS: Final = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 _EVENT_DECODER: Final = msgspec.json.Decoder(GeneratedEvent)
@@ -128,6 +140,7 @@
         self._clock = clock
         self._transport = transport
         self._tls = ssl.create_default_context()
+        self._bounds = BodyBounds(_MAX_ANSWER_BYTES, BufferBudget(_MAX_READ_BYTES))
         self._clients_by_id: dict[TargetId, httpx.AsyncClient] = {}
 
     async def call(
@@ -227,7 +240,7 @@
             base_url=target.url,
             timeout=timeout,
             transport=self._transport
-            or MeteredTransport(self._tls, limits, self._meter),
+            or MeteredTransport(self._tls, limits, self._meter, bounds=self._bounds),
             trust_env=False,
         )
 
@@ -237,6 +250,8 @@
         detail = type(error).__name__
         if isinstance(error, _CONNECT_ERRORS):
             return NotSent(detail)
+        if isinstance(error, OversizedBody):
+            return Broken(detail)
         return Broken(detail, await self.is_down(target))
 
     async def _stream(
@@ -253,7 +268,12 @@
         try:
             async with asyncio.timeout(timeout_s):
                 request = self._client(target).build_request(
-                    "POST", path, content=body, headers=_JSON, params=params
+                    "POST",
+                    path,
+                    content=body,
+                    headers=_JSON,
+                    params=params,
+                    extensions={STREAMED_BODY: True},
                 )
                 response = await self._client(target).send(request, stream=True)
         except TimeoutError:
@@ -262,7 +282,7 @@
         except httpx.HTTPError as error:
             yield await self._transport_failure(target, error)
             return
-        lines = response.aiter_lines()
+        lines = _lines(response)
         ended = False
         try:
             async for item in self._items(target, call, response, lines, ends_at):
@@ -278,7 +298,7 @@
         target: Target,
         call: StageCall,
         response: httpx.Response,
-        lines: AsyncIterator[str],
+        lines: AsyncIterator[bytes],
         ends_at: float,
     ) -> AsyncGenerator[StreamItem, None]:
         if response.status_code != 200:
@@ -295,13 +315,13 @@
     ) -> AttemptFailure:
         try:
             async with asyncio.timeout(ends_at - self._clock.monotonic()):
-                content = await response.aread()
+                content = await _bounded_body(response)
         except (TimeoutError, httpx.HTTPError):
             return Broken(f"status {response.status_code}")
         return _rejection(call, response.status_code, content)
 
     async def _next_item(
-        self, target: Target, lines: AsyncIterator[str], ends_at: float
+        self, target: Target, lines: AsyncIterator[bytes], ends_at: float
     ) -> StreamItem:
         remaining_s = ends_at - self._clock.monotonic()
         stall_s = self._settings.token_stall_ms / 1000
@@ -329,7 +349,34 @@
     return failure
 
 
-async def _drain_body(lines: AsyncIterator[str]) -> None:
+async def _lines(response: httpx.Response) -> AsyncIterator[bytes]:
+    """Yield the lines of a body; raises `OversizedBody` at a long one."""
+    rest = b""
+    async for chunk in response.aiter_raw():
+        *lines, rest_of_chunk = chunk.split(b"\n")
+        for line in lines:
+            yield rest + line
+            rest = b""
+        rest += rest_of_chunk
+        if len(rest) > _MAX_LINE_BYTES:
+            raise OversizedBody(f"line over {_MAX_LINE_BYTES} bytes")
+    if rest:
+        yield rest
+
+
+async def _bounded_body(response: httpx.Response) -> bytes:
+    """Return the body of a refusal; raises ``httpx.HTTPError`` if it is too long."""
+    if response.is_stream_consumed:
+        return response.content
+    body = bytearray()
+    async for chunk in response.aiter_raw():
+        body += chunk
+        if len(body) > _MAX_LINE_BYTES:
+            raise OversizedBody(f"refusal over {_MAX_LINE_BYTES} bytes")
+    return bytes(body)
+
+
+async def _drain_body(lines: AsyncIterator[bytes]) -> None:
     """Read the body to its end; otherwise the connection can't be reused."""
     try:
         async with asyncio.timeout(_BODY_END_TIMEOUT_S):
--- a/packages/aspendrift-daemon/tests/test_metered_transport.py
+++ b/packages/aspendrift-daemon/tests/test_metered_transport.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import gzip
 import ssl
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -16,6 +17,7 @@
 from aspendrift_daemon.interfaces import StoreUnavailable
 from aspendrift_daemon.metered_transport import (
     BodyFragmented,
+    BodyTooLarge,
     ConnectionMeter,
     FragmentedBody,
     HeadTooLong,
@@ -43,6 +45,8 @@
 MAX_CHUNKS_PER_TURN = 65
 
 MAX_REPEATED_BYTES = 2 * 1024 * 1024
+# More than any client may keep.
+ENDLESS_BYTES = 64 * 1024 * 1024
 
 Serve = Callable[[asyncio.StreamWriter], Awaitable[None]]
 
@@ -296,9 +300,8 @@
         assert isinstance(found, StoreUnavailable)
 
 
-async def run_stage(world: World) -> None:
-    client = TargetClient(RequestSettings(), SystemClock(), meter=world.meter)
-    target = Target(
+def target_of(world: World) -> Target:
+    return Target(
         TargetId("t"),
         PoolName("p"),
         TargetKind.SERVICE,
@@ -306,12 +309,64 @@
         ZoneName("z"),
         RegionName("r"),
     )
+
+
+async def run_stage(world: World) -> None:
+    client = TargetClient(RequestSettings(), SystemClock(), meter=world.meter)
     call = StageCall("r1", "a.1", "s", StageKind.CALL, "in", 1000)
-    found = await client.call(target, call, 30.0)
+    found = await client.call(target_of(world), call, 30.0)
     assert isinstance(found, Broken)
     await client.close()
 
 
+async def generate(world: World) -> None:
+    client = TargetClient(RequestSettings(), SystemClock(), meter=world.meter)
+    call = StageCall("r1", "a.1", "s", StageKind.CALL, "in", 1000)
+    found = [item async for item in client.generate(target_of(world), call, 30.0)]
+    assert [type(each) for each in found] == [Broken]
+    await client.close()
+
+
+@pytest.mark.parametrize("call", [read_load, read_rows, run_stage, generate])
+@pytest.mark.parametrize(
+    "head",
+    [HEAD + b"\r\n", HEAD + b"Content-Length: 99999999999\r\n\r\n"],
+    ids=["unframed", "length"],
+)
+def test_clients_of_a_daemon_keep_no_body_without_end(
+    call: Callable[[World], Awaitable[None]], head: bytes
+) -> None:
+    """Guards against a daemon that runs out of memory over one answer."""
+    n_sent = 0
+
+    async def serve(writer: asyncio.StreamWriter) -> None:
+        nonlocal n_sent
+        writer.write(head)
+        while n_sent < ENDLESS_BYTES:
+            writer.write(b"x" * 100_000)
+            n_sent += 100_000
+            await writer.drain()
+        raise ConnectionError("bytes without end have an end in tests")
+
+    run(serve, call)
+    assert n_sent < ENDLESS_BYTES
+
+
+@pytest.mark.parametrize("call", [read_load, read_rows, run_stage])
+def test_clients_of_a_daemon_decode_no_compressed_body(
+    call: Callable[[World], Awaitable[None]],
+) -> None:
+    """Guards against a small body that takes the memory of a large one."""
+    content = gzip.compress(b" " * 20_000_000)
+    head = HEAD + b"Content-Encoding: gzip\r\nContent-Length: %d\r\n\r\n"
+
+    async def scenario(world: World) -> None:
+        await call(world)
+        assert BodyTooLarge in [type(each) for each in world.events]
+
+    run(sends(head % len(content) + content), scenario)
+
+
 @pytest.mark.parametrize("call", [read_load, read_rows, run_stage])
 def test_clients_of_a_daemon_break_off_a_body_without_end(
     call: Callable[[World], Awaitable[None]],
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/gateway.py
@@ -121,9 +121,11 @@
         self.metrics.connect(events)
         self.state = SystemState(codec, events)
         meter = ConnectionMeter(events)
-        self.store = StoreClient(settings.store_address, codec.store, meter)
-        self.unreadable_headers = UnreadableHeaders(events)
         self.buffers = BufferShares.within(settings.memory_bytes)
+        self.store = StoreClient(
+            settings.store_address, codec.store, meter, buffers=self.buffers.store
+        )
+        self.unreadable_headers = UnreadableHeaders(events)
         self.client = TargetClient(
             codec.target,
             lambda key: self.peer_state.target_leaving(key),
@@ -145,7 +147,12 @@
             self._on_links_changed,
         )
         self.client.links = self.links
-        self.peer_client = TargetClient(codec.target, lambda key: None, meter=meter)
+        self.peer_client = TargetClient(
+            codec.target,
+            lambda key: None,
+            buffers=self.buffers.answers,
+            meter=meter,
+        )
         self.crashes = ContentCrashes(
             lambda report: self.peer_state.broadcast_completed(report),
             self.clock,
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/store_client.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/store_client.py
@@ -13,9 +13,10 @@
 
 import httpx
 
-from aspendrift_daemon.metered_transport import ConnectionMeter
+from aspendrift_daemon.metered_transport import BodyBounds, ConnectionMeter
 from aspendrift_gateway.interfaces import HttpCall, StoreCodec, StoreRows
 from aspendrift_gateway.transports import plain_transport
+from aspendrift_policy.buffer_budget import BufferBudget
 
 __all__ = [
     "HistoryGone",
@@ -33,6 +34,9 @@
 _MAX_CONNECTIONS: Final = 4
 # Of the repeats of all operations.
 _MAX_REPEAT_CONNECTIONS: Final = 8
+# The store answers with 500 rows or 1 MB of values at most, encoded in base64.
+_MAX_ANSWER_BYTES: Final = 4 * 1024 * 1024
+_MAX_READ_BYTES: Final = 16 * 1024 * 1024
 _REJECTIONS: Final = frozenset({429, 503})
 _GONE: Final = 410
 _OK: Final = 200
@@ -82,6 +86,8 @@
         What all connections of the process share.
     transport : httpx.AsyncBaseTransport or None
         Used instead of the network.
+    buffers : BufferBudget or None
+        Memory for all answers that are being read.
     """
 
     def __init__(
@@ -90,14 +96,18 @@
         codec: StoreCodec,
         meter: ConnectionMeter | None = None,
         transport: httpx.AsyncBaseTransport | None = None,
+        buffers: BufferBudget | None = None,
     ) -> None:
         self.codec = codec
         self._base = f"http://{address}"
         meter = meter or ConnectionMeter()
-        self._transport = transport or plain_transport(_MAX_CONNECTIONS, None, meter)
+        bounds = BodyBounds(_MAX_ANSWER_BYTES, buffers or BufferBudget(_MAX_READ_BYTES))
+        self._transport = transport or plain_transport(
+            _MAX_CONNECTIONS, None, meter, bounds=bounds
+        )
         # Kept connections may have gone silent together.
         self._repeat_transport = transport or plain_transport(
-            _MAX_REPEAT_CONNECTIONS, None, meter, is_reused=False
+            _MAX_REPEAT_CONNECTIONS, None, meter, is_reused=False, bounds=bounds
         )
         self.n_calls = 0
         self._era = 0
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/transports.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/transports.py
@@ -8,7 +8,11 @@
 
 import httpx
 
-from aspendrift_daemon.metered_transport import ConnectionMeter, MeteredTransport
+from aspendrift_daemon.metered_transport import (
+    BodyBounds,
+    ConnectionMeter,
+    MeteredTransport,
+)
 
 __all__ = ["plain_transport"]
 
@@ -25,6 +29,7 @@
     meter: ConnectionMeter,
     *,
     is_reused: bool = True,
+    bounds: BodyBounds | None = None,
 ) -> httpx.AsyncHTTPTransport:
     """Return a connection pool without retries, redirects or proxies.
 
@@ -34,6 +39,8 @@
         Time after which an idle connection is not reused; None for no limit.
     is_reused : bool
         Whether connections are kept for other exchanges.
+    bounds : BodyBounds or None
+        Bounds on bodies that are read as a whole.
     """
     limits = httpx.Limits(
         max_connections=max_connections,
@@ -48,4 +55,5 @@
             (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
             (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS),
         ],
+        bounds=bounds,
     )
--- a/packages/aspendrift-policy/src/aspendrift_policy/buffer_budget.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/buffer_budget.py
@@ -18,6 +18,7 @@
 _REQUESTS_SHARE: Final = 0.15
 _ANSWERS_SHARE: Final = 0.15
 _UNREAD_SHARE: Final = 0.1
+_STORE_SHARE: Final = 0.05
 
 
 class BufferBudget:
@@ -106,11 +107,14 @@
         Answers of targets that are read as a whole.
     unread : UnreadAnswers
         Parts of answers that callers have not read yet.
+    store : BufferBudget
+        Answers of the platform's store that are being read.
     """
 
     requests: BufferBudget
     answers: BufferBudget
     unread: UnreadAnswers
+    store: BufferBudget
 
     @classmethod
     def within(cls, memory_bytes: float) -> BufferShares:
@@ -119,4 +123,5 @@
             BufferBudget(int(memory_bytes * _REQUESTS_SHARE)),
             BufferBudget(int(memory_bytes * _ANSWERS_SHARE)),
             UnreadAnswers(BufferBudget(int(memory_bytes * _UNREAD_SHARE))),
+            BufferBudget(int(memory_bytes * _STORE_SHARE)),
         )
--- a/tests/aspendrift_platform/test_endless_answers.py
+++ b/tests/aspendrift_platform/test_endless_answers.py
@@ -6,9 +6,10 @@
 import collections
 
 import pytest
+from platform_emulator import MAX_ENDLESS_BYTES
 from scripted_target import CHUNKED, MAX_REPEATED_BYTES, Script, chunks
 
-from aspendrift_daemon.metered_transport import BodyFragmented
+from aspendrift_daemon.metered_transport import BodyFragmented, BodyTooLarge
 from aspendrift_gateway.events import TargetBroke
 from aspendrift_gateway.target_client import Answer
 
@@ -91,6 +92,25 @@
     run_scripted("first", scenario)
 
 
+def test_answers_of_the_store_without_end_are_not_kept(run_scenario):
+    async def scenario(cluster):
+        store = cluster.platform.store
+        store.is_endless = True
+        await cluster.until(
+            lambda: any(isinstance(each, BodyTooLarge) for each in cluster.events)
+        )
+        _, answer = await cluster.call(cluster.gateways[0], "/safe/x")
+        assert answer.status_code == 200
+        store.is_endless = False
+        cluster.platform.configure(2)
+        await cluster.until(
+            lambda: cluster.gateways[0].state.configuration_version == 2
+        )
+        assert 0 < store.n_endless_bytes < MAX_ENDLESS_BYTES
+
+    run_scenario(scenario)
+
+
 def ended_fragmented(world):
     """Return the addresses of the exchanges that will end as too fragmented."""
     found = []
