Tell the next owner of a pool what was sent again

The load that an owner sends to all daemons now has the requests and the repeated pieces of its last window, also without a backlog while there are repeats. The next owner counts them as its own and uses the whole of its part, 0.75 of the limit. Only a process that was told nothing has a part that grows, to a third, until a window has passed since its start.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
@@ -26,6 +26,7 @@
 from aspendrift_model.ids import PoolName, TargetId
 from aspendrift_model.pieces import Handle, JobOrigin, PieceFailure, PieceOutcome
 from aspendrift_model.target_entries import TargetEntry
+from aspendrift_model.wire_work import PoolLoad
 from aspendrift_policy.chain_admission import PoolMeasures, PoolMeter
 from aspendrift_policy.chain_shares import DemandMeter
 from aspendrift_policy.handle_history import HandleHistory
@@ -101,7 +102,7 @@
         self._on_update = on_update
         self._permits = permits
         self._repeats = repeats
-        self._is_owner = True
+        self._is_owner = False
         if repeats is not None:
             scheduler.limit_repeats(repeats)
         self._catches_up_until = catches_up_until
@@ -123,14 +124,24 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def set_owner(self, is_owner: bool) -> None:
-        """Set whether this daemon schedules the pool.
+    def set_owner(self, is_owner: bool, told: PoolLoad | None, now: float) -> None:
+        """Set whether this daemon schedules the pool, and what the owner before told.
 
-        What other owners have sent again in the meantime is unknown.
+        Parameters
+        ----------
+        told : PoolLoad or None
+            Last load that another owner sent within the window; None if there is none.
         """
-        if is_owner and not self._is_owner and self._repeats is not None:
-            self._repeats.begin(self._clock.monotonic())
+        is_new = is_owner and not self._is_owner
         self._is_owner = is_owner
+        if is_new and told is not None and self._repeats is not None:
+            self._repeats.take_over(told.n_requests, told.n_repeats, now)
+
+    def recent_counts(self, now: float) -> tuple[int, int]:
+        """Return the requests and the repeated pieces of the last window."""
+        if self._repeats is None:
+            return 0, 0
+        return self._repeats.n_requests(now), self._repeats.n_repeats(now)
 
     def submit(self, job: StageJob) -> None:
         """Submit a stage job to the scheduler."""
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
@@ -160,7 +160,9 @@
         self._loads_sent_at = 0.0
         self._loaded_pools: set[PoolName] = set()
         self._rationing_logged_at: dict[PoolName, float] = {}
-        self._state_logged_at = clock.monotonic()
+        self._started_at = self._state_logged_at = clock.monotonic()
+        # Loads that other owners sent, with the time of their arrival.
+        self._told_by_pool: dict[PoolName, tuple[float, PoolLoad]] = {}
         self._lag = LagWindow()
         self._pauses = PauseWatch()
         self._sequence = 0
@@ -377,7 +379,7 @@
                 continue
             self.submit(submitted.pool, submitted.job, submitted.listener)
         for pool, runner in self._runners_by_pool.items():
-            runner.set_owner(self.owner(pool, now) == own_id)
+            self._set_owner(pool, runner, now)
         if now - self._heartbeat_sent_at >= _HEARTBEAT_INTERVAL_S:
             self._heartbeat_sent_at = now
             for origin in {origin for origin, _ in self._origins_by_job.values()}:
@@ -398,7 +400,8 @@
         """
         for pool, runner in self._runners_by_pool.items():
             measures = runner.measures(now)
-            is_loaded = any(each.n_waiting for each in measures.loads)
+            n_requests, n_repeats = runner.recent_counts(now)
+            is_loaded = any(each.n_waiting for each in measures.loads) or n_repeats > 0
             if not is_loaded and pool not in self._loaded_pools:
                 continue
             # The end of a backlog is sent once, so that daemons start chains again.
@@ -426,6 +429,8 @@
                         (rank, account, share)
                         for (rank, account), share in measures.shares.by_account.items()
                     ),
+                    n_requests,
+                    n_repeats,
                 )
             )
             self._link.send_each(self._link.live_ids(), WORK_TOPIC, encoded)
@@ -514,13 +519,25 @@
                 self._pauses.catches_up_until,
             )
             self._runners_by_pool[pool] = runner
+            self._set_owner(pool, runner, self._clock.monotonic())
         runner.scheduler.set_limits(spec.pieces)
         return runner
 
     def _repeat_window(self) -> RepeatWindow | None:
         if self._repeat_limit is None:
             return None
-        return RepeatWindow(self._repeat_limit, self._clock.monotonic())
+        return RepeatWindow(self._repeat_limit, self._started_at)
+
+    def _set_owner(self, pool: PoolName, runner: PoolRunner, now: float) -> None:
+        is_owner = self.owner(pool, now) == self._link.host.daemon_id
+        runner.set_owner(is_owner, self._told(pool, now), now)
+
+    def _told(self, pool: PoolName, now: float) -> PoolLoad | None:
+        """Return the last load of a pool that another owner sent within the window."""
+        told_at, load = self._told_by_pool.get(pool, (-math.inf, None))
+        if self._repeat_limit is None or now - told_at > self._repeat_limit().window_s:
+            return None
+        return load
 
     def _on_update(self, pool: PoolName, update: JobUpdate) -> None:
         """Forward an update of a job scheduled here to the daemon that submitted it."""
@@ -568,6 +585,7 @@
         elif isinstance(message, JobEnded):
             self._on_ended(origin, message)
         elif isinstance(message, PoolLoad):
+            self._told_by_pool[PoolName(message.pool)] = now, message
             loads = tuple(RankLoad(*each) for each in message.loads)
             measures = PoolMeasures(
                 message.made_per_s,
--- a/packages/aspendrift-model/src/aspendrift_model/wire_work.py
+++ b/packages/aspendrift-model/src/aspendrift_model/wire_work.py
@@ -124,7 +124,8 @@
     learned by the owner; 0 if they are unknown. Each item of ``on_time`` is a rank and
     its number of waiting pieces that can be on time. ``rank_shares`` and
     ``account_shares`` have the share of chains that start, by rank, and by rank and
-    hash of the account; 1 for ranks that aren't listed.
+    hash of the account; 1 for ranks that aren't listed. ``n_requests`` requests had
+    their first pieces in the last window, and ``n_repeats`` pieces were sent again.
     """
 
     pool: str
@@ -137,6 +138,8 @@
     on_time: tuple[tuple[int, int], ...] = ()
     rank_shares: tuple[tuple[int, float], ...] = ()
     account_shares: tuple[tuple[int, int, float], ...] = ()
+    n_requests: int = 0
+    n_repeats: int = 0
 
 
 class OwnerHeartbeat(msgspec.Struct, frozen=True, array_like=True, tag="o"):
--- a/packages/aspendrift-policy/src/aspendrift_policy/repeat_window.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/repeat_window.py
@@ -5,8 +5,9 @@
 daemon sends all calls of a pool, and counts what it sent in the last window; so most of
 the common limit can be used.
 
-A daemon that becomes the owner does not know what others sent before. It uses a part of
-the limit that grows until a window has passed.
+The owner tells the other daemons what it sent again in the last window, and the next
+one counts that as its own. A process that was told nothing uses a part of the limit
+that grows until a window has passed since its start.
 """
 
 from __future__ import annotations
@@ -21,9 +22,10 @@
 
 # Share of the common limit that one owner uses. The rest covers calls of other daemons
 # while the owner changes.
-_OWNER_SHARE: Final = 0.7
-# Share of this that a new owner may use at the end of its first window.
-_NEW_OWNER_SHARE: Final = 0.2
+_OWNER_SHARE: Final = 0.75
+# Share of this that a process that was told nothing may use at the end of its first
+# window.
+_UNTOLD_SHARE: Final = 0.33
 # Time within which events are counted together.
 _SLOT_S: Final = 0.05
 
@@ -69,19 +71,30 @@
     ----------
     limit : callable
         Returns the limit on the repeats of all daemons that is in force.
-    now : float
-        Time in seconds at which this daemon became the owner.
+    started_at : float
+        Time in seconds at which the process started.
     """
 
-    def __init__(self, limit: Callable[[], RetryLimit], now: float) -> None:
+    def __init__(self, limit: Callable[[], RetryLimit], started_at: float) -> None:
         self._limit = limit
-        self._owner_since = now
+        self._started_at = started_at
+        self._is_told = False
         self._requests = _RecentCount()
         self._repeats = _RecentCount()
 
-    def begin(self, now: float) -> None:
-        """Record that this daemon becomes the owner of the pool."""
-        self._owner_since = now
+    def take_over(self, n_requests: int, n_repeats: int, now: float) -> None:
+        """Count what the owner before told last of its window as sent now."""
+        self._is_told = True
+        self._requests.add(n_requests, now)
+        self._repeats.add(n_repeats, now)
+
+    def n_requests(self, now: float) -> int:
+        """Return the number of requests in the window that ends now."""
+        return self._requests.total(now, self._limit().window_s)
+
+    def n_repeats(self, now: float) -> int:
+        """Return the number of repeated pieces in the window that ends now."""
+        return self._repeats.total(now, self._limit().window_s)
 
     def record_request(self, now: float) -> None:
         """Count a request that has pieces in the pool."""
@@ -89,8 +102,7 @@
 
     def n_allowed(self, now: float) -> int:
         """Return how many pieces may be sent again now."""
-        window_s = self._limit().window_s
-        return max(0, int(self._allowance(now)) - self._repeats.total(now, window_s))
+        return max(0, int(self._allowance(now)) - self.n_repeats(now))
 
     def n_allowed_until(self, at: float, now: float) -> float:
         """Return how many pieces may likely be sent again until a time."""
@@ -108,7 +120,8 @@
     def _allowance(self, now: float) -> float:
         """Return the repeats that are allowed in the window that ends at a time."""
         limit = self._limit()
-        n_requests = self._requests.total(now, limit.window_s)
-        allowance = _OWNER_SHARE * (limit.extra + limit.share * n_requests)
-        age = (now - self._owner_since) / limit.window_s
-        return allowance if age >= 1.0 else allowance * _NEW_OWNER_SHARE * age
+        allowance = _OWNER_SHARE * (limit.extra + limit.share * self.n_requests(now))
+        age = (now - self._started_at) / limit.window_s
+        if self._is_told or age >= 1.0:
+            return allowance
+        return allowance * _UNTOLD_SHARE * age
