--- a/packages/aspendrift-policy/src/aspendrift_policy/repeat_window.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/repeat_window.py
@@ -22,7 +22,7 @@
 
 # Share of the common limit that one owner uses. The rest covers calls of other daemons
 # while the owner changes.
-_OWNER_SHARE: Final = 0.75
+_OWNER_SHARE: Final = 0.65
 # Share of this that a process that was told nothing may use at the end of its first
 # window.
 _UNTOLD_SHARE: Final = 0.33
--- a/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
@@ -195,7 +195,7 @@
     n_working, n_targets : int
         Usable targets with a call, and all of them.
     n_repeats : int
-        Queued pieces that were sent before.
+        Queued pieces that wait for the limit on repeats.
     """
 
     n_jobs: int
@@ -214,6 +214,8 @@
     incomplete: set[PieceId]
     # Pieces that were sent to a target, so that another call repeats them.
     sent: set[PieceId] = field(default_factory=set)
+    # Those of them that the target had no memory for, in a call that it processed.
+    declined: set[PieceId] = field(default_factory=set)
     n_failures: int = 0
     has_started: bool = False
     # Time since which the job is overdue and got no capacity.
@@ -226,9 +228,15 @@
         return len(self.queued)
 
     @property
-    def n_repeats(self) -> int:
-        """Number of queued pieces that were sent before."""
-        return len(self.queued.keys() & self.sent) if self.sent else 0
+    def n_held(self) -> int:
+        """Number of queued pieces that wait for the limit on repeats."""
+        if not self.sent:
+            return 0
+        return sum(self.is_held(each) for each in self.queued)
+
+    def is_held(self, piece_id: PieceId) -> bool:
+        """Return whether a piece is sent again only within the limit on repeats."""
+        return piece_id in self.sent and piece_id not in self.declined
 
     @property
     def has_inputs(self) -> bool:
@@ -641,12 +649,12 @@
         held = [
             job
             for job in self._jobs_by_id.values()
-            if job.n_repeats and not self._is_in_call(job)
+            if job.n_held and not self._is_in_call(job)
         ]
         n_ahead = 0
         given_up = []
         for job in _by_objective(held):
-            n_needed = n_ahead + job.n_repeats
+            n_needed = n_ahead + job.n_held
             if n_needed > self._repeats.n_allowed_until(job.spec.deadline_at, now):
                 given_up.append(job.spec.job_id)
             else:
@@ -692,7 +700,7 @@
                 if target.untracked_until > now
             ]
             times += [result.until for result in self._results_by_handle.values()]
-            if any(job.n_repeats for job in self._jobs_by_id.values()):
+            if any(job.n_held for job in self._jobs_by_id.values()):
                 times.append(now + _REPEATS_POLL_S)
         return min(times, default=None)
 
@@ -730,7 +738,7 @@
             1.0 - free_bytes / memory_bytes if memory_bytes else 0.0,
             sum(bool(each.calls_by_id) for each in targets),
             len(targets),
-            sum(job.n_repeats for job in queued),
+            sum(job.n_held for job in queued),
         )
 
     def capacity_per_s(self) -> float:
@@ -960,6 +968,7 @@
         self._count_repeats(job, works, now)
         for work in works:
             del job.queued[work.piece_id]
+            job.declined.discard(work.piece_id)
         job.has_started = True
         size = job.spec.result_bytes
         self._incomplete_bytes += size * len(works)
@@ -969,22 +978,23 @@
 
     def _has_sendable(self, job: _Job) -> bool:
         """Return whether a job has queued pieces that may be sent now."""
-        return self._n_repeats_left >= 1 or job.n_repeats < job.n_queued
+        return self._n_repeats_left >= 1 or job.n_held < job.n_queued
 
     def _sendable(self, job: _Job) -> list[PieceWork]:
         """Return the queued pieces of a job that may be sent now, new ones first."""
-        if not job.n_repeats:
+        if not job.n_held:
             return list(job.queued.values())
-        new = [each for each in job.queued.values() if each.piece_id not in job.sent]
-        repeated = [each for each in job.queued.values() if each.piece_id in job.sent]
-        n_allowed = min(len(repeated), self._n_repeats_left)
-        return new + repeated[: int(n_allowed)]
+        held = [each for each in job.queued.values() if job.is_held(each.piece_id)]
+        free = [each for each in job.queued.values() if not job.is_held(each.piece_id)]
+        n_allowed = min(len(held), self._n_repeats_left)
+        return free + held[: int(n_allowed)]
 
     def _count_repeats(self, job: _Job, works: Sequence[PieceWork], now: float) -> None:
         """Count the pieces that a call repeats.
 
         Those that an earlier owner may have sent are counted and not held back, since
-        most of them were not sent.
+        most of them were not sent. Nor are those that a target had no memory for, as
+        the others of their job hold memory meanwhile.
         """
         n_repeats = self._n_repeated(job, works)
         if self._repeats is not None and n_repeats:
@@ -1176,6 +1186,7 @@
         if job is None or job.is_withdrawn or work.piece_id not in job.incomplete:
             return []
         if failure is PieceFailure.NO_MEMORY:
+            job.declined.add(work.piece_id)
             self._requeue(job_id, work)
             return []
         job.n_failures += 1
