--- a/packages/aspendrift-policy/tests/test_stage_scheduler_repeats.py
+++ b/packages/aspendrift-policy/tests/test_stage_scheduler_repeats.py
@@ -210,3 +210,21 @@
             )
     unused = RepeatWindow(lambda: LIMIT, 0.0)
     assert pool.repeats.n_allowed(30.0) == unused.n_allowed(30.0)
+
+
+def test_next_owner_counts_what_the_owner_before_told():
+    first, second = (RepeatWindow(lambda: LIMIT, 0.0) for _ in range(2))
+    for tick in range(100):
+        first.record_request(20.0 + tick / 10)
+    first.record_repeats(first.n_allowed(30.0), 30.0)
+    second.take_over(first.n_requests(30.0), first.n_repeats(30.0), 30.5)
+    assert second.n_allowed(30.5) == 0
+    assert second.n_allowed(41.0) > 0
+
+
+def test_two_owners_that_hear_nothing_of_each_other_stay_within_the_limit():
+    owners = [RepeatWindow(lambda: LIMIT, 0.0) for _ in range(2)]
+    for tick in range(100):
+        owners[tick % 2].record_request(20.0 + tick / 10)
+    n_allowed = sum(owner.n_allowed(30.0) for owner in owners)
+    assert n_allowed <= LIMIT.extra + LIMIT.share * 100
