Tell the repeats of a pool only near the limit

Since an owner told every daemon its load four times a second as long as it had sent any piece again in the last window, which is nearly always. On small hosts that is processor time.

It tells them from half of what it may use on. Fewer leave room for all that the next owner may use.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/pool_runner.py
@@ -137,6 +137,10 @@
         if is_new and told is not None and self._repeats is not None:
             self._repeats.take_over(told.n_requests, told.n_repeats, now)
 
+    def is_telling(self, now: float) -> bool:
+        """Return whether the next owner must know of the repeated pieces."""
+        return self._repeats is not None and self._repeats.is_telling(now)
+
     def recent_counts(self, now: float) -> tuple[int, int]:
         """Return the requests and the repeated pieces of the last window."""
         if self._repeats is None:
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
@@ -401,7 +401,8 @@
         for pool, runner in self._runners_by_pool.items():
             measures = runner.measures(now)
             n_requests, n_repeats = runner.recent_counts(now)
-            is_loaded = any(each.n_waiting for each in measures.loads) or n_repeats > 0
+            is_loaded = any(each.n_waiting for each in measures.loads)
+            is_loaded = is_loaded or runner.is_telling(now)
             if not is_loaded and pool not in self._loaded_pools:
                 continue
             # The end of a backlog is sent once, so that daemons start chains again.
--- a/packages/aspendrift-policy/src/aspendrift_policy/repeat_window.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/repeat_window.py
@@ -26,6 +26,8 @@
 # Share of this that a process that was told nothing may use at the end of its first
 # window.
 _UNTOLD_SHARE: Final = 0.33
+# Share of what an owner may use from which on it tells what it used.
+_TOLD_SHARE: Final = 0.5
 # Time within which events are counted together.
 _SLOT_S: Final = 0.05
 
@@ -109,6 +111,13 @@
         left_windows = max(0.0, at - now) / self._limit().window_s
         return self.n_allowed(now) + left_windows * self._allowance(now)
 
+    def is_telling(self, now: float) -> bool:
+        """Return whether the next owner must know of the repeats.
+
+        Fewer leave room for all that a next owner may use beside them.
+        """
+        return self.n_repeats(now) >= _TOLD_SHARE * self._allowance(now) > 0.0
+
     def record_repeats(self, n_pieces: int, now: float) -> None:
         """Count pieces that are sent again."""
         self._repeats.add(n_pieces, now)
