One way to start, end and judge the plays of gateway processes

The record of a seed names its trouble again: a key of the summary of stage repeats had replaced it.

--- a/tests/aspendrift_platform/configuration_changes.py
+++ b/tests/aspendrift_platform/configuration_changes.py
@@ -13,11 +13,15 @@
 from dataclasses import dataclass
 
 import httpx
-from gateway_process import GatewayProcess
+from gateway_process import (
+    READY_TIMEOUT_S,
+    GatewayProcess,
+    running,
+    until_all_ready,
+)
 from platform_emulator import Platform, configuration, route
 
 N_CALLERS = 8
-READY_TIMEOUT_S = 40.0
 # Bound on a change, and time after a fault of a machine in which it is not in touch.
 CONFIGURATION_S = 2.0
 CONTACT_S = 3.0
@@ -84,39 +88,29 @@
 
     async def play(self):
         """Play all changes."""
-        await self.platform.start()
-        tasks = []
-        try:
+        async with (
+            running(self.platform, self.gateways) as tasks,
+            httpx.AsyncClient(trust_env=False, timeout=10.0) as client,
+        ):
             for service, number in itertools.product(SERVICES, range(2)):
                 await self.platform.add_target(f"{service}-{number}", service)
             self._change(1)
             for gateway in self.gateways:
                 gateway.start()
-            async with httpx.AsyncClient(trust_env=False, timeout=10.0) as client:
-                async with asyncio.timeout(READY_TIMEOUT_S):
-                    await asyncio.gather(
-                        *(g.until_ready(client) for g in self.gateways)
-                    )
-                self.platform.store.delay_s = self.trouble.delay_s
-                self.platform.store.hidden_share = self.trouble.hidden_share
-                tasks += [
-                    asyncio.create_task(self._call(client, self._caller_rng()))
-                    for _ in range(N_CALLERS)
-                ]
-                tasks.append(asyncio.create_task(self._disturb(client)))
-                for version in range(2, 2 + self.n_changes):
-                    await asyncio.sleep(CHANGE_INTERVAL_S)
-                    self._change(version)
+            await until_all_ready(self.gateways, client)
+            self.platform.store.delay_s = self.trouble.delay_s
+            self.platform.store.hidden_share = self.trouble.hidden_share
+            tasks += [
+                asyncio.create_task(self._call(client, self._caller_rng()))
+                for _ in range(N_CALLERS)
+            ]
+            tasks.append(asyncio.create_task(self._disturb(client)))
+            for version in range(2, 2 + self.n_changes):
                 await asyncio.sleep(CHANGE_INTERVAL_S)
-                self._is_over.set()
-                await asyncio.gather(*tasks)
-        finally:
-            for task in tasks:
-                task.cancel()
-            for gateway in self.gateways:
-                gateway.resume()
-                gateway.kill()
-            await self.platform.stop()
+                self._change(version)
+            await asyncio.sleep(CHANGE_INTERVAL_S)
+            self._is_over.set()
+            await asyncio.gather(*tasks)
 
     def _caller_rng(self):
         return random.Random(self.rng.random())
@@ -168,8 +162,7 @@
                     await gateway.until_ended()
                 self._record_fault(gateway)
                 gateway.start()
-                async with asyncio.timeout(READY_TIMEOUT_S):
-                    await gateway.until_ready(client)
+                await until_all_ready([gateway], client)
                 self._record_fault(gateway)
             elif self.trouble.freezes:
                 gateway.reload()
--- a/tests/aspendrift_platform/gateway_process.py
+++ b/tests/aspendrift_platform/gateway_process.py
@@ -8,11 +8,14 @@
 import signal
 import subprocess
 import sys
+from contextlib import asynccontextmanager
 from pathlib import Path
 
 import httpx
 from platform_emulator import free_address, settings
 
+READY_TIMEOUT_S = 40.0
+
 _MAIN = "from aspendrift_platform.main import run; run()"
 
 
@@ -105,3 +108,28 @@
                 pass
             assert self._process.poll() is None, self._log_path.read_text()[-2000:]
             await asyncio.sleep(0.05)
+
+
+async def until_all_ready(gateways, client, within_s=READY_TIMEOUT_S):
+    """Wait until all of these processes accept requests."""
+    async with asyncio.timeout(within_s):
+        await asyncio.gather(*(each.until_ready(client) for each in gateways))
+
+
+@asynccontextmanager
+async def running(platform, gateways):
+    """Run a platform; at the end, end its gateways and the tasks that use them.
+
+    Yields the list of these tasks.
+    """
+    tasks = []
+    await platform.start()
+    try:
+        yield tasks
+    finally:
+        for task in tasks:
+            task.cancel()
+        for gateway in gateways:
+            gateway.resume()
+            gateway.kill()
+        await platform.stop()
--- a/tests/aspendrift_platform/planned_stops.py
+++ b/tests/aspendrift_platform/planned_stops.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field
 
 import httpx
-from gateway_process import GatewayProcess
+from gateway_process import GatewayProcess, until_all_ready
 from platform_emulator import Platform, configuration
 
 N_CALLERS = 24
@@ -105,7 +105,7 @@
             for gateway in self.gateways:
                 gateway.start()
             async with httpx.AsyncClient(trust_env=False) as client:
-                await self._until_ready(client, self.gateways)
+                await until_all_ready(self.gateways, client, READY_TIMEOUT_S)
                 tasks.append(asyncio.create_task(self._vary_work()))
                 tasks.append(asyncio.create_task(self._reconfigure()))
                 tasks += [
@@ -119,7 +119,7 @@
                     self.stops.append(stop)
                     await self._stop(gateway, stop)
                     gateway.start()
-                    await self._until_ready(client, [gateway])
+                    await until_all_ready([gateway], client, READY_TIMEOUT_S)
                     await asyncio.sleep(PAUSE_S)
             self._is_over.set()
             await asyncio.gather(*tasks)
@@ -130,10 +130,6 @@
                 gateway.kill()
             await self.platform.stop()
 
-    async def _until_ready(self, client, gateways):
-        async with asyncio.timeout(READY_TIMEOUT_S):
-            await asyncio.gather(*(each.until_ready(client) for each in gateways))
-
     async def _stop(self, gateway, stop):
         gateway.terminate()
         try:
--- a/tests/aspendrift_platform/stage_repeats.py
+++ b/tests/aspendrift_platform/stage_repeats.py
@@ -8,10 +8,10 @@
 from collections import Counter
 
 import httpx
-from gateway_process import GatewayProcess
+from gateway_process import GatewayProcess, running, until_all_ready
 from platform_emulator import Platform
+from repeat_excess import first_and_repeated, worst_excess
 
-READY_TIMEOUT_S = 40.0
 RETRY_SHARE = 0.2
 RETRY_EXTRA = 52
 WINDOW_S = 10.0
@@ -66,34 +66,22 @@
 
     async def play(self):
         """Play a calm time, then the trouble."""
-        await self.platform.start()
-        tasks = []
-        try:
+        async with (
+            running(self.platform, self.gateways) as tasks,
+            httpx.AsyncClient(trust_env=False, timeout=10.0) as client,
+        ):
             for service in ("model", *STAGE_SERVICES):
                 for number in range(2):
                     await self.platform.add_target(f"{service}-{number}", service)
             self.platform.configure(1)
             for gateway in self.gateways:
                 gateway.start()
-            async with httpx.AsyncClient(trust_env=False, timeout=10.0) as client:
-                await self._until_ready(client)
-                tasks += [
-                    asyncio.create_task(self._call(client)) for _ in range(N_CALLERS)
-                ]
-                await asyncio.sleep(CALM_S)
-                await self._trouble(client)
-                self._is_over.set()
-                await asyncio.gather(*tasks)
-        finally:
-            for task in tasks:
-                task.cancel()
-            for gateway in self.gateways:
-                gateway.kill()
-            await self.platform.stop()
-
-    async def _until_ready(self, client):
-        async with asyncio.timeout(READY_TIMEOUT_S):
-            await asyncio.gather(*(each.until_ready(client) for each in self.gateways))
+            await until_all_ready(self.gateways, client)
+            tasks += [asyncio.create_task(self._call(client)) for _ in range(N_CALLERS)]
+            await asyncio.sleep(CALM_S)
+            await self._trouble(client)
+            self._is_over.set()
+            await asyncio.gather(*tasks)
 
     async def _trouble(self, client):
         loop = asyncio.get_running_loop()
@@ -111,7 +99,7 @@
             gateway = self.rng.choice(self.gateways)
             gateway.kill()
             gateway.start()
-            await self._until_ready(client)
+            await until_all_ready(self.gateways, client)
 
     async def _call(self, client):
         loop = asyncio.get_running_loop()
@@ -140,23 +128,24 @@
 
     def worst_excess(self, service):
         """Return the repeats of a stage pool beyond the limit in the worst window."""
-        seen = set()
-        repeats = []
-        for at, piece in self.platform.records.pieces_by_service.get(service, ()):
-            if piece in seen:
-                repeats.append(at)
-            seen.add(piece)
-        worst = -float(RETRY_EXTRA)
-        for end in repeats:
-            n_repeats = sum(end - WINDOW_S < at <= end for at in repeats)
-            n_requests = sum(end - WINDOW_S < at <= end for at in self.sent_at)
-            worst = max(worst, n_repeats - RETRY_SHARE * n_requests - RETRY_EXTRA)
-        return worst
+        arrivals = self.platform.records.pieces_by_service.get(service, ())
+        _, repeated_at = first_and_repeated(arrivals)
+        return worst_excess(
+            repeated_at, self.sent_at, RETRY_SHARE, RETRY_EXTRA, WINDOW_S
+        )
+
+    def violations(self):
+        """Return the stage pools with repeats beyond the limit."""
+        return [
+            f"{each}: {self.worst_excess(each):.1f} pieces beyond the limit"
+            for each in STAGE_SERVICES
+            if self.worst_excess(each) > 0
+        ]
 
     def summary(self):
         """Return statuses, and the worst excess of each stage pool."""
         return {
-            "calm": dict(self.statuses),
-            "trouble": dict(self.statuses_in_trouble),
+            "statuses": dict(self.statuses),
+            "statuses_in_trouble": dict(self.statuses_in_trouble),
             **{name: round(self.worst_excess(name), 1) for name in STAGE_SERVICES},
         }
--- a/tests/aspendrift_platform/test_retry_budget_processes.py
+++ b/tests/aspendrift_platform/test_retry_budget_processes.py
@@ -8,8 +8,9 @@
 
 import httpx
 import pytest
-from gateway_process import GatewayProcess
+from gateway_process import GatewayProcess, until_all_ready
 from platform_emulator import Platform
+from repeat_excess import first_and_repeated, worst_excess
 
 N_GATEWAYS = 5
 N_CLIENTS = 40
@@ -47,8 +48,7 @@
         async with httpx.AsyncClient(trust_env=False, timeout=WAIT_S) as client:
             for gateway in gateways:
                 gateway.start()
-            async with asyncio.timeout(WAIT_S):
-                await asyncio.gather(*(each.until_ready(client) for each in gateways))
+            await until_all_ready(gateways, client, WAIT_S)
             ids = (f"{number:016x}" for number in itertools.count(1))
             clients = [
                 asyncio.create_task(_send(client, gateways, ids, rng, is_over))
@@ -59,10 +59,7 @@
                     gateway.kill()
                     await asyncio.sleep(rng.uniform(0.0, 0.2))
                     gateway.start()
-                async with asyncio.timeout(WAIT_S):
-                    await asyncio.gather(
-                        *(each.until_ready(client) for each in gateways)
-                    )
+                await until_all_ready(gateways, client, WAIT_S)
                 await asyncio.sleep(1.0)
             is_over.set()
             await asyncio.gather(*clients)
@@ -70,8 +67,11 @@
         for gateway in gateways:
             gateway.kill()
         await platform.stop()
-    arrivals = platform.records.arrivals_by_service["desk"]
-    assert _worst_excess(arrivals) <= 0, _worst_excess(arrivals)
+    first_at, repeated_at = first_and_repeated(
+        platform.records.arrivals_by_service["desk"]
+    )
+    excess = worst_excess(repeated_at, first_at, RETRY_SHARE, RETRY_EXTRA, WINDOW_S)
+    assert excess <= 0, excess
 
 
 async def _send(client, gateways, ids, rng, is_over):
@@ -89,21 +89,3 @@
         except httpx.HTTPError:
             pass
         await asyncio.sleep(rng.uniform(0.2, 0.6))
-
-
-def _worst_excess(arrivals):
-    """Return the repeats beyond the limit in the worst window that ends with one."""
-    worst = -float("inf")
-    seen = set()
-    events = []
-    for at, attempt_id in arrivals:
-        events.append((at, attempt_id in seen))
-        seen.add(attempt_id)
-    for at, is_repeat in events:
-        if not is_repeat:
-            continue
-        within = [repeat for other, repeat in events if at - WINDOW_S < other <= at]
-        n_first = within.count(False)
-        allowed = RETRY_SHARE * n_first + RETRY_EXTRA
-        worst = max(worst, within.count(True) - allowed)
-    return worst
--- a/tools/soak_configuration.py
+++ b/tools/soak_configuration.py
@@ -7,14 +7,12 @@
 
 from __future__ import annotations
 
-import asyncio
-import json
 import sys
-import tempfile
 from pathlib import Path
 from typing import Final
 
 import click
+from seeded_soak import play_seeds
 
 ROOT: Final = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT / "tests" / "aspendrift_platform"))
@@ -39,23 +37,15 @@
 @click.option("--changes", "n_changes", default=3, help="Changes of each seed.")
 def main(seeds: str, names: tuple[str, ...], n_gateways: int, n_changes: int) -> None:
     """Play the seeds, each with the next trouble; exit with 1 if a check failed."""
-    first, _, last = seeds.partition("-")
     chosen = names or tuple(TROUBLES)
-    n_failed = 0
-    for seed in range(int(first), int(last or first) + 1):
+
+    def make(folder: str, seed: int) -> tuple[str, ConfigurationChanges]:
         name = chosen[seed % len(chosen)]
-        with tempfile.TemporaryDirectory(prefix="configuration-") as folder:
-            changes = ConfigurationChanges(
-                folder, seed, TROUBLES[name], n_gateways, n_changes
-            )
-            asyncio.run(changes.play())
-            summary = changes.summary()
-        violations = changes.violations()
-        n_failed += bool(violations)
-        record = {"seed": seed, "trouble": name, "n_violations": len(violations)}
-        record |= {**summary, "violations": violations[:4]}
-        click.echo(json.dumps(record))
-    sys.exit(1 if n_failed else 0)
+        return name, ConfigurationChanges(
+            folder, seed, TROUBLES[name], n_gateways, n_changes
+        )
+
+    play_seeds(seeds, make)
 
 
 if __name__ == "__main__":
--- a/tools/soak_stage_repeats.py
+++ b/tools/soak_stage_repeats.py
@@ -7,19 +7,17 @@
 
 from __future__ import annotations
 
-import asyncio
-import json
 import sys
-import tempfile
 from pathlib import Path
 from typing import Any, Final
 
 import click
+from seeded_soak import play_seeds
 
 ROOT: Final = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT / "tests" / "aspendrift_platform"))
 
-from stage_repeats import STAGE_SERVICES, StageRepeats  # noqa: E402
+from stage_repeats import StageRepeats  # noqa: E402
 
 TROUBLES: Final[dict[str, dict[str, Any]]] = {
     "rejected 0.9": {"rejected_share": 0.9},
@@ -39,18 +37,14 @@
 @click.option("--gateways", "n_gateways", default=3)
 def main(seeds: str, names: tuple[str, ...], n_gateways: int) -> None:
     """Play the seeds, each with the next trouble; exit with 1 if a check failed."""
-    first, _, last = seeds.partition("-")
     chosen = names or tuple(TROUBLES)
-    n_failed = 0
-    for seed in range(int(first), int(last or first) + 1):
+
+    def make(folder: str, seed: int) -> tuple[str, StageRepeats]:
         name = chosen[seed % len(chosen)]
-        with tempfile.TemporaryDirectory(prefix="stage-repeats-") as folder:
-            play = StageRepeats(folder, seed, **TROUBLES[name], n_gateways=n_gateways)
-            asyncio.run(play.play())
-        n_failed += any(play.worst_excess(each) > 0 for each in STAGE_SERVICES)
-        record = {"seed": seed, "trouble": name, **play.summary()}
-        click.echo(json.dumps(record))
-    sys.exit(1 if n_failed else 0)
+        play = StageRepeats(folder, seed, **TROUBLES[name], n_gateways=n_gateways)
+        return name, play
+
+    play_seeds(seeds, make)
 
 
 if __name__ == "__main__":
