One read of the whole configuration, for its feed and for its check

The check of the feed had repeated what the feed does once its history is gone: the read, its failure, the rows and the confirmation. Both call one function now, which says whether the feed goes on from there. The age of the configuration is the state's own also in state_source_changed. The tests of the reader, of sources and of the spread of configurations pass unchanged.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/peer_state.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/peer_state.py
@@ -399,7 +399,7 @@
                 self._follower.source_id or "",
                 reason,
                 state.configuration_version,
-                _known_age_s(state.configuration_confirmed_at, now),
+                state.configuration_age_s(now),
                 _known_age_s(state.targets_confirmed_at, now),
             )
         )
--- a/packages/aspendrift-gateway/src/aspendrift_gateway/store_reader.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/store_reader.py
@@ -143,7 +143,7 @@
 
     async def read_once(self) -> bool:
         """Read what changed in both tables; return whether the store answered."""
-        if not await self._check_configuration():
+        if not await self._read_whole_configuration(restarts_feed=False):
             return False
         return await self._update_targets(is_checked=False)
 
@@ -192,11 +192,16 @@
         elif self._configuration.is_lost:
             await asyncio.sleep(interval_s)
         else:
-            await self._check_configuration()
+            await self._read_whole_configuration(restarts_feed=False)
         return 0.0
 
-    async def _check_configuration(self) -> bool:
-        """Read the whole configuration; return whether the store answered."""
+    async def _read_whole_configuration(self, *, restarts_feed: bool) -> bool:
+        """Read the whole configuration; return whether the store answered.
+
+        One read of the table, so that evacuations and configuration are as of one
+        position. The feed goes on from there if it has to, or if the store came back
+        from a copy.
+        """
         state = self._state
         known_version = state.configuration_version
         known_position = self._feed_position
@@ -211,10 +216,10 @@
         if result.position >= known_position:
             # Otherwise the rows are older than what the feed told before.
             self._confirm(result, requested_at)
-        if self._feed_position != NO_POSITION and (
-            result.era > self._feed_position.era
-        ):
-            self._feed_position = result.position
+        at = self._feed_position
+        if restarts_feed or (at != NO_POSITION and result.era > at.era):
+            is_complete = state.table is not None
+            self._feed_position = result.position if is_complete else NO_POSITION
         is_newer = state.configuration_version > known_version >= 0
         if is_newer and self._has_passed(result, known_position):
             self._events.emit(
@@ -238,38 +243,33 @@
         return max(0.0, self._interval_s() - (self._clock.monotonic() - started_at))
 
     async def _update_configuration(self, wait_s: float) -> bool:
-        """Read the configuration; return whether the store answered."""
-        table = self._store.codec.configuration_table
+        """Read the changes of the configuration; return whether the store answered."""
+        after = self._feed_position
         result: StoreRows | HistoryGone | StoreFailure = HistoryGone()
         requested_at = self._clock.monotonic()
-        is_full_read = False
-        after = self._feed_position
         if after != NO_POSITION:
+            table = self._store.codec.configuration_table
             result = await self._feed(table, after, wait_s)
-            if isinstance(result, HistoryGone) and self._feed_position != after:
+        if isinstance(result, HistoryGone):
+            if self._feed_position != after:
                 # A check has read the table of the new era meanwhile.
                 return True
-        if isinstance(result, HistoryGone):
-            requested_at = self._clock.monotonic()
-            # One read of the table, so that evacuations and configuration are as of
-            # one position.
-            self._read_fully_at = requested_at
-            result = await self._store.read_table(table)
-            is_full_read = True
-        if not isinstance(result, StoreRows):
-            detail = getattr(result, "detail", "history gone")
-            self._configuration.failed(detail)
+            if not await self._read_whole_configuration(restarts_feed=True):
+                return False
+            self._is_configuration_confirmed = True
+            return True
+        if isinstance(result, StoreFailure):
+            self._configuration.failed(result.detail)
             return False
         self._configuration.succeeded()
-        self._apply_rows(result, is_full_read)
+        self._apply_rows(result, is_full_read=False)
+        self._is_configuration_confirmed = not result.rows
         read_at = requested_at
-        if not (is_full_read or result.rows):
+        if not result.rows:
             # The store answered after the whole wait at the earliest.
             read_at = min(requested_at + wait_s, self._clock.monotonic())
-        self._is_configuration_confirmed = is_full_read or not result.rows
         self._confirm(result, read_at)
-        is_complete = self._state.table is not None
-        self._feed_position = result.position if is_complete else NO_POSITION
+        self._feed_position = result.position
         return True
 
     def _confirm(self, result: StoreRows, read_at: float) -> None:
