Count the repeats of a pool only when they are sent, and name loads by direction

The requests and repeats of a window were counted for every pool, also where no load is sent. Loads that were received and pools that were announced had names that could be taken for each other. Jobs that are given up are removed where they are found. No change of behaviour; the tests of dispatchers, chains and schedulers pass unchanged.

--- a/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
+++ b/packages/aspendrift-gateway/src/aspendrift_gateway/stage_dispatcher.py
@@ -158,11 +158,12 @@
         self._suspects: frozenset[DaemonId] = frozenset()
         self._heartbeat_sent_at = 0.0
         self._loads_sent_at = 0.0
-        self._loaded_pools: set[PoolName] = set()
+        # Pools whose load the other daemons were sent last time.
+        self._announced_pools: set[PoolName] = set()
         self._rationing_logged_at: dict[PoolName, float] = {}
         self._started_at = self._state_logged_at = clock.monotonic()
         # Loads that other owners sent, with the time of their arrival.
-        self._told_by_pool: dict[PoolName, tuple[float, PoolLoad]] = {}
+        self._received_load_by_pool: dict[PoolName, tuple[float, PoolLoad]] = {}
         self._lag = LagWindow()
         self._pauses = PauseWatch()
         self._sequence = 0
@@ -400,15 +401,15 @@
         """
         for pool, runner in self._runners_by_pool.items():
             measures = runner.measures(now)
-            n_requests, n_repeats = runner.recent_counts(now)
             is_loaded = any(each.n_waiting for each in measures.loads)
-            is_loaded = is_loaded or runner.is_telling(now)
-            if not is_loaded and pool not in self._loaded_pools:
+            is_announced = is_loaded or runner.is_telling(now)
+            if not is_announced and pool not in self._announced_pools:
                 continue
             # The end of a backlog is sent once, so that daemons start chains again.
-            self._loaded_pools.discard(pool)
-            if is_loaded:
-                self._loaded_pools.add(pool)
+            self._announced_pools.discard(pool)
+            if is_announced:
+                self._announced_pools.add(pool)
+            n_requests, n_repeats = runner.recent_counts(now)
             self._admission.update_measures(pool, measures, now)
             self._log_rationing(pool, measures, now)
             loads = tuple(
@@ -535,7 +536,7 @@
 
     def _told(self, pool: PoolName, now: float) -> PoolLoad | None:
         """Return the last load of a pool that another owner sent within the window."""
-        told_at, load = self._told_by_pool.get(pool, (-math.inf, None))
+        told_at, load = self._received_load_by_pool.get(pool, (-math.inf, None))
         if self._repeat_limit is None or now - told_at > self._repeat_limit().window_s:
             return None
         return load
@@ -586,7 +587,7 @@
         elif isinstance(message, JobEnded):
             self._on_ended(origin, message)
         elif isinstance(message, PoolLoad):
-            self._told_by_pool[PoolName(message.pool)] = now, message
+            self._received_load_by_pool[PoolName(message.pool)] = now, message
             loads = tuple(RankLoad(*each) for each in message.loads)
             measures = PoolMeasures(
                 message.made_per_s,
--- a/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
+++ b/packages/aspendrift-policy/src/aspendrift_policy/stage_scheduler.py
@@ -652,16 +652,16 @@
             if job.n_held and not self._is_in_call(job)
         ]
         n_ahead = 0
-        given_up = []
+        updates = []
         for job in _by_objective(held):
             n_needed = n_ahead + job.n_held
             if n_needed > self._repeats.n_allowed_until(job.spec.deadline_at, now):
-                given_up.append(job.spec.job_id)
+                job_id = job.spec.job_id
+                del self._jobs_by_id[job_id]
+                updates.append(JobUpdate(job_id, failure=PieceFailure.OVERDUE))
             else:
                 n_ahead = n_needed
-        for job_id in given_up:
-            del self._jobs_by_id[job_id]
-        return [JobUpdate(job_id, failure=PieceFailure.OVERDUE) for job_id in given_up]
+        return updates
 
     def fail_queued(self) -> list[JobUpdate]:
         """End the jobs with queued pieces, since no target is left for those."""
