--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # standard library, so their modules are only compiled.
 set -e
 cd "$(dirname "$0")"
-python3 -m compileall -q lib2 [6-9]/*.py
+python3 -m compileall -q lib2 6 7 8 9 10
